--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+SOURCES := $(wildcard packages/*/src)
+TESTS := $(wildcard packages/*/tests)
+STAMP := $(VENV)/installed
+
+.PHONY: demo test check format clean
+
+$(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -c constraints.txt setuptools wheel
+	$(BIN)/pip install --quiet --no-build-isolation -c constraints.txt -r requirements-dev.txt \
+		$(foreach package,$(wildcard packages/*),-e $(package))
+	touch $@
+
+demo: $(STAMP)
+	$(BIN)/python -m ebonyhatch.testing.demo
+
+check: $(STAMP)
+	$(BIN)/black --check --quiet packages
+	$(BIN)/ruff check --quiet packages
+	$(BIN)/mypy $(SOURCES)
+
+test: check
+	$(BIN)/python -m pytest -n 4
+
+format: $(STAMP)
+	$(BIN)/black --quiet packages
+	$(BIN)/ruff check --fix --quiet packages
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/__init__.py
@@ -0,0 +1,1 @@
+"""Tables, systems and records of the scheduler, without I/O."""
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that every entry instance runs."""
--- /dev/null
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Ports to the platform: store, workers and instance list."""
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, naive twins, history checker and benches."""
