--- /dev/null
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/memory_calls.py
@@ -0,0 +1,90 @@
+"""Calls to an engine in this process, with the timeouts and faults of a network."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from ebonyhatch.core import errors
+from ebonyhatch.platform import fault_switches, timing
+from returns import result
+from twisted.internet import defer
+
+Outcome = defer.Deferred[Any]
+Effect = Callable[[], Any]
+Explain = Callable[[str], errors.EbonyhatchError]
+
+
+class MemoryCalls:
+    """Carries out calls of one client; every Deferred fires once, with a result."""
+
+    def __init__(self, *, clock: timing.Clock, faults: fault_switches.Faults) -> None:
+        self._clock = clock
+        self._faults = faults
+        self._open: dict[Outcome, tuple[timing.Timer, Explain]] = {}
+        self._closed = False
+
+    def start(self) -> None:
+        """Take calls."""
+        self._closed = False
+
+    def close(self) -> None:
+        """Refuse calls from now on, and end open ones with an unknown outcome."""
+        self._closed = True
+        for outcome, (_, unknown) in list(self._open.items()):
+            self._settle(outcome, result.Failure(unknown("the client was closed")))
+
+    def call(
+        self, *, effect: Effect, refused: Explain, unknown: Explain, timeout_s: float
+    ) -> Outcome:
+        """Carry out `effect` as a call over a network.
+
+        Args:
+            effect: Answers a value or a Deferred; typed errors are raised.
+            refused: Builds the error of a call without effect from its reason.
+            unknown: Builds the error of a call of unknown effect from its reason.
+            timeout_s: Time after which the outcome is unknown, seconds.
+        """
+        if self._closed:
+            return defer.succeed(result.Failure(refused("the client is closed")))
+        if self._faults.down:
+            return defer.succeed(result.Failure(refused("connection refused")))
+        outcome: Outcome = defer.Deferred(self._forget)
+        late = result.Failure(unknown(f"no answer within {timeout_s} s"))
+        timer = self._clock.callLater(timeout_s, self._settle, outcome, late)
+        self._open[outcome] = (timer, unknown)
+        if self._faults.silent:
+            return outcome
+        if self._faults.slow_s > 0:
+            self._clock.callLater(self._faults.slow_s, self._run, outcome, effect, unknown)
+        else:
+            self._run(outcome, effect, unknown)
+        return outcome
+
+    def _run(self, outcome: Outcome, effect: Effect, unknown: Explain) -> None:
+        inner = defer.maybeDeferred(effect)
+        inner.addCallbacks(result.Success, self._to_result)
+        inner.addCallback(self._deliver, outcome, unknown)
+
+    @staticmethod
+    def _to_result(failure: Any) -> Any:
+        failure.trap(errors.EbonyhatchError)
+        return result.Failure(failure.value)
+
+    def _deliver(self, answer: Any, outcome: Outcome, unknown: Explain) -> None:
+        if self._faults.lose_answers:
+            return
+        if self._faults.cut_answers:
+            answer = result.Failure(unknown("the answer broke off"))
+        self._settle(outcome, answer)
+
+    def _settle(self, outcome: Outcome, answer: Any) -> None:
+        if outcome not in self._open:
+            return
+        self._forget(outcome)
+        outcome.callback(answer)
+
+    def _forget(self, outcome: Outcome) -> None:
+        timer, _ = self._open.pop(outcome)
+        if timer.active():
+            timer.cancel()
--- /dev/null
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/memory_instances.py
@@ -0,0 +1,52 @@
+"""The instance list in memory, for the embedded default and for tests."""
+
+from __future__ import annotations
+
+from ebonyhatch.platform import fault_switches, instance_directory, instances, memory_calls, timing
+
+CALL_TIMEOUT_S = 2.0
+"""Longest wait for an answer."""
+
+
+class MemoryInstances(instances.Instances):
+    """A client of an `InstanceDirectory` in this process."""
+
+    def __init__(
+        self,
+        *,
+        clock: timing.Clock,
+        directory: instance_directory.InstanceDirectory | None = None,
+        faults: fault_switches.Faults | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        self._directory = directory or instance_directory.InstanceDirectory(clock=clock)
+        self._faults = faults or fault_switches.Faults()
+        self._calls = memory_calls.MemoryCalls(clock=clock, faults=self._faults)
+        self._timeout_s = timeout_s
+
+    @property
+    def directory(self) -> instance_directory.InstanceDirectory:
+        """The state behind this client."""
+        return self._directory
+
+    @property
+    def faults(self) -> fault_switches.Faults:
+        """Faults of this client's calls."""
+        return self._faults
+
+    def start(self) -> None:
+        """Make ready for calls."""
+        self._calls.start()
+
+    def close(self) -> None:
+        """End all calls."""
+        self._calls.close()
+
+    def list(self) -> instances.InstancesOutcome:
+        """Read the list."""
+        return self._calls.call(
+            effect=lambda: self._directory.list(age_s=self._faults.stale_s),
+            refused=lambda reason: instances.InstancesError(reason=reason),
+            unknown=lambda reason: instances.InstancesError(reason=reason),
+            timeout_s=self._timeout_s,
+        )
