HTTP adapters to the platform, and stand-ins that serve the twins' engines

A call tells whether its first byte may have left by whether the pool handed out a connection, so that a refused connection is certainly without effect and all else is unknown. Ruled out: Agent's own pool, which sends a GET a second time by itself, and treq for forwarded requests, which keeps cookies between callers and asks for gzip. An answer whose end is not marked counts as cut off, as does one that repeats another request's id.

--- /dev/null
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_workers.py
@@ -0,0 +1,239 @@
+"""Workers over HTTP."""
+
+from __future__ import annotations
+
+import re
+import urllib.parse
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from ebonyhatch.platform import answers, header_rules, http_calls, worker_messages, workers
+from returns import result
+from twisted.internet import defer
+
+CALL_TIMEOUT_S = 2.0
+"""Longest wait for the answer to a control call."""
+
+NOT_RUN_STATUSES = frozenset({400, 404, 413, 429, 503})
+"""Statuses that may say that a call had no effect."""
+
+PATH_SAFE = "/?&=%:@!$'()*+,;~-._"
+"""Characters of a path and its query that are passed on as they are."""
+
+DOT_SEGMENT = re.compile(r"(?:\.|%2e){1,2}", re.IGNORECASE)
+"""A path segment that some servers resolve, and so leave the service's own paths."""
+
+Read = Callable[[bytes], Any]
+
+
+class HttpWorkers(workers.Workers):
+    """Calls workers; see docs/platform-protocol.md."""
+
+    def __init__(
+        self, *, reactor: Any, fenced: bool = True, timeout_s: float = CALL_TIMEOUT_S
+    ) -> None:
+        self._calls = http_calls.HttpCalls(reactor=reactor)
+        self._fenced = fenced
+        self._timeout_s = timeout_s
+
+    @property
+    def calls(self) -> http_calls.HttpCalls:
+        """The HTTP client."""
+        return self._calls
+
+    @property
+    def fenced(self) -> bool:
+        """Whether workers refuse older epochs."""
+        return self._fenced
+
+    def start(self) -> None:
+        """Make ready for calls."""
+        self._calls.start()
+
+    def close(self) -> None:
+        """End all calls."""
+        self._calls.close()
+
+    def claim(self, *, address: workers.Address, epoch: int) -> workers.ReportOutcome:
+        """Present a new epoch and learn everything that the worker knows."""
+        body = worker_messages.ClaimCall(epoch=epoch)
+        return self._call("claim", address, epoch, body, lambda read: _report(read, address))
+
+    def start_task(
+        self, *, address: workers.Address, epoch: int, order: workers.TaskOrder
+    ) -> workers.DoneOutcome:
+        """Start an attempt under a lease."""
+        body = worker_messages.StartCall(epoch=epoch, order=order)
+        return self._call("start", address, epoch, body, _done)
+
+    def renew(
+        self,
+        *,
+        address: workers.Address,
+        epoch: int,
+        lease_s: float,
+        acknowledged: tuple[str, ...] = (),
+    ) -> workers.ReportOutcome:
+        """Renew the leases of all attempts on the worker, and learn its account."""
+        body = worker_messages.RenewCall(epoch=epoch, lease_s=lease_s, acknowledged=acknowledged)
+        return self._call("renew", address, epoch, body, lambda read: _report(read, address))
+
+    def checkpoint(
+        self, *, address: workers.Address, epoch: int, task_id: str
+    ) -> workers.CheckpointOutcome:
+        """Save an attempt's work; it goes on running."""
+        body = worker_messages.TaskCall(epoch=epoch, task_id=task_id)
+        return self._call(
+            "checkpoint", address, epoch, body, lambda read: _checkpoint(read, task_id)
+        )
+
+    def throttle(
+        self, *, address: workers.Address, epoch: int, task_id: str, share: float
+    ) -> workers.DoneOutcome:
+        """Run an attempt at a share of its speed."""
+        body = worker_messages.ThrottleCall(epoch=epoch, task_id=task_id, share=share)
+        return self._call("throttle", address, epoch, body, _done)
+
+    def stop_task(
+        self, *, address: workers.Address, epoch: int, task_id: str
+    ) -> workers.DoneOutcome:
+        """Stop an attempt."""
+        body = worker_messages.TaskCall(epoch=epoch, task_id=task_id)
+        return self._call("stop", address, epoch, body, _done)
+
+    def forward(
+        self, *, address: workers.Address, epoch: int, request: workers.ServiceRequest
+    ) -> workers.AnswerOutcome:
+        """Send a request to the service on the worker and wait for the whole answer."""
+        if _leaves_service(request):
+            reason = f"{request.service!r}/{request.path!r} has no plain path"
+            refused = workers.NotRunError(worker_id=address.worker_id, reason=reason)
+            return defer.succeed(result.Failure(refused))
+        lines = header_rules.end_to_end(request.headers)
+        call = http_calls.Call(
+            method=request.method,
+            url=_base_url(address) + _service_path(request),
+            body=request.body,
+            headers=(
+                *((line.name, line.value) for line in lines),
+                (worker_messages.EPOCH_HEADER, str(epoch)),
+            ),
+            request_id=request.request_id,
+            timeout_s=request.timeout_s,
+            verbatim=True,
+        )
+
+        def value(answer: http_calls.Answer) -> workers.ServiceAnswer:
+            return _service_value(answer, address, epoch, request.request_id)
+
+        return self._calls.call(call).addCallback(_interpret, address, value)
+
+    def _call(
+        self, name: str, address: workers.Address, epoch: int, body: msgspec.Struct, read: Read
+    ) -> Any:
+        def value(answer: http_calls.Answer) -> Any:
+            return _control_value(answer, address, epoch, read)
+
+        url = f"{_base_url(address)}/v1/{name}"
+        outcome = self._calls.call_json(url=url, body=body, timeout_s=self._timeout_s)
+        return outcome.addCallback(_interpret, address, value)
+
+
+def _base_url(address: workers.Address) -> str:
+    return http_calls.base_url(host=address.host, port=address.port)
+
+
+def _service_path(request: workers.ServiceRequest) -> str:
+    service = urllib.parse.quote(request.service, safe="")
+    path = urllib.parse.quote(request.path.removeprefix("/"), safe=PATH_SAFE)
+    return f"/service/{service}/{path}"
+
+
+def _leaves_service(request: workers.ServiceRequest) -> bool:
+    segments = [request.service, *request.path.partition("?")[0].split("/")]
+    return not request.service or any(DOT_SEGMENT.fullmatch(segment) for segment in segments)
+
+
+def _interpret(
+    outcome: result.Result[http_calls.Answer, http_calls.CallError],
+    address: workers.Address,
+    value: Callable[[http_calls.Answer], Any],
+) -> Any:
+    worker_id = address.worker_id
+    if isinstance(outcome, result.Failure):
+        error = outcome.failure()
+        kind = workers.OutcomeUnknownError if error.sent else workers.NotRunError
+        return result.Failure(kind(worker_id=worker_id, reason=error.reason))
+    try:
+        return result.Success(value(outcome.unwrap()))
+    except workers.WorkerError as refusal:
+        return result.Failure(refusal)
+    except answers.BadAnswerError as error:
+        reason = str(error)
+        return result.Failure(workers.OutcomeUnknownError(worker_id=worker_id, reason=reason))
+
+
+def _control_value(
+    answer: http_calls.Answer, address: workers.Address, epoch: int, read: Read
+) -> Any:
+    if answer.status == 200:
+        return read(answer.body)
+    if answer.status == 409:
+        stale = answers.decode(answer.body, worker_messages.StaleAnswer)
+        raise _stale(address, epoch, stale.newest_epoch)
+    if answer.status in NOT_RUN_STATUSES:
+        refused = answers.decode(answer.body, worker_messages.NotRunAnswer)
+        raise workers.NotRunError(worker_id=address.worker_id, reason=refused.not_run)
+    raise answers.BadAnswerError(f"status {answer.status}")
+
+
+def _service_value(
+    answer: http_calls.Answer, address: workers.Address, epoch: int, request_id: str
+) -> workers.ServiceAnswer:
+    for name, value in answer.headers:
+        if name.lower() == worker_messages.NEWEST_EPOCH_HEADER.lower():
+            raise _stale(address, epoch, _integer(value))
+        if name.lower() == worker_messages.NOT_RUN_HEADER.lower():
+            raise workers.NotRunError(worker_id=address.worker_id, reason=value)
+    lines = tuple(workers.Header(name=name, value=value) for name, value in answer.headers)
+    return workers.ServiceAnswer(
+        request_id=request_id,
+        status=answer.status,
+        headers=header_rules.end_to_end(lines),
+        body=answer.body,
+    )
+
+
+def _stale(address: workers.Address, epoch: int, newest_epoch: int) -> workers.WorkerError:
+    if answers.check_count(newest_epoch, "newest_epoch") <= epoch:
+        raise answers.BadAnswerError(f"epoch {epoch} is not older than {newest_epoch}")
+    return workers.StaleEpochError(
+        worker_id=address.worker_id, epoch=epoch, newest_epoch=newest_epoch
+    )
+
+
+def _integer(value: str) -> int:
+    if not (value.isascii() and value.isdigit() and len(value) < 20):
+        raise answers.BadAnswerError(f"{value!r} is not an epoch")
+    return int(value)
+
+
+def _report(body: bytes, address: workers.Address) -> workers.WorkerReport:
+    report = answers.decode(body, workers.WorkerReport)
+    answers.check_amounts(report, "report")
+    if report.worker_id != address.worker_id:
+        raise answers.BadAnswerError(f"worker {report.worker_id} answered")
+    return report
+
+
+def _checkpoint(body: bytes, task_id: str) -> workers.Checkpoint:
+    saved = answers.decode(body, workers.Checkpoint)
+    answers.check_amounts(saved, "checkpoint")
+    if saved.task_id != task_id:
+        raise answers.BadAnswerError(f"the answer is about {saved.task_id}")
+    return saved
+
+
+def _done(body: bytes) -> None:
+    answers.decode(body, worker_messages.DoneAnswer)
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/worker_engine.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/worker_engine.py
@@ -32,6 +32,15 @@
     epoch: int
 
 
+class History(msgspec.Struct, frozen=True, kw_only=True):
+    """What a worker ever did, for checks of the history."""
+
+    worker_id: str
+    task_starts: tuple[Run, ...]
+    request_starts: tuple[Run, ...]
+    highest_use: resources.Resources
+
+
 class WorkerEngine:
     """Runs tasks and requests within a capacity; refusals are raised as typed errors."""
 
@@ -86,6 +95,15 @@
         """Attempts that run now."""
         return tuple(task_id for task_id, run in self._runs.items() if run.running)
 
+    def history(self) -> History:
+        """Tell what the worker ever did."""
+        return History(
+            worker_id=self._worker_id,
+            task_starts=self.task_starts,
+            request_starts=self.request_starts,
+            highest_use=self.highest_use,
+        )
+
     def leave(self, *, refuses: bool = False) -> None:
         """Say that nothing new is wanted; with `refuses`, also refuse it."""
         self._leaving = True
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform over HTTP, with fault switches."""
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/store.py
@@ -0,0 +1,159 @@
+"""Stand-in of the key-value service: `python -m ebonyhatch.testing.stand_ins.store`."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import click
+import klein
+from ebonyhatch.platform import fault_switches, store, store_engine, store_messages
+from ebonyhatch.testing.stand_ins import main, serving
+
+
+class StoreStandIn:
+    """Serves a `StoreEngine` over HTTP."""
+
+    app = klein.Klein()
+
+    def __init__(
+        self, *, reactor: Any, host: str = "127.0.0.1", port: int = 0, faults_port: int = 0
+    ) -> None:
+        self._engine = store_engine.StoreEngine(clock=reactor)
+        self._server = serving.Server(
+            reactor=reactor,
+            resource=self.app.resource(),
+            faults=fault_switches.Faults(),
+            host=host,
+            port=port,
+            faults_port=faults_port,
+        )
+
+    @property
+    def engine(self) -> store_engine.StoreEngine:
+        """The state that is served."""
+        return self._engine
+
+    @property
+    def server(self) -> serving.Server:
+        """The server."""
+        return self._server
+
+    def start(self) -> None:
+        """Listen."""
+        self._server.start()
+
+    def close(self) -> Any:
+        """Stop listening and drop the state."""
+        self._engine.close()
+        return self._server.close()
+
+    @app.route("/faults", methods=["GET", "PUT"])
+    def faults(self, request: Any) -> Any:
+        """Show or set the faults."""
+        return serving.change_faults(self._server, request)
+
+    @app.route("/counts", methods=["GET"])
+    def counts(self, request: Any) -> Any:
+        """Show how many calls of each kind there were."""
+        return serving.json_reply(dict(self._engine.counts)).body
+
+    @app.route("/health/live", methods=["GET"])
+    def live(self, request: Any) -> Any:
+        """Answer a probe."""
+        return self._answer(request, lambda: None)
+
+    @app.route("/v1/get", methods=["POST"])
+    def get(self, request: Any) -> Any:
+        """Read a key."""
+
+        def effect() -> Any:
+            call = serving.decode(request, store_messages.GetCall)
+            return self._engine.get(key=call.key, age_s=self._server.faults.stale_s)
+
+        return self._answer(request, effect)
+
+    @app.route("/v1/swap", methods=["POST"])
+    def swap(self, request: Any) -> Any:
+        """Write a key."""
+
+        def effect() -> Any:
+            call = serving.decode(request, store_messages.SwapCall)
+            stored = self._engine.swap(
+                key=call.key,
+                expected_version=call.expected_version,
+                value=call.value,
+                lease_id=call.lease_id,
+            )
+            return store_messages.VersionAnswer(version=stored.version)
+
+        return self._answer(request, effect)
+
+    @app.route("/v1/watch", methods=["POST"])
+    def watch(self, request: Any) -> Any:
+        """Wait for a key to change."""
+
+        def effect() -> Any:
+            call = serving.decode(request, store_messages.WatchCall)
+            return self._engine.watch(
+                key=call.key,
+                after_version=call.after_version,
+                wait_s=call.wait_s,
+                age_s=self._server.faults.stale_s,
+            )
+
+        return self._answer(request, effect)
+
+    @app.route("/v1/grant", methods=["POST"])
+    def grant(self, request: Any) -> Any:
+        """Grant a lease."""
+
+        def effect() -> Any:
+            call = serving.decode(request, store_messages.GrantCall)
+            return self._engine.grant(ttl_s=call.ttl_s)
+
+        return self._answer(request, effect)
+
+    @app.route("/v1/renew", methods=["POST"])
+    def renew(self, request: Any) -> Any:
+        """Renew a lease."""
+
+        def effect() -> Any:
+            call = serving.decode(request, store_messages.LeaseCall)
+            return self._engine.renew(lease_id=call.lease_id)
+
+        return self._answer(request, effect)
+
+    @app.route("/v1/revoke", methods=["POST"])
+    def revoke(self, request: Any) -> Any:
+        """End a lease."""
+
+        def effect() -> Any:
+            call = serving.decode(request, store_messages.LeaseCall)
+            self._engine.revoke(lease_id=call.lease_id)
+
+        return self._answer(request, effect)
+
+    def _answer(self, request: Any, effect: serving.Effect) -> Any:
+        return self._server.answer(request, lambda: serving.reply_of(effect, _refusal))
+
+
+def _refusal(error: Exception) -> serving.Reply:
+    if isinstance(error, store.ConflictError):
+        conflict = store_messages.ConflictAnswer(actual_version=error.actual_version)
+        return serving.json_reply(conflict, status=409)
+    if isinstance(error, store.RefusedError):
+        return serving.json_reply(store_messages.RefusedAnswer(refused=error.reason), status=503)
+    return serving.json_reply(store_messages.RefusedAnswer(refused=str(error)), status=400)
+
+
+@click.command()
+@main.listen_options
+def run(*, host: str, port: int, faults_port: int) -> None:
+    """Serve an empty key-value store until SIGTERM."""
+    main.run(
+        lambda reactor: StoreStandIn(reactor=reactor, host=host, port=port, faults_port=faults_port)
+    )
+
+
+if __name__ == "__main__":
+    run()
