--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/instances.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/instances.py
@@ -62,13 +62,13 @@
     @app.route("/health/live", methods=["GET"])
     def live(self, request: Any) -> Any:
         """Answer a probe."""
-        return self._server.answer(request, lambda: serving.json_reply({"live": True}))
+        return self._server.answer(request, lambda body: serving.json_reply({"live": True}))
 
     @app.route("/v1/instances", methods=["GET"])
     def list(self, request: Any) -> Any:
         """Read the list."""
 
-        def effect() -> serving.Reply:
+        def effect(body: bytes) -> serving.Reply:
             return serving.json_reply(self._directory.list(age_s=self._server.faults.stale_s))
 
         return self._server.answer(request, effect)
@@ -80,7 +80,7 @@
             self._directory.remove(instance_id=instance_id)
             return b""
         try:
-            self._directory.put(serving.decode(request, instances.Instance))
+            self._directory.put(serving.decode(request.content.read(), instances.Instance))
         except serving.BadCallError as error:
             request.setResponseCode(400)
             return str(error).encode()
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/serving.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/serving.py
@@ -12,7 +12,7 @@
 from twisted.internet import defer
 from twisted.web import server
 
-Effect = Callable[[], Any]
+Effect = Callable[[bytes], Any]
 
 DONE = {"done": True}
 """Body of an answer without a value."""
@@ -113,18 +113,24 @@
             self._listen()
 
     def answer(self, request: Any, effect: Effect) -> Any:
-        """Carry out `effect`, which answers a `Reply` or a Deferred of one, under the faults."""
+        """Carry out `effect` on the body under the faults; it answers a `Reply`, maybe later.
+
+        The body is read first: it is gone once the caller hangs up, and the effect is not.
+        """
+        body = request.content.read()
         if self._faults.silent:
             return defer.Deferred()
         answered: defer.Deferred[bytes] = defer.Deferred()
         if self._faults.slow_s > 0:
-            self._reactor.callLater(self._faults.slow_s, self._run, request, effect, answered)
+            self._reactor.callLater(self._faults.slow_s, self._run, request, effect, body, answered)
         else:
-            self._run(request, effect, answered)
+            self._run(request, effect, body, answered)
         return answered
 
-    def _run(self, request: Any, effect: Effect, answered: defer.Deferred[bytes]) -> None:
-        replying = defer.maybeDeferred(effect)
+    def _run(
+        self, request: Any, effect: Effect, body: bytes, answered: defer.Deferred[bytes]
+    ) -> None:
+        replying = defer.maybeDeferred(effect, body)
         replying.addCallback(self._send, request, answered)
         replying.addErrback(lambda failure: None if answered.called else answered.errback(failure))
 
@@ -152,14 +158,14 @@
         self._port = self._main.getHost().port
 
 
-def decode(request: Any, kind: type) -> Any:
+def decode(body: bytes, kind: type) -> Any:
     """Decode a call's body.
 
     Raises:
         BadCallError: When it can't be.
     """
     try:
-        return msgspec.json.decode(request.content.read(), type=kind)
+        return msgspec.json.decode(body, type=kind)
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise BadCallError(reason=str(error)) from error
 
@@ -168,7 +174,7 @@
     """Answer `GET /faults` and `PUT /faults`; a switch that is not named is turned off."""
     if request.method == b"PUT":
         try:
-            running.faults.replace(decode(request, fault_switches.Faults))
+            running.faults.replace(decode(request.content.read(), fault_switches.Faults))
         except BadCallError as error:
             request.setResponseCode(400)
             return str(error).encode()
@@ -177,7 +183,9 @@
     return msgspec.json.encode(running.faults)
 
 
-def reply_of(effect: Effect, refusal: Callable[[Exception], Reply]) -> defer.Deferred[Reply]:
+def reply_of(
+    effect: Callable[[], Any], refusal: Callable[[Exception], Reply]
+) -> defer.Deferred[Reply]:
     """Carry out `effect`; its value becomes JSON, and its typed errors become refusals."""
 
     def reply(value: Any) -> Reply:
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/store.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/store.py
@@ -60,14 +60,14 @@
     @app.route("/health/live", methods=["GET"])
     def live(self, request: Any) -> Any:
         """Answer a probe."""
-        return self._answer(request, lambda: None)
+        return self._answer(request, lambda body: None)
 
     @app.route("/v1/get", methods=["POST"])
     def get(self, request: Any) -> Any:
         """Read a key."""
 
-        def effect() -> Any:
-            call = serving.decode(request, store_messages.GetCall)
+        def effect(body: bytes) -> Any:
+            call = serving.decode(body, store_messages.GetCall)
             return self._engine.get(key=call.key, age_s=self._server.faults.stale_s)
 
         return self._answer(request, effect)
@@ -76,8 +76,8 @@
     def swap(self, request: Any) -> Any:
         """Write a key."""
 
-        def effect() -> Any:
-            call = serving.decode(request, store_messages.SwapCall)
+        def effect(body: bytes) -> Any:
+            call = serving.decode(body, store_messages.SwapCall)
             stored = self._engine.swap(
                 key=call.key,
                 expected_version=call.expected_version,
@@ -92,8 +92,8 @@
     def watch(self, request: Any) -> Any:
         """Wait for a key to change."""
 
-        def effect() -> Any:
-            call = serving.decode(request, store_messages.WatchCall)
+        def effect(body: bytes) -> Any:
+            call = serving.decode(body, store_messages.WatchCall)
             return self._engine.watch(
                 key=call.key,
                 after_version=call.after_version,
@@ -107,8 +107,8 @@
     def grant(self, request: Any) -> Any:
         """Grant a lease."""
 
-        def effect() -> Any:
-            call = serving.decode(request, store_messages.GrantCall)
+        def effect(body: bytes) -> Any:
+            call = serving.decode(body, store_messages.GrantCall)
             return self._engine.grant(ttl_s=call.ttl_s)
 
         return self._answer(request, effect)
@@ -117,8 +117,8 @@
     def renew(self, request: Any) -> Any:
         """Renew a lease."""
 
-        def effect() -> Any:
-            call = serving.decode(request, store_messages.LeaseCall)
+        def effect(body: bytes) -> Any:
+            call = serving.decode(body, store_messages.LeaseCall)
             return self._engine.renew(lease_id=call.lease_id)
 
         return self._answer(request, effect)
@@ -127,14 +127,16 @@
     def revoke(self, request: Any) -> Any:
         """End a lease."""
 
-        def effect() -> Any:
-            call = serving.decode(request, store_messages.LeaseCall)
+        def effect(body: bytes) -> Any:
+            call = serving.decode(body, store_messages.LeaseCall)
             self._engine.revoke(lease_id=call.lease_id)
 
         return self._answer(request, effect)
 
     def _answer(self, request: Any, effect: serving.Effect) -> Any:
-        return self._server.answer(request, lambda: serving.reply_of(effect, _refusal))
+        return self._server.answer(
+            request, lambda body: serving.reply_of(lambda: effect(body), _refusal)
+        )
 
 
 def _refusal(error: Exception) -> serving.Reply:
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/worker.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/worker.py
@@ -101,14 +101,14 @@
     @app.route("/health/live", methods=["GET"])
     def live(self, request: Any) -> Any:
         """Answer a probe."""
-        return self._answer(request, lambda: None)
+        return self._answer(request, lambda body: None)
 
     @app.route("/v1/claim", methods=["POST"])
     def claim(self, request: Any) -> Any:
         """Obey an epoch."""
 
-        def effect() -> Any:
-            call = serving.decode(request, worker_messages.ClaimCall)
+        def effect(body: bytes) -> Any:
+            call = serving.decode(body, worker_messages.ClaimCall)
             return self._engine.claim(epoch=call.epoch)
 
         return self._answer(request, effect)
@@ -117,8 +117,8 @@
     def start_task(self, request: Any) -> Any:
         """Start an attempt."""
 
-        def effect() -> Any:
-            call = serving.decode(request, worker_messages.StartCall)
+        def effect(body: bytes) -> Any:
+            call = serving.decode(body, worker_messages.StartCall)
             self._engine.start_task(epoch=call.epoch, order=call.order)
 
         return self._answer(request, effect)
@@ -127,8 +127,8 @@
     def renew(self, request: Any) -> Any:
         """Renew all leases."""
 
-        def effect() -> Any:
-            call = serving.decode(request, worker_messages.RenewCall)
+        def effect(body: bytes) -> Any:
+            call = serving.decode(body, worker_messages.RenewCall)
             return self._engine.renew(
                 epoch=call.epoch, lease_s=call.lease_s, acknowledged=call.acknowledged
             )
@@ -139,8 +139,8 @@
     def checkpoint(self, request: Any) -> Any:
         """Save an attempt's work."""
 
-        def effect() -> Any:
-            call = serving.decode(request, worker_messages.TaskCall)
+        def effect(body: bytes) -> Any:
+            call = serving.decode(body, worker_messages.TaskCall)
             return self._engine.checkpoint(epoch=call.epoch, task_id=call.task_id)
 
         return self._answer(request, effect)
@@ -149,8 +149,8 @@
     def throttle(self, request: Any) -> Any:
         """Slow an attempt."""
 
-        def effect() -> Any:
-            call = serving.decode(request, worker_messages.ThrottleCall)
+        def effect(body: bytes) -> Any:
+            call = serving.decode(body, worker_messages.ThrottleCall)
             self._engine.throttle(epoch=call.epoch, task_id=call.task_id, share=call.share)
 
         return self._answer(request, effect)
@@ -159,8 +159,8 @@
     def stop(self, request: Any) -> Any:
         """Stop an attempt."""
 
-        def effect() -> Any:
-            call = serving.decode(request, worker_messages.TaskCall)
+        def effect(body: bytes) -> Any:
+            call = serving.decode(body, worker_messages.TaskCall)
             self._engine.stop_task(epoch=call.epoch, task_id=call.task_id)
 
         return self._answer(request, effect)
@@ -168,10 +168,10 @@
     @app.route("/service/", branch=True)
     def service(self, request: Any) -> Any:
         """Run a request to the service."""
-        return self._server.answer(request, lambda: self._serve(request))
+        return self._server.answer(request, lambda body: self._serve(request, body))
 
-    def _serve(self, request: Any) -> Any:
-        order = _service_request(request)
+    def _serve(self, request: Any, body: bytes) -> Any:
+        order = _service_request(request, body)
         epoch = int(request.getHeader(worker_messages.EPOCH_HEADER) or 0)
         try:
             serving = self._engine.serve(epoch=epoch, request=order)
@@ -180,7 +180,9 @@
         return serving.addCallback(_service_reply)
 
     def _answer(self, request: Any, effect: serving.Effect) -> Any:
-        return self._server.answer(request, lambda: serving.reply_of(effect, _refusal))
+        return self._server.answer(
+            request, lambda body: serving.reply_of(lambda: effect(body), _refusal)
+        )
 
 
 def _refusal(error: Exception) -> serving.Reply:
@@ -192,7 +194,7 @@
     return serving.json_reply(worker_messages.NotRunAnswer(not_run=str(error)), status=400)
 
 
-def _service_request(request: Any) -> workers.ServiceRequest:
+def _service_request(request: Any, body: bytes) -> workers.ServiceRequest:
     parts = request.uri.decode("latin-1").split("/", 3)
     return workers.ServiceRequest(
         request_id=request.getHeader(http_calls.REQUEST_ID_HEADER) or "",
@@ -204,7 +206,7 @@
             for name, values in request.requestHeaders.getAllRawHeaders()
             for value in values
         ),
-        body=request.content.read(),
+        body=body,
         timeout_s=SERVICE_TIMEOUT_S,
     )
 
