--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
@@ -0,0 +1,259 @@
+"""The callers' HTTP API: requests to services, and jobs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Generator
+from typing import Any
+
+import klein
+import msgspec
+from returns import result
+from twisted.internet import defer, interfaces
+from twisted.web import server
+
+from ebonyhatch.core import commands, configuration, entities
+from ebonyhatch.node import (
+    caller_errors,
+    http_server,
+    job_calls,
+    messages,
+    metrics,
+    problems,
+    routing,
+    service_calls,
+)
+from ebonyhatch.platform import workers
+
+METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+
+HTTP_ACCEPTED = 202
+HTTP_UNAVAILABLE = 503
+HTTP_GATEWAY_TIMEOUT = 504
+RETRY_AFTER_S = 1.0
+
+REMEDIES = {
+    commands.Outcome.NOT_RUN: "nothing was run: send it again after Retry-After",
+    commands.Outcome.UNKNOWN: "it may have run: look before you send it again",
+}
+
+
+class Gateway:
+    """Serves callers over one HTTP listener.
+
+    Attributes:
+        app: The klein application.
+    """
+
+    app = klein.Klein()
+
+    def __init__(
+        self,
+        *,
+        router: routing.Router,
+        in_force: Callable[[], configuration.InForce],
+        measures: metrics.Metrics,
+        clock: interfaces.IReactorTime,
+        requests_limit: int,
+    ) -> None:
+        self._router = router
+        self._in_force = in_force
+        self._measures = measures
+        self._clock = clock
+        self._requests_limit = requests_limit
+        self._in_progress = 0
+        self._draining = False
+        self._idle: list[defer.Deferred[None]] = []
+
+    @property
+    def in_progress(self) -> int:
+        """Requests that have no answer yet."""
+        return self._in_progress
+
+    def drain(self) -> defer.Deferred[None]:
+        """Refuse new work from now; fires when nothing is in progress any more."""
+        self._draining = True
+        idle: defer.Deferred[None] = defer.Deferred()
+        self._idle.append(idle)
+        self._note_idle()
+        return idle
+
+    @app.route("/v1/services/<service>", methods=METHODS)
+    @app.route("/v1/services/<service>/<path:path>", methods=METHODS)
+    def serve(
+        self, request: http_server.BoundedRequest, service: str, path: str = ""
+    ) -> defer.Deferred[bytes]:
+        """Serve `ANY /v1/services/{service}/{path}`."""
+        return self._guarded(request, lambda: self._serve(request, service))
+
+    @app.route("/v1/jobs", methods=["POST"])
+    def submit(self, request: http_server.BoundedRequest) -> defer.Deferred[bytes]:
+        """Serve `POST /v1/jobs`: durable once answered 202."""
+        return self._guarded(request, lambda: self._submit(request))
+
+    @app.route("/v1/jobs/<job_id>", methods=["GET"])
+    def show(self, request: http_server.BoundedRequest, job_id: str) -> defer.Deferred[bytes]:
+        """Serve `GET /v1/jobs/{id}`."""
+        return self._guarded(request, lambda: self._job(request, self._router.show(job_id=job_id)))
+
+    @app.route("/v1/jobs/<job_id>", methods=["DELETE"])
+    def cancel(self, request: http_server.BoundedRequest, job_id: str) -> defer.Deferred[bytes]:
+        """Serve `DELETE /v1/jobs/{id}`: cancels the job."""
+        return self._guarded(
+            request, lambda: self._job(request, self._router.cancel(job_id=job_id))
+        )
+
+    @defer.inlineCallbacks
+    def _guarded(
+        self, request: http_server.BoundedRequest, work: Callable[[], defer.Deferred[bytes]]
+    ) -> Generator[defer.Deferred[Any], Any, bytes]:
+        if request.body_overflowed:
+            limit = request.body_limit_bytes
+            return self._caller_problem(
+                request, caller_errors.BodyTooLargeError(limit_bytes=limit)
+            )
+        if self._draining:
+            return self._refusal(request, commands.Outcome.NOT_RUN, "draining", RETRY_AFTER_S)
+        if self._in_progress >= self._requests_limit:
+            return self._refusal(request, commands.Outcome.NOT_RUN, "entry-full", RETRY_AFTER_S)
+        self._in_progress += 1
+        try:
+            body = yield work()
+        finally:
+            self._in_progress -= 1
+            self._note_idle()
+        return body
+
+    @defer.inlineCallbacks
+    def _serve(
+        self, request: http_server.BoundedRequest, service: str
+    ) -> Generator[defer.Deferred[Any], Any, bytes]:
+        read = service_calls.read(
+            request=caller_request(request=request, service=service), in_force=self._in_force()
+        )
+        match read:
+            case result.Success(messages.RequestCall() as call):
+                body = yield self._routed(request, call)
+                return body
+            case result.Failure(caller_errors.CallerError() as error):
+                return self._caller_problem(request, error)
+        raise AssertionError(read)
+
+    @defer.inlineCallbacks
+    def _routed(
+        self, request: http_server.BoundedRequest, call: messages.RequestCall
+    ) -> Generator[defer.Deferred[Any], Any, bytes]:
+        request_id = call.request.request_id
+        request.setHeader(service_calls.REQUEST_ID_HEADER, request_id)
+        began_at = self._clock.seconds()
+        reply = yield self._router.request(call=call)
+        total_s = self._clock.seconds() - began_at
+        self._measures.request_done(
+            work_class=call.work_class, tenant=call.tenant, total_s=total_s, reason=reply.reason
+        )
+        if reply.answer is None:
+            return self._refusal(request, reply.outcome, reply.reason, reply.retry_after_s)
+        return _write_answer(request, reply.answer)
+
+    @defer.inlineCallbacks
+    def _submit(
+        self, request: http_server.BoundedRequest
+    ) -> Generator[defer.Deferred[Any], Any, bytes]:
+        read = job_calls.read(body=request.content.read(), in_force=self._in_force())
+        match read:
+            case result.Success(entities.Job() as job):
+                body = yield self._job(request, self._router.submit(job=job), HTTP_ACCEPTED)
+                return body
+            case result.Failure(caller_errors.CallerError() as error):
+                return self._caller_problem(request, error)
+        raise AssertionError(read)
+
+    @defer.inlineCallbacks
+    def _job(
+        self,
+        request: http_server.BoundedRequest,
+        replied: defer.Deferred[messages.JobReply],
+        status: int = 200,
+    ) -> Generator[defer.Deferred[Any], Any, bytes]:
+        reply = yield replied
+        if reply.view is None:
+            return self._job_problem(request, reply)
+        request.setResponseCode(status)
+        request.setHeader("Content-Type", "application/json")
+        answer = job_calls.JobAnswer(**msgspec.structs.asdict(reply.view))
+        return msgspec.json.encode(answer)
+
+    def _caller_problem(
+        self, request: server.Request, error: caller_errors.CallerError
+    ) -> bytes:
+        self._measures.refused(reason=error.kind)
+        return problems.write(
+            request=request,
+            status=error.status,
+            kind=error.kind,
+            detail=error.problem,
+            remedy=error.remedy,
+            outcome=commands.Outcome.NOT_RUN,
+        )
+
+    def _refusal(
+        self,
+        request: server.Request,
+        outcome: commands.Outcome,
+        reason: str,
+        retry_after_s: float,
+    ) -> bytes:
+        not_run = outcome is commands.Outcome.NOT_RUN
+        self._measures.refused(reason=reason)
+        return problems.write(
+            request=request,
+            status=HTTP_UNAVAILABLE if not_run else HTTP_GATEWAY_TIMEOUT,
+            kind=reason,
+            detail=f"the request got no answer: {reason}",
+            remedy=REMEDIES[outcome],
+            outcome=outcome,
+            retry_after_s=retry_after_s if not_run else None,
+        )
+
+    def _job_problem(self, request: server.Request, reply: messages.JobReply) -> bytes:
+        self._measures.refused(reason=reply.reason)
+        unavailable = reply.status == HTTP_UNAVAILABLE
+        return problems.write(
+            request=request,
+            status=reply.status,
+            kind=reply.reason.split(":")[0] or "job",
+            detail=reply.reason,
+            remedy=REMEDIES[reply.outcome],
+            outcome=reply.outcome,
+            retry_after_s=RETRY_AFTER_S if unavailable else None,
+        )
+
+    def _note_idle(self) -> None:
+        if self._in_progress or not self._draining:
+            return
+        waiting, self._idle = self._idle, []
+        for idle in waiting:
+            idle.callback(None)
+
+
+def caller_request(*, request: server.Request, service: str) -> service_calls.CallerRequest:
+    """Copy what a caller sent out of the HTTP request; the path keeps its encoding."""
+    parts = request.uri.split(b"/", 4)
+    rest = parts[4] if len(parts) > 4 else b""
+    return service_calls.CallerRequest(
+        service=service,
+        method=request.method.decode("ascii", "replace"),
+        path=rest.decode("latin-1"),
+        headers=tuple(
+            workers.Header(name=name.decode("latin-1"), value=value.decode("latin-1"))
+            for name, values in request.requestHeaders.getAllRawHeaders()
+            for value in values
+        ),
+        body=request.content.read(),
+    )
+
+
+def _write_answer(request: server.Request, answer: workers.ServiceAnswer) -> bytes:
+    request.setResponseCode(answer.status)
+    for header in service_calls.end_to_end(answer.headers):
+        request.responseHeaders.addRawHeader(header.name, header.value)
+    return answer.body
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/instance_view.py
@@ -0,0 +1,99 @@
+"""Keeps the platform's list of instances, and derives cells and peers from it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Generator
+from typing import Any
+
+from returns import result
+from twisted.internet import defer, interfaces, task
+
+from ebonyhatch.core import rendezvous
+from ebonyhatch.platform import instances
+
+READ_PERIOD_S = 1.0
+
+
+class InstanceView:
+    """Reads the list once a period and keeps the last one while it can't be read.
+
+    Attributes:
+        failures: Reads in a row that failed.
+    """
+
+    def __init__(
+        self,
+        *,
+        port: instances.Instances,
+        clock: interfaces.IReactorTime,
+        cells_per_domain: int,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._port = port
+        self._cells_per_domain = cells_per_domain
+        self._on_change = on_change
+        self._listed: tuple[instances.Instance, ...] = ()
+        self._by_cell: dict[str, tuple[instances.Instance, ...]] = {}
+        self._loop = task.LoopingCall(self.refresh)
+        self._loop.clock = clock
+        self.failures = 0
+
+    @property
+    def entries(self) -> tuple[instances.Instance, ...]:
+        """Entries that the platform lists."""
+        return tuple(item for item in self._listed if item.role is instances.Role.ENTRY)
+
+    @property
+    def cells(self) -> tuple[str, ...]:
+        """Names of the cells that have workers, in order."""
+        return tuple(sorted(self._by_cell))
+
+    @property
+    def domains(self) -> tuple[str, ...]:
+        """Failure domains that have workers, in order."""
+        return tuple(sorted({item.failure_domain for item in self._workers()}))
+
+    def workers_of(self, *, name: str) -> tuple[instances.Instance, ...]:
+        """List the workers of a cell."""
+        return self._by_cell.get(name, ())
+
+    def start(self) -> defer.Deferred[None]:
+        """Read the list once, then go on reading it; fires after the first read."""
+        first = self.refresh()
+        self._loop.start(READ_PERIOD_S, now=False)
+        return first
+
+    def close(self) -> None:
+        """Stop reading."""
+        if self._loop.running:
+            self._loop.stop()
+
+    @defer.inlineCallbacks
+    def refresh(self) -> Generator[defer.Deferred[Any], Any, None]:
+        """Read the list now and tell about a change."""
+        outcome = yield self._port.list()
+        match outcome:
+            case result.Success(instances.InstanceList() as listed):
+                self.failures = 0
+                self._keep(listed.instances)
+            case _:
+                self.failures += 1
+
+    def _keep(self, listed: tuple[instances.Instance, ...]) -> None:
+        if listed == self._listed:
+            return
+        self._listed = listed
+        self._by_cell = self._grouped()
+        self._on_change()
+
+    def _workers(self) -> tuple[instances.Instance, ...]:
+        return tuple(item for item in self._listed if item.role is instances.Role.WORKER)
+
+    def _grouped(self) -> dict[str, tuple[instances.Instance, ...]]:
+        grouped: dict[str, tuple[instances.Instance, ...]] = {}
+        for worker in self._workers():
+            name = rendezvous.cell_of_worker(
+                worker.failure_domain, worker.instance_id, self._cells_per_domain
+            )
+            grouped[name] = (*grouped.get(name, ()), worker)
+        return grouped
