--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
@@ -0,0 +1,282 @@
+"""A small deployment of separate processes on loopback: stand-ins and daemons."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Iterator, Mapping
+from typing import IO, TypeVar
+
+import msgspec
+
+HOST = "127.0.0.1"
+POLL_S = 0.05
+START_LIMIT_S = 30.0
+TOKEN = "example-token"
+TOKEN_SHA256 = "4d1566a1d7df42a8517456d60ea06ed284e535cfe4c956aa6ee172dbcdf945f7"
+
+Value = TypeVar("Value")
+
+
+class Answer(msgspec.Struct, frozen=True, kw_only=True):
+    """An HTTP answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> dict[str, object]:
+        """Decode the body."""
+        return msgspec.json.decode(self.body, type=dict[str, object])
+
+
+class Ports(msgspec.Struct, frozen=True, kw_only=True):
+    """Ports of one daemon."""
+
+    callers: int
+    admin: int
+    peers: int
+
+
+class Deployment:
+    """Starts processes one by one and ends just those.
+
+    Attributes:
+        store_port: Port of the store stand-in.
+        instances_port: Port of the instance-list stand-in.
+        entries: Ports of each daemon by entry id.
+    """
+
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        entry_ids: tuple[str, ...],
+        worker_ids: tuple[str, ...],
+        domains: tuple[str, ...] = ("domain-1",),
+        slots: int = 8,
+    ) -> None:
+        self._folder = folder
+        self._domains = domains
+        self._slots = slots
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._logs: list[IO[bytes]] = []
+        self._worker_ports = {worker_id: free_port() for worker_id in worker_ids}
+        self.store_port = free_port()
+        self.instances_port = free_port()
+        self.entries = {
+            entry_id: Ports(callers=free_port(), admin=free_port(), peers=free_port())
+            for entry_id in entry_ids
+        }
+
+    def start(self) -> None:
+        """Start the stand-ins, then the daemons, and wait until each is ready."""
+        self._run_stand_in("store", "--port", str(self.store_port))
+        for worker_id in self._worker_ports:
+            self.start_worker(worker_id=worker_id)
+        listed = self._folder / "instances.json"
+        listed.write_text(json.dumps(self._instances()), encoding="utf-8")
+        self._run_stand_in("instances", "--port", str(self.instances_port), "--file", str(listed))
+        for entry_id in self.entries:
+            self.start_entry(entry_id=entry_id)
+        for entry_id in self.entries:
+            self.wait_ready(entry_id=entry_id)
+
+    def close(self) -> None:
+        """End every process that is still running."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
+        for log in self._logs:
+            log.close()
+
+    def start_worker(self, *, worker_id: str) -> None:
+        """Start a worker stand-in."""
+        port = str(self._worker_ports[worker_id])
+        self._run_stand_in(
+            "worker",
+            "--worker-id",
+            worker_id,
+            "--port",
+            port,
+            "--slots",
+            str(self._slots),
+            name=worker_id,
+        )
+
+    def start_entry(self, *, entry_id: str) -> None:
+        """Start a daemon."""
+        settings = self._folder / f"{entry_id}.json"
+        settings.write_text(json.dumps(self._settings(entry_id)), encoding="utf-8")
+        self._spawn(entry_id, ["-m", "ebonyhatch.node.main", str(settings)])
+
+    def wait_ready(self, *, entry_id: str) -> None:
+        """Wait until a daemon says that it is ready."""
+        url = f"http://{HOST}:{self.entries[entry_id].admin}/health/ready"
+        wait_for(lambda: fetch(url).status == 200, what=f"{entry_id} ready", log=self.log_of(entry_id))
+
+    def signal(self, *, name: str, number: signal.Signals) -> None:
+        """Send a signal to one of the processes."""
+        self._processes[name].send_signal(number)
+
+    def wait_exit(self, *, name: str) -> int:
+        """Wait for the exit code of one of the processes."""
+        return self._processes[name].wait(timeout=START_LIMIT_S)
+
+    def caller_url(self, entry_id: str, path: str) -> str:
+        """Build a URL of the callers' API at an entry."""
+        return f"http://{HOST}:{self.entries[entry_id].callers}{path}"
+
+    def admin_url(self, entry_id: str, path: str) -> str:
+        """Build a URL of the administration API at an entry."""
+        return f"http://{HOST}:{self.entries[entry_id].admin}{path}"
+
+    def apply_records(self, *, entry_id: str, records: list[dict[str, object]]) -> Answer:
+        """Write a configuration through an entry and wait until every entry has it in force."""
+        answer = self.admin(entry_id, "/v1/admin/records", method="PUT", body=json.dumps(records))
+        generation = answer.json().get("generation")
+        for other in self.entries:
+            wait_for(
+                lambda entry=other: self.status(entry).get("generation") == generation,  # type: ignore[misc]
+                what=f"generation {generation} at {other}",
+                log=self.log_of(other),
+            )
+        return answer
+
+    def status(self, entry_id: str) -> dict[str, object]:
+        """Read the status of an entry."""
+        return self.admin(entry_id, "/v1/admin/status").json()
+
+    def admin(self, entry_id: str, path: str, *, method: str = "GET", body: str = "") -> Answer:
+        """Call the administration API with the token."""
+        headers = {"Authorization": f"Bearer {TOKEN}", "Content-Type": "application/json"}
+        data = body.encode() if body else None
+        return fetch(self.admin_url(entry_id, path), method=method, body=data, headers=headers)
+
+    def log_of(self, name: str) -> pathlib.Path:
+        """Name the file that holds what a process printed."""
+        return self._folder / f"{name}.log"
+
+    def _run_stand_in(self, module: str, *arguments: str, name: str = "") -> None:
+        module_name = f"ebonyhatch.testing.stand_ins.{module}"
+        self._spawn(name or module, ["-m", module_name, "--host", HOST, *arguments])
+
+    def _spawn(self, name: str, arguments: list[str]) -> None:
+        log = self.log_of(name).open("ab")
+        self._logs.append(log)
+        self._processes[name] = subprocess.Popen(
+            [sys.executable, *arguments], stdout=log, stderr=subprocess.STDOUT
+        )
+
+    def _instances(self) -> list[dict[str, object]]:
+        entries = [
+            self._instance(entry_id, "entry", ports.peers, index)
+            for index, (entry_id, ports) in enumerate(self.entries.items())
+        ]
+        workers = [
+            self._instance(worker_id, "worker", port, index)
+            for index, (worker_id, port) in enumerate(self._worker_ports.items())
+        ]
+        return entries + workers
+
+    def _instance(self, name: str, role: str, port: int, index: int) -> dict[str, object]:
+        return {
+            "instance_id": name,
+            "role": role,
+            "state": "live",
+            "host": HOST,
+            "port": port,
+            "region": "region-1",
+            "failure_domain": self._domains[index % len(self._domains)],
+            "rack": f"rack-{index % 2}",
+        }
+
+    def _settings(self, entry_id: str) -> dict[str, object]:
+        ports = self.entries[entry_id]
+        index = list(self.entries).index(entry_id)
+        return {
+            "entry": {
+                "id": entry_id,
+                "region": "region-1",
+                "failure_domain": self._domains[index % len(self._domains)],
+                "rack": "rack-1",
+            },
+            "listen": {
+                "callers": {"host": HOST, "port": ports.callers},
+                "admin": {"host": HOST, "port": ports.admin},
+                "peers": {"host": HOST, "port": ports.peers},
+            },
+            "platform": {
+                "store": {"host": HOST, "port": self.store_port},
+                "instances": {"host": HOST, "port": self.instances_port},
+                "workers_fenced": True,
+            },
+            "cells": {"per_failure_domain": 2},
+            "access": {"token_sha256": [TOKEN_SHA256]},
+        }
+
+
+def free_port() -> int:
+    """Find a port of loopback that is free now."""
+    with contextlib.closing(socket.socket()) as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+def fetch(
+    url: str,
+    *,
+    method: str = "GET",
+    body: bytes | None = None,
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float = 10.0,
+) -> Answer:
+    """Make one HTTP call; status 0 when there was no whole answer."""
+    request = urllib.request.Request(url, data=body, method=method, headers=dict(headers or {}))
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as answer:
+            return Answer(
+                status=answer.status, headers=dict(answer.headers), body=answer.read()
+            )
+    except urllib.error.HTTPError as error:
+        return Answer(status=error.code, headers=dict(error.headers), body=error.read())
+    except OSError as error:
+        return Answer(status=0, headers={}, body=str(error).encode())
+
+
+def wait_for(
+    probe: Callable[[], Value], *, what: str, log: pathlib.Path | None = None
+) -> Value:
+    """Poll until `probe` is true; the limit only ends a hung run.
+
+    Raises:
+        TimeoutError: With the end of the log, after `START_LIMIT_S`.
+    """
+    last = time.monotonic() + START_LIMIT_S
+    while time.monotonic() < last:
+        value = probe()
+        if value:
+            return value
+        time.sleep(POLL_S)
+    tail = log.read_text(encoding="utf-8", errors="replace")[-4000:] if log else ""
+    raise TimeoutError(f"no {what} within {START_LIMIT_S} s\n{tail}")
+
+
+@contextlib.contextmanager
+def running(deployment: Deployment) -> Iterator[Deployment]:
+    """Start a deployment and close it at the end."""
+    try:
+        deployment.start()
+        yield deployment
+    finally:
+        deployment.close()
--- /dev/null
+++ b/packages/ebonyhatch-testing/tests/test_processes.py
@@ -0,0 +1,74 @@
+"""The whole path as separate processes: one request and one job from end to end."""
+
+from __future__ import annotations
+
+import json
+import signal
+
+from ebonyhatch.testing import processes, samples
+
+
+def test_request_and_job_through_two_entries_and_two_workers(tmp_path):
+    deployment = processes.Deployment(
+        folder=tmp_path, entry_ids=("entry-a", "entry-b"), worker_ids=("worker-1", "worker-2")
+    )
+    with processes.running(deployment):
+        applied = deployment.apply_records(entry_id="entry-a", records=samples.RECORDS)
+        assert applied.status == 200, applied
+
+        _each_entry_serves_workers_of_both(deployment)
+        _job_runs_once(deployment)
+        _bad_input_is_not_run(deployment)
+
+        deployment.signal(name="entry-a", number=signal.SIGTERM)
+        assert deployment.wait_exit(name="entry-a") == 0
+
+
+def _each_entry_serves_workers_of_both(deployment):
+    """An entry also answers with what a worker owned by the other one said."""
+    for entry_id in deployment.entries:
+        served_by = set()
+
+        def ask(entry_id=entry_id, served_by=served_by):
+            answer = processes.fetch(
+                deployment.caller_url(entry_id, "/v1/services/quotes/price?frames=3"),
+                method="POST",
+                body=b"three frames",
+            )
+            if answer.status == 200:
+                assert answer.body == b"three frames"
+                served_by.add(answer.headers["Ebonyhatch-Worker"])
+            return served_by == {"worker-1", "worker-2"}
+
+        processes.wait_for(
+            ask, what=f"answers of both workers at {entry_id}", log=deployment.log_of(entry_id)
+        )
+
+
+def _job_runs_once(deployment):
+    job = {"class": "cutting", "job_id": "plan-1", "payload": {"run_s": 0.5}}
+    submitted = processes.fetch(
+        deployment.caller_url("entry-a", "/v1/jobs"), method="POST", body=json.dumps(job).encode()
+    )
+    assert submitted.status == 202, submitted
+    for entry_id in deployment.entries:
+        url = deployment.caller_url(entry_id, "/v1/jobs/plan-1")
+        view = processes.wait_for(
+            lambda url=url: _ended(processes.fetch(url)), what="end of plan-1"
+        )
+        assert view["state"] == "finished"
+        assert view["attempts"] == 1
+
+
+def _ended(answer):
+    view = answer.json() if answer.status == 200 else {}
+    return view if view.get("state") in ("finished", "failed", "cancelled") else None
+
+
+def _bad_input_is_not_run(deployment):
+    answer = processes.fetch(deployment.caller_url("entry-b", "/v1/services/none/x"))
+    assert answer.status == 404
+    assert answer.headers["Content-Type"] == "application/problem+json"
+    problem = answer.json()
+    assert problem["outcome"] == "not-run"
+    assert problem["remedy"]
