Default scheduler: tables, limits, deadlines, retries and parking

A first correct policy: urgent requests by priority and deadline, batch first come first served per tenant, hard limits in every kind of capacity, one more try where it is safe, jobs that no worker can hold parked without blocking others.

--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
@@ -0,0 +1,53 @@
+"""The scheduler that nodes run: tables and the systems over them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from ebonyhatch.core import commands, events, explanation, rooms, scheduler, tables
+from ebonyhatch.core.systems import (
+    expire,
+    ingest,
+    job_events,
+    placement,
+    request_events,
+    worker_events,
+)
+
+HANDLERS = (worker_events, job_events, request_events)
+"""Modules that register event handlers."""
+
+
+@scheduler.policy("default")
+class DefaultScheduler(scheduler.Scheduler):
+    """Runs the systems over the tables each tick."""
+
+    __slots__ = ("_tables",)
+
+    def __init__(self, *, seed: int) -> None:
+        del seed
+        self._tables = tables.Tables()
+
+    @property
+    def tables(self) -> tables.Tables:
+        """The tables, for tests and operators' views."""
+        return self._tables
+
+    def tick(self, *, now: float, events: Sequence[events.Event]) -> list[commands.Command]:
+        """Take in events and decide."""
+        state = self._tables
+        state.now = now
+        ingest.run(state, events)
+        expire.run(state)
+        placement.run(state)
+        taken = state.commands
+        state.commands = []
+        return taken
+
+    def room(self, *, now: float) -> scheduler.Room:
+        """Summarize what the cell could take."""
+        return rooms.summarize(self._tables)
+
+    def explain(self, *, subject_id: str) -> str:
+        """Say in a sentence why a job or request waits, or where it is."""
+        return explanation.explain(self._tables, subject_id=subject_id)
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/explanation.py
@@ -0,0 +1,35 @@
+"""Sentences for operators about where a job or request is, and why."""
+
+from __future__ import annotations
+
+from ebonyhatch.core import rows, tables
+
+
+def explain(state: tables.Tables, *, subject_id: str) -> str:
+    """Explain a job or a request by its id."""
+    job = state.jobs.get(subject_id)
+    if job is not None:
+        return _explain_job(state, job)
+    request = state.requests.get(subject_id)
+    if request is not None:
+        return _explain_request(state, request)
+    return f"{subject_id} is not known to this cell"
+
+
+def _explain_job(state: tables.Tables, row: rows.Job) -> str:
+    if row.parked:
+        return f"{row.job.job_id} is parked: no worker of the cell can hold {row.job.demand}"
+    if row.task is not None:
+        task = row.task
+        return f"{task.task_id} is {task.state.value} on {task.worker.worker_id}"
+    return (
+        f"{row.job.job_id} waits in the {row.lane.value} lane among {len(state.batch)} jobs"
+        f" after {row.attempts} attempts and {row.evictions} evictions"
+    )
+
+
+def _explain_request(state: tables.Tables, row: rows.Request) -> str:
+    request_id = row.request.request_id
+    if row.worker is not None:
+        return f"{request_id} was sent to {row.worker.worker_id} at {row.sent_at:.3f}"
+    return f"{request_id} waits among {len(state.urgent)} requests for a free slot"
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/rooms.py
@@ -0,0 +1,16 @@
+"""Summary of a cell's room."""
+
+from __future__ import annotations
+
+from ebonyhatch.core import scheduler, tables
+
+
+def summarize(state: tables.Tables) -> scheduler.Room:
+    """Summarize from counts that the tables keep."""
+    return scheduler.Room(
+        free_slots=max(0, state.free_slots),
+        total_slots=state.total_slots,
+        queued_urgent=len(state.urgent),
+        wait_s=state.wait_s,
+        queued_batch=len(state.batch),
+    )
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
@@ -0,0 +1,154 @@
+"""Rows of the scheduler's tables."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from ebonyhatch.core import entities, resources
+
+
+class TaskState(enum.Enum):
+    """State of an attempt, as far as the scheduler knows."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    EVICTING = "evicting"
+    STOPPING = "stopping"
+
+
+class RequestState(enum.Enum):
+    """State of a request."""
+
+    QUEUED = "queued"
+    SENT = "sent"
+    WITHDRAWN = "withdrawn"
+
+
+class Lane(enum.Enum):
+    """Which queue of its tenant a job waits in."""
+
+    SHORT = "short"
+    LONG = "long"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Worker:
+    """A worker and what is reserved on it.
+
+    Attributes:
+        worker_id: Its id.
+        failure_domain: Its failure domain.
+        rack: Its rack.
+        capacity: What it holds.
+        free_slots: Slots that are not reserved; the other `free_` fields likewise.
+        leaving: Nothing new may be placed on it.
+        tasks: Attempts that hold a reservation, by task id.
+        requests: Requests that hold a reservation, by request id.
+        reserved_for_urgent: Batch work isn't placed here.
+        overloaded: Measured above a limit; takes nothing.
+        barred: Its health allows no placement.
+        penalty: Predicted slowdown of urgent work by the batch work here, 0 for none.
+        counted_free: Its part of the cell's count of free slots.
+        counted_total: Its part of the cell's count of slots.
+    """
+
+    worker_id: str
+    failure_domain: str
+    rack: str
+    capacity: resources.Resources
+    free_slots: int = 0
+    free_connections: int = 0
+    free_cores: float = 0.0
+    free_memory_gb: float = 0.0
+    free_accelerators: int = 0
+    leaving: bool = False
+    tasks: dict[str, Task] = dataclasses.field(default_factory=dict)
+    requests: dict[str, Request] = dataclasses.field(default_factory=dict)
+    reserved_for_urgent: bool = False
+    overloaded: bool = False
+    barred: bool = False
+    penalty: float = 0.0
+    counted_free: int = 0
+    counted_total: int = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Job:
+    """A job that is not yet finished.
+
+    Attributes:
+        job: The job as submitted.
+        attempts: Attempts so far.
+        evictions: Evictions so far.
+        progress_s: Work kept in the last checkpoint, seconds.
+        lane: Queue it waits in.
+        task: Its current attempt, or None while it waits.
+        parked: No worker of the cell can hold it.
+        avoid_worker_id: Worker where its last attempt failed to start; empty for none.
+    """
+
+    job: entities.Job
+    attempts: int = 0
+    evictions: int = 0
+    progress_s: float = 0.0
+    lane: Lane = Lane.SHORT
+    task: Task | None = None
+    parked: bool = False
+    avoid_worker_id: str = ""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Task:
+    """An attempt of a job.
+
+    Attributes:
+        task_id: `{job_id}/{attempt}`.
+        job: Its job.
+        worker: Where it runs.
+        demand: What is reserved for it.
+        state: Its state.
+        placed_at: When it was placed, seconds.
+        saved_s: Work of the job kept in the last checkpoint, seconds.
+        saved_at: When that work was current, seconds.
+        share: Share of its speed that it was told to run at.
+        asked_at: When it was last told to save its work or to stop, seconds.
+    """
+
+    task_id: str
+    job: Job
+    worker: Worker
+    demand: resources.Resources
+    state: TaskState = TaskState.STARTING
+    placed_at: float = 0.0
+    saved_s: float = 0.0
+    saved_at: float = 0.0
+    share: float = 1.0
+    asked_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Request:
+    """A request that has no final outcome yet.
+
+    Attributes:
+        request: The request as it arrived.
+        priority: Priority of its class.
+        state: Its state.
+        attempts: Times it was sent.
+        worker: Where it was sent last, or None.
+        demand: What is reserved for it while it is sent.
+        sent_at: When it was sent last, seconds.
+        avoid_worker_id: Worker that did not serve it; empty for none.
+        maybe_ran: A former try may have run.
+    """
+
+    request: entities.Request
+    priority: int = 0
+    state: RequestState = RequestState.QUEUED
+    attempts: int = 0
+    worker: Worker | None = None
+    demand: resources.Resources = resources.NONE
+    sent_at: float = 0.0
+    avoid_worker_id: str = ""
+    maybe_ran: bool = False
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Systems that run over the tables each tick."""
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/expire.py
@@ -0,0 +1,24 @@
+"""Gives requests whose deadline passed their outcome."""
+
+from __future__ import annotations
+
+import heapq
+
+from ebonyhatch.core import rows, tables
+from ebonyhatch.core.systems import retry
+
+
+def run(state: tables.Tables) -> None:
+    """Refuse what is past its deadline."""
+    deadlines = state.deadlines
+    while deadlines and deadlines[0][0] <= state.now:
+        request_id = heapq.heappop(deadlines)[1]
+        row = state.requests.get(request_id)
+        if row is not None:
+            _expire(state, row)
+
+
+def _expire(state: tables.Tables, row: rows.Request) -> None:
+    if row.state is rows.RequestState.QUEUED:
+        state.urgent.discard()
+    retry.refuse(state, row, outcome=retry.truth(row), reason="deadline")
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/ingest.py
@@ -0,0 +1,27 @@
+"""Feeds each event to the handler that is registered for its type."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from ebonyhatch.core import events, tables
+
+Handler = Callable[[tables.Tables, Any], None]
+_HANDLERS: dict[type[events.Event], Handler] = {}
+
+
+def handler(kind: type[events.Event]) -> Callable[[Handler], Handler]:
+    """Register the handler of an event type."""
+
+    def register(function: Handler) -> Handler:
+        _HANDLERS[kind] = function
+        return function
+
+    return register
+
+
+def run(state: tables.Tables, batch: Sequence[events.Event]) -> None:
+    """Take in events in order."""
+    for event in batch:
+        _HANDLERS[type(event)](state, event)
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/worker_events.py
@@ -0,0 +1,68 @@
+"""Handlers of events about workers and configuration."""
+
+from __future__ import annotations
+
+from ebonyhatch.core import capacity, events, resources, rows, tables
+from ebonyhatch.core.systems import ingest, requeue
+
+
+@ingest.handler(events.ClassesChanged)
+def classes_changed(state: tables.Tables, event: events.ClassesChanged) -> None:
+    """Replace classes and tenants; queued jobs move to the priorities now in force."""
+    waiting = [row for row in state.jobs.values() if row.task is None and not row.parked]
+    for row in waiting:
+        state.batch.remove(row, priority=state.priority_of(row.job.work_class))
+    state.classes = {entry.name: entry for entry in event.classes}
+    state.tenants = {entry.name: entry for entry in event.tenants}
+    for row in waiting:
+        state.queue_job(row)
+
+
+@ingest.handler(events.WorkerJoined)
+def worker_joined(state: tables.Tables, event: events.WorkerJoined) -> None:
+    """Enter a worker, or bring its capacity up to date."""
+    worker = find_or_add(state, event.worker_id)
+    worker.failure_domain = event.failure_domain
+    worker.rack = event.rack
+    worker.capacity = event.capacity
+    worker.leaving = False
+    capacity.recount(worker)
+    state.touch(worker)
+    requeue.unpark(state)
+    state.batch_dirty = True
+
+
+@ingest.handler(events.WorkerLeaving)
+def worker_leaving(state: tables.Tables, event: events.WorkerLeaving) -> None:
+    """Place nothing more on a worker."""
+    worker = state.workers.get(event.worker_id)
+    if worker is not None:
+        worker.leaving = True
+        state.touch(worker)
+
+
+@ingest.handler(events.WorkerGone)
+def worker_gone(state: tables.Tables, event: events.WorkerGone) -> None:
+    """Drop a worker; its attempts have ended, its requests await their outcome."""
+    worker = state.workers.pop(event.worker_id, None)
+    if worker is None:
+        return
+    worker.leaving = True
+    for task in list(worker.tasks.values()):
+        requeue.attempt_ended(state, task)
+    state.touch(worker)
+
+
+def find_or_add(state: tables.Tables, worker_id: str) -> rows.Worker:
+    """Find a worker; one that is not known yet is added without capacity."""
+    worker = state.workers.get(worker_id)
+    if worker is None:
+        worker = rows.Worker(
+            worker_id=worker_id,
+            failure_domain="",
+            rack="",
+            capacity=resources.NONE,
+            leaving=True,
+        )
+        state.workers[worker_id] = worker
+    return worker
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
@@ -0,0 +1,137 @@
+"""The tables that the systems read and write each tick."""
+
+from __future__ import annotations
+
+from ebonyhatch.core import (
+    batch_queue,
+    capacity,
+    commands,
+    entities,
+    resources,
+    rows,
+    urgent_queue,
+    worker_index,
+)
+
+
+class Tables:
+    """All rows of one cell with the indexes that the systems need."""
+
+    __slots__ = (
+        "now",
+        "commands",
+        "classes",
+        "tenants",
+        "workers",
+        "jobs",
+        "tasks",
+        "requests",
+        "urgent",
+        "batch",
+        "urgent_workers",
+        "batch_workers",
+        "deadlines",
+        "parked",
+        "batch_dirty",
+        "sent",
+        "free_slots",
+        "total_slots",
+        "wait_s",
+    )
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.commands: list[commands.Command] = []
+        self.classes: dict[str, entities.WorkClass] = {}
+        self.tenants: dict[str, entities.Tenant] = {}
+        self.workers: dict[str, rows.Worker] = {}
+        self.jobs: dict[str, rows.Job] = {}
+        self.tasks: dict[str, rows.Task] = {}
+        self.requests: dict[str, rows.Request] = {}
+        self.urgent = urgent_queue.UrgentQueue()
+        self.batch = batch_queue.BatchQueue()
+        self.urgent_workers = worker_index.WorkerIndex(most_free_first=True)
+        self.batch_workers = worker_index.WorkerIndex(most_free_first=False)
+        self.deadlines: list[tuple[float, str]] = []
+        self.parked: dict[str, rows.Job] = {}
+        self.batch_dirty = True
+        self.sent = 0
+        self.free_slots = 0
+        self.total_slots = 0
+        self.wait_s = 0.0
+
+    def priority_of(self, work_class: str) -> int:
+        """Priority of a class; 0 for one that is not in force."""
+        found = self.classes.get(work_class)
+        return found.priority if found is not None else 0
+
+    def touch(self, worker: rows.Worker) -> None:
+        """Bring the indexes and counts up to date after a worker changed."""
+        self._count(worker)
+        if worker.leaving or worker.overloaded or worker.barred or worker.free_slots <= 0:
+            self.urgent_workers.remove(worker)
+            self.batch_workers.remove(worker)
+            return
+        self.urgent_workers.put(worker, level=0)
+        self.batch_workers.put(worker, level=0)
+
+    def _count(self, worker: rows.Worker) -> None:
+        usable = not (worker.leaving or worker.barred)
+        total = worker.capacity.slots if usable else 0
+        free = max(0, worker.free_slots) if usable and not worker.overloaded else 0
+        self.total_slots += total - worker.counted_total
+        self.free_slots += free - worker.counted_free
+        worker.counted_total = total
+        worker.counted_free = free
+
+    def reserve_task(self, task: rows.Task) -> None:
+        """Enter an attempt and its reservation."""
+        self.tasks[task.task_id] = task
+        task.job.task = task
+        task.worker.tasks[task.task_id] = task
+        capacity.reserve(task.worker, task.demand)
+        self.touch(task.worker)
+
+    def release_task(self, task: rows.Task) -> None:
+        """Drop an attempt and its reservation."""
+        del self.tasks[task.task_id]
+        task.job.task = None
+        del task.worker.tasks[task.task_id]
+        self._release(task.worker, task.demand)
+
+    def reserve_request(self, row: rows.Request, worker: rows.Worker) -> None:
+        """Enter the reservation of a request that is sent."""
+        row.worker = worker
+        worker.requests[row.request.request_id] = row
+        self.sent += 1
+        capacity.reserve(worker, row.demand)
+        self.touch(worker)
+
+    def release_request(self, row: rows.Request) -> None:
+        """Drop the reservation of a request, if it holds one."""
+        worker = row.worker
+        if worker is None:
+            return
+        row.worker = None
+        del worker.requests[row.request.request_id]
+        self.sent -= 1
+        self._release(worker, row.demand)
+
+    def queue_job(self, row: rows.Job, *, first: bool = False) -> None:
+        """Queue a job for placement."""
+        self.batch.push(row, priority=self.priority_of(row.job.work_class), first=first)
+        self.batch_dirty = True
+
+    def forget_job(self, row: rows.Job) -> None:
+        """Drop a job that has no attempt, wherever it waits."""
+        self.batch.remove(row, priority=self.priority_of(row.job.work_class))
+        self.parked.pop(row.job.job_id, None)
+        self.jobs.pop(row.job.job_id, None)
+
+    def _release(self, worker: rows.Worker, demand: resources.Resources) -> None:
+        if worker.tasks or worker.requests:
+            capacity.release(worker, demand)
+        else:
+            capacity.recount(worker)
+        self.batch_dirty = True
+        self.touch(worker)
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/urgent_queue.py
@@ -0,0 +1,41 @@
+"""Queue of latency-critical requests: by priority of the class, then by deadline."""
+
+from __future__ import annotations
+
+import heapq
+
+from ebonyhatch.core import rows
+
+
+class UrgentQueue:
+    """Requests that wait for a worker; those that left are skipped when they come up."""
+
+    __slots__ = ("_heap", "_sequence", "_size")
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[int, float, int, rows.Request]] = []
+        self._sequence = 0
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def push(self, row: rows.Request) -> None:
+        """Queue a request."""
+        self._sequence += 1
+        entry = (-row.priority, row.request.deadline_at, self._sequence, row)
+        heapq.heappush(self._heap, entry)
+        self._size += 1
+
+    def discard(self) -> None:
+        """Count one request that left without being popped."""
+        self._size -= 1
+
+    def pop(self) -> rows.Request | None:
+        """Take the request that goes next, or None."""
+        while self._heap:
+            row = heapq.heappop(self._heap)[3]
+            if row.state is rows.RequestState.QUEUED:
+                self._size -= 1
+                return row
+        return None
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/worker_index.py
@@ -0,0 +1,50 @@
+"""Index of workers by preference and by free slots, each change in constant time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from ebonyhatch.core import rows
+
+
+class WorkerIndex:
+    """Workers with free slots, grouped by level (lower is better) and free slots."""
+
+    __slots__ = ("_buckets", "_keys", "_order", "_most_free_first")
+
+    def __init__(self, *, most_free_first: bool) -> None:
+        self._buckets: dict[tuple[int, int], dict[str, rows.Worker]] = {}
+        self._keys: dict[str, tuple[int, int]] = {}
+        self._order: list[tuple[int, int]] = []
+        self._most_free_first = most_free_first
+
+    def __len__(self) -> int:
+        return len(self._keys)
+
+    def put(self, worker: rows.Worker, *, level: int) -> None:
+        """Move a worker to where its level and free slots belong."""
+        key = (level, -worker.free_slots if self._most_free_first else worker.free_slots)
+        former = self._keys.get(worker.worker_id)
+        if former == key:
+            return
+        if former is not None:
+            del self._buckets[former][worker.worker_id]
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            bucket = self._buckets[key] = {}
+            self._order = sorted(self._buckets)
+        bucket[worker.worker_id] = worker
+        self._keys[worker.worker_id] = key
+
+    def remove(self, worker: rows.Worker) -> None:
+        """Take a worker out, if it is in."""
+        key = self._keys.pop(worker.worker_id, None)
+        if key is not None:
+            del self._buckets[key][worker.worker_id]
+
+    def best(self) -> Iterator[rows.Worker]:
+        """Iterate from the most preferred worker; the index must not change meanwhile."""
+        for key in self._order:
+            bucket = self._buckets[key]
+            if bucket:
+                yield from bucket.values()
