--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_faults.py
@@ -0,0 +1,43 @@
+"""Faults found in records, each with its path and remedy."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+from ebonyhatch.core import errors
+
+SHOWN_FAULTS = 5
+"""Faults spelled out in the message of an error; all of them are in its attribute."""
+
+
+class Fault(msgspec.Struct, frozen=True, kw_only=True):
+    """One thing that is wrong with a set of records.
+
+    Attributes:
+        path: Where it is, e.g. `records[3].demand.slots`.
+        record: The record as `kind/name@schema_version`; empty if it has no name.
+        problem: What is wrong.
+        remedy: What to do about it.
+    """
+
+    path: str
+    record: str
+    problem: str
+    remedy: str
+
+    def __str__(self) -> str:
+        where = f"{self.path} ({self.record})" if self.record else self.path
+        return f"{where}: {self.problem}; {self.remedy}"
+
+
+class RecordFaults(errors.EbonyhatchError):
+    """A set of records was not accepted; `faults` lists everything that is wrong."""
+
+    def __init__(self, *, faults: Sequence[Fault]) -> None:
+        shown = "; ".join(str(fault) for fault in faults[:SHOWN_FAULTS])
+        super().__init__(
+            problem=f"{len(faults)} fault(s) in the records: {shown}",
+            remedy="mend every fault listed and check again with `ebonyhatch records check`",
+        )
+        self.faults = tuple(faults)
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_fields.py
@@ -0,0 +1,81 @@
+"""Conversion of one decoded record to its struct, with a fault for every wrong field."""
+
+from __future__ import annotations
+
+import difflib
+from typing import Any
+
+import msgspec
+from ebonyhatch.core import record_faults, record_schema
+
+HEADER_FIELDS = frozenset({"kind", "schema_version"})
+"""Fields that say which struct describes a record."""
+
+SHOWN_CHARACTERS = 60
+"""Longest piece of foreign text in a message."""
+
+
+def shown(value: object) -> str:
+    """Quote a foreign value, shortened."""
+    text = repr(value)
+    return text if len(text) <= SHOWN_CHARACTERS else text[:SHOWN_CHARACTERS] + "..."
+
+
+class Converter:
+    """Converts the fields of one record and gathers their faults."""
+
+    def __init__(self, *, path: str, record: str) -> None:
+        self._path = path
+        self._record = record
+        self._faults: list[record_faults.Fault] = []
+
+    @property
+    def faults(self) -> list[record_faults.Fault]:
+        """Every fault found so far."""
+        return self._faults
+
+    def convert(
+        self, *, raw: dict[Any, Any], struct: type[record_schema.Record]
+    ) -> record_schema.Record | None:
+        """Convert a record, or gather its faults and answer None."""
+        body = {key: value for key, value in raw.items() if key not in HEADER_FIELDS}
+        self._check_struct(value=body, struct=struct, path=self._path)
+        if self._faults:
+            return None
+        return msgspec.convert(body, struct)
+
+    def _check_struct(self, *, value: Any, struct: type[msgspec.Struct], path: str) -> None:
+        if not isinstance(value, dict):
+            self._add(path, f"{shown(value)} is not an object", "write an object with its fields")
+            return
+        known = {field.encode_name: field for field in msgspec.structs.fields(struct)}
+        self._check_unknown(value=value, known=sorted(known), path=path)
+        for name, field in known.items():
+            if name in value:
+                self._check_value(value=value[name], kind=field.type, path=f"{path}.{name}")
+            elif field.required:
+                self._add(f"{path}.{name}", "the field is missing", "add it")
+
+    def _check_unknown(self, *, value: dict[Any, Any], known: list[str], path: str) -> None:
+        for name in value:
+            if name in known:
+                continue
+            close = difflib.get_close_matches(str(name)[:SHOWN_CHARACTERS], known, n=1)
+            remedy = f"did you mean {close[0]!r}?" if close else f"use one of {', '.join(known)}"
+            self._add(f"{path}.{shown(name)}", "there is no such field", remedy)
+
+    def _check_value(self, *, value: Any, kind: Any, path: str) -> None:
+        if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
+            self._check_struct(value=value, struct=kind, path=path)
+            return
+        try:
+            msgspec.convert(value, kind)
+        except msgspec.ValidationError as error:
+            problem, _, inner = str(error).partition(" - at `$")
+            where = path + inner.rstrip("`")
+            self._add(where, f"{shown(value)} is wrong", f"it must fit: {problem}")
+
+    def _add(self, path: str, problem: str, remedy: str) -> None:
+        self._faults.append(
+            record_faults.Fault(path=path, record=self._record, problem=problem, remedy=remedy)
+        )
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_schema.py
@@ -0,0 +1,107 @@
+"""Registry of record structs and of the functions that upgrade them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from ebonyhatch.core import errors
+
+Name = Annotated[str, msgspec.Meta(pattern=r"\A[a-z0-9][a-z0-9._-]{0,62}\Z")]
+"""Name of a record: lower case letters, digits, `.`, `_` and `-`, at most 63."""
+
+OptionalName = Annotated[str, msgspec.Meta(pattern=r"\A([a-z0-9][a-z0-9._-]{0,62})?\Z")]
+"""Name of a record to which another may refer; empty for none."""
+
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+"""A finite amount that isn't negative."""
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000)]
+"""A whole number that isn't negative."""
+
+
+class Record(msgspec.Struct, frozen=True, kw_only=True):
+    """Base of every record struct.
+
+    Attributes:
+        name: Unique name within its kind.
+    """
+
+    name: Name
+
+
+class Demand(msgspec.Struct, frozen=True, kw_only=True):
+    """An amount of every kind of capacity, as records write it."""
+
+    slots: Count = 0
+    connections: Count = 0
+    cores: Amount = 0.0
+    memory_gb: Amount = 0.0
+    accelerators: Count = 0
+
+
+class DuplicateSchemaError(errors.EbonyhatchError):
+    """Two modules register the same thing."""
+
+    def __init__(self, *, kind: str, schema_version: int) -> None:
+        super().__init__(
+            problem=f"schema version {schema_version} of {kind} is registered twice",
+            remedy="give the newer one the next schema version",
+        )
+        self.kind = kind
+        self.schema_version = schema_version
+
+
+StructT = TypeVar("StructT", bound=type[Record])
+UpgradeT = TypeVar("UpgradeT", bound=Callable[[Any], Record])
+
+_SCHEMAS: dict[str, dict[int, type[Record]]] = {}
+_UPGRADES: dict[tuple[str, int], Callable[[Any], Record]] = {}
+
+
+def schema(*, kind: str, schema_version: int) -> Callable[[StructT], StructT]:
+    """Register a struct for a schema version of a kind."""
+
+    def register(struct: StructT) -> StructT:
+        versions = _SCHEMAS.setdefault(kind, {})
+        if schema_version in versions:
+            raise DuplicateSchemaError(kind=kind, schema_version=schema_version)
+        versions[schema_version] = struct
+        return struct
+
+    return register
+
+
+def upgrade(*, kind: str, from_version: int) -> Callable[[UpgradeT], UpgradeT]:
+    """Register a function from the struct of `from_version` to that of the next version."""
+
+    def register(function: UpgradeT) -> UpgradeT:
+        if (kind, from_version) in _UPGRADES:
+            raise DuplicateSchemaError(kind=kind, schema_version=from_version)
+        _UPGRADES[(kind, from_version)] = function
+        return function
+
+    return register
+
+
+def kinds() -> tuple[str, ...]:
+    """Name every kind."""
+    return tuple(sorted(_SCHEMAS))
+
+
+def versions(*, kind: str) -> tuple[int, ...]:
+    """Name the schema versions of a kind that this release reads, oldest first."""
+    return tuple(sorted(_SCHEMAS[kind]))
+
+
+def struct(*, kind: str, schema_version: int) -> type[Record]:
+    """Look up the struct of a schema version."""
+    return _SCHEMAS[kind][schema_version]
+
+
+def upgraded(*, kind: str, schema_version: int, record: Record) -> Record:
+    """Upgrade a record step by step to the newest schema version of its kind."""
+    for version in range(schema_version, versions(kind=kind)[-1]):
+        record = _UPGRADES[(kind, version)](record)
+    return record
