--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/frames.py
@@ -0,0 +1,127 @@
+"""Frames between entries: a version, a correlation id and one typed message."""
+
+from __future__ import annotations
+
+import enum
+import functools
+from typing import Any, Union
+
+import msgspec
+from ebonyhatch.core import errors
+from ebonyhatch.node import messages
+from returns import result
+
+VERSION = 1
+FRAME_LIMIT_BYTES = 6_000_000
+"""Largest frame: a body at its largest setting, its headers and room for both codings."""
+
+
+class Kind(enum.IntEnum):
+    """What a frame is for."""
+
+    CALL = 1
+    REPLY = 2
+    SEND = 3
+    PING = 4
+    PONG = 5
+    REFUSAL = 6
+
+
+class Frame(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One frame.
+
+    Attributes:
+        version: Version of the protocol.
+        kind: What it is for.
+        sender: Entry id of the sender.
+        correlation: Id of a call, repeated in its reply.
+        message: The encoded message; empty for a ping, a pong and a refusal.
+    """
+
+    version: int = VERSION
+    kind: Kind
+    sender: str
+    correlation: bytes = b""
+    message: msgspec.Raw = msgspec.Raw()
+
+
+class FrameError(errors.EbonyhatchError):
+    """A frame can't be read; it is dropped."""
+
+
+class BadFrameError(FrameError):
+    """The bytes are no frame."""
+
+    def __init__(self, *, reason: str) -> None:
+        super().__init__(
+            problem=f"a peer's frame can't be read: {reason}",
+            remedy="check that only entries reach the peers' port",
+        )
+        self.reason = reason
+
+
+class UnknownVersionError(FrameError):
+    """The frame has a version of the protocol that isn't known here."""
+
+    def __init__(self, *, version: int) -> None:
+        super().__init__(
+            problem=f"a peer speaks version {version} of the protocol, not {VERSION}",
+            remedy="finish the upgrade of all entries",
+        )
+        self.version = version
+
+
+class _Version(msgspec.Struct, frozen=True, array_like=True):
+    version: int
+
+
+_NO_MESSAGE = msgspec.Raw(b"\xc0")
+_MALFORMED = (msgspec.MsgspecError, ValueError, RecursionError, OverflowError)
+
+
+def encode(
+    *,
+    kind: Kind,
+    sender: str,
+    correlation: bytes = b"",
+    message: messages.Message | None = None,
+) -> bytes:
+    """Encode a frame."""
+    body = _NO_MESSAGE if message is None else msgspec.Raw(msgspec.msgpack.encode(message))
+    frame = Frame(kind=kind, sender=sender, correlation=correlation, message=body)
+    return msgspec.msgpack.encode(frame)
+
+
+def decode(data: bytes) -> result.Result[Frame, FrameError]:
+    """Decode a frame, but not yet its message."""
+    try:
+        version = _version_decoder().decode(data).version
+        if version != VERSION:
+            return result.Failure(UnknownVersionError(version=version))
+        return result.Success(_frame_decoder().decode(data))
+    except _MALFORMED as error:
+        return result.Failure(BadFrameError(reason=str(error)))
+
+
+def decode_message(frame: Frame) -> result.Result[messages.Message, FrameError]:
+    """Decode the message of a frame."""
+    try:
+        return result.Success(_message_decoder().decode(frame.message))
+    except _MALFORMED as error:
+        return result.Failure(BadFrameError(reason=str(error)))
+
+
+@functools.cache
+def _version_decoder() -> msgspec.msgpack.Decoder[_Version]:
+    return msgspec.msgpack.Decoder(_Version)
+
+
+@functools.cache
+def _frame_decoder() -> msgspec.msgpack.Decoder[Frame]:
+    return msgspec.msgpack.Decoder(Frame)
+
+
+@functools.cache
+def _message_decoder() -> msgspec.msgpack.Decoder[Any]:
+    kinds = tuple(messages.Message.__subclasses__())
+    return msgspec.msgpack.Decoder(Union[kinds])  # noqa: UP007
