--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell_set.py
@@ -0,0 +1,118 @@
+"""The cells that this entry owns: started when gained, closed when lost."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+import msgspec
+from returns import result
+from twisted.internet import defer, interfaces
+
+from ebonyhatch.core import configuration, errors
+from ebonyhatch.node import cell, instance_view, messages
+
+RETRY_S = 1.0
+"""Pause before a cell whose takeover failed is tried again."""
+
+
+class Owned(msgspec.Struct, frozen=True, kw_only=True):
+    """A cell with the epoch that this entry holds it under."""
+
+    name: str
+    epoch: int
+
+
+class CellSet:
+    """Starts, configures and closes cells as ownership changes."""
+
+    def __init__(
+        self,
+        *,
+        build: Callable[[Owned], cell.Cell],
+        listed: instance_view.InstanceView,
+        clock: interfaces.IReactorTime,
+        on_fault: Callable[[Owned, errors.EbonyhatchError], None],
+    ) -> None:
+        self._build = build
+        self._listed = listed
+        self._clock = clock
+        self._on_fault = on_fault
+        self._in_force = configuration.EMPTY
+        self._serving: dict[str, cell.Cell] = {}
+        self._held: dict[str, int] = {}
+        self._faults: dict[str, errors.EbonyhatchError] = {}
+        self._closed = False
+
+    @property
+    def serving(self) -> Mapping[str, cell.Cell]:
+        """Cells whose takeover is done, by name."""
+        return self._serving
+
+    @property
+    def faults(self) -> Mapping[str, errors.EbonyhatchError]:
+        """Why cells that are held don't serve, by name."""
+        return self._faults
+
+    def close(self) -> None:
+        """Start no more cells; those that serve are closed as ownership gives them up."""
+        self._closed = True
+
+    def gain(self, name: str, epoch: int) -> None:
+        """Take over a cell under an epoch."""
+        self._held[name] = epoch
+        owned = Owned(name=name, epoch=epoch)
+        defer.ensureDeferred(self._take_over(owned))
+
+    async def lose(self, name: str) -> None:
+        """Close a cell; done when nothing of it is in progress any more."""
+        self._held.pop(name, None)
+        self._faults.pop(name, None)
+        serving = self._serving.pop(name, None)
+        if serving is not None:
+            await serving.close()
+
+    def set_configuration(self, in_force: configuration.InForce) -> None:
+        """Hand a new configuration to every cell."""
+        self._in_force = in_force
+        for serving in self._serving.values():
+            serving.set_configuration(in_force=in_force)
+
+    def set_workers(self) -> None:
+        """Hand the listed workers to every cell."""
+        for name, serving in self._serving.items():
+            serving.set_workers(instances=self._listed.workers_of(name=name))
+
+    def rooms(self) -> tuple[messages.CellRoom, ...]:
+        """Summarize the room of every cell."""
+        return tuple(serving.room() for serving in self._serving.values())
+
+    def _holds(self, owned: Owned) -> bool:
+        return not self._closed and self._held.get(owned.name) == owned.epoch
+
+    async def _take_over(self, owned: Owned) -> None:
+        if not self._holds(owned):
+            return
+        taken = self._build(owned)
+        taken.set_configuration(in_force=self._in_force)
+        taken.set_workers(instances=self._listed.workers_of(name=owned.name))
+        outcome = await taken.start()
+        if not self._holds(owned):
+            await taken.close()
+            return
+        match outcome:
+            case result.Failure(errors.EbonyhatchError() as error):
+                await taken.close()
+                self._failed(owned, error)
+            case _:
+                self._serve(owned, taken)
+
+    def _serve(self, owned: Owned, taken: cell.Cell) -> None:
+        self._faults.pop(owned.name, None)
+        self._serving[owned.name] = taken
+        taken.set_configuration(in_force=self._in_force)
+        taken.set_workers(instances=self._listed.workers_of(name=owned.name))
+
+    def _failed(self, owned: Owned, error: errors.EbonyhatchError) -> None:
+        self._faults[owned.name] = error
+        self._on_fault(owned, error)
+        self._clock.callLater(RETRY_S, lambda: defer.ensureDeferred(self._take_over(owned)))
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
@@ -2,15 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Generator
-from typing import Any
+from collections.abc import Awaitable, Callable
 
 import klein
 import msgspec
-from returns import result
-from twisted.internet import defer, interfaces
-from twisted.web import server
-
 from ebonyhatch.core import commands, configuration, entities
 from ebonyhatch.node import (
     caller_errors,
@@ -23,6 +18,9 @@
     service_calls,
 )
 from ebonyhatch.platform import workers
+from returns import result
+from twisted.internet import defer, interfaces
+from twisted.web import server
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 
@@ -79,102 +77,88 @@
 
     @app.route("/v1/services/<service>", methods=METHODS)
     @app.route("/v1/services/<service>/<path:path>", methods=METHODS)
-    def serve(
+    async def serve(
         self, request: http_server.BoundedRequest, service: str, path: str = ""
-    ) -> defer.Deferred[bytes]:
+    ) -> bytes:
         """Serve `ANY /v1/services/{service}/{path}`."""
-        return self._guarded(request, lambda: self._serve(request, service))
+        return await self._guarded(request, lambda: self._serve(request, service))
 
     @app.route("/v1/jobs", methods=["POST"])
-    def submit(self, request: http_server.BoundedRequest) -> defer.Deferred[bytes]:
+    async def submit(self, request: http_server.BoundedRequest) -> bytes:
         """Serve `POST /v1/jobs`: durable once answered 202."""
-        return self._guarded(request, lambda: self._submit(request))
+        return await self._guarded(request, lambda: self._submit(request))
 
     @app.route("/v1/jobs/<job_id>", methods=["GET"])
-    def show(self, request: http_server.BoundedRequest, job_id: str) -> defer.Deferred[bytes]:
+    async def show(self, request: http_server.BoundedRequest, job_id: str) -> bytes:
         """Serve `GET /v1/jobs/{id}`."""
-        return self._guarded(request, lambda: self._job(request, self._router.show(job_id=job_id)))
+        return await self._guarded(
+            request, lambda: self._job(request, self._router.show(job_id=job_id))
+        )
 
     @app.route("/v1/jobs/<job_id>", methods=["DELETE"])
-    def cancel(self, request: http_server.BoundedRequest, job_id: str) -> defer.Deferred[bytes]:
+    async def cancel(self, request: http_server.BoundedRequest, job_id: str) -> bytes:
         """Serve `DELETE /v1/jobs/{id}`: cancels the job."""
-        return self._guarded(
+        return await self._guarded(
             request, lambda: self._job(request, self._router.cancel(job_id=job_id))
         )
 
-    @defer.inlineCallbacks
-    def _guarded(
-        self, request: http_server.BoundedRequest, work: Callable[[], defer.Deferred[bytes]]
-    ) -> Generator[defer.Deferred[Any], Any, bytes]:
+    async def _guarded(
+        self, request: http_server.BoundedRequest, work: Callable[[], Awaitable[bytes]]
+    ) -> bytes:
         if request.body_overflowed:
             limit = request.body_limit_bytes
-            return self._caller_problem(
-                request, caller_errors.BodyTooLargeError(limit_bytes=limit)
-            )
+            return self._caller_problem(request, caller_errors.BodyTooLargeError(limit_bytes=limit))
         if self._draining:
             return self._refusal(request, commands.Outcome.NOT_RUN, "draining", RETRY_AFTER_S)
         if self._in_progress >= self._requests_limit:
             return self._refusal(request, commands.Outcome.NOT_RUN, "entry-full", RETRY_AFTER_S)
         self._in_progress += 1
         try:
-            body = yield work()
+            return await work()
         finally:
             self._in_progress -= 1
             self._note_idle()
-        return body
 
-    @defer.inlineCallbacks
-    def _serve(
-        self, request: http_server.BoundedRequest, service: str
-    ) -> Generator[defer.Deferred[Any], Any, bytes]:
+    async def _serve(self, request: http_server.BoundedRequest, service: str) -> bytes:
         read = service_calls.read(
             request=caller_request(request=request, service=service), in_force=self._in_force()
         )
         match read:
             case result.Success(messages.RequestCall() as call):
-                body = yield self._routed(request, call)
-                return body
+                return await self._routed(request, call)
             case result.Failure(caller_errors.CallerError() as error):
                 return self._caller_problem(request, error)
         raise AssertionError(read)
 
-    @defer.inlineCallbacks
-    def _routed(
+    async def _routed(
         self, request: http_server.BoundedRequest, call: messages.RequestCall
-    ) -> Generator[defer.Deferred[Any], Any, bytes]:
+    ) -> bytes:
         request_id = call.request.request_id
         request.setHeader(service_calls.REQUEST_ID_HEADER, request_id)
         began_at = self._clock.seconds()
-        reply = yield self._router.request(call=call)
+        reply = await self._router.request(call=call)
         total_s = self._clock.seconds() - began_at
-        self._measures.request_done(
-            work_class=call.work_class, tenant=call.tenant, total_s=total_s, reason=reply.reason
-        )
+        self._measures.completed(work_class=call.work_class, tenant=call.tenant, seconds=total_s)
         if reply.answer is None:
             return self._refusal(request, reply.outcome, reply.reason, reply.retry_after_s)
         return _write_answer(request, reply.answer)
 
-    @defer.inlineCallbacks
-    def _submit(
-        self, request: http_server.BoundedRequest
-    ) -> Generator[defer.Deferred[Any], Any, bytes]:
+    async def _submit(self, request: http_server.BoundedRequest) -> bytes:
         read = job_calls.read(body=request.content.read(), in_force=self._in_force())
         match read:
             case result.Success(entities.Job() as job):
-                body = yield self._job(request, self._router.submit(job=job), HTTP_ACCEPTED)
-                return body
+                return await self._job(request, self._router.submit(job=job), HTTP_ACCEPTED)
             case result.Failure(caller_errors.CallerError() as error):
                 return self._caller_problem(request, error)
         raise AssertionError(read)
 
-    @defer.inlineCallbacks
-    def _job(
+    async def _job(
         self,
         request: http_server.BoundedRequest,
-        replied: defer.Deferred[messages.JobReply],
+        replied: Awaitable[messages.JobReply],
         status: int = 200,
-    ) -> Generator[defer.Deferred[Any], Any, bytes]:
-        reply = yield replied
+    ) -> bytes:
+        reply = await replied
         if reply.view is None:
             return self._job_problem(request, reply)
         request.setResponseCode(status)
@@ -182,10 +166,8 @@
         answer = job_calls.JobAnswer(**msgspec.structs.asdict(reply.view))
         return msgspec.json.encode(answer)
 
-    def _caller_problem(
-        self, request: server.Request, error: caller_errors.CallerError
-    ) -> bytes:
-        self._measures.refused(reason=error.kind)
+    def _caller_problem(self, request: server.Request, error: caller_errors.CallerError) -> bytes:
+        self._measures.refused(reason=error.kind, outcome=commands.Outcome.NOT_RUN)
         return problems.write(
             request=request,
             status=error.status,
@@ -203,7 +185,7 @@
         retry_after_s: float,
     ) -> bytes:
         not_run = outcome is commands.Outcome.NOT_RUN
-        self._measures.refused(reason=reason)
+        self._measures.refused(reason=reason, outcome=outcome)
         return problems.write(
             request=request,
             status=HTTP_UNAVAILABLE if not_run else HTTP_GATEWAY_TIMEOUT,
@@ -215,7 +197,7 @@
         )
 
     def _job_problem(self, request: server.Request, reply: messages.JobReply) -> bytes:
-        self._measures.refused(reason=reply.reason)
+        self._measures.refused(reason=reply.reason, outcome=reply.outcome)
         unavailable = reply.status == HTTP_UNAVAILABLE
         return problems.write(
             request=request,
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/instance_view.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/instance_view.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Generator
-from typing import Any
-
-from returns import result
-from twisted.internet import defer, interfaces, task
+from collections.abc import Callable
 
 from ebonyhatch.core import rendezvous
 from ebonyhatch.platform import instances
+from returns import result
+from twisted.internet import defer, interfaces, task
 
 READ_PERIOD_S = 1.0
 
@@ -34,7 +32,7 @@
         self._on_change = on_change
         self._listed: tuple[instances.Instance, ...] = ()
         self._by_cell: dict[str, tuple[instances.Instance, ...]] = {}
-        self._loop = task.LoopingCall(self.refresh)
+        self._loop = task.LoopingCall(lambda: defer.Deferred.fromCoroutine(self.refresh()))
         self._loop.clock = clock
         self.failures = 0
 
@@ -59,7 +57,7 @@
 
     def start(self) -> defer.Deferred[None]:
         """Read the list once, then go on reading it; fires after the first read."""
-        first = self.refresh()
+        first = defer.Deferred.fromCoroutine(self.refresh())
         self._loop.start(READ_PERIOD_S, now=False)
         return first
 
@@ -68,10 +66,9 @@
         if self._loop.running:
             self._loop.stop()
 
-    @defer.inlineCallbacks
-    def refresh(self) -> Generator[defer.Deferred[Any], Any, None]:
+    async def refresh(self) -> None:
         """Read the list now and tell about a change."""
-        outcome = yield self._port.list()
+        outcome = await self._port.list()
         match outcome:
             case result.Success(instances.InstanceList() as listed):
                 self.failures = 0
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/job_calls.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_calls.py
@@ -6,10 +6,9 @@
 from typing import Annotated
 
 import msgspec
-from returns import result
-
 from ebonyhatch.core import configuration, entities, resources
 from ebonyhatch.node import caller_errors, service_calls
+from returns import result
 
 JOB_ID_PATTERN = r"^[A-Za-z0-9._-]{1,100}$"
 """A job id has no slash: an attempt's id is the job's id, a slash and a number."""
@@ -93,9 +92,7 @@
 
 def _batch_class(name: str, in_force: configuration.InForce) -> entities.WorkClass:
     batch = {
-        entry.name: entry
-        for entry in in_force.classes
-        if entry.urgency is entities.Urgency.BATCH
+        entry.name: entry for entry in in_force.classes if entry.urgency is entities.Urgency.BATCH
     }
     if name not in batch:
         raise caller_errors.UnknownClassError(work_class=name, offered=sorted(batch))
@@ -125,10 +122,7 @@
 
 
 def _payload(payload: str | dict[str, object]) -> bytes:
-    if isinstance(payload, dict):
-        raw = msgspec.json.encode(payload)
-    else:
-        raw = _from_base64(payload)
+    raw = msgspec.json.encode(payload) if isinstance(payload, dict) else _from_base64(payload)
     if len(raw) > PAYLOAD_LIMIT_BYTES:
         raise caller_errors.MalformedJobError(
             problem=f"payload has {len(raw)} bytes, over {PAYLOAD_LIMIT_BYTES}"
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/routing.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/routing.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import Generator, Mapping, Sequence
-from typing import Any
+from collections.abc import Mapping, Sequence
 
 import msgspec
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import commands, entities, rendezvous
 from ebonyhatch.node import cell, forwarding, messages, peers
+from returns import result
+from twisted.internet import defer
 
 TRIES_LIMIT = 2
 """Cells that are asked for one request; a second one only after a certain `not run`."""
@@ -59,10 +57,7 @@
         self._chooser = chooser
         self._network = network
 
-    @defer.inlineCallbacks
-    def request(
-        self, *, call: messages.RequestCall
-    ) -> Generator[defer.Deferred[Any], Any, messages.RequestReply]:
+    async def request(self, *, call: messages.RequestCall) -> messages.RequestReply:
         """Have a request served by a cell with room.
 
         Args:
@@ -78,7 +73,7 @@
             if not name:
                 break
             tried.append(name)
-            reply = yield self._ask(msgspec.structs.replace(call, cell=name))
+            reply = await self._ask(msgspec.structs.replace(call, cell=name))
             if not _may_go_on(reply):
                 break
         return reply
@@ -92,19 +87,19 @@
             return defer.succeed(_refusal(call, "not-owner"))
         return owned.request(call=call)
 
-    def submit(self, *, job: entities.Job) -> defer.Deferred[messages.JobReply]:
+    async def submit(self, *, job: entities.Job) -> messages.JobReply:
         """Submit a job to its home cell."""
         name = self._home(job.job_id)
         raw = msgspec.msgpack.encode(job)
-        return self._job_call(messages.JobSubmitCall(cell=name, job=raw))
+        return await self._job_call(messages.JobSubmitCall(cell=name, job=raw))
 
-    def show(self, *, job_id: str) -> defer.Deferred[messages.JobReply]:
+    async def show(self, *, job_id: str) -> messages.JobReply:
         """Read a job's state at its home cell."""
-        return self._job_call(messages.JobShowCall(cell=self._home(job_id), job_id=job_id))
+        return await self._job_call(messages.JobShowCall(cell=self._home(job_id), job_id=job_id))
 
-    def cancel(self, *, job_id: str) -> defer.Deferred[messages.JobReply]:
+    async def cancel(self, *, job_id: str) -> messages.JobReply:
         """Cancel a job at its home cell."""
-        return self._job_call(messages.JobCancelCall(cell=self._home(job_id), job_id=job_id))
+        return await self._job_call(messages.JobCancelCall(cell=self._home(job_id), job_id=job_id))
 
     def handle_job(self, *, call: messages.Message) -> defer.Deferred[messages.JobReply]:
         """Carry out a call about a job in a cell of this entry."""
@@ -129,27 +124,21 @@
     def _home(self, key: str) -> str:
         return rendezvous.home_cell(key, self._placements.cells())
 
-    @defer.inlineCallbacks
-    def _ask(
-        self, call: messages.RequestCall
-    ) -> Generator[defer.Deferred[Any], Any, messages.RequestReply]:
+    async def _ask(self, call: messages.RequestCall) -> messages.RequestReply:
         owner = self._placements.owner_of(name=call.cell)
         if owner == self._entry_id:
-            reply = yield self.handle_request(call=call)
+            reply = await self.handle_request(call=call)
         elif owner:
-            reply = yield self._ask_peer(owner, call)
+            reply = await self._ask_peer(owner, call)
         else:
             reply = _refusal(call, "no-owner")
         if reply.room is not None:
             self._chooser.learn(room=reply.room)
         return reply
 
-    @defer.inlineCallbacks
-    def _ask_peer(
-        self, owner: str, call: messages.RequestCall
-    ) -> Generator[defer.Deferred[Any], Any, messages.RequestReply]:
+    async def _ask_peer(self, owner: str, call: messages.RequestCall) -> messages.RequestReply:
         timeout_s = call.request.timeout_s + REPLY_MARGIN_S
-        outcome = yield self._network.call(entry_id=owner, message=call, timeout_s=timeout_s)
+        outcome = await self._network.call(entry_id=owner, message=call, timeout_s=timeout_s)
         match outcome:
             case result.Success(messages.RequestReply() as reply):
                 if reply.request_id == call.request.request_id:
@@ -158,17 +147,15 @@
                 return _refusal(call, "peer-unreachable")
         return _refusal(call, "peer-lost", commands.Outcome.UNKNOWN)
 
-    @defer.inlineCallbacks
-    def _job_call(
+    async def _job_call(
         self, call: messages.JobSubmitCall | messages.JobShowCall | messages.JobCancelCall
-    ) -> Generator[defer.Deferred[Any], Any, messages.JobReply]:
+    ) -> messages.JobReply:
         owner = self._placements.owner_of(name=call.cell)
         if owner == self._entry_id:
-            reply = yield self.handle_job(call=call)
-            return reply
+            return await self.handle_job(call=call)
         if not owner:
             return messages.JobReply(status=503, reason="no-owner")
-        outcome = yield self._network.call(entry_id=owner, message=call, timeout_s=JOB_TIMEOUT_S)
+        outcome = await self._network.call(entry_id=owner, message=call, timeout_s=JOB_TIMEOUT_S)
         match outcome:
             case result.Success(messages.JobReply() as reply):
                 return reply
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/service_calls.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/service_calls.py
@@ -6,11 +6,10 @@
 from collections.abc import Sequence
 
 import msgspec
-from returns import result
-
 from ebonyhatch.core import configuration, entities
 from ebonyhatch.node import caller_errors, messages
 from ebonyhatch.platform import workers
+from returns import result
 
 CLASS_HEADER = "ebonyhatch-class"
 TENANT_HEADER = "ebonyhatch-tenant"
@@ -117,7 +116,9 @@
     headers: Headers, service: configuration.Service, in_force: configuration.InForce
 ) -> entities.WorkClass:
     name = _single(headers, CLASS_HEADER) or service.default_class
-    offered = {entry.name: entry for entry in in_force.classes if entry.name in service.work_classes}
+    offered = {
+        entry.name: entry for entry in in_force.classes if entry.name in service.work_classes
+    }
     if name not in offered:
         raise caller_errors.UnknownClassError(work_class=name, offered=sorted(offered))
     return offered[name]
@@ -149,7 +150,9 @@
     text = _single(headers, TIMEOUT_HEADER)
     if not text:
         return work_class.deadline_s
-    if not (text.isascii() and text.isdigit() and len(text) <= 7 and 0 < int(text) <= MAXIMUM_TIMEOUT_MS):
+    if not (
+        text.isascii() and text.isdigit() and len(text) <= 7 and 0 < int(text) <= MAXIMUM_TIMEOUT_MS
+    ):
         raise caller_errors.HeaderError(
             name=TIMEOUT_HEADER,
             problem=f"is {text[:40]!r}",
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
@@ -123,7 +123,9 @@
     def wait_ready(self, *, entry_id: str) -> None:
         """Wait until a daemon says that it is ready."""
         url = f"http://{HOST}:{self.entries[entry_id].admin}/health/ready"
-        wait_for(lambda: fetch(url).status == 200, what=f"{entry_id} ready", log=self.log_of(entry_id))
+        wait_for(
+            lambda: fetch(url).status == 200, what=f"{entry_id} ready", log=self.log_of(entry_id)
+        )
 
     def signal(self, *, name: str, number: signal.Signals) -> None:
         """Send a signal to one of the processes."""
@@ -245,18 +247,14 @@
     request = urllib.request.Request(url, data=body, method=method, headers=dict(headers or {}))
     try:
         with urllib.request.urlopen(request, timeout=timeout_s) as answer:
-            return Answer(
-                status=answer.status, headers=dict(answer.headers), body=answer.read()
-            )
+            return Answer(status=answer.status, headers=dict(answer.headers), body=answer.read())
     except urllib.error.HTTPError as error:
         return Answer(status=error.code, headers=dict(error.headers), body=error.read())
     except OSError as error:
         return Answer(status=0, headers={}, body=str(error).encode())
 
 
-def wait_for(
-    probe: Callable[[], Value], *, what: str, log: pathlib.Path | None = None
-) -> Value:
+def wait_for(probe: Callable[[], Value], *, what: str, log: pathlib.Path | None = None) -> Value:
     """Poll until `probe` is true; the limit only ends a hung run.
 
     Raises:
