--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/ingest.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/ingest.py
@@ -24,4 +24,6 @@
 def run(state: tables.Tables, batch: Sequence[events.Event]) -> None:
     """Take in events in order."""
     for event in batch:
-        _HANDLERS[type(event)](state, event)
+        function = _HANDLERS.get(type(event))
+        if function is not None:
+            function(state, event)
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/crest.py
@@ -0,0 +1,158 @@
+"""Bench of the crest: tail latency, batch throughput, redone work and evictions."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import time
+
+from ebonyhatch.core import default_scheduler
+from ebonyhatch.testing import limits, naive_scheduler, urgent_first_scheduler, workloads
+from ebonyhatch.testing.benches import measures, registry
+
+REGISTERED = (default_scheduler, urgent_first_scheduler, naive_scheduler)
+"""Modules that register policies."""
+
+POLICIES = ("default", "urgent-first", "naive")
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Run:
+    """All policies and limits on one draw."""
+
+    seed: int
+    limit_p99_s: float
+    limit_late: float
+    limit_batch_s: float
+    policies: dict[str, measures.Figures]
+
+
+def draw_crests(deployment: workloads.Deployment, *, seed: int, quick: bool) -> workloads.Draw:
+    """Draw three crests, or one early crest."""
+    if quick:
+        return workloads.draw(deployment=deployment, seed=seed, crests=1, first_crest_s=40.0)
+    return workloads.draw(deployment=deployment, seed=seed)
+
+
+def run_seed(
+    deployment: workloads.Deployment, *, seed: int, quick: bool, policies: tuple[str, ...]
+) -> Run:
+    """Run policies and limits on the draw of one seed."""
+    draw = draw_crests(deployment, seed=seed, quick=quick)
+    limit = limits.work_out(draw)
+    crest = [
+        limit.latencies[number]
+        for number in measures.settled(draw)
+        if draw.in_crest(draw.arrivals[number].at)
+    ]
+    found = {}
+    for policy in policies:
+        began = time.perf_counter()
+        ran = measures.run_policy(policy=policy, draw=draw, seed=seed)
+        found[policy] = measures.figures(ran, draw)
+        took_s = time.perf_counter() - began
+        print_run(deployment.name, seed, policy, found[policy], limit.batch_s, took_s)
+    return Run(
+        seed=seed,
+        limit_p99_s=measures.percentile(crest, 0.99),
+        limit_late=limit.late / max(1, len(draw.arrivals)),
+        limit_batch_s=limit.batch_s,
+        policies=found,
+    )
+
+
+def print_run(
+    name: str, seed: int, policy: str, entry: measures.Figures, batch_s: float, took_s: float
+) -> None:
+    """Print the figures of one run on a line."""
+    print(
+        f"{name} seed {seed} {policy:13} crest p99 {entry.crest_p99_s:8.3f} s"
+        f" in time {entry.crest_in_time:.4f} refused {entry.refused:.4f}"
+        f" worst start {entry.worst_start_s:7.3f} s batch {entry.work_s / batch_s:.3f}"
+        f" jobs {entry.finished_jobs} redone {entry.redone:.4f}"
+        f" evictions/1000 {entry.evictions:.0f} short wait p99 {entry.short_wait_p99_s:.1f} s"
+        f" exceeded {entry.limits_exceeded} twice {entry.double_runs}"
+        f" overload {entry.overload_s:.0f} s ({took_s:.0f} s)",
+        flush=True,
+    )
+
+
+def targets_of(name: str, runs: list[Run]) -> list[measures.Target]:
+    """Compare the worst of all seeds with the targets."""
+    ours = [run.policies["default"] for run in runs]
+    base = [run.policies["urgent-first"] for run in runs]
+
+    def worst(values: list[float]) -> float:
+        return max(values)
+
+    p99_ratios = [run.policies["default"].crest_p99_s / run.limit_p99_s for run in runs]
+    base_ratios = [
+        _ratio(mine.crest_p99_s, theirs.crest_p99_s)
+        for mine, theirs in zip(ours, base, strict=True)
+    ]
+    refused = [run.policies["default"].refused for run in runs]
+    batch = [run.policies["default"].work_s / run.limit_batch_s for run in runs]
+    waits = [
+        _ratio(mine.short_wait_p99_s, theirs.short_wait_p99_s)
+        for mine, theirs in zip(ours, base, strict=True)
+    ]
+    return [
+        measures.Target(name=f"{name}: crest p99 / limit", target=2, measured=worst(p99_ratios)),
+        measures.Target(
+            name=f"{name}: crest p99 / urgent-first", target=0.25, measured=worst(base_ratios)
+        ),
+        measures.Target(
+            name=f"{name}: worst urgent start s",
+            target=2.3,
+            measured=worst([entry.worst_start_s for entry in ours]),
+        ),
+        measures.Target(name=f"{name}: refused", target=0.01, measured=worst(refused)),
+        measures.Target(
+            name=f"{name}: batch / limit", target=0.85, measured=min(batch), at_most=False
+        ),
+        measures.Target(
+            name=f"{name}: redone", target=0.02, measured=worst([e.redone for e in ours])
+        ),
+        measures.Target(
+            name=f"{name}: short wait p99 / urgent-first", target=0.2, measured=worst(waits)
+        ),
+        measures.Target(
+            name=f"{name}: limits exceeded",
+            target=0,
+            measured=worst([e.limits_exceeded for e in ours]),
+        ),
+    ]
+
+
+def _ratio(mine: float, theirs: float) -> float:
+    if math.isinf(mine):
+        return math.inf
+    return mine / theirs if theirs else math.inf
+
+
+@registry.bench("crest")
+def crest(*, seeds: tuple[int, ...], quick: bool) -> None:
+    """Run both deployments over all seeds."""
+    targets: list[measures.Target] = []
+    measured: dict[str, object] = {}
+    baseline: dict[str, object] = {}
+    for name, deployment in workloads.DEPLOYMENTS.items():
+        runs = [run_seed(deployment, seed=seed, quick=quick, policies=POLICIES) for seed in seeds]
+        targets += targets_of(name, runs)
+        for run in runs:
+            key = f"{name}/{run.seed}"
+            measured[key] = dataclasses.asdict(run.policies["default"])
+            baseline[key] = {
+                "limit_p99_s": run.limit_p99_s,
+                "limit_batch_s": run.limit_batch_s,
+                "limit_late": run.limit_late,
+                "urgent-first": dataclasses.asdict(run.policies["urgent-first"]),
+                "naive": dataclasses.asdict(run.policies["naive"]),
+            }
+    measures.print_targets(
+        bench="crest", seeds=seeds, measured=measured, baseline=baseline, targets=targets
+    )
+
+
+if __name__ == "__main__":
+    registry.main("crest")
