--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_fields.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_fields.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import difflib
+import typing
 from typing import Any
 
 import msgspec
@@ -21,6 +22,13 @@
     return text if len(text) <= SHOWN_CHARACTERS else text[:SHOWN_CHARACTERS] + "..."
 
 
+def _struct_in(kind: Any) -> type[msgspec.Struct] | None:
+    for option in typing.get_args(kind) or (kind,):
+        if isinstance(option, type) and issubclass(option, msgspec.Struct):
+            return option
+    return None
+
+
 class Converter:
     """Converts the fields of one record and gathers their faults."""
 
@@ -65,8 +73,9 @@
             self._add(f"{path}.{shown(name)}", "there is no such field", remedy)
 
     def _check_value(self, *, value: Any, kind: Any, path: str) -> None:
-        if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
-            self._check_struct(value=value, struct=kind, path=path)
+        struct = _struct_in(kind)
+        if struct is not None and value is not None:
+            self._check_struct(value=value, struct=struct, path=path)
             return
         try:
             msgspec.convert(value, kind)
