--- a/packages/ebonyhatch-node/src/ebonyhatch/node/frames.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/frames.py
@@ -4,7 +4,7 @@
 
 import enum
 import functools
-from typing import Any, Union
+from typing import Annotated, Any, Union
 
 import msgspec
 from ebonyhatch.core import errors
@@ -15,6 +15,11 @@
 FRAME_LIMIT_BYTES = 6_000_000
 """Largest frame: a body at its largest setting, its headers and room for both codings."""
 
+SENDER_LIMIT = 64
+"""Longest entry id, characters."""
+
+CORRELATION_LIMIT_BYTES = 32
+
 
 class Kind(enum.IntEnum):
     """What a frame is for."""
@@ -40,8 +45,8 @@
 
     version: int = VERSION
     kind: Kind
-    sender: str
-    correlation: bytes = b""
+    sender: Annotated[str, msgspec.Meta(max_length=SENDER_LIMIT)]
+    correlation: Annotated[bytes, msgspec.Meta(max_length=CORRELATION_LIMIT_BYTES)] = b""
     message: msgspec.Raw = msgspec.Raw()
 
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/settings_schema.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/settings_schema.py
@@ -7,7 +7,7 @@
 import ipaddress
 import json
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, cast
 
 import jsonschema
 import msgspec
@@ -91,13 +91,13 @@
     elif error.validator == "required":
         yield from _missing_keys(path, error)
     else:
-        remedy = f"give {error.schema.get('description', 'an object of sections')}"
+        remedy = f"give {_part(error).get('description', 'an object of sections')}"
         yield Problem(path=path or "settings", problem=_shown(path, error), remedy=remedy)
 
 
 def _unknown_keys(path: str, error: jsonschema.ValidationError) -> Iterator[Problem]:
-    known = error.schema["properties"]
-    for key in error.instance:
+    known = _part(error)["properties"]
+    for key in cast(dict[str, Any], error.instance):
         if key not in known:
             remedy = f"remove it, or use one of {', '.join(known)}"
             yield Problem(path=_join(path, key), problem="is unknown", remedy=remedy)
@@ -105,13 +105,19 @@
 
 def _missing_keys(path: str, error: jsonschema.ValidationError) -> Iterator[Problem]:
     # The library reports each missing key by itself, with the key first in the message.
-    key = next(key for key in error.validator_value if error.message.startswith(repr(key)))
-    schema = _resolve(error.schema["properties"][key])
+    required = cast(list[str], error.validator_value)
+    key = next(key for key in required if error.message.startswith(repr(key)))
+    schema = _resolve(_part(error)["properties"][key])
     yield Problem(
         path=_join(path, key), problem="is missing", remedy=f"add {schema['description']}"
     )
 
 
+def _part(error: jsonschema.ValidationError) -> dict[str, Any]:
+    """Give the part of the schema that an error comes from."""
+    return cast(dict[str, Any], error.schema)
+
+
 def _shown(path: str, error: jsonschema.ValidationError) -> str:
     if SECRET_KEYS.intersection(path.split(".")):
         return "has a value that is not allowed"
