--- a/packages/ebonyhatch-node/src/ebonyhatch/node/logs.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/logs.py
@@ -83,7 +83,7 @@
     eliot.log_message(message_type=event, **fields)
 
 
-def write_error(event: str, *, error: BaseException, **fields: Any) -> None:
+def write_error(event: str, *, error: BaseException | None, **fields: Any) -> None:
     """Log an error by its kind and message."""
     write(event, error_kind=type(error).__name__, error=str(error), **fields)
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/peer_calls.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/peer_calls.py
@@ -91,7 +91,11 @@
         timeout = self._reactor.callLater(
             timeout_s, self.settle, correlation, result.Failure(unknown)
         )
-        done: defer.Deferred[Reply] = defer.Deferred(lambda _: self._drop(correlation))
+
+        def cancelled(_: defer.Deferred[Reply]) -> None:
+            self._drop(correlation)
+
+        done: defer.Deferred[Reply] = defer.Deferred(cancelled)
         self._calls[correlation] = Call(entry_id=entry_id, size=size, done=done, timeout=timeout)
         self._counts[entry_id] = self.count(entry_id) + 1
         self._bytes[entry_id] = self.size(entry_id) + size
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/settings_schema.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/settings_schema.py
@@ -43,7 +43,7 @@
     if not name.startswith(VARIABLE_PREFIX):
         return False
     section = name.removeprefix(VARIABLE_PREFIX).split("_")[0].lower()
-    return section in _schema()["properties"]
+    return section in SECTIONS
 
 
 def leaf_of_variable(name: str) -> Leaf | None:
@@ -73,6 +73,10 @@
     return json.loads(source.read_text())
 
 
+SECTIONS = tuple(_schema()["properties"])
+"""Names of the sections."""
+
+
 @functools.cache
 def _validator() -> jsonschema.Draft202012Validator:
     checker = jsonschema.FormatChecker(formats=())
--- /dev/null
+++ b/packages/ebonyhatch-node/tests/test_metrics.py
@@ -0,0 +1,41 @@
+from ebonyhatch.node import labels, metrics
+
+
+def test_pairs_beyond_the_bound_are_folded():
+    counted = metrics.Metrics(label_sets=3)
+    for number in range(50):
+        counted.completed(work_class=f"c{number % 2}", tenant=f"t{number}", seconds=0.02)
+    lines = counted.render().decode().splitlines()
+    counts = [line for line in lines if line.startswith("ebonyhatch_total_seconds_count")]
+    assert len(counts) == 5
+    assert sum(float(line.split()[-1]) for line in counts) == 50
+    assert any('tenant="other"' in line for line in counts)
+
+
+def test_reasons_and_long_values_are_bounded():
+    folded = labels.LabelSet(limit=2)
+    assert [folded.fold(value) for value in ("a", "b", "c", "a", "x" * 99)] == [
+        "a",
+        "b",
+        "other",
+        "a",
+        "other",
+    ]
+
+
+def test_each_figure_is_rendered():
+    counted = metrics.Metrics()
+    counted.refused(reason="deadline", outcome="not-run")
+    counted.evicted(work_class="c", redone_s=4.0)
+    counted.peer_bytes("in", 10)
+    counted.set_generation(generation=7, age_s=1.0)
+    counted.set_reserve(slots=3, crest=True)
+    text = counted.render().decode()
+    for line in (
+        'ebonyhatch_refusals_total{outcome="not-run",reason="deadline"} 1.0',
+        'ebonyhatch_redone_seconds_total{work_class="c"} 4.0',
+        'ebonyhatch_peer_bytes_total{direction="in"} 10.0',
+        "ebonyhatch_generation 7.0",
+        "ebonyhatch_crest 1.0",
+    ):
+        assert line in text
