--- a/packages/ebonyhatch-node/src/ebonyhatch/node/routing.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/routing.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 import msgspec
 from ebonyhatch.core import commands, entities, rendezvous
 from ebonyhatch.node import cell, forwarding, messages, peers
 from returns import result
-from twisted.internet import defer
+from twisted.internet import defer, interfaces
 
 TRIES_LIMIT = 2
 """Cells that are asked for one request; a second one only after a certain `not run`."""
@@ -39,6 +39,26 @@
         """Name the cells whose workers host a service."""
 
 
+class Chooser(abc.ABC):
+    """Chooses cells for requests and learns from how they went."""
+
+    @abc.abstractmethod
+    def choose(self, *, service: str, tried: Collection[str]) -> forwarding.Target | None:
+        """Choose a cell that hosts a service and was not tried, or None."""
+
+    @abc.abstractmethod
+    def sent(self, *, target: forwarding.Target) -> None:
+        """Count a request as sent to a cell."""
+
+    @abc.abstractmethod
+    def ended(self, *, target: forwarding.Target, sent_at: float) -> None:
+        """Count a request as ended at a cell."""
+
+    @abc.abstractmethod
+    def learn(self, *, entry_id: str, room: messages.CellRoom) -> None:
+        """Take in the room of a cell as it is now."""
+
+
 class Router:
     """Routes calls to cells of this entry and of its peers."""
 
@@ -48,14 +68,16 @@
         entry_id: str,
         placements: Placements,
         own_cells: Mapping[str, cell.Cell],
-        chooser: forwarding.Chooser,
+        chooser: Chooser,
         network: peers.PeerNetwork,
+        clock: interfaces.IReactorTime,
     ) -> None:
         self._entry_id = entry_id
         self._placements = placements
         self._own_cells = own_cells
         self._chooser = chooser
         self._network = network
+        self._clock = clock
 
     async def request(self, *, call: messages.RequestCall) -> messages.RequestReply:
         """Have a request served by a cell with room.
@@ -69,11 +91,11 @@
         tried: list[str] = []
         reply = _refusal(call, "no-owner")
         while len(tried) < TRIES_LIMIT:
-            name = self._choose(call, tried)
-            if not name:
+            target = self._choose(call, tried)
+            if target is None:
                 break
-            tried.append(name)
-            reply = await self._ask(msgspec.structs.replace(call, cell=name))
+            tried.append(target.cell)
+            reply = await self._ask(msgspec.structs.replace(call, cell=target.cell), target)
             if not _may_go_on(reply):
                 break
         return reply
@@ -115,25 +137,29 @@
                 return owned.cancel(job_id=job_id)
         return defer.succeed(messages.JobReply(status=400, reason="unknown-call"))
 
-    def _choose(self, call: messages.RequestCall, tried: Sequence[str]) -> str:
-        if call.idempotency_key and not call.idempotent:
-            return "" if tried else self._home(call.idempotency_key)
-        names = self._placements.serving(service=call.request.service)
-        return self._chooser.choose(names=[name for name in names if name not in tried])
+    def _choose(self, call: messages.RequestCall, tried: Sequence[str]) -> forwarding.Target | None:
+        if not call.idempotency_key or call.idempotent:
+            return self._chooser.choose(service=call.request.service, tried=tried)
+        if tried:
+            return None
+        name = self._home(call.idempotency_key)
+        owner = self._placements.owner_of(name=name)
+        return forwarding.Target(entry_id=owner, cell=name) if owner else None
 
     def _home(self, key: str) -> str:
         return rendezvous.home_cell(key, self._placements.cells())
 
-    async def _ask(self, call: messages.RequestCall) -> messages.RequestReply:
-        owner = self._placements.owner_of(name=call.cell)
-        if owner == self._entry_id:
-            reply = await self.handle_request(call=call)
-        elif owner:
-            reply = await self._ask_peer(owner, call)
-        else:
-            reply = _refusal(call, "no-owner")
+    async def _ask(
+        self, call: messages.RequestCall, target: forwarding.Target
+    ) -> messages.RequestReply:
+        if target.entry_id == self._entry_id:
+            return await self.handle_request(call=call)
+        sent_at = self._clock.seconds()
+        self._chooser.sent(target=target)
+        reply = await self._ask_peer(target.entry_id, call)
+        self._chooser.ended(target=target, sent_at=sent_at)
         if reply.room is not None:
-            self._chooser.learn(room=reply.room)
+            self._chooser.learn(entry_id=target.entry_id, room=reply.room)
         return reply
 
     async def _ask_peer(self, owner: str, call: messages.RequestCall) -> messages.RequestReply:
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/worker_engine.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/worker_engine.py
@@ -17,6 +17,9 @@
 FORGOTTEN_LENGTH = 10_000
 """Ids of ended attempts that are remembered, so that a late start runs nothing twice."""
 
+WORKER_HEADER = "X-Worker-Id"
+"""Names the worker in the answers of its service."""
+
 
 class Run(msgspec.Struct, frozen=True, kw_only=True):
     """One start of an attempt or of a request, for checks of the history.
@@ -209,7 +212,10 @@
         answer = workers.ServiceAnswer(
             request_id=request.request_id,
             status=asked.status,
-            headers=(workers.Header(name="Content-Type", value="application/octet-stream"),),
+            headers=(
+                workers.Header(name="Content-Type", value="application/octet-stream"),
+                workers.Header(name=WORKER_HEADER, value=self._worker_id),
+            ),
             body=request.body,
         )
         return work.addCallback(lambda _: answer)
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/demo.py
@@ -0,0 +1,121 @@
+"""`make demo`: an urgent request answered and a batch job run to its end, in one process."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+import click
+import msgspec
+import treq
+from ebonyhatch.testing import embedded, processes, samples
+from twisted.internet import defer, task
+
+JOB_ID = "cutting-plan-1"
+JOB_RUN_S = 2.0
+POLL_S = 0.25
+LIMIT_S = 60.0
+HTTP_OK = 200
+ENDED = ("finished", "failed", "cancelled", "unrunnable")
+
+
+class Reply(msgspec.Struct, frozen=True, kw_only=True):
+    """An HTTP answer."""
+
+    status: int
+    body: bytes
+
+
+def main() -> None:
+    """Run the demo on the reactor and exit with 0 if all went well."""
+    task.react(lambda reactor: defer.ensureDeferred(_run(reactor)))
+
+
+async def _run(reactor: Any) -> None:
+    entry = embedded.EmbeddedEntry(reactor=reactor, worker_ids=("worker-1", "worker-2"))
+    await entry.start()
+    _say("an entry with an in-memory store and two workers is up")
+    try:
+        await _show(reactor, entry)
+    finally:
+        await entry.close()
+    _say("stopped gracefully: nothing was cut off")
+
+
+async def _show(reactor: Any, entry: embedded.EmbeddedEntry) -> None:
+    await _write_records(entry)
+    await _ready(reactor, entry)
+    began_at = reactor.seconds()
+    answer = await _ask(reactor, entry)
+    answered_s = reactor.seconds() - began_at
+    _say(f"urgent request answered {answer.status} in {answered_s * 1000:.0f} ms: {answer.body!r}")
+    job = await _run_job(reactor, entry)
+    click.echo("")
+    click.echo("summary")
+    click.echo(f"  request  {answer.status}, {len(answer.body)} bytes, {answered_s * 1000:.0f} ms")
+    click.echo(
+        f"  job      {job['state']}, attempts {job['attempts']}, evictions {job['evictions']}"
+    )
+    if answer.status != HTTP_OK or job["state"] != "finished":
+        click.echo("the demo failed; see the lines above", err=True)
+        sys.exit(1)
+
+
+async def _write_records(entry: embedded.EmbeddedEntry) -> None:
+    headers = {"Authorization": f"Bearer {processes.TOKEN}", "Content-Type": "application/json"}
+    reply = await _fetch(
+        "PUT", entry.admin_url("/v1/admin/records"), msgspec.json.encode(samples.RECORDS), headers
+    )
+    _say(f"operators' records written: {reply.status} {reply.body.decode()[:100]}")
+
+
+async def _ready(reactor: Any, entry: embedded.EmbeddedEntry) -> None:
+    limit = reactor.seconds() + LIMIT_S
+    while reactor.seconds() < limit:
+        reply = await _fetch("GET", entry.admin_url("/health/ready"))
+        if reply.status == HTTP_OK:
+            return
+        await task.deferLater(reactor, POLL_S)
+
+
+async def _ask(reactor: Any, entry: embedded.EmbeddedEntry) -> Reply:
+    """Ask until a cell serves; the first seconds of a cell are its takeover."""
+    limit = reactor.seconds() + LIMIT_S
+    while True:
+        reply = await _fetch("POST", entry.caller_url("/v1/services/quotes/price"), b"three frames")
+        if reply.status == HTTP_OK or reactor.seconds() > limit:
+            return reply
+        await task.deferLater(reactor, POLL_S)
+
+
+async def _run_job(reactor: Any, entry: embedded.EmbeddedEntry) -> dict[str, Any]:
+    body = {"class": "cutting", "job_id": JOB_ID, "payload": {"run_s": JOB_RUN_S}}
+    reply = await _fetch("POST", entry.caller_url("/v1/jobs"), msgspec.json.encode(body))
+    _say(f"batch job submitted: {reply.status}")
+    limit = reactor.seconds() + LIMIT_S
+    last_state = ""
+    while True:
+        reply = await _fetch("GET", entry.caller_url(f"/v1/jobs/{JOB_ID}"))
+        job = msgspec.json.decode(reply.body, type=dict[str, Any])
+        state = str(job.get("state", f"HTTP {reply.status}"))
+        if state != last_state:
+            _say(f"batch job is {state}")
+            last_state = state
+        if state in ENDED or reactor.seconds() > limit:
+            return {"attempts": 0, "evictions": 0, **job, "state": state}
+        await task.deferLater(reactor, POLL_S)
+
+
+async def _fetch(
+    method: str, url: str, body: bytes = b"", headers: dict[str, str] | None = None
+) -> Reply:
+    response = await treq.request(method, url, data=body, headers=headers, persistent=False)
+    return Reply(status=response.code, body=await response.content())
+
+
+def _say(line: str) -> None:
+    click.echo(f"demo: {line}")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
@@ -77,6 +77,11 @@
             for entry_id in entry_ids
         }
 
+    @property
+    def worker_ids(self) -> tuple[str, ...]:
+        """Names of the workers."""
+        return tuple(self._worker_ports)
+
     def start(self) -> None:
         """Start the stand-ins, then the daemons, and wait until each is ready."""
         self._run_stand_in("store", "--port", str(self.store_port))
--- a/packages/ebonyhatch-testing/tests/test_processes.py
+++ b/packages/ebonyhatch-testing/tests/test_processes.py
@@ -10,12 +10,17 @@
 
 def test_request_and_job_through_two_entries_and_two_workers(tmp_path):
     deployment = processes.Deployment(
-        folder=tmp_path, entry_ids=("entry-a", "entry-b"), worker_ids=("worker-1", "worker-2")
+        folder=tmp_path,
+        entry_ids=("entry-a", "entry-b"),
+        worker_ids=("worker-1", "worker-2"),
+        slots=1,
     )
     with processes.running(deployment):
         applied = deployment.apply_records(entry_id="entry-a", records=samples.RECORDS)
         assert applied.status == 200, applied
 
+        owners = {cell["owner"] for cell in deployment.status("entry-a")["cells"]}
+        assert owners == {"entry-a", "entry-b"}
         _each_entry_serves_workers_of_both(deployment)
         _job_runs_once(deployment)
         _bad_input_is_not_run(deployment)
@@ -25,20 +30,21 @@
 
 
 def _each_entry_serves_workers_of_both(deployment):
-    """An entry also answers with what a worker owned by the other one said."""
+    """Requests that overlap at one entry are spread over workers that both entries own."""
     for entry_id in deployment.entries:
         served_by = set()
 
         def ask(entry_id=entry_id, served_by=served_by):
-            answer = processes.fetch(
-                deployment.caller_url(entry_id, "/v1/services/quotes/price?frames=3"),
-                method="POST",
-                body=b"three frames",
+            answers = processes.fetch_together(
+                url=deployment.caller_url(entry_id, "/v1/services/quotes/price?frames=3"),
+                bodies=[b"three frames", b"four frames"],
+                headers={"X-Work-S": "0.3"},
             )
-            if answer.status == 200:
-                assert answer.body == b"three frames"
-                served_by.add(answer.headers["Ebonyhatch-Worker"])
-            return served_by == {"worker-1", "worker-2"}
+            for body, answer in answers:
+                if answer.status == 200:
+                    assert answer.body == body
+                    served_by.add(answer.headers["X-Worker-Id"])
+            return served_by == set(deployment.worker_ids)
 
         processes.wait_for(
             ask, what=f"answers of both workers at {entry_id}", log=deployment.log_of(entry_id)
