--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/budgets.py
@@ -0,0 +1,35 @@
+"""Budget of evictions: a token bucket."""
+
+from __future__ import annotations
+
+
+class EvictionBudget:
+    """Tokens that come back evenly over time."""
+
+    __slots__ = ("_tokens", "_refilled_at")
+
+    def __init__(self) -> None:
+        self._tokens = 0.0
+        self._refilled_at = -1.0
+
+    @property
+    def tokens(self) -> float:
+        """Evictions that may be ordered now."""
+        return self._tokens
+
+    def refill(self, *, now: float, limit: float, refill_s: float) -> None:
+        """Add what came back since the last refill; the first one fills it."""
+        if self._refilled_at < 0 and limit > 0:
+            self._tokens = limit
+        elif self._refilled_at >= 0:
+            self._tokens += (now - self._refilled_at) * limit / refill_s
+        self._tokens = min(self._tokens, limit)
+        if limit > 0:
+            self._refilled_at = now
+
+    def take(self) -> bool:
+        """Spend one token, if there is one."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
@@ -4,19 +4,27 @@
 
 from collections.abc import Sequence
 
-from ebonyhatch.core import commands, events, explanation, rooms, scheduler, tables
+from ebonyhatch.core import commands, events, explanation, rooms, scheduler, settings, tables
 from ebonyhatch.core.systems import (
+    admission,
+    eviction,
     expire,
     ingest,
     job_events,
     placement,
     request_events,
+    reserve,
     worker_events,
 )
 
 HANDLERS = (worker_events, job_events, request_events)
 """Modules that register event handlers."""
 
+PERIOD_S = 0.1
+"""How often the systems that look at all workers run."""
+
+ROUNDING_S = 1e-6
+
 
 @scheduler.policy("default")
 class DefaultScheduler(scheduler.Scheduler):
@@ -24,9 +32,9 @@
 
     __slots__ = ("_tables",)
 
-    def __init__(self, *, seed: int) -> None:
+    def __init__(self, *, seed: int, defaults: settings.Settings | None = None) -> None:
         del seed
-        self._tables = tables.Tables()
+        self._tables = tables.Tables(defaults=defaults or settings.Settings())
 
     @property
     def tables(self) -> tables.Tables:
@@ -39,7 +47,14 @@
         state.now = now
         ingest.run(state, events)
         expire.run(state)
+        periodic = now >= state.period_at - ROUNDING_S
+        if periodic:
+            state.period_at = now + PERIOD_S
+            reserve.run(state)
+        admission.run(state)
         placement.run(state)
+        if periodic:
+            eviction.run(state)
         taken = state.commands
         state.commands = []
         return taken
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
@@ -45,7 +45,9 @@
         leaving: Nothing new may be placed on it.
         tasks: Attempts that hold a reservation, by task id.
         requests: Requests that hold a reservation, by request id.
-        reserved_for_urgent: Batch work isn't placed here.
+        batch_slots: Slots that attempts hold.
+        reserved_for_urgent: Batch work isn't placed here beyond `lent_slots`.
+        lent_slots: Slots of a reserved worker that batch work may hold.
         overloaded: Measured above a limit; takes nothing.
         barred: Its health allows no placement.
         penalty: Predicted slowdown of urgent work by the batch work here, 0 for none.
@@ -65,7 +67,9 @@
     leaving: bool = False
     tasks: dict[str, Task] = dataclasses.field(default_factory=dict)
     requests: dict[str, Request] = dataclasses.field(default_factory=dict)
+    batch_slots: int = 0
     reserved_for_urgent: bool = False
+    lent_slots: int = 0
     overloaded: bool = False
     barred: bool = False
     penalty: float = 0.0
@@ -113,6 +117,7 @@
         saved_at: When that work was current, seconds.
         share: Share of its speed that it was told to run at.
         asked_at: When it was last told to save its work or to stop, seconds.
+        saving: It was told to save its work.
     """
 
     task_id: str
@@ -125,6 +130,7 @@
     saved_at: float = 0.0
     share: float = 1.0
     asked_at: float = 0.0
+    saving: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
@@ -152,3 +158,28 @@
     sent_at: float = 0.0
     avoid_worker_id: str = ""
     maybe_ran: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Reserve:
+    """Workers kept for urgent work.
+
+    Attributes:
+        workers: The workers, in the order in which they were added.
+        slots: Their slots.
+        need_soon: Slots that urgent work will need once checkpoints are done.
+        need_now: Slots that it needs at once.
+        enough_since: When it was last fully needed, seconds.
+        lendable: Slots that batch work may hold in the reserve.
+        least_surplus: Least surplus since `lendable` was last worked out.
+        lend_until: When `lendable` is worked out anew, seconds.
+    """
+
+    workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
+    slots: int = 0
+    need_soon: float = 0.0
+    need_now: float = 0.0
+    enough_since: float = 0.0
+    lendable: int = 0
+    least_surplus: int = 0
+    lend_until: float = 0.0
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
@@ -0,0 +1,54 @@
+"""Weights of the policy; operators set them in the records of work classes."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+
+from ebonyhatch.core import entities
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Settings:
+    """Weights in force; a class record may name any of them in its `weights`.
+
+    Attributes:
+        reserve_spread: Slots kept for urgent work above its demand, in square roots of it.
+        reserve_least: Least share of all slots kept for urgent work.
+        peak_share: Share of the recent peak that is made ready when demand surges.
+        hold_s: How long the reserve stays after the demand for it fell, seconds.
+        eviction_budget: Evictions allowed at once, as a share of all slots.
+        eviction_refill_s: Time in which a spent budget comes back, seconds.
+        checkpoint_spacing_s: Least work between two checkpoints of a task, seconds.
+        standby_share: Share of all slots whose tasks are kept cheap to evict.
+        short_run_s: Jobs that are expected to run longer wait in the long lane, seconds.
+        short_share: Most of the batch slots that the short lane takes first.
+        size_quantile: Quantile of the measured use of a class that is reserved at least.
+        harm_limit: Predicted slowdown of urgent work above which batch work gives way.
+    """
+
+    reserve_spread: float = 1.0
+    reserve_least: float = 0.05
+    peak_share: float = 1.0
+    hold_s: float = 8.0
+    eviction_budget: float = 0.75
+    eviction_refill_s: float = 120.0
+    checkpoint_spacing_s: float = 30.0
+    standby_share: float = 0.0
+    short_run_s: float = 60.0
+    short_share: float = 0.5
+    size_quantile: float = 0.0
+    harm_limit: float = 0.15
+
+
+NAMES = tuple(field.name for field in dataclasses.fields(Settings))
+
+
+def of_classes(classes: Iterable[entities.WorkClass], *, defaults: Settings) -> Settings:
+    """Take each weight from the classes that name it: the largest of them counts."""
+    found: dict[str, float] = {}
+    for entry in classes:
+        for name, value in entry.weights.items():
+            if name in NAMES:
+                found[name] = max(value, found.get(name, value))
+    return dataclasses.replace(defaults, **found)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/expire.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/expire.py
@@ -19,6 +19,8 @@
 
 
 def _expire(state: tables.Tables, row: rows.Request) -> None:
+    if row.worker is not None:
+        state.demand.served(state.now - row.sent_at)
     if row.state is rows.RequestState.QUEUED:
         state.urgent.discard()
     retry.refuse(state, row, outcome=retry.truth(row), reason="deadline")
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/placement.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ebonyhatch.core import batch_queue, capacity, commands, rows, tables
+from ebonyhatch.core.systems import admission
 
 CANDIDATES_LIMIT = 8
 """Workers that are looked at for one request before it is set aside."""
@@ -26,6 +27,10 @@
         row = state.urgent.pop()
         if row is None:
             break
+        if admission.hopeless(state, row):
+            wait_s = state.drain.wait_s(queued=len(state.urgent))
+            admission.refuse(state, row, retry_after_s=max(1.0, wait_s))
+            continue
         worker = _worker_for_request(state, row)
         if worker is None:
             set_aside.append(row)
@@ -51,6 +56,7 @@
 def _send(state: tables.Tables, row: rows.Request, worker: rows.Worker) -> None:
     row.state = rows.RequestState.SENT
     row.attempts += 1
+    state.drain.sent()
     row.sent_at = state.now
     state.reserve_request(row, worker)
     command = commands.SendRequest(
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_events.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_events.py
@@ -17,7 +17,9 @@
     row = rows.Request(request=request, priority=state.priority_of(request.work_class))
     row.demand = request.demand
     state.requests[request.request_id] = row
+    state.demand.arrive()
     state.urgent.push(row)
+    state.arrived.append(row)
     heapq.heappush(state.deadlines, (request.deadline_at, request.request_id))
 
 
@@ -26,6 +28,7 @@
     """Drop an answered request."""
     row = _sent(state, event.request_id, event.worker_id)
     if row is not None:
+        state.demand.served(state.now - row.sent_at)
         state.release_request(row)
         del state.requests[event.request_id]
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/worker_events.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/worker_events.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhatch.core import capacity, events, resources, rows, tables
+from ebonyhatch.core import capacity, events, resources, rows, settings, tables
 from ebonyhatch.core.systems import ingest, requeue
 
 
@@ -14,6 +14,7 @@
         state.batch.remove(row, priority=state.priority_of(row.job.work_class))
     state.classes = {entry.name: entry for entry in event.classes}
     state.tenants = {entry.name: entry for entry in event.tenants}
+    state.settings = settings.of_classes(event.classes, defaults=state.defaults)
     for row in waiting:
         state.queue_job(row)
 
@@ -24,6 +25,8 @@
     worker = find_or_add(state, event.worker_id)
     worker.failure_domain = event.failure_domain
     worker.rack = event.rack
+    if worker.reserved_for_urgent:
+        state.reserve.slots += event.capacity.slots - worker.capacity.slots
     worker.capacity = event.capacity
     worker.leaving = False
     capacity.recount(worker)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
@@ -4,11 +4,15 @@
 
 from ebonyhatch.core import (
     batch_queue,
+    budgets,
     capacity,
     commands,
+    demand,
+    drains,
     entities,
     resources,
     rows,
+    settings,
     urgent_queue,
     worker_index,
 )
@@ -37,9 +41,25 @@
         "free_slots",
         "total_slots",
         "wait_s",
+        "defaults",
+        "settings",
+        "demand",
+        "reserve",
+        "budget",
+        "period_at",
+        "arrived",
+        "drain",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, *, defaults: settings.Settings) -> None:
+        self.defaults = defaults
+        self.settings = defaults
+        self.demand = demand.Demand()
+        self.reserve = rows.Reserve()
+        self.budget = budgets.EvictionBudget()
+        self.period_at = 0.0
+        self.arrived: list[rows.Request] = []
+        self.drain = drains.Drain()
         self.now = 0.0
         self.commands: list[commands.Command] = []
         self.classes: dict[str, entities.WorkClass] = {}
@@ -72,8 +92,14 @@
             self.urgent_workers.remove(worker)
             self.batch_workers.remove(worker)
             return
-        self.urgent_workers.put(worker, level=0)
-        self.batch_workers.put(worker, level=0)
+        self.urgent_workers.put(worker, level=self._urgent_level(worker))
+        if worker.reserved_for_urgent and worker.batch_slots >= worker.lent_slots:
+            self.batch_workers.remove(worker)
+        else:
+            self.batch_workers.put(worker, level=int(worker.reserved_for_urgent))
+
+    def _urgent_level(self, worker: rows.Worker) -> int:
+        return 0 if worker.reserved_for_urgent else 1
 
     def _count(self, worker: rows.Worker) -> None:
         usable = not (worker.leaving or worker.barred)
@@ -89,6 +115,7 @@
         self.tasks[task.task_id] = task
         task.job.task = task
         task.worker.tasks[task.task_id] = task
+        task.worker.batch_slots += task.demand.slots
         capacity.reserve(task.worker, task.demand)
         self.touch(task.worker)
 
@@ -97,6 +124,7 @@
         del self.tasks[task.task_id]
         task.job.task = None
         del task.worker.tasks[task.task_id]
+        task.worker.batch_slots -= task.demand.slots
         self._release(task.worker, task.demand)
 
     def reserve_request(self, row: rows.Request, worker: rows.Worker) -> None:
