--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/coroutines.py
@@ -0,0 +1,53 @@
+"""Coroutines of one component: started together with it, cancelled when it closes."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from twisted.internet import defer, interfaces, task
+from twisted.python import failure, log
+
+T = TypeVar("T")
+
+
+class CoroutineGroup:
+    """Runs coroutines on Deferreds and cancels those that are left on `close`."""
+
+    def __init__(self, *, clock: interfaces.IReactorTime) -> None:
+        self._clock = clock
+        self._running: set[defer.Deferred[Any]] = set()
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether `close` was called."""
+        return self._closed
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        """Run a coroutine in the background; an unexpected error is logged."""
+        if self._closed:
+            coroutine.close()
+            return
+        running = defer.Deferred.fromCoroutine(coroutine)
+        self._running.add(running)
+        running.addErrback(_log_unexpected)
+        running.addBoth(self._forget, running)
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait on the component's clock."""
+        await task.deferLater(self._clock, seconds)
+
+    def close(self) -> None:
+        """Cancel everything that still runs."""
+        self._closed = True
+        for running in list(self._running):
+            running.cancel()
+
+    def _forget(self, value: Any, running: defer.Deferred[Any]) -> None:
+        self._running.discard(running)
+
+
+def _log_unexpected(reason: failure.Failure) -> None:
+    if reason.check(defer.CancelledError) is None:
+        log.err(reason, "unexpected error in a background coroutine")
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_table.py
@@ -0,0 +1,188 @@
+"""The jobs of a cell, folded from the entries of its journal."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from ebonyhatch.core import job_machine, journal_entries
+
+ENDED_KEPT = 2000
+"""Ended jobs that a cell remembers; the oldest are forgotten first."""
+
+Handler = Callable[[job_machine.JobRow, Any], None]
+_HANDLERS: dict[type, tuple[str, Handler]] = {}
+
+
+def applies(entry_type: type, *, step: str) -> Callable[[Handler], Handler]:
+    """Register what an allowed `step` of an entry type does to a row."""
+
+    def register(handler: Handler) -> Handler:
+        _HANDLERS[entry_type] = (step, handler)
+        return handler
+
+    return register
+
+
+class JobTable:
+    """Rows by job id; a row changes only by a committed entry."""
+
+    def __init__(self, *, ended_kept: int = ENDED_KEPT) -> None:
+        self._rows: dict[str, job_machine.JobRow] = {}
+        self._ended: collections.deque[str] = collections.deque()
+        self._ended_kept = ended_kept
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._by_worker: dict[str, dict[str, None]] = {}
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Number of jobs by state."""
+        return {state: count for state, count in self._counts.items() if count}
+
+    def get(self, job_id: str) -> job_machine.JobRow | None:
+        """Row of a job, or None."""
+        return self._rows.get(job_id)
+
+    def rows(self) -> Iterable[job_machine.JobRow]:
+        """All rows, in order of submission."""
+        return self._rows.values()
+
+    def of_task(self, task_id: str) -> job_machine.JobRow | None:
+        """Row whose last attempt is `task_id` and may still run; None for older attempts."""
+        row = self._rows.get(task_id.rpartition("/")[0])
+        if row is None or row.task_id != task_id or row.state not in job_machine.ATTEMPTING:
+            return None
+        return row
+
+    def attempts_on(self, worker_id: str) -> list[job_machine.JobRow]:
+        """Rows whose last attempt may be running on a worker."""
+        return [self._rows[job_id] for job_id in self._by_worker.get(worker_id, ())]
+
+    def apply(self, entry: journal_entries.Entry) -> bool:
+        """Change the row that an entry names.
+
+        Returns:
+            Whether the entry was allowed; a late one of an older attempt changes nothing.
+        """
+        if isinstance(entry, journal_entries.JobSubmitted):
+            return self._submit(entry)
+        step, handler = _HANDLERS[type(entry)]
+        row = self._rows.get(entry.job_id)  # type: ignore[attr-defined]
+        if row is None or not _names_valid_attempt(row, entry):
+            return False
+        state = job_machine.advance(row.state, step)
+        if state is None:
+            return False
+        handler(row, entry)
+        self._move(row, state)
+        return True
+
+    def restore(self, rows: Iterable[job_machine.JobRow]) -> None:
+        """Take in the rows of a snapshot."""
+        for row in rows:
+            self._rows[row.job.job_id] = row
+            self._counts[row.state] += 1
+            self._index(row)
+            if row.state in job_machine.ENDED:
+                self._ended.append(row.job.job_id)
+
+    def _submit(self, entry: journal_entries.JobSubmitted) -> bool:
+        if entry.job.job_id in self._rows:
+            return False
+        row = job_machine.JobRow(job=entry.job)
+        self._rows[entry.job.job_id] = row
+        self._counts[row.state] += 1
+        return True
+
+    def _move(self, row: job_machine.JobRow, state: job_machine.JobState) -> None:
+        self._counts[row.state] -= 1
+        self._counts[state] += 1
+        row.state = state
+        self._index(row)
+        if state in job_machine.ENDED:
+            self._ended.append(row.job.job_id)
+            self._forget()
+
+    def _index(self, row: job_machine.JobRow) -> None:
+        if row.state in job_machine.ATTEMPTING:
+            self._by_worker.setdefault(row.worker_id, {})[row.job.job_id] = None
+            return
+        jobs = self._by_worker.get(row.worker_id, {})
+        jobs.pop(row.job.job_id, None)
+        if not jobs:
+            self._by_worker.pop(row.worker_id, None)
+
+    def _forget(self) -> None:
+        while len(self._ended) > self._ended_kept:
+            row = self._rows.pop(self._ended.popleft())
+            self._counts[row.state] -= 1
+
+
+def _names_valid_attempt(row: job_machine.JobRow, entry: Any) -> bool:
+    if isinstance(entry, journal_entries.AttemptIntended):
+        return entry.attempt > row.attempts
+    attempt = getattr(entry, "attempt", None)
+    return attempt is None or attempt == row.attempts
+
+
+@applies(journal_entries.AttemptIntended, step="intend")
+def _intend(row: job_machine.JobRow, entry: journal_entries.AttemptIntended) -> None:
+    row.attempts = entry.attempt
+    row.worker_id = entry.worker_id
+    row.reason = ""
+
+
+@applies(journal_entries.AttemptStarted, step="start")
+def _start(row: job_machine.JobRow, entry: journal_entries.AttemptStarted) -> None:
+    pass
+
+
+@applies(journal_entries.AttemptWithdrawn, step="requeue")
+def _withdraw(row: job_machine.JobRow, entry: journal_entries.AttemptWithdrawn) -> None:
+    row.reason = entry.reason
+
+
+@applies(journal_entries.AttemptCheckpointed, step="checkpoint")
+def _checkpoint(row: job_machine.JobRow, entry: journal_entries.AttemptCheckpointed) -> None:
+    row.checkpoint = entry.checkpoint
+    row.progress_s = entry.progress_s
+
+
+@applies(journal_entries.AttemptEvicted, step="requeue")
+def _evict(row: job_machine.JobRow, entry: journal_entries.AttemptEvicted) -> None:
+    row.evictions += 1
+    if entry.checkpoint:
+        row.checkpoint = entry.checkpoint
+        row.progress_s = entry.progress_s
+
+
+@applies(journal_entries.AttemptLost, step="requeue")
+def _lose(row: job_machine.JobRow, entry: journal_entries.AttemptLost) -> None:
+    pass
+
+
+@applies(journal_entries.AttemptFailed, step="requeue")
+def _fail_attempt(row: job_machine.JobRow, entry: journal_entries.AttemptFailed) -> None:
+    row.failures += 1
+    row.reason = entry.reason
+
+
+@applies(journal_entries.JobFinished, step="finish")
+def _finish(row: job_machine.JobRow, entry: journal_entries.JobFinished) -> None:
+    row.result = entry.result
+
+
+@applies(journal_entries.JobFailed, step="fail")
+def _fail(row: job_machine.JobRow, entry: journal_entries.JobFailed) -> None:
+    row.reason = entry.reason
+
+
+@applies(journal_entries.JobCancelled, step="cancel")
+def _cancel(row: job_machine.JobRow, entry: journal_entries.JobCancelled) -> None:
+    pass
+
+
+@applies(journal_entries.JobParked, step="park")
+def _park(row: job_machine.JobRow, entry: journal_entries.JobParked) -> None:
+    row.reason = entry.reason
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/settled_store.py
@@ -0,0 +1,100 @@
+"""Store calls that are repeated until their outcome is certain."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+from ebonyhatch.node import backoff, coroutines
+from ebonyhatch.platform import store
+from returns import result
+
+
+class Written(msgspec.Struct, frozen=True, kw_only=True):
+    """The value is in the store, written by this call."""
+
+    version: int
+
+
+class Overtaken(msgspec.Struct, frozen=True, kw_only=True):
+    """Another writer's value is in the store; this call wrote nothing."""
+
+    stored: store.Stored
+
+
+class Refused(msgspec.Struct, frozen=True, kw_only=True):
+    """Nothing was written; the store takes no writes now."""
+
+    reason: str
+
+
+Settled = Written | Overtaken | Refused
+
+
+class SettledStore:
+    """Repeats calls with backoff and settles lost answers by reading back.
+
+    Values must be unique by writer (they carry a nonce), since a value that is read back is
+    taken for one's own when it is equal.
+    """
+
+    def __init__(
+        self,
+        *,
+        store_port: store.Store,
+        group: coroutines.CoroutineGroup,
+        generator: random.Random,
+    ) -> None:
+        self._store = store_port
+        self._group = group
+        self._generator = generator
+
+    async def pause(self) -> None:
+        """Wait a moment before a value is read again that came from the store's past."""
+        await self._group.sleep(backoff.Backoff(generator=self._generator, base_s=0.5).next_s())
+
+    async def read(self, key: str, *, at_least: int = store.ABSENT) -> store.Stored:
+        """Read a key until an answer with at least version `at_least` comes."""
+        delays = backoff.Backoff(generator=self._generator)
+        while True:
+            outcome = await self._store.get(key=key)
+            if isinstance(outcome, result.Success):
+                stored = outcome.unwrap()
+                if stored.version >= at_least:
+                    return stored
+            await self._group.sleep(delays.next_s())
+
+    async def swap(
+        self, key: str, *, expected_version: int, value: bytes, give_up: bool = False
+    ) -> Settled:
+        """Write a value, and answer only when it is certain whether that took effect.
+
+        Args:
+            key: The key.
+            expected_version: Version that was read.
+            value: New value, unique to this call.
+            give_up: Answer `Refused` when the store certainly wrote nothing, rather than
+                try again.
+        """
+        delays = backoff.Backoff(generator=self._generator)
+        certain = True
+        while True:
+            outcome = await self._store.swap(
+                key=key, expected_version=expected_version, value=value
+            )
+            if isinstance(outcome, result.Success):
+                return Written(version=outcome.unwrap())
+            error = outcome.failure()
+            if isinstance(error, store.ConflictError):
+                return await self._settle(key, value=value, at_least=error.actual_version)
+            if isinstance(error, store.UnknownError):
+                certain = False
+            elif give_up and certain:
+                return Refused(reason=str(error))
+            await self._group.sleep(delays.next_s())
+
+    async def _settle(self, key: str, *, value: bytes, at_least: int) -> Settled:
+        stored = await self.read(key, at_least=at_least)
+        if stored.value == value:
+            return Written(version=stored.version)
+        return Overtaken(stored=stored)
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/worker_link.py
@@ -0,0 +1,201 @@
+"""The owner's connection to one worker: claim, renewals, signs of leaving, silence."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ebonyhatch.node import backoff, coroutines
+from ebonyhatch.platform import instances, workers
+from returns import result
+from twisted.internet import defer, interfaces
+
+RENEW_INTERVAL_S = 1.0
+"""Time between two renewals of a worker, seconds."""
+
+TASK_LEASE_S = 10.0
+"""Time that a task runs on without a renewal, seconds."""
+
+LEASE_MARGIN_S = 1.0
+"""Allowance for the worker's clock when its task leases are waited out, seconds."""
+
+SILENT_RENEWALS = 3
+"""Renewals without an answer after which a worker is only asked, not renewed."""
+
+PROBE_LIMIT_S = 5.0
+"""Longest time between two questions to a silent worker, seconds."""
+
+
+class WorkerLink:
+    """Renews one worker's task leases and passes its reports on.
+
+    A renewal that isn't answered may still have been received, so the leases are counted from
+    the end of the last one that may have been; a claim renews nothing.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: instances.Instance,
+        epoch: int,
+        workers_port: workers.Workers,
+        clock: interfaces.IReactorTime,
+        group: coroutines.CoroutineGroup,
+        delays: backoff.Backoff,
+        may_act: Callable[[], bool],
+        on_report: Callable[[WorkerLink, workers.WorkerReport, float], None],
+        on_lost: Callable[[WorkerLink], None],
+        on_stale: Callable[[workers.StaleEpochError], None],
+    ) -> None:
+        self.instance = instance
+        self.listed = True
+        self._epoch = epoch
+        self._port = workers_port
+        self._clock = clock
+        self._group = group
+        self._delays = delays
+        self._may_act = may_act
+        self._on_report = on_report
+        self._on_lost = on_lost
+        self._on_stale = on_stale
+        self._claimed = False
+        self._ever_claimed = False
+        self._failures = 0
+        self._leases_until = clock.seconds() + TASK_LEASE_S + LEASE_MARGIN_S
+        self._lost = False
+        self._says_leaving = False
+        self._refused_at = float("-inf")
+        self._acknowledged: dict[str, None] = {}
+        self._sleeping: defer.Deferred[None] | None = None
+        self._closed = False
+        self._stale_unlisted = False
+        self.capacity: object = None
+
+    @property
+    def worker_id(self) -> str:
+        """Id of the worker."""
+        return self.instance.instance_id
+
+    @property
+    def address(self) -> workers.Address:
+        """Where it listens."""
+        instance = self.instance
+        return workers.Address(
+            worker_id=instance.instance_id, host=instance.host, port=instance.port
+        )
+
+    @property
+    def claimed(self) -> bool:
+        """Whether it answers to this owner's epoch."""
+        return self._claimed
+
+    @property
+    def leaving(self) -> bool:
+        """Whether any sign says that it must get nothing new."""
+        listed_live = self.listed and self.instance.state == instances.InstanceState.LIVE
+        return not listed_live or self._says_leaving
+
+    def start(self) -> None:
+        """Claim the worker, then renew it until `close`."""
+        self._group.spawn(self._run())
+
+    def close(self) -> None:
+        """End after the call in progress."""
+        self._closed = True
+        self.poke()
+
+    def poke(self) -> None:
+        """Renew at once rather than at the next interval."""
+        sleeping, self._sleeping = self._sleeping, None
+        if sleeping is not None:
+            sleeping.callback(None)
+
+    def acknowledge(self, task_id: str) -> None:
+        """Let the worker forget an ended attempt, with the next renewal."""
+        self._acknowledged[task_id] = None
+
+    def note_start(self) -> None:
+        """Count the leases from now: a start may have been received."""
+        self._extend()
+
+    def note_refusal(self) -> None:
+        """Take a refused start as a sign of leaving until the worker says otherwise."""
+        self._says_leaving = True
+        self._refused_at = self._clock.seconds()
+
+    async def _run(self) -> None:
+        while not self._closed:
+            if self._may_act():
+                await self._call()
+            if self._closed:
+                return
+            await self._pause(RENEW_INTERVAL_S if self._claimed else self._delays.next_s())
+
+    async def _call(self) -> None:
+        sent_at = self._clock.seconds()
+        renewing = self._claimed
+        acknowledged = tuple(self._acknowledged)
+        if renewing:
+            outcome = await self._port.renew(
+                address=self.address,
+                epoch=self._epoch,
+                lease_s=TASK_LEASE_S,
+                acknowledged=acknowledged,
+            )
+        else:
+            outcome = await self._port.claim(address=self.address, epoch=self._epoch)
+        if self._closed:
+            return
+        if isinstance(outcome, result.Success):
+            self._answered(outcome.unwrap(), sent_at, acknowledged if renewing else ())
+        else:
+            self._failed(outcome.failure(), renewing=renewing)
+
+    def _answered(
+        self, report: workers.WorkerReport, sent_at: float, acknowledged: tuple[str, ...]
+    ) -> None:
+        self._failures = 0
+        self._delays.reset()
+        self._claimed = self._ever_claimed = True
+        self._lost = False
+        self._extend()
+        for task_id in acknowledged:
+            self._acknowledged.pop(task_id, None)
+        if report.leaving or sent_at > self._refused_at:
+            self._says_leaving = report.leaving
+        self._on_report(self, report, sent_at)
+
+    def _failed(self, error: workers.WorkerError, *, renewing: bool) -> None:
+        if isinstance(error, workers.StaleEpochError):
+            self._on_stale(error)
+            return
+        self._failures += 1
+        if renewing and isinstance(error, workers.OutcomeUnknownError):
+            self._extend()
+        if self._failures >= SILENT_RENEWALS:
+            self._claimed = False
+        if not self._claimed and not self._lost and self._leases_ran_out():
+            self._lost = True
+            self._on_lost(self)
+
+    def _leases_ran_out(self) -> bool:
+        """Tell whether nothing can be running there under a lease.
+
+        Before the first claim an older owner may still be renewing the worker, so that only a
+        worker which isn't listed any more is given up.
+        """
+        if not self._ever_claimed and self.listed:
+            return False
+        return self._clock.seconds() >= self._leases_until
+
+    def _extend(self) -> None:
+        self._leases_until = self._clock.seconds() + TASK_LEASE_S + LEASE_MARGIN_S
+
+    async def _pause(self, seconds: float) -> None:
+        sleeping: defer.Deferred[None] = defer.Deferred()
+        self._sleeping = sleeping
+        timer = self._clock.callLater(seconds, self.poke)
+        try:
+            await sleeping
+        finally:
+            if timer.active():
+                timer.cancel()
