--- a/packages/ebonyhatch-core/src/ebonyhatch/core/journal_entries.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/journal_entries.py
@@ -78,6 +78,7 @@
     job_id: str
     attempt: int
     result: bytes
+    reason: str = ""
 
 
 class JobFailed(Entry, frozen=True, kw_only=True):
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
@@ -0,0 +1,321 @@
+"""One cell under one owner: takes it over, drives its scheduler, and hands it on."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from ebonyhatch.core import commands, configuration, entities, errors, events, scheduler
+from ebonyhatch.node import (
+    cell_status,
+    cell_workers,
+    coroutines,
+    job_requests,
+    journal,
+    keyed_driver,
+    messages,
+    request_driver,
+    snapshots,
+    task_driver,
+    worker_link,
+)
+from ebonyhatch.platform import instances, store, timing, workers
+from returns import result
+from twisted.internet import defer
+
+TICK_S = 0.1
+"""Longest time between two ticks of the scheduler, seconds."""
+
+CLOSE_TIMEOUT_S = 10.0
+"""Longest wait for requests in progress and for the journal on closing, seconds."""
+
+CLOSE_POLL_S = 0.05
+"""Time between two looks at what is in progress on closing, seconds."""
+
+UNFENCED_WAIT_S = worker_link.TASK_LEASE_S + worker_link.LEASE_MARGIN_S
+"""Wait of a new owner for the old one's task leases, where workers don't refuse it, seconds."""
+
+StartOutcome = defer.Deferred[result.Result[None, errors.EbonyhatchError]]
+
+
+def _ignore(kind: str, fields: dict[str, Any]) -> None:
+    """Drop an event of the log."""
+
+
+class Cell:
+    """Owns the workers, jobs and keyed requests of one cell under one epoch."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        epoch: int,
+        entry_id: str,
+        store: store.Store,
+        workers_port: workers.Workers,
+        scheduler: scheduler.Scheduler,
+        clock: timing.Clock,
+        may_act: Callable[[], bool],
+        on_event: Callable[[str, dict[str, Any]], None] = _ignore,
+        seed: int,
+    ) -> None:
+        self._name = name
+        self._epoch = epoch
+        self._port = workers_port
+        self._scheduler = scheduler
+        self._clock = clock
+        self._lease_valid = may_act
+        self._on_event = on_event
+        self._phase = cell_status.CellPhase.NEW
+        self._fault: errors.EbonyhatchError | None = None
+        self._classes: dict[str, entities.WorkClass] = {}
+        self._events: list[events.Event] = []
+        self._tick_timer: Any = None
+        self._woken = False
+        self._group = coroutines.CoroutineGroup(clock=clock)
+        self._links: dict[str, worker_link.WorkerLink] = {}
+        self._journal = journal.Journal(
+            cell=name,
+            epoch=epoch,
+            writer=entry_id,
+            store_port=store,
+            clock=clock,
+            seed=seed,
+            on_fault=self._stop_on,
+        )
+        self._workers = cell_workers.CellWorkers(
+            epoch=epoch,
+            workers_port=workers_port,
+            clock=clock,
+            group=self._group,
+            generator=random.Random(f"{seed}/{entry_id}/{name}"),
+            links=self._links,
+            may_act=self._may_act,
+            emit=self._emit,
+            on_stale=self._stop_on,
+        )
+        self._tasks = task_driver.TaskDriver(
+            epoch=epoch,
+            journal_of_cell=self._journal,
+            workers_port=workers_port,
+            clock=clock,
+            group=self._group,
+            links=self._links,
+            may_act=self._may_act,
+            emit=self._emit,
+            on_stale=self._stop_on,
+        )
+        self._requests = request_driver.RequestDriver(
+            epoch=epoch,
+            workers_port=workers_port,
+            clock=clock,
+            group=self._group,
+            links=self._links,
+            may_act=self._may_act,
+            emit=self._emit,
+            room=self.room,
+            on_stale=self._stop_on,
+        )
+        self._keyed = keyed_driver.KeyedDriver(
+            journal_of_cell=self._journal,
+            clock=clock,
+            group=self._group,
+            serve=self._serve,
+            refusal=self._refusal,
+        )
+        self._jobs = job_requests.JobRequests(
+            journal_of_cell=self._journal,
+            workers_of_cell=self._workers,
+            clock=clock,
+            reports=self._tasks.reports,
+            emit=self._emit,
+        )
+
+    @property
+    def name(self) -> str:
+        """Name of the cell."""
+        return self._name
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of this owner."""
+        return self._epoch
+
+    def start(self) -> StartOutcome:
+        """Take the cell over: shut older owners out, fold the journal, claim the workers."""
+        self._phase = cell_status.CellPhase.TAKING_OVER
+        return defer.Deferred.fromCoroutine(self._take_over())
+
+    def close(self) -> defer.Deferred[None]:
+        """Take nothing new, finish what is in progress, write what is pending, and stop."""
+        return defer.Deferred.fromCoroutine(self._close())
+
+    def set_workers(self, *, instances: tuple[instances.Instance, ...]) -> None:
+        """Take in the list of the cell's workers."""
+        if self._phase != cell_status.CellPhase.CLOSED:
+            self._workers.set(instances)
+
+    def set_configuration(self, *, in_force: configuration.InForce) -> None:
+        """Take in the configuration in force."""
+        self._classes = {entry.name: entry for entry in in_force.classes}
+        self._emit(events.ClassesChanged(classes=in_force.classes, tenants=in_force.tenants))
+
+    def request(self, *, call: messages.RequestCall) -> request_driver.ReplyOutcome:
+        """Serve a request; fires with the answer or the truth about its outcome."""
+        reason = self._reason_against()
+        if reason:
+            return defer.succeed(self._refusal(call, reason))
+        if call.idempotency_key and not call.idempotent:
+            return self._keyed.request(call)
+        return self._serve(call)
+
+    def submit(self, *, job: entities.Job) -> job_requests.ReplyOutcome:
+        """Accept a job; fires once it is durable, or refused."""
+        reason = self._reason_against()
+        if reason:
+            return defer.succeed(messages.JobReply(status=503, reason=reason))
+        return self._jobs.submit(job)
+
+    def show(self, *, job_id: str) -> messages.JobReply:
+        """Show a job."""
+        if self._phase in (cell_status.CellPhase.ACTIVE, cell_status.CellPhase.CLOSING):
+            return self._jobs.show(job_id)
+        return messages.JobReply(status=503, reason=self._reason_against())
+
+    def cancel(self, *, job_id: str) -> job_requests.ReplyOutcome:
+        """Cancel a job; fires once that is durable."""
+        reason = self._reason_against()
+        if reason:
+            return defer.succeed(messages.JobReply(status=503, reason=reason))
+        return self._jobs.cancel(job_id)
+
+    def room(self) -> messages.CellRoom:
+        """Summarize what the cell could take now."""
+        room = self._scheduler.room(now=self._clock.seconds())
+        return messages.CellRoom(cell=self._name, epoch=self._epoch, room=room)
+
+    def explain(self, *, subject_id: str) -> str:
+        """Say why a job or a request waits, or where it is."""
+        return self._scheduler.explain(subject_id=subject_id)
+
+    def status(self) -> cell_status.CellStatus:
+        """Describe the cell to operators."""
+        jobs = self._journal.state.jobs.counts
+        return cell_status.CellStatus(
+            name=self._name,
+            epoch=self._epoch,
+            state=self._phase,
+            workers=self._workers.count,
+            jobs=jobs,
+            queued=jobs.get("queued", 0) + jobs.get("parked", 0),
+            journal_seq=self._journal.seq,
+            fault="" if self._fault is None else str(self._fault),
+        )
+
+    async def _take_over(self) -> result.Result[None, errors.EbonyhatchError]:
+        try:
+            await self._journal.recover()
+        except errors.EbonyhatchError as error:
+            self._stop_on(error)
+            return result.Failure(error)
+        if not self._port.fenced:
+            await self._group.sleep(UNFENCED_WAIT_S)
+        if self._phase != cell_status.CellPhase.TAKING_OVER:
+            return result.Failure(self._fault or _superseded(self._name, self._epoch))
+        self._phase = cell_status.CellPhase.ACTIVE
+        self._keyed.settle_inherited()
+        self._tasks.announce_waiting()
+        self._workers.start(reports=self._tasks.reports)
+        self._tick_later()
+        self._on_event("cell.active", {"cell": self._name, "epoch": self._epoch})
+        return result.Success(None)
+
+    async def _close(self) -> None:
+        if self._phase == cell_status.CellPhase.ACTIVE:
+            self._phase = cell_status.CellPhase.CLOSING
+            await self._drain()
+        if self._phase == cell_status.CellPhase.CLOSED:
+            return
+        self._phase = cell_status.CellPhase.CLOSED
+        if self._tick_timer is not None and self._tick_timer.active():
+            self._tick_timer.cancel()
+        self._requests.refuse_all(reason="closed")
+        self._group.close()
+        self._journal.close()
+
+    async def _drain(self) -> None:
+        limit = self._clock.seconds() + CLOSE_TIMEOUT_S
+        while self._requests.in_flight and self._clock.seconds() < limit:
+            await self._group.sleep(CLOSE_POLL_S)
+        flushed = self._journal.flushed()
+        while not flushed.called and self._clock.seconds() < limit:
+            await self._group.sleep(CLOSE_POLL_S)
+
+    def _may_act(self) -> bool:
+        """Tell whether commands may go to workers: the fence or the lease keeps them safe."""
+        if self._phase not in (cell_status.CellPhase.ACTIVE, cell_status.CellPhase.CLOSING):
+            return False
+        return self._port.fenced or self._lease_valid()
+
+    def _reason_against(self) -> str:
+        if self._phase != cell_status.CellPhase.ACTIVE:
+            return f"cell-{self._phase.value}"
+        return "" if self._may_act() else "lease-lapsed"
+
+    def _serve(self, call: messages.RequestCall) -> request_driver.ReplyOutcome:
+        work_class = self._classes.get(call.work_class)
+        if work_class is None:
+            return defer.succeed(self._refusal(call, "unknown-class"))
+        return self._requests.serve(call, work_class=work_class)
+
+    def _refusal(self, call: messages.RequestCall, reason: str) -> messages.RequestReply:
+        return self._requests.refusal(call, reason=reason)
+
+    def _stop_on(self, error: errors.EbonyhatchError) -> None:
+        """Stop acting for the cell: a newer owner is there, or its journal can't be read."""
+        if self._fault is not None:
+            return
+        self._fault = error
+        superseded = isinstance(error, snapshots.SupersededError | workers.StaleEpochError)
+        self._phase = cell_status.CellPhase.FAULTED
+        if superseded:
+            self._phase = cell_status.CellPhase.SUPERSEDED
+        self._on_event(f"cell.{self._phase.value}", {"cell": self._name, "reason": str(error)})
+        self._requests.refuse_unsent(reason=f"cell-{self._phase.value}")
+
+    def _emit(self, event: events.Event) -> None:
+        self._events.append(event)
+        if not self._woken and self._phase in _TICKING:
+            self._woken = True
+            self._clock.callLater(0, self._tick)
+
+    def _tick_later(self) -> None:
+        if self._phase in _TICKING:
+            self._tick()
+            self._tick_timer = self._clock.callLater(TICK_S, self._tick_later)
+
+    def _tick(self) -> None:
+        self._woken = False
+        if self._phase not in _TICKING:
+            return
+        self._requests.sweep()
+        batch, self._events = self._events, []
+        decided = self._scheduler.tick(now=self._clock.seconds(), events=batch)
+        for command in decided:
+            self._carry_out(command)
+
+    def _carry_out(self, command: commands.Command) -> None:
+        if isinstance(command, commands.SendRequest):
+            self._requests.send(command)
+        elif isinstance(command, commands.RefuseRequest):
+            self._requests.refuse(command)
+        else:
+            self._tasks.carry_out(command)
+
+
+_TICKING = (cell_status.CellPhase.ACTIVE, cell_status.CellPhase.CLOSING)
+
+
+def _superseded(cell: str, epoch: int) -> snapshots.SupersededError:
+    return snapshots.SupersededError(cell=cell, epoch=epoch, newest_epoch=epoch)
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell_workers.py
@@ -0,0 +1,174 @@
+"""The workers of a cell: who is linked, who may be placed on, who is leaving or gone."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from ebonyhatch.core import events, resources
+from ebonyhatch.node import backoff, coroutines, task_reports, worker_link
+from ebonyhatch.platform import instances, timing, workers
+
+
+class CellWorkers:
+    """Keeps a link to each worker and tells the scheduler of them."""
+
+    def __init__(
+        self,
+        *,
+        epoch: int,
+        workers_port: workers.Workers,
+        clock: timing.Clock,
+        group: coroutines.CoroutineGroup,
+        generator: random.Random,
+        links: dict[str, worker_link.WorkerLink],
+        may_act: Callable[[], bool],
+        emit: task_reports.Emit,
+        on_stale: Callable[[workers.StaleEpochError], None],
+    ) -> None:
+        self._epoch = epoch
+        self._port = workers_port
+        self._clock = clock
+        self._group = group
+        self._generator = generator
+        self._links = links
+        self._may_act = may_act
+        self._emit = emit
+        self._on_stale = on_stale
+        self._reports: task_reports.TaskReports | None = None
+        self._joined: dict[str, resources.Resources] = {}
+        self._leaving: set[str] = set()
+        self._largest: list[resources.Resources] = []
+
+    @property
+    def count(self) -> int:
+        """Workers that may be placed on."""
+        return len(self._joined) - len(self._leaving)
+
+    def could_ever_hold(self, demand: resources.Resources) -> bool:
+        """Tell whether any worker seen so far could hold `demand`; true while none was seen."""
+        return not self._largest or any(demand.fits(shape) for shape in self._largest)
+
+    def start(self, *, reports: task_reports.TaskReports) -> None:
+        """Begin to claim workers and to pass on their reports."""
+        self._reports = reports
+        for link in self._links.values():
+            link.start()
+
+    def set(self, listed: tuple[instances.Instance, ...]) -> None:
+        """Take in the list of the cell's workers."""
+        by_id = {instance.instance_id: instance for instance in listed}
+        for worker_id, instance in by_id.items():
+            self._set_one(worker_id, instance)
+        for worker_id, link in list(self._links.items()):
+            if worker_id not in by_id:
+                link.listed = False
+                self._note_leaving(link)
+
+    def _set_one(self, worker_id: str, instance: instances.Instance) -> None:
+        link = self._links.get(worker_id)
+        if link is None:
+            self._add(worker_id, instance)
+            return
+        link.instance = instance
+        link.listed = True
+        self._note_leaving(link)
+
+    def _add(self, worker_id: str, instance: instances.Instance) -> None:
+        link = worker_link.WorkerLink(
+            instance=instance,
+            epoch=self._epoch,
+            workers_port=self._port,
+            clock=self._clock,
+            group=self._group,
+            delays=backoff.Backoff(generator=self._generator, limit_s=worker_link.PROBE_LIMIT_S),
+            may_act=self._may_act,
+            on_report=self._take_report,
+            on_refusal=self._note_leaving,
+            on_lost=self._take_lost,
+            on_stale=self._on_stale,
+        )
+        self._links[worker_id] = link
+        if self._reports is not None:
+            link.start()
+
+    def _take_report(
+        self, link: worker_link.WorkerLink, report: workers.WorkerReport, sent_at: float
+    ) -> None:
+        assert self._reports is not None
+        self._learn_shape(report.capacity)
+        if self._joined.get(link.worker_id) != report.capacity:
+            self._join(link, report.capacity)
+        self._note_leaving(link)
+        self._reports.take_report(link, report, sent_at)
+        self._emit_usage(report)
+        if not link.listed and not report.tasks:
+            self._drop(link)
+
+    def _learn_shape(self, capacity: resources.Resources) -> None:
+        if not any(capacity.fits(shape) for shape in self._largest):
+            self._largest = [shape for shape in self._largest if not shape.fits(capacity)]
+            self._largest.append(capacity)
+
+    def _join(self, link: worker_link.WorkerLink, capacity: resources.Resources) -> None:
+        self._joined[link.worker_id] = capacity
+        self._leaving.discard(link.worker_id)
+        instance = link.instance
+        self._emit(
+            events.WorkerJoined(
+                worker_id=link.worker_id,
+                failure_domain=instance.failure_domain,
+                rack=instance.rack,
+                capacity=capacity,
+            )
+        )
+
+    def _note_leaving(self, link: worker_link.WorkerLink) -> None:
+        worker_id = link.worker_id
+        if worker_id not in self._joined:
+            return
+        if link.leaving and worker_id not in self._leaving:
+            self._leaving.add(worker_id)
+            self._emit(events.WorkerLeaving(worker_id=worker_id))
+        elif not link.leaving and worker_id in self._leaving:
+            self._join(link, self._joined[worker_id])
+
+    def _emit_usage(self, report: workers.WorkerReport) -> None:
+        running = [task for task in report.tasks if task.state == workers.TaskState.RUNNING]
+        self._emit(
+            events.UsageReported(
+                worker_id=report.worker_id,
+                sampled_at=self._clock.seconds() - report.sample_age_s,
+                usage=report.usage,
+                tasks=tuple(
+                    events.TaskUsage(task_id=task.task_id, usage=task.usage) for task in running
+                ),
+            )
+        )
+
+    def _take_lost(self, link: worker_link.WorkerLink) -> None:
+        """Place nothing on a silent worker, end its attempts, then drop it."""
+        assert self._reports is not None
+        worker_id = link.worker_id
+        if worker_id in self._joined:
+            self._leaving.add(worker_id)
+            self._emit(events.WorkerLeaving(worker_id=worker_id))
+        settled = self._reports.take_lost_worker(worker_id)
+        settled.addCallback(lambda _: self._forget(link))
+
+    def _forget(self, link: worker_link.WorkerLink) -> None:
+        if link.claimed:
+            self._note_leaving(link)
+            return
+        if self._joined.pop(link.worker_id, None) is not None:
+            self._emit(events.WorkerGone(worker_id=link.worker_id))
+        self._leaving.discard(link.worker_id)
+        if not link.listed:
+            self._drop(link)
+
+    def _drop(self, link: worker_link.WorkerLink) -> None:
+        link.close()
+        self._links.pop(link.worker_id, None)
+        self._leaving.discard(link.worker_id)
+        if self._joined.pop(link.worker_id, None) is not None:
+            self._emit(events.WorkerGone(worker_id=link.worker_id))
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/coroutines.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/coroutines.py
@@ -5,7 +5,8 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-from twisted.internet import defer, interfaces, task
+from ebonyhatch.platform import timing
+from twisted.internet import defer
 from twisted.python import failure, log
 
 T = TypeVar("T")
@@ -14,7 +15,7 @@
 class CoroutineGroup:
     """Runs coroutines on Deferreds and cancels those that are left on `close`."""
 
-    def __init__(self, *, clock: interfaces.IReactorTime) -> None:
+    def __init__(self, *, clock: timing.Clock) -> None:
         self._clock = clock
         self._running: set[defer.Deferred[Any]] = set()
         self._closed = False
@@ -36,7 +37,9 @@
 
     async def sleep(self, seconds: float) -> None:
         """Wait on the component's clock."""
-        await task.deferLater(self._clock, seconds)
+        slept: defer.Deferred[None] = defer.Deferred(lambda _: timer.cancel())
+        timer = self._clock.callLater(seconds, slept.callback, None)
+        await slept
 
     def close(self) -> None:
         """Cancel everything that still runs."""
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/held_cells.py
@@ -0,0 +1,90 @@
+"""The cells that this entry acts for, kept in step with the ownership record."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from ebonyhatch.node import ownership_record
+from twisted.internet import defer
+
+
+class HeldCells:
+    """Calls `on_gain` and `on_loss` in order: a cell is gained only after its loss is done."""
+
+    def __init__(
+        self,
+        *,
+        on_gain: Callable[[str, int], None],
+        on_loss: Callable[[str], defer.Deferred[None]],
+    ) -> None:
+        self._on_gain = on_gain
+        self._on_loss = on_loss
+        self._epochs: dict[str, int] = {}
+        self._released: dict[str, int] = {}
+        self._losing: dict[str, defer.Deferred[None]] = {}
+        self._wanted: dict[str, int] = {}
+        self._closed = False
+
+    @property
+    def epochs(self) -> Mapping[str, int]:
+        """Epochs of the cells that are held."""
+        return self._epochs
+
+    def follow(
+        self,
+        record: ownership_record.Record,
+        *,
+        member: ownership_record.Member,
+    ) -> None:
+        """Lose what the record gives to others, then gain what it gives to this process."""
+        present = record.members.get(member.entry_id)
+        ours = present is not None and present.incarnation == member.incarnation
+        self._wanted = {
+            cell: owner.epoch
+            for cell, owner in record.cells.items()
+            if ours and owner.entry_id == member.entry_id
+        }
+        for cell, epoch in list(self._epochs.items()):
+            if self._wanted.get(cell) != epoch:
+                self._lose(cell)
+        for cell in self._wanted:
+            self._gain(cell)
+
+    def stop_superseded(self, record: ownership_record.Record, *, entry_id: str) -> None:
+        """Lose cells for which a newer epoch is known; gain nothing."""
+        for cell, epoch in list(self._epochs.items()):
+            owner = record.cells.get(cell)
+            if owner is not None and owner.epoch > epoch:
+                self._lose(cell)
+
+    def release(self, cell: str) -> defer.Deferred[None]:
+        """Stop acting for a cell that is about to be given away; fires once that is done."""
+        if cell not in self._epochs:
+            return defer.succeed(None)
+        return self._lose(cell)
+
+    def release_all(self) -> defer.Deferred[list[tuple[bool, None]]]:
+        """Stop acting for all cells and gain none any more; fires once that is done."""
+        self._closed = True
+        return defer.DeferredList([self._lose(cell) for cell in list(self._epochs)])
+
+    def _lose(self, cell: str) -> defer.Deferred[None]:
+        self._released[cell] = self._epochs.pop(cell)
+        done: defer.Deferred[None] = defer.Deferred()
+        losing = self._on_loss(cell)
+        self._losing[cell] = losing
+        losing.addBoth(self._lost, cell, done)
+        return done
+
+    def _lost(self, _: object, cell: str, done: defer.Deferred[None]) -> None:
+        self._losing.pop(cell, None)
+        done.callback(None)
+        self._gain(cell)
+
+    def _gain(self, cell: str) -> None:
+        epoch = self._wanted.get(cell)
+        if self._closed or epoch is None or cell in self._losing or cell in self._epochs:
+            return
+        if epoch > self._released.get(cell, 0):
+            self._epochs[cell] = epoch
+            self._on_gain(cell, epoch)
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/job_table.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_table.py
@@ -6,11 +6,15 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+import msgspec
 from ebonyhatch.core import job_machine, journal_entries
 
 ENDED_KEPT = 2000
 """Ended jobs that a cell remembers; the oldest are forgotten first."""
 
+RESULTS_KEPT_BYTES = 10_000_000
+"""Bytes of results that a cell remembers; the oldest are forgotten first."""
+
 Handler = Callable[[job_machine.JobRow, Any], None]
 _HANDLERS: dict[type, tuple[str, Handler]] = {}
 
@@ -32,6 +36,8 @@
         self._rows: dict[str, job_machine.JobRow] = {}
         self._ended: collections.deque[str] = collections.deque()
         self._ended_kept = ended_kept
+        self._result_bytes = 0
+        self._payload_bytes = 0
         self._counts: collections.Counter[str] = collections.Counter()
         self._by_worker: dict[str, dict[str, None]] = {}
 
@@ -40,6 +46,11 @@
         """Number of jobs by state."""
         return {state: count for state, count in self._counts.items() if count}
 
+    @property
+    def payload_bytes(self) -> int:
+        """Bytes of the payloads of jobs that have not ended."""
+        return self._payload_bytes
+
     def get(self, job_id: str) -> job_machine.JobRow | None:
         """Row of a job, or None."""
         return self._rows.get(job_id)
@@ -83,9 +94,10 @@
         for row in rows:
             self._rows[row.job.job_id] = row
             self._counts[row.state] += 1
+            self._payload_bytes += len(row.job.payload)
             self._index(row)
             if row.state in job_machine.ENDED:
-                self._ended.append(row.job.job_id)
+                self._keep_ended(row)
 
     def _submit(self, entry: journal_entries.JobSubmitted) -> bool:
         if entry.job.job_id in self._rows:
@@ -93,6 +105,7 @@
         row = job_machine.JobRow(job=entry.job)
         self._rows[entry.job.job_id] = row
         self._counts[row.state] += 1
+        self._payload_bytes += len(row.job.payload)
         return True
 
     def _move(self, row: job_machine.JobRow, state: job_machine.JobState) -> None:
@@ -101,9 +114,15 @@
         row.state = state
         self._index(row)
         if state in job_machine.ENDED:
-            self._ended.append(row.job.job_id)
+            self._payload_bytes -= len(row.job.payload)
+            row.job = msgspec.structs.replace(row.job, payload=b"")
+            self._keep_ended(row)
             self._forget()
 
+    def _keep_ended(self, row: job_machine.JobRow) -> None:
+        self._ended.append(row.job.job_id)
+        self._result_bytes += len(row.result)
+
     def _index(self, row: job_machine.JobRow) -> None:
         if row.state in job_machine.ATTEMPTING:
             self._by_worker.setdefault(row.worker_id, {})[row.job.job_id] = None
@@ -114,9 +133,10 @@
             self._by_worker.pop(row.worker_id, None)
 
     def _forget(self) -> None:
-        while len(self._ended) > self._ended_kept:
+        while len(self._ended) > self._ended_kept or self._result_bytes > RESULTS_KEPT_BYTES:
             row = self._rows.pop(self._ended.popleft())
             self._counts[row.state] -= 1
+            self._result_bytes -= len(row.result)
 
 
 def _names_valid_attempt(row: job_machine.JobRow, entry: Any) -> bool:
@@ -171,6 +191,7 @@
 @applies(journal_entries.JobFinished, step="finish")
 def _finish(row: job_machine.JobRow, entry: journal_entries.JobFinished) -> None:
     row.result = entry.result
+    row.reason = entry.reason
 
 
 @applies(journal_entries.JobFailed, step="fail")
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/journal.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/journal.py
@@ -16,9 +16,9 @@
     snapshots,
     store_values,
 )
-from ebonyhatch.platform import store
+from ebonyhatch.platform import store, timing
 from returns import result
-from twisted.internet import defer, interfaces
+from twisted.internet import defer
 
 WRITE_INTERVAL_S = 0.1
 """Least time between two writes of one cell, seconds."""
@@ -95,7 +95,7 @@
         epoch: int,
         writer: str,
         store_port: store.Store,
-        clock: interfaces.IReactorTime,
+        clock: timing.Clock,
         seed: int,
         on_fault: Callable[[errors.EbonyhatchError], None],
     ) -> None:
@@ -159,9 +159,7 @@
         self._available = True
         self._fold_when_due()
 
-    def append(
-        self, entry: journal_entries.AnyEntry, *, droppable: bool = False
-    ) -> AppendOutcome:
+    def append(self, entry: journal_entries.AnyEntry, *, droppable: bool = False) -> AppendOutcome:
         """Write an entry; the Deferred fires once it is durable and applied to the state.
 
         Args:
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/ownership_plan.py
@@ -0,0 +1,71 @@
+"""Decides which entry should own each cell; pure functions of the record and who is live."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+
+from ebonyhatch.core import rendezvous
+from ebonyhatch.node import ownership_record
+
+
+def desired_owner(
+    record: ownership_record.Record, *, cell: str, candidates: Collection[str]
+) -> str:
+    """Entry that should own a cell: same failure domain first, then by rendezvous hashing.
+
+    Args:
+        record: The record; candidates are its members.
+        cell: The cell.
+        candidates: Entries that may get cells.
+
+    Returns:
+        The entry, or `NOBODY` without candidates.
+    """
+    members = [
+        record.members[name]
+        for name in candidates
+        if name in record.members and not record.members[name].draining
+    ]
+    domain = rendezvous.domain_of_cell(cell)
+    near = [member for member in members if member.failure_domain == domain]
+    ranked = rendezvous.ranked(key=cell, candidates=[member.entry_id for member in near or members])
+    return ranked[0] if ranked else ownership_record.NOBODY
+
+
+def missing_cells(record: ownership_record.Record, *, domains: Iterable[str]) -> list[str]:
+    """Cells of failure domains with workers that the record doesn't have yet."""
+    names = [
+        rendezvous.cell_name(domain, index)
+        for domain in sorted(domains)
+        for index in range(record.cells_per_domain)
+    ]
+    return [name for name in names if name not in record.cells]
+
+
+def ownerless_cells(record: ownership_record.Record) -> list[str]:
+    """Cells whose owner is nobody or no member."""
+    return [cell for cell, owner in record.cells.items() if owner.entry_id not in record.members]
+
+
+def assign(
+    record: ownership_record.Record, *, cells: Iterable[str], candidates: Collection[str]
+) -> ownership_record.Record:
+    """Give cells to their desired owners; without candidates they stay as they are."""
+    for cell in cells:
+        owner = desired_owner(record, cell=cell, candidates=candidates)
+        if owner != ownership_record.NOBODY:
+            record = ownership_record.with_owner(record, cell, owner)
+    return record
+
+
+def next_move(
+    record: ownership_record.Record, *, entry_id: str, candidates: Collection[str]
+) -> tuple[str, str] | None:
+    """First cell of an entry that another one should own, with that one; None when none is."""
+    for cell, owner in sorted(record.cells.items()):
+        if owner.entry_id != entry_id:
+            continue
+        desired = desired_owner(record, cell=cell, candidates=candidates)
+        if desired not in (entry_id, ownership_record.NOBODY):
+            return cell, desired
+    return None
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/task_driver.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/task_driver.py
@@ -1,4 +1,4 @@
-"""Carries out the scheduler's commands for tasks, and turns reports into entries and events."""
+"""Carries out the scheduler's commands for tasks; the intent of a start is durable first."""
 
 from __future__ import annotations
 
@@ -6,15 +6,13 @@
 from typing import Any
 
 from ebonyhatch.core import commands, events, job_machine, journal_entries
-from ebonyhatch.node import coroutines, journal, worker_link
-from ebonyhatch.platform import workers
+from ebonyhatch.node import attempts, coroutines, journal, task_entries, task_reports, worker_link
+from ebonyhatch.platform import timing, workers
 from returns import result
-from twisted.internet import interfaces
 
-FAILURES_LIMIT = 5
-"""Failed attempts after which a job is given up."""
+LEAVING_REASON = "leaving"
+"""Word in a worker's refusal that says that it takes nothing new."""
 
-Emit = Callable[[events.Event], None]
 Carrier = Callable[["TaskDriver", Any], None]
 _CARRIERS: dict[type, Carrier] = {}
 
@@ -30,7 +28,7 @@
 
 
 class TaskDriver:
-    """Starts, stops and follows attempts; every step is in the journal first."""
+    """Starts, saves, throttles and stops attempts."""
 
     def __init__(
         self,
@@ -38,11 +36,11 @@
         epoch: int,
         journal_of_cell: journal.Journal,
         workers_port: workers.Workers,
-        clock: interfaces.IReactorTime,
+        clock: timing.Clock,
         group: coroutines.CoroutineGroup,
         links: dict[str, worker_link.WorkerLink],
         may_act: Callable[[], bool],
-        emit: Emit,
+        emit: task_reports.Emit,
         on_stale: Callable[[workers.StaleEpochError], None],
     ) -> None:
         self._epoch = epoch
@@ -55,15 +53,21 @@
         self._may_act = may_act
         self._emit = emit
         self._on_stale = on_stale
-        self._announced: set[str] = set()
+        self._table = attempts.AttemptTable()
         self._intending: set[str] = set()
-        self._sending: set[str] = set()
-        self._unsettled: dict[str, float] = {}
-        self._confirmed: dict[str, float] = {}
-        self._ending: set[str] = set()
-        self._saving: set[str] = set()
-        self._stopping: set[str] = set()
-        self._stops_sent: set[str] = set()
+        self._reports = task_reports.TaskReports(
+            journal_of_cell=journal_of_cell,
+            table=self._table,
+            clock=clock,
+            group=group,
+            emit=emit,
+            stop=self._stop,
+        )
+
+    @property
+    def reports(self) -> task_reports.TaskReports:
+        """Takes in the workers' reports."""
+        return self._reports
 
     def carry_out(self, command: commands.Command) -> bool:
         """Carry out a command; tell whether it was one for tasks."""
@@ -77,252 +81,124 @@
         """Tell the scheduler of every job that waits, after a takeover."""
         for row in self._jobs.rows():
             if row.state in job_machine.WAITING:
-                self._emit(_submitted(row))
-
-    def take_report(
-        self, link: worker_link.WorkerLink, report: workers.WorkerReport, sent_at: float
-    ) -> None:
-        """Compare what a worker runs with what the journal names."""
-        listed = {task.task_id for task in report.tasks}
-        for task in report.tasks:
-            self._take_task(link, task)
-        for row in self._jobs.attempts_on(link.worker_id):
-            if row.task_id not in listed:
-                self._take_absent(row, sent_at)
-
-    def take_lost_worker(self, worker_id: str) -> None:
-        """End the attempts of a worker whose leases have run out."""
-        for row in self._jobs.attempts_on(worker_id):
-            if row.task_id not in self._sending:
-                self._lose(row)
-
-    def _take_task(self, link: worker_link.WorkerLink, task: workers.TaskReport) -> None:
-        row = self._jobs.of_task(task.task_id)
-        if row is None or row.worker_id != link.worker_id:
-            self._drop(link, task)
-        elif task.state == workers.TaskState.RUNNING:
-            self._take_running(link, row, task)
-        elif task.task_id not in self._ending:
-            self._ending.add(task.task_id)
-            self._group.spawn(self._end(link, row, task))
-
-    def _drop(self, link: worker_link.WorkerLink, task: workers.TaskReport) -> None:
-        """Deal with an attempt that the journal doesn't name: stop it, or forget its end."""
-        if task.state == workers.TaskState.RUNNING:
-            self._stop(task.task_id, link)
-        else:
-            link.acknowledge(task.task_id)
-
-    def _take_running(
-        self, link: worker_link.WorkerLink, row: job_machine.JobRow, task: workers.TaskReport
-    ) -> None:
-        if task.task_id in self._sending:
-            return
-        if task.task_id not in self._announced:
-            self._adopt(row, task)
-        if row.state == job_machine.JobState.STARTING and task.task_id not in self._confirmed:
-            self._confirm(row)
-        if task.checkpoint and task.progress_s > row.progress_s:
-            self._save(row, checkpoint=task.checkpoint, progress_s=task.progress_s)
-        if task.task_id in self._stopping:
-            self._stop(task.task_id, link)
-
-    def _adopt(self, row: job_machine.JobRow, task: workers.TaskReport) -> None:
-        self._announced.add(task.task_id)
-        self._emit(
-            events.TaskAdopted(
-                task_id=task.task_id,
-                job=row.job,
-                worker_id=row.worker_id,
-                attempts=row.attempts,
-                evictions=row.evictions,
-                progress_s=row.progress_s,
-                started_at=self._clock.seconds() - task.run_s,
-            )
-        )
-
-    def _confirm(self, row: job_machine.JobRow) -> None:
-        task_id = row.task_id
-        self._unsettled.pop(task_id, None)
-        self._confirmed[task_id] = self._clock.seconds()
-        self._emit(events.TaskStarted(task_id=task_id))
-        self._journal.append(
-            journal_entries.AttemptStarted(job_id=row.job.job_id, attempt=row.attempts)
-        )
-
-    def _take_absent(self, row: job_machine.JobRow, sent_at: float) -> None:
-        """Settle an attempt that the journal names and its worker doesn't know."""
-        task_id = row.task_id
-        if task_id in self._sending or task_id in self._ending:
-            return
-        if self._unsettled.get(task_id, float("-inf")) > sent_at:
-            return
-        if self._confirmed.get(task_id, float("-inf")) < sent_at:
-            self._lose(row)
-
-    def _lose(self, row: job_machine.JobRow) -> None:
-        if row.task_id in self._ending:
-            return
-        self._ending.add(row.task_id)
-        entry = journal_entries.AttemptLost(job_id=row.job.job_id, attempt=row.attempts)
-        self._group.spawn(self._requeue(row, entry, events.TaskLost(task_id=row.task_id)))
-
-    async def _end(
-        self, link: worker_link.WorkerLink, row: job_machine.JobRow, task: workers.TaskReport
-    ) -> None:
-        """Journal the end of an attempt; only then may the worker forget it."""
-        entry = _entry_of_end(row, task)
-        if isinstance(entry, journal_entries.JobFinished | journal_entries.JobFailed):
-            ended = await self._journal.append(entry)
-            if isinstance(ended, result.Success):
-                self._tell_end(task, entry)
-        else:
-            await self._requeue(row, entry, _event_of_end(task))
-        self._ending.discard(task.task_id)
-        if self._jobs.of_task(task.task_id) is None:
-            link.acknowledge(task.task_id)
-
-    def _tell_end(self, task: workers.TaskReport, entry: journal_entries.Entry) -> None:
-        if task.task_id not in self._announced:
-            return
-        self._emit(_event_of_end(task))
-        if isinstance(entry, journal_entries.JobFailed):
-            self._emit(events.JobCancelled(job_id=task.job_id))
-        self._forget(task.task_id)
-
-    async def _requeue(
-        self, row: job_machine.JobRow, entry: journal_entries.AnyEntry, event: events.Event
-    ) -> None:
-        task_id = row.task_id
-        written = await self._journal.append(entry)
-        if isinstance(written, result.Success):
-            if task_id in self._announced:
-                self._emit(event)
-            elif row.state == job_machine.JobState.QUEUED:
-                self._emit(_submitted(row))
-        self._forget(task_id)
-
-    def _forget(self, task_id: str) -> None:
-        self._announced.discard(task_id)
-        self._unsettled.pop(task_id, None)
-        self._confirmed.pop(task_id, None)
-        self._ending.discard(task_id)
-        self._stopping.discard(task_id)
-
-    def _save(self, row: job_machine.JobRow, *, checkpoint: str, progress_s: float) -> None:
-        if row.task_id not in self._saving:
-            self._saving.add(row.task_id)
-            self._group.spawn(self._journal_checkpoint(row, checkpoint, progress_s))
-
-    async def _journal_checkpoint(
-        self, row: job_machine.JobRow, checkpoint: str, progress_s: float
-    ) -> None:
-        task_id = row.task_id
-        entry = journal_entries.AttemptCheckpointed(
-            job_id=row.job.job_id,
-            attempt=row.attempts,
-            checkpoint=checkpoint,
-            progress_s=progress_s,
-        )
-        written = await self._journal.append(entry)
-        self._saving.discard(task_id)
-        if isinstance(written, result.Success) and self._jobs.of_task(task_id) is not None:
-            self._emit(events.TaskCheckpointed(task_id=task_id, progress_s=progress_s))
-
-    def _stop(self, task_id: str, link: worker_link.WorkerLink) -> None:
-        if task_id not in self._stops_sent and self._may_act():
-            self._stops_sent.add(task_id)
-            self._group.spawn(self._send_stop(task_id, link))
-
-    async def _send_stop(self, task_id: str, link: worker_link.WorkerLink) -> None:
-        outcome = await self._port.stop_task(
-            address=link.address, epoch=self._epoch, task_id=task_id
-        )
-        self._stops_sent.discard(task_id)
-        if isinstance(outcome, result.Success):
-            link.poke()
-        else:
-            self._check_stale(outcome.failure())
-
-    def _check_stale(self, error: workers.WorkerError) -> None:
-        if isinstance(error, workers.StaleEpochError):
-            self._on_stale(error)
+                self._emit(task_entries.submitted(row))
 
     @carries(commands.StartTask)
     def _start(self, command: commands.StartTask) -> None:
         row = self._jobs.get(command.job_id)
         waiting = row is not None and row.state in job_machine.WAITING
-        if row is None or not waiting or command.job_id in self._intending:
+        if not waiting or command.job_id in self._intending:
             self._emit(events.TaskStartFailed(task_id=command.task_id, reason="not-waiting"))
             return
         self._intending.add(command.job_id)
-        self._announced.add(command.task_id)
-        self._sending.add(command.task_id)
-        self._group.spawn(self._intend(command))
-
-    async def _intend(self, command: commands.StartTask) -> None:
-        entry = journal_entries.AttemptIntended(
-            job_id=command.job_id, attempt=command.attempt, worker_id=command.worker_id
+        attempt = self._table.find_or_add(command.task_id, command.worker_id)
+        attempt.announced = True
+        attempt.sending = True
+        self._group.spawn(self._intend(command, attempt))
+
+    async def _intend(self, command: commands.StartTask, attempt: attempts.Attempt) -> None:
+        intended = await self._journal.append(
+            journal_entries.AttemptIntended(
+                job_id=command.job_id, attempt=command.attempt, worker_id=command.worker_id
+            )
         )
-        intended = await self._journal.append(entry)
         self._intending.discard(command.job_id)
+        if not isinstance(intended, result.Success):
+            return
         row = self._jobs.of_task(command.task_id)
-        if isinstance(intended, result.Success) and row is not None:
-            await self._send_start(row)
-        self._sending.discard(command.task_id)
+        if row is not None:
+            await self._send_start(row, attempt)
+            attempt.sending = False
+            return
+        self._table.forget(command.task_id)
+        self._emit(events.TaskStartFailed(task_id=command.task_id, reason="not-waiting"))
 
-    async def _send_start(self, row: job_machine.JobRow) -> None:
+    async def _send_start(self, row: job_machine.JobRow, attempt: attempts.Attempt) -> None:
         link = self._links.get(row.worker_id)
-        wanted = row.task_id not in self._stopping and self._may_act()
-        if link is None or not link.claimed or link.leaving or not wanted:
-            await self._withdraw(row, reason="worker-leaving" if wanted else "stopped")
+        if attempt.stopping or not self._may_act():
+            await self._reports.withdraw(row, reason="stopped")
+            return
+        if link is None or not link.claimed or link.leaving:
+            await self._reports.withdraw(row, reason="worker-leaving")
             return
-        task_id = row.task_id
         outcome = await self._port.start_task(
             address=link.address, epoch=self._epoch, order=_order(row)
         )
         link.note_start()
         if isinstance(outcome, result.Success):
-            if self._jobs.of_task(task_id) is not None:
-                self._confirm(row)
+            self._take_started(row, attempt)
             return
         error = outcome.failure()
-        if isinstance(error, workers.NotRunError):
-            if "leaving" in error.reason:
-                link.note_refusal()
-            await self._withdraw(row, reason=error.reason)
-        elif isinstance(error, workers.OutcomeUnknownError):
-            self._unsettled[task_id] = self._clock.seconds() + worker_link.TASK_LEASE_S
         self._check_stale(error)
+        if isinstance(error, workers.NotRunError):
+            await self._take_refused(row, attempt, link, error)
+        else:
+            attempt.unsettled_until = self._clock.seconds() + worker_link.TASK_LEASE_S
 
-    async def _withdraw(self, row: job_machine.JobRow, *, reason: str) -> None:
-        entry = journal_entries.AttemptWithdrawn(
-            job_id=row.job.job_id, attempt=row.attempts, reason=reason
+    def _take_started(self, row: job_machine.JobRow, attempt: attempts.Attempt) -> None:
+        if self._jobs.of_task(attempt.task_id) is None:
+            attempt.confirmed_at = self._clock.seconds()
+        else:
+            self._reports.confirm(row)
+
+    async def _take_refused(
+        self,
+        row: job_machine.JobRow,
+        attempt: attempts.Attempt,
+        link: worker_link.WorkerLink,
+        error: workers.NotRunError,
+    ) -> None:
+        if LEAVING_REASON in error.reason:
+            link.note_refusal()
+        if self._jobs.of_task(attempt.task_id) is not None:
+            await self._reports.withdraw(row, reason=error.reason)
+
+    def _stop(self, attempt: attempts.Attempt, link: worker_link.WorkerLink) -> None:
+        if not attempt.stop_sent and self._may_act():
+            attempt.stop_sent = True
+            self._group.spawn(self._send_stop(attempt, link))
+
+    async def _send_stop(self, attempt: attempts.Attempt, link: worker_link.WorkerLink) -> None:
+        outcome = await self._port.stop_task(
+            address=link.address, epoch=self._epoch, task_id=attempt.task_id
         )
-        event = events.TaskStartFailed(task_id=row.task_id, reason=reason)
-        await self._requeue(row, entry, event)
+        attempt.stop_sent = False
+        if isinstance(outcome, result.Success):
+            link.poke()
+        else:
+            self._check_stale(outcome.failure())
 
     @carries(commands.StopTask)
     def _stop_for_good(self, command: commands.StopTask) -> None:
-        link = self._links.get(command.worker_id)
-        self._stopping.add(command.task_id)
-        if link is not None:
-            self._stop(command.task_id, link)
+        self._stop_listed(command.task_id, command.worker_id)
 
     @carries(commands.EvictTask)
     def _evict(self, command: commands.EvictTask) -> None:
         link = self._links.get(command.worker_id)
-        if command.task_id in self._stopping or link is None:
+        attempt = self._table.get(command.task_id)
+        if link is None or attempt is None or attempt.stopping:
             return
-        self._stopping.add(command.task_id)
-        if command.checkpoint and command.task_id not in self._sending:
-            self._group.spawn(self._checkpoint_and_stop(command.task_id, link))
+        if command.checkpoint and not attempt.sending:
+            attempt.stopping = True
+            self._group.spawn(self._checkpoint_and_stop(attempt, link))
         else:
-            self._stop(command.task_id, link)
+            self._stop_listed(command.task_id, command.worker_id)
+
+    def _stop_listed(self, task_id: str, worker_id: str) -> None:
+        """Stop an attempt now, and again after each report that still lists it."""
+        link = self._links.get(worker_id)
+        attempt = self._table.get(task_id)
+        if attempt is None:
+            return
+        attempt.stopping = True
+        if link is not None and not attempt.sending:
+            self._stop(attempt, link)
 
-    async def _checkpoint_and_stop(self, task_id: str, link: worker_link.WorkerLink) -> None:
-        await self._send_checkpoint(task_id, link)
-        self._stop(task_id, link)
+    async def _checkpoint_and_stop(
+        self, attempt: attempts.Attempt, link: worker_link.WorkerLink
+    ) -> None:
+        await self._send_checkpoint(attempt.task_id, link)
+        self._stop(attempt, link)
 
     async def _send_checkpoint(self, task_id: str, link: worker_link.WorkerLink) -> None:
         outcome = await self._port.checkpoint(
@@ -334,7 +210,7 @@
         saved = outcome.unwrap()
         row = self._jobs.of_task(task_id)
         if row is not None:
-            self._save(row, checkpoint=saved.checkpoint, progress_s=saved.progress_s)
+            self._reports.save(row, checkpoint=saved.checkpoint, progress_s=saved.progress_s)
 
     @carries(commands.CheckpointTask)
     def _checkpoint(self, command: commands.CheckpointTask) -> None:
@@ -366,14 +242,9 @@
             journal_entries.JobParked(job_id=command.job_id, reason=command.reason)
         )
 
-
-def _submitted(row: job_machine.JobRow) -> events.JobSubmitted:
-    return events.JobSubmitted(
-        job=row.job,
-        attempts=row.attempts,
-        evictions=row.evictions,
-        progress_s=row.progress_s,
-    )
+    def _check_stale(self, error: workers.WorkerError) -> None:
+        if isinstance(error, workers.StaleEpochError):
+            self._on_stale(error)
 
 
 def _order(row: job_machine.JobRow) -> workers.TaskOrder:
@@ -386,34 +257,3 @@
         payload=row.job.payload,
         checkpoint=row.checkpoint,
     )
-
-
-def _entry_of_end(
-    row: job_machine.JobRow, task: workers.TaskReport
-) -> journal_entries.AnyEntry:
-    job_id = row.job.job_id
-    if task.state == workers.TaskState.FINISHED:
-        return journal_entries.JobFinished(
-            job_id=job_id, attempt=row.attempts, result=task.result
-        )
-    if task.state == workers.TaskState.STOPPED:
-        return journal_entries.AttemptEvicted(
-            job_id=job_id,
-            attempt=row.attempts,
-            checkpoint=task.checkpoint,
-            progress_s=task.progress_s,
-        )
-    kind = journal_entries.AttemptFailed
-    if row.failures + 1 >= FAILURES_LIMIT:
-        return journal_entries.JobFailed(
-            job_id=job_id, attempt=row.attempts, reason=task.reason
-        )
-    return kind(job_id=job_id, attempt=row.attempts, reason=task.reason)
-
-
-def _event_of_end(task: workers.TaskReport) -> events.Event:
-    if task.state == workers.TaskState.FINISHED:
-        return events.TaskFinished(task_id=task.task_id, run_s=task.run_s)
-    if task.state == workers.TaskState.STOPPED:
-        return events.TaskStopped(task_id=task.task_id, progress_s=task.progress_s)
-    return events.TaskFailed(task_id=task.task_id, reason=task.reason, run_s=task.run_s)
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/task_reports.py
@@ -0,0 +1,223 @@
+"""Compares what workers report with what the journal names, and settles the difference."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from ebonyhatch.core import events, job_machine, journal_entries
+from ebonyhatch.node import attempts, coroutines, journal, task_entries, worker_link
+from ebonyhatch.platform import timing, workers
+from returns import result
+from twisted.internet import defer
+
+Emit = Callable[[events.Event], None]
+Stop = Callable[[attempts.Attempt, worker_link.WorkerLink], None]
+
+
+class TaskReports:
+    """Turns reports into journal entries, and these, once durable, into events."""
+
+    def __init__(
+        self,
+        *,
+        journal_of_cell: journal.Journal,
+        table: attempts.AttemptTable,
+        clock: timing.Clock,
+        group: coroutines.CoroutineGroup,
+        emit: Emit,
+        stop: Stop,
+    ) -> None:
+        self._journal = journal_of_cell
+        self._jobs = journal_of_cell.state.jobs
+        self._table = table
+        self._clock = clock
+        self._group = group
+        self._emit = emit
+        self._stop = stop
+
+    def take_report(
+        self, link: worker_link.WorkerLink, report: workers.WorkerReport, sent_at: float
+    ) -> None:
+        """Take in the report that was asked for at `sent_at`."""
+        listed = {task.task_id for task in report.tasks}
+        for task in report.tasks:
+            self._take_task(link, task)
+        for row in self._jobs.attempts_on(link.worker_id):
+            if row.task_id not in listed and self._attempt(row).absent(sent_at=sent_at):
+                self._lose(row)
+        for attempt in self._table.cancelled_on(link.worker_id):
+            if attempt.task_id not in listed and attempt.absent(sent_at=sent_at):
+                self._tell_over(attempt, events.TaskStopped(task_id=attempt.task_id, progress_s=0))
+
+    def take_lost_worker(self, worker_id: str) -> defer.Deferred[Any]:
+        """End the attempts of a worker whose leases have run out; fires once that is durable."""
+        waiting = [
+            self._lose(row)
+            for row in self._jobs.attempts_on(worker_id)
+            if not self._attempt(row).sending and not self._attempt(row).ending
+        ]
+        for attempt in self._table.cancelled_on(worker_id):
+            self._tell_over(attempt, events.TaskLost(task_id=attempt.task_id))
+        return defer.DeferredList(waiting)
+
+    def take_cancelled(self, row: job_machine.JobRow) -> None:
+        """Follow the last attempt of a cancelled job to its end."""
+        attempt = self._table.get(row.task_id)
+        if attempt is not None:
+            attempt.cancelled = True
+            attempt.stopping = True
+
+    def confirm(self, row: job_machine.JobRow) -> None:
+        """Note that an attempt runs."""
+        attempt = self._attempt(row)
+        attempt.unsettled_until = attempts.NEVER
+        attempt.confirmed_at = self._clock.seconds()
+        self._emit(events.TaskStarted(task_id=row.task_id))
+        self._journal.append(
+            journal_entries.AttemptStarted(job_id=row.job.job_id, attempt=row.attempts)
+        )
+
+    def save(self, row: job_machine.JobRow, *, checkpoint: str, progress_s: float) -> None:
+        """Journal a newer checkpoint of an attempt."""
+        attempt = self._attempt(row)
+        if not attempt.saving and progress_s > row.progress_s:
+            attempt.saving = True
+            self._group.spawn(self._journal_checkpoint(row, checkpoint, progress_s))
+
+    def withdraw(self, row: job_machine.JobRow, *, reason: str) -> defer.Deferred[None]:
+        """End an attempt that certainly never ran."""
+        entry = journal_entries.AttemptWithdrawn(
+            job_id=row.job.job_id, attempt=row.attempts, reason=reason
+        )
+        event = events.TaskStartFailed(task_id=row.task_id, reason=reason)
+        return self._requeue(row, entry, event)
+
+    def _attempt(self, row: job_machine.JobRow) -> attempts.Attempt:
+        return self._table.find_or_add(row.task_id, row.worker_id)
+
+    def _take_task(self, link: worker_link.WorkerLink, task: workers.TaskReport) -> None:
+        row = self._jobs.of_task(task.task_id)
+        if row is None or row.worker_id != link.worker_id:
+            self._drop(link, task)
+            return
+        attempt = self._attempt(row)
+        if attempt.sending or attempt.ending:
+            return
+        if task.state == workers.TaskState.RUNNING:
+            self._take_running(link, row, task)
+        else:
+            attempt.ending = True
+            self._end(link, row, task)
+
+    def _drop(self, link: worker_link.WorkerLink, task: workers.TaskReport) -> None:
+        """Deal with an attempt that the journal doesn't name: stop it, or forget its end."""
+        if task.state == workers.TaskState.RUNNING:
+            unwanted = self._table.find_or_add(task.task_id, link.worker_id)
+            unwanted.cancelled = True
+            self._stop(unwanted, link)
+            return
+        link.acknowledge(task.task_id)
+        attempt = self._table.get(task.task_id)
+        if attempt is not None and not attempt.ending:
+            self._tell_over(attempt, task_entries.event_of_end(task))
+
+    def _tell_over(self, attempt: attempts.Attempt, event: events.Event) -> None:
+        if attempt.announced:
+            self._emit(event)
+        self._table.forget(attempt.task_id)
+
+    def _take_running(
+        self, link: worker_link.WorkerLink, row: job_machine.JobRow, task: workers.TaskReport
+    ) -> None:
+        attempt = self._attempt(row)
+        if not attempt.announced:
+            self._adopt(row, attempt, task)
+        unconfirmed = attempt.confirmed_at == attempts.NEVER
+        if row.state == job_machine.JobState.STARTING and unconfirmed:
+            self.confirm(row)
+        if task.checkpoint:
+            self.save(row, checkpoint=task.checkpoint, progress_s=task.progress_s)
+        if attempt.stopping:
+            self._stop(attempt, link)
+
+    def _adopt(
+        self, row: job_machine.JobRow, attempt: attempts.Attempt, task: workers.TaskReport
+    ) -> None:
+        attempt.announced = True
+        self._emit(
+            events.TaskAdopted(
+                task_id=row.task_id,
+                job=row.job,
+                worker_id=row.worker_id,
+                attempts=row.attempts,
+                evictions=row.evictions,
+                progress_s=row.progress_s,
+                started_at=self._clock.seconds() - task.run_s,
+            )
+        )
+
+    def _lose(self, row: job_machine.JobRow) -> defer.Deferred[None]:
+        self._attempt(row).ending = True
+        entry = journal_entries.AttemptLost(job_id=row.job.job_id, attempt=row.attempts)
+        return self._requeue(row, entry, events.TaskLost(task_id=row.task_id))
+
+    def _end(
+        self, link: worker_link.WorkerLink, row: job_machine.JobRow, task: workers.TaskReport
+    ) -> None:
+        """Journal the end of an attempt; only then may the worker forget it."""
+        entry = task_entries.entry_of_end(row, task)
+        written = self._requeue(row, entry, task_entries.event_of_end(task))
+        written.addCallback(lambda _: self._acknowledge(link, task.task_id))
+
+    def _acknowledge(self, link: worker_link.WorkerLink, task_id: str) -> None:
+        if self._jobs.of_task(task_id) is None:
+            link.acknowledge(task_id)
+
+    def _requeue(
+        self, row: job_machine.JobRow, entry: journal_entries.AnyEntry, event: events.Event
+    ) -> defer.Deferred[None]:
+        """Journal the end of an attempt, then tell the scheduler of it."""
+        task_id = row.task_id
+        written = self._journal.append(entry)
+        return written.addCallback(self._tell_requeued, row, task_id, event)
+
+    def _tell_requeued(
+        self,
+        written: result.Result[None, object],
+        row: job_machine.JobRow,
+        task_id: str,
+        event: events.Event,
+    ) -> None:
+        attempt = self._table.get(task_id)
+        if attempt is None or not isinstance(written, result.Success):
+            return
+        self._tell_over(attempt, event)
+        if row.state == job_machine.JobState.FAILED:
+            self._emit(events.JobCancelled(job_id=row.job.job_id))
+        if row.state == job_machine.JobState.QUEUED and not _requeues(event, attempt):
+            self._emit(task_entries.submitted(row))
+
+    async def _journal_checkpoint(
+        self, row: job_machine.JobRow, checkpoint: str, progress_s: float
+    ) -> None:
+        task_id = row.task_id
+        written = await self._journal.append(
+            journal_entries.AttemptCheckpointed(
+                job_id=row.job.job_id,
+                attempt=row.attempts,
+                checkpoint=checkpoint,
+                progress_s=progress_s,
+            )
+        )
+        attempt = self._table.get(task_id)
+        if attempt is None:
+            return
+        attempt.saving = False
+        if isinstance(written, result.Success) and self._jobs.of_task(task_id) is not None:
+            self._emit(events.TaskCheckpointed(task_id=task_id, progress_s=progress_s))
+
+
+def _requeues(event: events.Event, attempt: attempts.Attempt) -> bool:
+    """Tell whether the scheduler queues the job again by itself on this event."""
+    return attempt.announced and not isinstance(event, events.TaskFailed)
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/worker_link.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/worker_link.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 
 from ebonyhatch.node import backoff, coroutines
-from ebonyhatch.platform import instances, workers
+from ebonyhatch.platform import instances, timing, workers
 from returns import result
-from twisted.internet import defer, interfaces
+from twisted.internet import defer
 
 RENEW_INTERVAL_S = 1.0
 """Time between two renewals of a worker, seconds."""
@@ -38,11 +38,12 @@
         instance: instances.Instance,
         epoch: int,
         workers_port: workers.Workers,
-        clock: interfaces.IReactorTime,
+        clock: timing.Clock,
         group: coroutines.CoroutineGroup,
         delays: backoff.Backoff,
         may_act: Callable[[], bool],
         on_report: Callable[[WorkerLink, workers.WorkerReport, float], None],
+        on_refusal: Callable[[WorkerLink], None],
         on_lost: Callable[[WorkerLink], None],
         on_stale: Callable[[workers.StaleEpochError], None],
     ) -> None:
@@ -55,6 +56,7 @@
         self._delays = delays
         self._may_act = may_act
         self._on_report = on_report
+        self._on_refusal = on_refusal
         self._on_lost = on_lost
         self._on_stale = on_stale
         self._claimed = False
@@ -67,8 +69,6 @@
         self._acknowledged: dict[str, None] = {}
         self._sleeping: defer.Deferred[None] | None = None
         self._closed = False
-        self._stale_unlisted = False
-        self.capacity: object = None
 
     @property
     def worker_id(self) -> str:
@@ -121,6 +121,7 @@
         """Take a refused start as a sign of leaving until the worker says otherwise."""
         self._says_leaving = True
         self._refused_at = self._clock.seconds()
+        self._on_refusal(self)
 
     async def _run(self) -> None:
         while not self._closed:
