--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_kinds/priority.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_kinds/priority.py
@@ -9,8 +9,8 @@
 
 KIND = "priority"
 
-Level = Annotated[int, msgspec.Meta(ge=-1_000_000, le=1_000_000)]
-"""Rank of a priority."""
+Rank = Annotated[int, msgspec.Meta(ge=-1_000_000, le=1_000_000)]
+"""Place of a priority among the others."""
 
 
 @record_schema.schema(kind=KIND, schema_version=1)
@@ -18,7 +18,7 @@
     """A priority.
 
     Attributes:
-        level: Larger goes first among classes of the same urgency.
+        rank: Larger goes first among classes of the same urgency.
     """
 
-    level: Level
+    rank: Rank
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_kinds/work_class.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_kinds/work_class.py
@@ -25,7 +25,7 @@
 
     Attributes:
         urgent: Latency-critical rather than batch.
-        priority: Name of its priority record; empty for the level 0.
+        priority: Name of its priority record; empty for the rank 0.
         deadline_s: Longest time from arrival to answer for urgent work; 0 for batch.
         slots: Slots that one task or request declares to use.
         connections: Connections that it declares to use.
@@ -52,7 +52,7 @@
 
     Attributes:
         urgency: Latency-critical or batch.
-        priority: Name of its priority record; empty for the level 0.
+        priority: Name of its priority record; empty for the rank 0.
         deadline_s: Longest time from arrival to answer for urgent work; 0 for batch.
         demand: What one task or request of the class declares to use.
         idempotent: Whether a request may run more than once.
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/records.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/records.py
@@ -92,7 +92,7 @@
     return entities.WorkClass(
         name=record.name,
         urgency=entities.Urgency(record.urgency),
-        priority=_level(records, record.priority),
+        priority=_rank(records, record.priority),
         deadline_s=record.deadline_s,
         demand=record_validation.amount(record.demand),
         idempotent=record.idempotent,
@@ -101,12 +101,12 @@
     )
 
 
-def _level(records: RecordSet, name: str) -> int:
+def _rank(records: RecordSet, name: str) -> int:
     found = records.named(record_kinds.priority.KIND).get(name)
     if found is None:
         return 0
     assert isinstance(found.record, record_kinds.priority.Priority)
-    return found.record.level
+    return found.record.rank
 
 
 def _tenant(record: Any) -> entities.Tenant:
--- a/packages/ebonyhatch-core/tests/test_records.py
+++ b/packages/ebonyhatch-core/tests/test_records.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 ACCEPTED = [
-    {"kind": "priority", "name": "top", "schema_version": 1, "level": 5},
+    {"kind": "priority", "name": "top", "schema_version": 1, "rank": 5},
     {
         "kind": "work_class",
         "name": "quotes",
@@ -77,7 +77,7 @@
         (changed(3, work_classes=["quotes", "gone"]), "records[3].work_classes[1]"),
         (changed(3, work_classes=["quotes", "plans"]), "records[3].work_classes[1]"),
         (changed(3, default_class="plans"), "records[3].default_class"),
-        (changed(0, level=True), "records[0].level"),
+        (changed(0, rank=True), "records[0].rank"),
         (changed(4, weigth=2), "records[4].'weigth'"),
         (changed(4, schema_version=7), "records[4].schema_version"),
         (changed(4, kind="teams"), "records[4].kind"),
@@ -139,7 +139,7 @@
 
 
 def test_changes_name_the_records():
-    new = json.dumps([*changed(0, level=6)[:4]]).encode()
+    new = json.dumps([*changed(0, rank=6)[:4]]).encode()
     changes = record_changes.compare(old=json.dumps(ACCEPTED).encode(), new=new)
     assert str(changes) == "changed priority/top@1; removed tenant/darkhan@1"
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_errors.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_errors.py
@@ -12,14 +12,23 @@
 
     Attributes:
         outcome: Whether the write certainly took no effect.
+        status: HTTP status of the answer.
+        kind: Short machine-readable name.
+        retry_after_s: When a new try may succeed; None if that isn't a matter of time.
     """
 
     outcome = commands.Outcome.NOT_RUN
+    status = 503
+    kind = "configuration"
+    retry_after_s: float | None = None
 
 
 class InvalidRecordsError(ConfigurationError):
     """The records were not accepted; nothing was written."""
 
+    status = 422
+    kind = "invalid-records"
+
     def __init__(self, *, faults: Sequence[record_faults.Fault]) -> None:
         inner = record_faults.RecordFaults(faults=faults)
         super().__init__(problem=inner.problem, remedy=inner.remedy)
@@ -29,6 +38,9 @@
 class GenerationConflictError(ConfigurationError):
     """Another generation than the expected one is in force; nothing was written."""
 
+    status = 412
+    kind = "generation-conflict"
+
     def __init__(
         self, *, expected: int, generation: int, changes: Sequence[record_changes.Changes]
     ) -> None:
@@ -47,6 +59,9 @@
 class StoreUnavailableError(ConfigurationError):
     """The store couldn't be reached in time; nothing was written."""
 
+    kind = "store-unavailable"
+    retry_after_s = 5.0
+
     def __init__(self, *, reason: str) -> None:
         super().__init__(
             problem=f"the configuration store doesn't answer: {reason}",
@@ -59,6 +74,8 @@
     """A write's answer was lost and couldn't be read back in time."""
 
     outcome = commands.Outcome.UNKNOWN
+    status = 504
+    kind = "unsettled"
 
     def __init__(self, *, reason: str) -> None:
         super().__init__(
@@ -71,6 +88,8 @@
 class CorruptHeadError(ConfigurationError):
     """A configuration head can't be read."""
 
+    kind = "corrupt-head"
+
     def __init__(self, *, source: str, reason: str) -> None:
         super().__init__(
             problem=f"the configuration from {source} can't be read: {reason}",
@@ -84,6 +103,8 @@
 class NewerFormatError(ConfigurationError):
     """A configuration head was written by a release newer than this one."""
 
+    kind = "newer-format"
+
     def __init__(self, *, source: str, head_format: int) -> None:
         super().__init__(
             problem=f"the configuration from {source} has format {head_format}, "
@@ -97,6 +118,8 @@
 class StalePastError(ConfigurationError):
     """The store answers with less than is known already."""
 
+    kind = "stale-store"
+
     def __init__(self, *, known_version: int, version: int) -> None:
         super().__init__(
             problem=f"the store answers version {version} of the configuration, older than "
@@ -111,6 +134,9 @@
 class TooLargeError(ConfigurationError):
     """The records don't fit the store's value limit; nothing was written."""
 
+    status = 413
+    kind = "too-large"
+
     def __init__(self, *, size_bytes: int, limit_bytes: int) -> None:
         super().__init__(
             problem=f"the records take {size_bytes} bytes of at most {limit_bytes}",
@@ -123,6 +149,9 @@
 class BusyError(ConfigurationError):
     """Too many writes wait at this entry; nothing was written."""
 
+    kind = "busy"
+    retry_after_s = 2.0
+
     def __init__(self, *, limit: int) -> None:
         super().__init__(
             problem=f"{limit} writes wait at this entry already",
--- a/packages/ebonyhatch-node/tests/test_configuration.py
+++ b/packages/ebonyhatch-node/tests/test_configuration.py
@@ -22,8 +22,8 @@
 IN_FORCE_S = 5.0
 
 
-def encoded(level, **fields):
-    record = {"kind": "priority", "name": "top", "schema_version": 1, "level": level, **fields}
+def encoded(rank, **fields):
+    record = {"kind": "priority", "name": "top", "schema_version": 1, "rank": rank, **fields}
     return json.dumps([record]).encode()
 
 
@@ -75,14 +75,14 @@
             for peer in talking:
                 entry.offer(generation=peer.generation, head=peer.head)
 
-    def write(self, index, level, *, expect=None, wait_s=20):
-        outcomes = self.begin(index, level, expect=expect)
+    def write(self, index, rank, *, expect=None, wait_s=20):
+        outcomes = self.begin(index, rank, expect=expect)
         self.advance(wait_s)
         return outcomes[0]
 
-    def begin(self, index, level, *, expect=None):
+    def begin(self, index, rank, *, expect=None):
         outcomes = []
-        write = self.entries[index].write(records=encoded(level), expect=expect)
+        write = self.entries[index].write(records=encoded(rank), expect=expect)
         write.addCallback(outcomes.append)
         return outcomes
 
@@ -270,8 +270,8 @@
 
 
 def test_history_is_bounded_and_newest_first(fleet):
-    for level in range(configuration_head.HISTORY_LENGTH + 3):
-        fleet.write(0, level, wait_s=2)
+    for rank in range(configuration_head.HISTORY_LENGTH + 3):
+        fleet.write(0, rank, wait_s=2)
     seen = []
     fleet.entries[1].history().addCallback(seen.append)
     generations = [past.generation for past in seen[0].unwrap()]
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/samples.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/samples.py
@@ -8,7 +8,7 @@
     {
         "kind": "work_class",
         "name": "quote",
-        "schema_version": 1,
+        "schema_version": 2,
         "urgency": "urgent",
         "priority": "counter",
         "deadline_s": 2.0,
@@ -18,7 +18,7 @@
     {
         "kind": "work_class",
         "name": "charge",
-        "schema_version": 1,
+        "schema_version": 2,
         "urgency": "urgent",
         "priority": "counter",
         "deadline_s": 2.0,
@@ -28,7 +28,7 @@
     {
         "kind": "work_class",
         "name": "cutting",
-        "schema_version": 1,
+        "schema_version": 2,
         "urgency": "batch",
         "priority": "background",
         "demand": {"slots": 1, "cores": 1.0, "memory_gb": 1.0},
