--- a/packages/ebonyhatch-node/src/ebonyhatch/node/peer_link.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/peer_link.py
@@ -17,33 +17,47 @@
 """Most times the silence that a peer that is down is given before the next replacement."""
 
 
+IDLE_FACTOR_FAR = 10
+"""How many times rarer a far peer is pinged while nothing is sent to it."""
+
+
 class PeerAddress(msgspec.Struct, frozen=True, kw_only=True):
-    """Where a peer listens."""
+    """Where a peer listens.
+
+    Attributes:
+        entry_id: Its name.
+        host: IP number.
+        port: TCP port.
+        near: It is in the same region, is sent to often and is pinged every second.
+    """
 
     entry_id: str
     host: str
     port: int
+    near: bool = True
 
 
 class PeerLink:
     """Sends to one peer and finds out when the connection is dead.
 
-    Pings go out at a third of the silence that is borne; whatever comes back on the same
-    connection proves it. A connection that something between the two ends has forgotten stays
-    open for ever, so that silence ends it: a new one is opened, and is given twice the time.
+    A ping is sent when nothing was heard for a while, and along with a call; whatever comes
+    back on the same connection proves it. A connection that something between the two ends
+    has forgotten stays open for ever, so that silence after a ping ends it: a new one is
+    opened, and is given twice the time.
     """
 
     __slots__ = (
         "_address",
+        "_awaiting_since",
         "_backoff",
         "_clock",
         "_dealer",
         "_factory",
         "_heard_at",
+        "_idle_s",
         "_on_frame",
-        "_opened_at",
         "_ping",
-        "_pinged_at",
+        "_proven",
         "_ring",
         "_silence_s",
     )
@@ -69,9 +83,11 @@
         self._ping = frames.encode(kind=frames.Kind.PING, sender=sender)
         self._dealer: peer_sockets.Dealer | None = None
         self._heard_at: float | None = None
-        self._opened_at = 0.0
-        self._pinged_at = 0.0
+        self._awaiting_since: float | None = None
+        self._proven = False
         self._backoff = 1
+        ping_s = silence_s / PINGS_IN_SILENCE
+        self._idle_s = ping_s if address.near else IDLE_FACTOR_FAR * ping_s
 
     @property
     def address(self) -> PeerAddress:
@@ -80,16 +96,17 @@
 
     @property
     def usable(self) -> bool:
-        """Whether the connection is new or was heard within the time of silence."""
-        return self._quiet_s <= self._silence_s
+        """Whether the connection is new or doesn't owe an answer for the time of silence."""
+        return self._owed_s <= self._silence_s
 
     @property
-    def _quiet_s(self) -> float:
-        return self._clock() - max(self._opened_at, self._heard_at or 0.0)
+    def _owed_s(self) -> float:
+        since = self._awaiting_since
+        return 0.0 if since is None else self._clock() - since
 
     @property
-    def _proven(self) -> bool:
-        return self._heard_at is not None and self._heard_at >= self._opened_at
+    def _unheard_s(self) -> float:
+        return self._clock() - (self._heard_at or 0.0)
 
     def start(self) -> None:
         """Open the connection."""
@@ -105,16 +122,28 @@
         """Queue a frame; False when nothing was queued."""
         return self._dealer is not None and self._dealer.offer([frame])
 
+    def call(self, frame: bytes) -> bool:
+        """Queue a frame that will be answered; False when nothing was queued."""
+        if not self.send(frame):
+            return False
+        if self._awaiting_since is None and self._unheard_s > self._silence_s / PINGS_IN_SILENCE:
+            self._probe()
+        return True
+
     def beat(self) -> bool:
         """Ping when one is due, or replace a silent connection; tells whether it was replaced."""
-        if self._quiet_s > self._backoff * self._silence_s:
+        if self._owed_s > self._backoff * self._silence_s:
             self._replace()
             return True
-        due_s = self._silence_s / PINGS_IN_SILENCE if self._proven else 0.0
-        if self._clock() - self._pinged_at >= due_s and self.send(self._ping):
-            self._pinged_at = self._clock()
+        if not self._proven or self._unheard_s >= self._idle_s:
+            self._probe()
         return False
 
+    def _probe(self) -> None:
+        self.send(self._ping)
+        if self._awaiting_since is None:
+            self._awaiting_since = self._clock()
+
     def _replace(self) -> None:
         self.close()
         self._backoff = min(2 * self._backoff, BACKOFF_LIMIT)
@@ -127,9 +156,12 @@
             dealer.secure(pair=self._ring.pair, peer_public=public)
         dealer.connect(host=self._address.host, port=self._address.port)
         self._dealer = dealer
-        self._opened_at = self._clock()
+        self._awaiting_since = self._clock()
+        self._proven = False
 
     def _received(self, frame: bytes) -> None:
         if self._on_frame(frame):
             self._heard_at = self._clock()
+            self._awaiting_since = None
+            self._proven = True
             self._backoff = 1
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/peers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/peers.py
@@ -170,7 +170,7 @@
             return self._not_sent(entry_id, "the message can't be encoded or is too large")
         if self._is_full(entry_id, len(frame)):
             return self._not_sent(entry_id, "its queue is full")
-        if not self._send_by(link, frame):
+        if not self._sent(link.call(frame), frame):
             return self._not_sent(entry_id, "it is not connected")
         return self._calls.add(
             correlation=correlation, entry_id=entry_id, size=len(frame), timeout_s=timeout_s
@@ -180,7 +180,7 @@
         """Send a message that has no reply; False when it was dropped."""
         link = self._links.get(entry_id)
         frame = self._encode(frames.Kind.SEND, b"", message)
-        return link is not None and frame is not None and self._send_by(link, frame)
+        return link is not None and frame is not None and self._sent(link.send(frame), frame)
 
     def last_heard_s(self, entry_id: str) -> float | None:
         """Give the seconds since a linked peer was heard, or None if it never was."""
@@ -257,12 +257,13 @@
             return None
         return frame if len(frame) <= frames.FRAME_LIMIT_BYTES else None
 
-    def _send_by(self, link: peer_link.PeerLink, frame: bytes) -> bool:
-        if not link.send(frame):
+    def _sent(self, queued: bool, frame: bytes) -> bool:
+        """Count a frame by whether it was queued."""
+        if queued:
+            self._on_bytes("out", len(frame))
+        else:
             self._on_fault("not-queued")
-            return False
-        self._on_bytes("out", len(frame))
-        return True
+        return queued
 
     def _from_dealer(self, entry_id: str, data: bytes) -> bool:
         """Take a pong or a reply; tells whether the frame could be read."""
