--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell_set.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell_set.py
@@ -7,8 +7,9 @@
 import msgspec
 from ebonyhatch.core import configuration, errors
 from ebonyhatch.node import cell, instance_view, messages
+from ebonyhatch.platform import timing
 from returns import result
-from twisted.internet import defer, interfaces
+from twisted.internet import defer
 
 RETRY_S = 1.0
 """Pause before a cell whose takeover failed is tried again."""
@@ -29,7 +30,7 @@
         *,
         build: Callable[[Owned], cell.Cell],
         listed: instance_view.InstanceView,
-        clock: interfaces.IReactorTime,
+        clock: timing.Clock,
         on_fault: Callable[[Owned, errors.EbonyhatchError], None],
     ) -> None:
         self._build = build
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration.py
@@ -60,7 +60,7 @@
         self._clock = clock
         self._capacity = capacity
         self._generator = random.Random(seed)
-        self._group = coroutines.CoroutineGroup(clock=clock)  # type: ignore[arg-type]
+        self._group = coroutines.CoroutineGroup(clock=clock)
         self._current = configuration_current.Current(clock=clock, on_change=on_change)
         self._watch = configuration_watch.Watch(
             store_port=store,
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
@@ -366,7 +366,7 @@
         )
         self.measures.set_cells(count=len(self._cells.serving))
 
-    def _admin_root(self) -> resource.IResource:
+    def _admin_root(self) -> resource.Resource:
         operators = admin.Admin(
             configuration=self._configured,
             view=self._view,
@@ -376,7 +376,7 @@
             metrics=self.measures.render, readiness=self.readiness, rest=operators.app.resource()
         ).app.resource()
 
-    def _listen(self, endpoint: settings.Endpoint, root: resource.IResource) -> None:
+    def _listen(self, endpoint: settings.Endpoint, root: resource.Resource) -> None:
         site = http_server.bounded_site(
             root=root, body_limit_bytes=self._settings.limits.body_bytes
         )
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
@@ -17,9 +17,9 @@
     routing,
     service_calls,
 )
-from ebonyhatch.platform import workers
+from ebonyhatch.platform import timing, workers
 from returns import result
-from twisted.internet import defer, interfaces
+from twisted.internet import defer
 from twisted.web import server
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
@@ -50,7 +50,7 @@
         router: routing.Router,
         in_force: Callable[[], configuration.InForce],
         measures: metrics.Metrics,
-        clock: interfaces.IReactorTime,
+        clock: timing.Clock,
         requests_limit: int,
     ) -> None:
         self._router = router
@@ -217,7 +217,9 @@
             idle.callback(None)
 
 
-def caller_request(*, request: server.Request, service: str) -> service_calls.CallerRequest:
+def caller_request(
+    *, request: http_server.BoundedRequest, service: str
+) -> service_calls.CallerRequest:
     """Copy what a caller sent out of the HTTP request; the path keeps its encoding."""
     parts = request.uri.split(b"/", 4)
     rest = parts[4] if len(parts) > 4 else b""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/http_server.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/http_server.py
@@ -18,6 +18,7 @@
 
     body_limit_bytes = 1_000_000
     body_overflowed = False
+    content: io.BytesIO
     _received_bytes = 0
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
@@ -35,7 +36,7 @@
             self.channel.forceAbortClient()
 
 
-def bounded_site(*, root: resource.IResource, body_limit_bytes: int) -> server.Site:
+def bounded_site(*, root: resource.Resource, body_limit_bytes: int) -> server.Site:
     """Build a site whose requests hold at most `body_limit_bytes` of body.
 
     Args:
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/instance_view.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/instance_view.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 
 from ebonyhatch.core import rendezvous
-from ebonyhatch.platform import instances
+from ebonyhatch.platform import instances, timing
 from returns import result
-from twisted.internet import defer, interfaces, task
+from twisted.internet import defer, task
 
 READ_PERIOD_S = 1.0
 
@@ -23,7 +23,7 @@
         self,
         *,
         port: instances.Instances,
-        clock: interfaces.IReactorTime,
+        clock: timing.Clock,
         cells_per_domain: int,
         on_change: Callable[[], None],
     ) -> None:
@@ -33,7 +33,7 @@
         self._listed: tuple[instances.Instance, ...] = ()
         self._by_cell: dict[str, tuple[instances.Instance, ...]] = {}
         self._loop = task.LoopingCall(lambda: defer.Deferred.fromCoroutine(self.refresh()))
-        self._loop.clock = clock
+        self._loop.clock = clock  # type: ignore[assignment]
         self.failures = 0
 
     @property
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/observation.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/observation.py
@@ -32,7 +32,7 @@
         *,
         metrics: Callable[[], bytes],
         readiness: Callable[[], Readiness],
-        rest: resource.IResource,
+        rest: resource.Resource,
     ) -> None:
         self._metrics = metrics
         self._readiness = readiness
@@ -58,7 +58,7 @@
         request.setHeader("Content-Type", "application/json")
         return msgspec.json.encode(readiness)
 
-    @app.route("/", branch=True)
-    def others(self, request: server.Request) -> resource.IResource:
+    @app.route("/", branch=True)  # type: ignore[type-var]
+    def others(self, request: server.Request) -> object:
         """Hand everything else on."""
         return self._rest
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/route_choice.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/route_choice.py
@@ -7,7 +7,7 @@
 
 from ebonyhatch.core import scheduler
 from ebonyhatch.node import cell, forwarding, messages, routing
-from twisted.internet import interfaces
+from ebonyhatch.platform import timing
 
 
 class RouteChoice(routing.Chooser):
@@ -19,7 +19,7 @@
         entry_id: str,
         own_cells: Mapping[str, cell.Cell],
         placements: routing.Placements,
-        clock: interfaces.IReactorTime,
+        clock: timing.Clock,
         draw: random.Random,
     ) -> None:
         self._entry_id = entry_id
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/routing.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/routing.py
@@ -8,8 +8,9 @@
 import msgspec
 from ebonyhatch.core import commands, entities, rendezvous
 from ebonyhatch.node import cell, forwarding, messages, peers
+from ebonyhatch.platform import timing
 from returns import result
-from twisted.internet import defer, interfaces
+from twisted.internet import defer
 
 TRIES_LIMIT = 2
 """Cells that are asked for one request; a second one only after a certain `not run`."""
@@ -70,7 +71,7 @@
         own_cells: Mapping[str, cell.Cell],
         chooser: Chooser,
         network: peers.PeerNetwork,
-        clock: interfaces.IReactorTime,
+        clock: timing.Clock,
     ) -> None:
         self._entry_id = entry_id
         self._placements = placements
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/demo.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/demo.py
@@ -62,7 +62,10 @@
 
 
 async def _write_records(entry: embedded.EmbeddedEntry) -> None:
-    headers = {"Authorization": f"Bearer {processes.TOKEN}", "Content-Type": "application/json"}
+    headers: dict[str | bytes, str | bytes] = {
+        "Authorization": f"Bearer {processes.TOKEN}",
+        "Content-Type": "application/json",
+    }
     reply = await _fetch(
         "PUT", entry.admin_url("/v1/admin/records"), msgspec.json.encode(samples.RECORDS), headers
     )
@@ -107,7 +110,7 @@
 
 
 async def _fetch(
-    method: str, url: str, body: bytes = b"", headers: dict[str, str] | None = None
+    method: str, url: str, body: bytes = b"", headers: dict[str | bytes, str | bytes] | None = None
 ) -> Reply:
     response = await treq.request(method, url, data=body, headers=headers, persistent=False)
     return Reply(status=response.code, body=await response.content())
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
@@ -13,6 +13,7 @@
 import urllib.error
 import urllib.request
 from collections.abc import Callable, Iterator, Mapping
+from concurrent import futures
 from typing import IO, TypeVar
 
 import msgspec
@@ -61,7 +62,7 @@
         folder: pathlib.Path,
         entry_ids: tuple[str, ...],
         worker_ids: tuple[str, ...],
-        domains: tuple[str, ...] = ("domain-1",),
+        domains: tuple[str, ...] = ("domain-1", "domain-2"),
         slots: int = 8,
     ) -> None:
         self._folder = folder
@@ -228,7 +229,7 @@
                 "instances": {"host": HOST, "port": self.instances_port},
                 "workers_fenced": True,
             },
-            "cells": {"per_failure_domain": 2},
+            "cells": {"per_failure_domain": 1},
             "access": {"token_sha256": [TOKEN_SHA256]},
         }
 
@@ -259,6 +260,18 @@
         return Answer(status=0, headers={}, body=str(error).encode())
 
 
+def fetch_together(
+    *, url: str, bodies: list[bytes], headers: Mapping[str, str]
+) -> list[tuple[bytes, Answer]]:
+    """POST several bodies at once; each is returned with its answer."""
+
+    def post(body: bytes) -> Answer:
+        return fetch(url, method="POST", body=body, headers=headers)
+
+    with futures.ThreadPoolExecutor(max_workers=len(bodies)) as pool:
+        return list(zip(bodies, pool.map(post, bodies), strict=True))
+
+
 def wait_for(probe: Callable[[], Value], *, what: str, log: pathlib.Path | None = None) -> Value:
     """Poll until `probe` is true; the limit only ends a hung run.
 
