Test of logs: start from an empty buffer

Cause: eliot hands the first destination of a process whatever was written before it; another test in the same process had written. Ruled out: the log's own format. The assertions stay as they were.

--- a/packages/ebonyhatch-node/tests/test_logs.py
+++ b/packages/ebonyhatch-node/tests/test_logs.py
@@ -7,6 +7,8 @@
 
 @pytest.fixture
 def written(request):
+    # The first log of a process is given what was written before it.
+    logs.start(format="json", stream=io.StringIO()).close()
     stream = io.StringIO()
     log = logs.start(format=request.param, stream=stream)
     logs.write("x.done", request_id="r1", keys={"secret": "abc", "n": [1]}, note="two words")
