--- /dev/null
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/main.py
@@ -0,0 +1,85 @@
+"""The binary `ebonyhatch`: the operators' command line."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+
+import click
+from ebonyhatch.cli import (
+    bench_commands,
+    environment,
+    exit_codes,
+    job_commands,
+    key_commands,
+    load_commands,
+    options,
+    printing,
+    record_commands,
+    status_commands,
+)
+from ebonyhatch.core import errors
+
+
+class Porcelain(click.Group):
+    """A group that prints errors of the project with their remedy."""
+
+    def invoke(self, context: click.Context) -> Any:
+        """Run the command, and exit with the code of its error."""
+        try:
+            return super().invoke(context)
+        except errors.EbonyhatchError as error:
+            chosen = context.find_object(environment.Environment)
+            printing.error(error, as_json=chosen is not None and chosen.as_json)
+            context.exit(getattr(error, "exit_code", exit_codes.REFUSED))
+
+
+@click.group(
+    epilog=options.examples(
+        "export EBONYHATCH_ENTRY=http://127.0.0.1:7110",
+        "ebonyhatch --token-file token.txt records apply --expect 7 records.json",
+        "ebonyhatch --output json status",
+    )
+    + "\n\n"
+    + exit_codes.TABLE,
+    cls=Porcelain,
+    context_settings={"help_option_names": ["-h", "--help"]},
+)
+@click.option(
+    "--entry",
+    envvar="EBONYHATCH_ENTRY",
+    metavar="URL",
+    default="",
+    help="Address of an entry: its admin address for records, status and explain, its callers' "
+    "address for job and load. Variable: EBONYHATCH_ENTRY.",
+)
+@click.option(
+    "--token-file",
+    type=click.Path(path_type=pathlib.Path),
+    help="File that holds the operator's token; goes before the variable EBONYHATCH_TOKEN.",
+)
+@click.option("--output", type=click.Choice(["text", "json"]), default="text", show_default=True)
+@click.version_option(package_name="ebonyhatch-cli")
+@click.pass_context
+def main(context: click.Context, entry: str, token_file: pathlib.Path | None, output: str) -> None:
+    """Drive ebonyhatch by writing records, and look at what it does."""
+    chosen = context.ensure_object(environment.Environment)
+    chosen.entry = entry
+    chosen.as_json = output == "json"
+    if token_file is not None:
+        chosen.token = environment.read_token(token_file)
+    else:
+        chosen.token = environment.token_of_variable()
+
+
+main.add_command(record_commands.group)
+main.add_command(status_commands.status)
+main.add_command(status_commands.explain)
+main.add_command(job_commands.group)
+main.add_command(key_commands.group)
+main.add_command(load_commands.load)
+main.add_command(bench_commands.bench)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_fields.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_fields.py
@@ -82,7 +82,8 @@
         except msgspec.ValidationError as error:
             problem, _, inner = str(error).partition(" - at `$")
             where = path + inner.rstrip("`")
-            self._add(where, f"{shown(value)} is wrong", f"it must fit: {problem}")
+            reason = problem[:1].lower() + problem[1:]
+            self._add(where, f"{shown(value)}: {reason}", "write a value that fits")
 
     def _add(self, path: str, problem: str, remedy: str) -> None:
         self._faults.append(
