--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell_set.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell_set.py
@@ -5,11 +5,10 @@
 from collections.abc import Callable, Mapping
 
 import msgspec
-from returns import result
-from twisted.internet import defer, interfaces
-
 from ebonyhatch.core import configuration, errors
 from ebonyhatch.node import cell, instance_view, messages
+from returns import result
+from twisted.internet import defer, interfaces
 
 RETRY_S = 1.0
 """Pause before a cell whose takeover failed is tried again."""
--- /dev/null
+++ b/packages/ebonyhatch-node/tests/test_gossip.py
@@ -0,0 +1,76 @@
+from ebonyhatch.core import scheduler
+from ebonyhatch.node import gossip, messages
+from twisted.internet import task
+
+ROOM = scheduler.Room(free_slots=1, total_slots=2, queued_urgent=0, wait_s=0.0, queued_batch=0)
+
+
+class FakeNetwork:
+    def __init__(self):
+        self.sent = []
+        self.handler = None
+
+    def send(self, *, entry_id, message):
+        self.sent.append((entry_id, message))
+        return True
+
+    def handle(self, message_type, handler):
+        self.handler = handler
+
+
+def told(entry_id, generation=1, version=1, draining=False):
+    rooms = (messages.CellRoom(cell=f"{entry_id}/0", epoch=1, room=ROOM),)
+    return messages.Gossip(
+        entry_id=entry_id,
+        generation=generation,
+        ownership_version=version,
+        rooms=rooms,
+        draining=draining,
+    )
+
+
+def make(**peers):
+    clock, network = task.Clock(), FakeNetwork()
+    gossiper = gossip.Gossiper(reactor=clock, network=network, report=lambda: told("me", 5, 5))
+    gossiper.set_peers(**peers)
+    gossiper.start()
+    return clock, network, gossiper
+
+
+def test_near_peers_each_period_and_far_ones_in_rounds_of_heads():
+    far = tuple(f"far-{number}" for number in range(10))
+    clock, network, gossiper = make(near=("a", "b"), far=far)
+    for _ in range(3):
+        clock.advance(gossip.PERIOD_S)
+    near_sent = [message for name, message in network.sent if name in "ab"]
+    far_sent = [(name, message) for name, message in network.sent if name in far]
+    assert len(near_sent) == 6 and all(message.rooms for message in near_sent)
+    assert sorted(name for name, _ in far_sent) == sorted(far)
+    assert not any(message.rooms for _, message in far_sent)
+    gossiper.close()
+    clock.advance(9)
+    assert len(network.sent) == 16
+
+
+def test_newest_of_each_peer_with_its_age():
+    clock, network, gossiper = make(near=("a", "b"))
+    network.handler("a", told("a"))
+    clock.advance(2)
+    network.handler("b", told("b", draining=True))
+    network.handler("a-stranger", told("a-stranger"))
+    network.handler("a", told("b", generation=99))
+    assert gossiper.age_s("a") == 2 and gossiper.age_s("a-stranger") is None
+    assert [(room.entry_id, room.age_s) for room in gossiper.rooms()] == [("a", 2)]
+    assert gossiper.generations() == {"a": 1, "b": 1}
+    gossiper.set_peers(near=("b",))
+    assert gossiper.newest("a") is None
+
+
+def test_listeners_learn_only_of_what_is_newer():
+    _, network, gossiper = make(near=("a",))
+    generations, versions = [], []
+    gossiper.on_generation(lambda *heard: generations.append(heard))
+    gossiper.on_ownership(lambda *heard: versions.append(heard))
+    for generation, version in ((5, 5), (4, 6), (6, 4)):
+        network.handler("a", told("a", generation, version))
+    assert (generations, versions) == ([("a", 6)], [("a", 6)])
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/forwarding.py
@@ -0,0 +1,350 @@
+"""Bench `forwarding`: slots that aged summaries leave idle, compared with one perfect view."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import json
+import random
+import statistics
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import msgspec
+from ebonyhatch.core import scheduler
+from ebonyhatch.node import forwarding, messages
+from ebonyhatch.testing.benches import registry
+
+ENTRIES = 6
+SLOTS_PER_CELL = 32
+SUMMARY_PERIOD_S = 1.0
+HOP_S = 0.0005
+SERVICE_MEDIAN_S = 0.08
+SERVICE_SIGMA = 0.6
+SERVICE_MEAN_S = 0.0958
+"""Mean of that lognormal: median times exp(sigma squared / 2)."""
+
+DEADLINE_S = 1.0
+TRIES_LIMIT = 2
+RUN_S = 16.0
+QUICK_RUN_S = 8.0
+WARM_UP_S = 4.0
+WASTE_LIMIT = 0.05
+LOAD = 1.0
+
+SKEWS: dict[str, tuple[float, ...]] = {
+    "even": (1, 1, 1, 1, 1, 1),
+    "one entry takes half": (5, 1, 1, 1, 1, 1),
+    "two entries take all": (1, 1, 0, 0, 0, 0),
+}
+
+
+class Case(msgspec.Struct, frozen=True, kw_only=True):
+    """One draw of arrivals.
+
+    Attributes:
+        seed: Seed of every draw.
+        load: Offered work as a share of all slots.
+        skew: Name of the entries' shares of the arrivals.
+        queueing: Whether a full cell queues what can still meet its deadline, or refuses.
+        run_s: Length of the run, seconds.
+        replies_tell: Whether each reply tells the cell's room, or only a refusal does.
+    """
+
+    seed: int
+    load: float
+    skew: str
+    queueing: bool
+    run_s: float
+    replies_tell: bool = True
+
+
+class Arrival(msgspec.Struct, frozen=True, kw_only=True):
+    """One request: when and where it arrives, and how long it takes to serve."""
+
+    at: float
+    entry: int
+    service_s: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Slots:
+    """Slots of one cell with its queue."""
+
+    total: int
+    queueing: bool
+    busy: int = 0
+    busy_s: float = 0.0
+    queue: collections.deque[Arrival] = dataclasses.field(default_factory=collections.deque)
+
+    def room(self) -> scheduler.Room:
+        """Summarize the cell as its owner would."""
+        queued = len(self.queue)
+        wait_s = queued * SERVICE_MEAN_S / self.total if self.busy >= self.total else 0.0
+        return scheduler.Room(
+            free_slots=self.total - self.busy,
+            total_slots=self.total,
+            queued_urgent=queued,
+            wait_s=wait_s,
+            queued_batch=0,
+        )
+
+    def takes(self, arrival: Arrival, now: float) -> bool:
+        """Tell whether a request can be served before its deadline."""
+        if self.busy < self.total:
+            return True
+        due_s = arrival.at + DEADLINE_S - now
+        return self.queueing and self.room().wait_s + SERVICE_MEAN_S <= due_s
+
+
+Choose = Callable[[str, tuple[str, ...]], str]
+
+
+class Model:
+    """Six cells, their summaries and the requests on their way."""
+
+    def __init__(self, *, case: Case, chooser_kind: str) -> None:
+        self._case = case
+        self._now = 0.0
+        self._order = itertools.count()
+        self._due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._names = tuple(f"cell-{number}" for number in range(ENTRIES))
+        self._cells = {
+            name: Slots(total=SLOTS_PER_CELL, queueing=case.queueing) for name in self._names
+        }
+        self._choosers = [CHOOSERS[chooser_kind](self, number) for number in range(ENTRIES)]
+        self.refused = 0
+        self.forwards = 0
+
+    @property
+    def now(self) -> float:
+        """Time of the model, seconds."""
+        return self._now
+
+    def own_room(self, entry: int) -> messages.CellRoom:
+        """Give the room of an entry's own cell as it is now."""
+        return self._cell_room(self._names[entry])
+
+    def run(self, arrivals: list[Arrival]) -> float:
+        """Run all arrivals; gives the slot-seconds that served requests between warm-up and end."""
+        for number in range(ENTRIES):
+            self._at(number * SUMMARY_PERIOD_S / ENTRIES, self._summarize, number)
+        for arrival in arrivals:
+            self._at(arrival.at, self._route, arrival, ())
+        while self._due and self._due[0][0] <= self._case.run_s:
+            self._now, _, step, arguments = heapq.heappop(self._due)
+            step(*arguments)
+        return sum(cell.busy_s for cell in self._cells.values())
+
+    def _at(self, at: float, step: Callable[..., None], *arguments: Any) -> None:
+        heapq.heappush(self._due, (at, next(self._order), step, arguments))
+
+    def _summarize(self, number: int) -> None:
+        room = self._cell_room(self._names[number])
+        for peer, chooser in enumerate(self._choosers):
+            if peer != number:
+                chooser.learn(room=room)
+        self._at(self._now + SUMMARY_PERIOD_S, self._summarize, number)
+
+    def _tell(self, entry: int, room: messages.CellRoom) -> None:
+        self._choosers[entry].learn(room=room)
+
+    def _cell_room(self, name: str) -> messages.CellRoom:
+        return messages.CellRoom(cell=name, epoch=1, room=self._cells[name].room())
+
+    def _route(self, arrival: Arrival, tried: tuple[str, ...]) -> None:
+        names = [name for name in self._names if name not in tried]
+        name = self._choosers[arrival.entry].choose(names=names)
+        if name == self._names[arrival.entry]:
+            self._take(arrival, name, tried)
+        else:
+            self.forwards += 1
+            self._at(self._now + HOP_S, self._take, arrival, name, tried)
+
+    def _take(self, arrival: Arrival, name: str, tried: tuple[str, ...]) -> None:
+        cell = self._cells[name]
+        if not cell.takes(arrival, self._now):
+            self._at(self._now + HOP_S, self._refuse, arrival, name, tried)
+        elif cell.busy < cell.total:
+            self._serve(arrival, name)
+        else:
+            cell.queue.append(arrival)
+
+    def _refuse(self, arrival: Arrival, name: str, tried: tuple[str, ...]) -> None:
+        self._choosers[arrival.entry].learn(room=self._cell_room(name))
+        if len(tried) + 1 < TRIES_LIMIT:
+            self._route(arrival, (*tried, name))
+        else:
+            self.refused += 1
+
+    def _serve(self, arrival: Arrival, name: str) -> None:
+        cell = self._cells[name]
+        cell.busy += 1
+        ends = self._now + arrival.service_s
+        cell.busy_s += max(0.0, min(ends, self._case.run_s) - max(self._now, WARM_UP_S))
+        self._at(ends, self._end, name, arrival.entry)
+
+    def _end(self, name: str, entry: int) -> None:
+        cell = self._cells[name]
+        cell.busy -= 1
+        if self._case.replies_tell and name != self._names[entry]:
+            self._at(self._now + HOP_S, self._tell, entry, self._cell_room(name))
+        while cell.queue:
+            arrival = cell.queue.popleft()
+            if self._now + SERVICE_MEAN_S <= arrival.at + DEADLINE_S:
+                self._serve(arrival, name)
+                return
+            self.refused += 1
+
+
+class Emptiest:
+    """Baseline: the cell that looks emptiest, without draws, debit or age."""
+
+    def __init__(self, *, model: Model, entry: int) -> None:
+        self._model = model
+        self._entry = entry
+        self._rooms: dict[str, scheduler.Room] = {}
+
+    def learn(self, *, room: messages.CellRoom) -> None:
+        """Keep a cell's newest room."""
+        self._rooms[room.cell] = room.room
+
+    def choose(self, *, names: list[str]) -> str:
+        """Choose home while it has room, else what looks emptiest."""
+        own = self._model.own_room(self._entry)
+        if own.cell in names and own.room.free_slots > 0:
+            return own.cell
+        rooms = {**self._rooms, own.cell: own.room}
+        return max(names, key=lambda name: _emptiness(rooms.get(name)))
+
+
+def _emptiness(room: scheduler.Room | None) -> int:
+    return 0 if room is None else room.free_slots - room.queued_urgent
+
+
+def _two_choices(model: Model, entry: int) -> forwarding.Chooser:
+    return forwarding.Chooser(
+        clock=lambda: model.now, own_rooms=lambda: (model.own_room(entry),), seed=entry
+    )
+
+
+CHOOSERS: dict[str, Callable[[Model, int], Any]] = {
+    "two choices": _two_choices,
+    "emptiest first": lambda model, entry: Emptiest(model=model, entry=entry),
+}
+
+
+def arrivals_of(case: Case) -> list[Arrival]:
+    """Draw the arrivals of a case."""
+    draw = random.Random(case.seed)
+    rate = case.load * ENTRIES * SLOTS_PER_CELL / SERVICE_MEAN_S
+    at = 0.0
+    arrivals = []
+    while at < case.run_s:
+        at += draw.expovariate(rate)
+        entry = draw.choices(range(ENTRIES), weights=SKEWS[case.skew])[0]
+        service_s = SERVICE_MEDIAN_S * draw.lognormvariate(0.0, SERVICE_SIGMA)
+        arrivals.append(Arrival(at=at, entry=entry, service_s=service_s))
+    return arrivals
+
+
+def perfect_busy_s(case: Case, arrivals: list[Arrival]) -> float:
+    """Serve the same arrivals by one cell with all slots, seen perfectly."""
+    cell = Slots(total=ENTRIES * SLOTS_PER_CELL, queueing=case.queueing)
+    ends: list[float] = []
+    for arrival in arrivals:
+        _drain(cell, ends, arrival.at, case)
+        if cell.busy < cell.total:
+            _begin(cell, ends, arrival.at, arrival, case)
+        elif cell.takes(arrival, arrival.at):
+            cell.queue.append(arrival)
+    _drain(cell, ends, case.run_s, case)
+    return cell.busy_s
+
+
+def _drain(cell: Slots, ends: list[float], until: float, case: Case) -> None:
+    while ends and ends[0] <= until:
+        now = heapq.heappop(ends)
+        cell.busy -= 1
+        while cell.queue and cell.busy < cell.total:
+            arrival = cell.queue.popleft()
+            if now + SERVICE_MEAN_S <= arrival.at + DEADLINE_S:
+                _begin(cell, ends, now, arrival, case)
+
+
+def _begin(cell: Slots, ends: list[float], now: float, arrival: Arrival, case: Case) -> None:
+    cell.busy += 1
+    end = now + arrival.service_s
+    cell.busy_s += max(0.0, min(end, case.run_s) - max(now, WARM_UP_S))
+    heapq.heappush(ends, end)
+
+
+def cases(*, seeds: tuple[int, ...], quick: bool) -> Iterator[Case]:
+    """List the cases that are run."""
+    run_s = QUICK_RUN_S if quick else RUN_S
+    both = (True, False)
+    for queueing, replies_tell, skew, seed in itertools.product(both, both, SKEWS, seeds):
+        yield Case(
+            seed=seed,
+            load=LOAD,
+            skew=skew,
+            queueing=queueing,
+            run_s=run_s,
+            replies_tell=replies_tell,
+        )
+
+
+def wastes(case: Case) -> dict[str, float]:
+    """Give the share of the perfect view's work that each kind of chooser leaves undone."""
+    arrivals = arrivals_of(case)
+    perfect_s = perfect_busy_s(case, arrivals)
+    found = {}
+    for kind in CHOOSERS:
+        busy_s = Model(case=case, chooser_kind=kind).run(arrivals)
+        found[kind] = 1.0 - busy_s / perfect_s
+    return found
+
+
+@registry.bench("forwarding")
+def forwarding_bench(*, seeds: tuple[int, ...], quick: bool = False) -> None:
+    """Print the waste of each case and the closing line."""
+    rows: dict[str, dict[str, list[float]]] = {}
+    for case in cases(seeds=seeds, quick=quick):
+        row = rows.setdefault(_title(case), {kind: [] for kind in CHOOSERS})
+        for kind, waste in wastes(case).items():
+            row[kind].append(waste)
+    for title, row in rows.items():
+        print(title, *(f"{kind}: {_shown(wasted)}" for kind, wasted in row.items()), sep=" | ")
+    print(json.dumps(_closing(rows, seeds)))
+
+
+def _title(case: Case) -> str:
+    full = "full cells queue" if case.queueing else "full cells refuse"
+    told = "each reply tells room" if case.replies_tell else "only refusals tell room"
+    return f"{full}, {told}, {case.skew}"
+
+
+def _shown(wasted: list[float]) -> str:
+    return f"median {statistics.median(wasted):.4f} worst {max(wasted):.4f}"
+
+
+def _closing(rows: dict[str, dict[str, list[float]]], seeds: tuple[int, ...]) -> dict[str, Any]:
+    figures, baseline = ({title: row[kind] for title, row in rows.items()} for kind in CHOOSERS)
+    targets = {}
+    for name, full in (("waste_when_queueing", "queue,"), ("waste_when_refusing", "refuse,")):
+        worst = max(max(wasted) for title, wasted in figures.items() if full in title)
+        met = worst < WASTE_LIMIT
+        targets[name] = {"target": WASTE_LIMIT, "measured": round(worst, 4), "met": met}
+    return {
+        "bench": "forwarding",
+        "seed": list(seeds),
+        "figures": {title: round(max(wasted), 4) for title, wasted in figures.items()},
+        "baseline": {title: round(max(wasted), 4) for title, wasted in baseline.items()},
+        "targets": targets,
+    }
+
+
+if __name__ == "__main__":
+    registry.main("forwarding")
