--- a/packages/ebonyhatch-node/src/ebonyhatch/node/journal.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/journal.py
@@ -35,7 +35,7 @@
 SNAPSHOT_SLOTS = 128
 """Writes after which the log is folded into a snapshot."""
 
-SLOW_WRITE_S = 1.0
+SLOW_WRITE_S = 3.0
 """Time after which a write that wasn't answered makes the journal unavailable, seconds."""
 
 RESERVED_SLOTS = 64
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/journal_log.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/journal_log.py
@@ -86,14 +86,32 @@
         """
         key = slot_key(self._cell, slot.seq)
         if version is None:
-            version = await self._version_before(slot.seq)
-        settled = await self._calls.swap(
-            key, expected_version=version, value=store_values.encode(slot), give_up=give_up
-        )
+            version = self._versions.get(key)
+        if version is None:
+            stored = await self._calls.read_once(key)
+            if stored is None:
+                return settled_store.Refused(reason=f"{key} could not be read")
+            version = self._version_before(slot.seq, stored)
+        settled = await self._swap(slot, version, give_up=give_up)
+        while isinstance(settled, settled_store.Overtaken) and self._older(settled.stored, slot):
+            settled = await self._swap(slot, settled.stored.version, give_up=give_up)
         if isinstance(settled, settled_store.Written):
             self._versions[key] = settled.version
         return settled
 
+    async def _swap(self, slot: Slot, version: int, *, give_up: bool) -> settled_store.Settled:
+        return await self._calls.swap(
+            slot_key(self._cell, slot.seq),
+            expected_version=version,
+            value=store_values.encode(slot),
+            give_up=give_up,
+        )
+
+    def _older(self, stored: store.Stored, slot: Slot) -> bool:
+        """Tell whether a slot still holds an older lap: the version was read from the past."""
+        present = store_values.decode(key=stored.key, value=stored.value, kind=Slot)
+        return present.seq < slot.seq and present.epoch <= self._epoch
+
     def superseded_by(self, stored: store.Stored) -> snapshots.SupersededError:
         """Explain that a slot of one's own holds another owner's write."""
         slot = store_values.decode(key=stored.key, value=stored.value, kind=Slot)
@@ -105,12 +123,7 @@
         """Tell whether a slot holds the write `seq`, by whomever, rather than a later lap."""
         return store_values.decode(key=stored.key, value=stored.value, kind=Slot).seq == seq
 
-    async def _version_before(self, seq: int) -> int:
-        key = slot_key(self._cell, seq)
-        known = self._versions.get(key)
-        if known is not None:
-            return known
-        stored = await self._calls.read(key)
+    def _version_before(self, seq: int, stored: store.Stored) -> int:
         if self._decode(stored, seq=seq) is not None:
             raise self.superseded_by(stored)
         return stored.version
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/settled_store.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/settled_store.py
@@ -64,6 +64,11 @@
                     return stored
             await self._group.sleep(delays.next_s())
 
+    async def read_once(self, key: str) -> store.Stored | None:
+        """Read a key; None when the store doesn't answer."""
+        outcome = await self._store.get(key=key)
+        return outcome.unwrap() if isinstance(outcome, result.Success) else None
+
     async def swap(
         self, key: str, *, expected_version: int, value: bytes, give_up: bool = False
     ) -> Settled:
--- a/packages/ebonyhatch-node/tests/test_cell.py
+++ b/packages/ebonyhatch-node/tests/test_cell.py
@@ -12,13 +12,13 @@
     resources,
     scheduler,
 )
+from ebonyhatch.core import events as _e
+from ebonyhatch.core.systems import ingest as _i
 from ebonyhatch.node import cell, cell_status, messages
 from ebonyhatch.platform import instances, memory_store, memory_workers, workers
 from returns import result
 from twisted.internet import task
 
-from ebonyhatch.core import events as _e
-from ebonyhatch.core.systems import ingest as _i
 _i._HANDLERS.setdefault(_e.UsageReported, lambda state, event: None)
 CAPACITY = resources.Resources(slots=4, connections=64, cores=8.0, memory_gb=16.0)
 CLASSES = (
@@ -37,7 +37,7 @@
         self.workers = memory_workers.MemoryWorkers(clock=self.clock, fenced=fenced)
         for worker_id in ("w1", "w2"):
             self.workers.add(worker_id=worker_id, capacity=CAPACITY)
-        self.state = {worker_id: instances.InstanceState.LIVE for worker_id in ("w1", "w2")}
+        self.state = dict.fromkeys(("w1", "w2"), instances.InstanceState.LIVE)
 
     def run(self, seconds):
         for _ in range(round(seconds / 0.05)):
