--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/worker_engine.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/worker_engine.py
@@ -17,6 +17,9 @@
 FORGOTTEN_LENGTH = 10_000
 """Ids of ended attempts that are remembered, so that a late start runs nothing twice."""
 
+WORKER_HEADER = "X-Worker-Id"
+"""Names the worker in the answers of its service."""
+
 
 class Run(msgspec.Struct, frozen=True, kw_only=True):
     """One start of an attempt or of a request, for checks of the history.
@@ -32,6 +35,15 @@
     epoch: int
 
 
+class History(msgspec.Struct, frozen=True, kw_only=True):
+    """What a worker ever did, for checks of the history."""
+
+    worker_id: str
+    task_starts: tuple[Run, ...]
+    request_starts: tuple[Run, ...]
+    highest_use: resources.Resources
+
+
 class WorkerEngine:
     """Runs tasks and requests within a capacity; refusals are raised as typed errors."""
 
@@ -86,6 +98,15 @@
         """Attempts that run now."""
         return tuple(task_id for task_id, run in self._runs.items() if run.running)
 
+    def history(self) -> History:
+        """Tell what the worker ever did."""
+        return History(
+            worker_id=self._worker_id,
+            task_starts=self.task_starts,
+            request_starts=self.request_starts,
+            highest_use=self.highest_use,
+        )
+
     def leave(self, *, refuses: bool = False) -> None:
         """Say that nothing new is wanted; with `refuses`, also refuse it."""
         self._leaving = True
@@ -191,7 +212,10 @@
         answer = workers.ServiceAnswer(
             request_id=request.request_id,
             status=asked.status,
-            headers=(workers.Header(name="Content-Type", value="application/octet-stream"),),
+            headers=(
+                workers.Header(name="Content-Type", value="application/octet-stream"),
+                workers.Header(name=WORKER_HEADER, value=self._worker_id),
+            ),
             body=request.body,
         )
         return work.addCallback(lambda _: answer)
