--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/entry.py
@@ -0,0 +1,180 @@
+"""One entry in a run: ownership, cells, and calls between entries, without sockets."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from ebonyhatch.core import commands, configuration, entities, rendezvous, scheduler
+from ebonyhatch.node import cell, cell_status, messages, ownership, paced_store
+from ebonyhatch.platform import instances, memory_store, memory_workers, store_engine
+from ebonyhatch.testing.histories import eviction, node_clock, node_ports
+from twisted.internet import defer, task
+
+SILENT_S = 1.5
+"""Time without a heartbeat after which a peer counts as silent, seconds."""
+
+REPLY_MARGIN_S = 0.25
+"""Time that a peer's reply may take beyond the request's own timeout, seconds."""
+
+POLICY = "default"
+
+
+class Entry:
+    """The logic of one process; `kill` and a new one stand for a restart."""
+
+    def __init__(
+        self,
+        *,
+        entry_id: str,
+        failure_domain: str,
+        base: task.Clock,
+        engine: store_engine.StoreEngine,
+        workers_engines: memory_workers.Engines,
+        fenced: bool,
+        seed: int,
+        domains: tuple[str, ...],
+        listed: Callable[[str], tuple[instances.Instance, ...]],
+        in_force: configuration.InForce,
+    ) -> None:
+        self.entry_id = entry_id
+        self.clock = node_clock.NodeClock(base=base)
+        self.network = node_ports.Network(
+            base=base, clock=self.clock, generator=random.Random(f"{seed}/{entry_id}/net")
+        )
+        self.store = memory_store.MemoryStore(clock=base, engine=engine)
+        self.workers = memory_workers.MemoryWorkers(
+            clock=base, engines=workers_engines, fenced=fenced
+        )
+        self._seed = seed
+        self._listed = listed
+        self._in_force = in_force
+        self._workers_port = node_ports.NodeWorkers(inner=self.workers, network=self.network)
+        self._store_port = paced_store.PacedStore(
+            store_port=node_ports.NodeStore(inner=self.store, network=self.network),
+            clock=self.clock,
+        )
+        self.closing = False
+        self.heard: dict[str, float] = {}
+        self.cells: dict[str, cell.Cell] = {}
+        self.schedulers: dict[str, eviction.EvictingScheduler] = {}
+        self.ownership = ownership.Ownership(
+            member=ownership.Member(
+                entry_id=entry_id,
+                host="127.0.0.1",
+                port=1,
+                region="r",
+                failure_domain=failure_domain,
+            ),
+            store=self._store_port,
+            clock=self.clock,
+            seed=seed,
+            domains=lambda: domains,
+            cells_per_domain=1,
+            is_silent=self._is_silent,
+            on_gain=self._gain,
+            on_loss=self._lose,
+        )
+
+    def start(self) -> None:
+        """Join the others."""
+        self.ownership.start()
+        self._refresh()
+
+    def close(self) -> defer.Deferred[None]:
+        """Stop as planned."""
+        self.closing = True
+        return self.ownership.close()
+
+    def hear(self, other: Entry) -> None:
+        """Take a peer's heartbeat, with the ownership record that it knows."""
+        self.clock.run(lambda: self._hear(other))
+
+    def owner_of(self, name: str) -> str:
+        """Entry that owns a cell, as far as this one knows."""
+        owner = self.ownership.owners.get(name)
+        return owner.entry_id if owner else ""
+
+    def home(self, key: str) -> str:
+        """Home cell of a key, as far as this entry knows."""
+        return rendezvous.home_cell(key, sorted(self.ownership.owners))
+
+    def handle(self, call: messages.RequestCall) -> defer.Deferred[messages.RequestReply]:
+        """Serve a request in an own cell."""
+        owned = self.cells.get(call.cell)
+        if owned is None:
+            return defer.succeed(refusal(call, "not-owner", commands.Outcome.NOT_RUN))
+        return owned.request(call=call)
+
+    def submit(self, job: entities.Job) -> defer.Deferred[messages.JobReply]:
+        """Take a job in an own cell."""
+        owned = self.cells.get(self.home(job.job_id))
+        if owned is None:
+            return defer.succeed(messages.JobReply(status=503, reason="not-owner"))
+        return owned.submit(job=job)
+
+    def cancel(self, job_id: str) -> defer.Deferred[messages.JobReply]:
+        """Cancel a job in an own cell."""
+        owned = self.cells.get(self.home(job_id))
+        if owned is None:
+            return defer.succeed(messages.JobReply(status=503, reason="not-owner"))
+        return owned.cancel(job_id=job_id)
+
+    def view(self, job_id: str) -> messages.JobView | None:
+        """State of a job, if this entry acts for its cell under the newest epoch."""
+        owned = self.cells.get(self.home(job_id))
+        if owned is None or owned.status().state != cell_status.CellPhase.ACTIVE:
+            return None
+        reply = owned.show(job_id=job_id)
+        return reply.view or messages.JobView(job_id=job_id, state="")
+
+    def _hear(self, other: Entry) -> None:
+        self.heard[other.entry_id] = self.clock.seconds()
+        known = other.ownership
+        self.ownership.offer(version=known.version, record=known.record)
+
+    def _is_silent(self, entry_id: str) -> bool:
+        return self.clock.seconds() - self.heard.get(entry_id, 0.0) > SILENT_S
+
+    def _gain(self, name: str, epoch: int) -> None:
+        decider = eviction.EvictingScheduler(inner=scheduler.build(name=POLICY, seed=self._seed))
+        self.schedulers[name] = decider
+        opened = cell.Cell(
+            name=name,
+            epoch=epoch,
+            entry_id=self.entry_id,
+            store=self._store_port,
+            workers_port=self._workers_port,
+            scheduler=decider,
+            clock=self.clock,
+            may_act=self.ownership.lease_valid,
+            seed=self._seed,
+        )
+        self.cells[name] = opened
+        opened.set_configuration(in_force=self._in_force)
+        opened.set_workers(instances=self._listed(name))
+        opened.start()
+
+    def _lose(self, name: str) -> defer.Deferred[None]:
+        lost = self.cells[name]
+        closed = lost.close()
+        closed.addCallback(lambda _: self._forget(name, lost))
+        return closed
+
+    def _forget(self, name: str, lost: cell.Cell) -> None:
+        if self.cells.get(name) is lost:
+            del self.cells[name]
+
+    def _refresh(self) -> None:
+        for name, owned in self.cells.items():
+            owned.set_workers(instances=self._listed(name))
+        self.clock.callLater(1.0, self._refresh)
+
+
+def refusal(
+    call: messages.RequestCall, reason: str, outcome: commands.Outcome
+) -> messages.RequestReply:
+    """Reply without an answer."""
+    fields: dict[str, Any] = {"outcome": outcome, "reason": reason}
+    return messages.RequestReply(request_id=call.request.request_id, **fields)
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
@@ -0,0 +1,373 @@
+"""Several entries, their workers and callers in one run, and the history of it."""
+
+from __future__ import annotations
+
+import functools
+import json
+import random
+from typing import Any
+
+from ebonyhatch.core import commands, configuration, entities, resources
+from ebonyhatch.node import messages
+from ebonyhatch.platform import (
+    instances,
+    memory_workers,
+    store_engine,
+    worker_engine,
+    workers,
+)
+from ebonyhatch.testing import history
+from ebonyhatch.testing.histories import entry, observer
+from twisted.internet import defer, task
+
+STEP_S = 0.05
+"""Time between two looks at workers and owners, seconds."""
+
+HEARTBEAT_S = 0.5
+"""Time between two heartbeats, seconds."""
+
+DOMAINS = ("a", "b", "c")
+
+WORKERS_PER_DOMAIN = 2
+
+CAPACITY = resources.Resources(slots=3, connections=8, cores=8.0, memory_gb=16.0)
+
+IN_FORCE = configuration.InForce(
+    generation=1,
+    classes=(
+        entities.WorkClass(name="quote", urgency=entities.Urgency.URGENT, deadline_s=1.5),
+        entities.WorkClass(name="plan", urgency=entities.Urgency.BATCH),
+    ),
+)
+
+
+class Fleet:
+    """Drives everything on one fake clock."""
+
+    def __init__(self, *, seed: int, entries: int = 3, fenced: bool = True) -> None:
+        self.clock = task.Clock()
+        self.run = history.History()
+        self.random = random.Random(f"{seed}/fleet")
+        self.engine = store_engine.StoreEngine(clock=self.clock)
+        self.fenced = fenced
+        self.seed = seed
+        self.entries: dict[str, entry.Entry] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.left: set[str] = set()
+        self.repeat_peers = False
+        self.engines: memory_workers.Engines = {}
+        self._observers: dict[str, observer.WorkerObserver] = {}
+        self._listed: dict[str, instances.Instance] = {}
+        self._jobs: dict[str, tuple[str, int]] = {}
+        self._numbers = 0
+        self._steps = 0
+        for domain in DOMAINS:
+            for number in range(WORKERS_PER_DOMAIN):
+                self._add_worker(f"w-{domain}{number}", domain)
+        for number in range(entries):
+            self.start(f"e{number}")
+
+    @property
+    def now(self) -> float:
+        """Time, seconds."""
+        return self.clock.seconds()
+
+    @property
+    def running(self) -> list[entry.Entry]:
+        """Entries that act now."""
+        return [one for one in self.entries.values() if one.clock.running]
+
+    @property
+    def job_ids(self) -> list[str]:
+        """Jobs that were accepted."""
+        return list(self._jobs)
+
+    def mend(self) -> None:
+        """End all faults but those of processes."""
+        self.cuts.clear()
+        self.repeat_peers = False
+        for one in self.entries.values():
+            self._mend(one)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(max(round(seconds / STEP_S), 1)):
+            self.clock.advance(STEP_S)
+            self._steps += 1
+            if self._steps % round(HEARTBEAT_S / STEP_S) == 0:
+                self._beat()
+            self.look()
+
+    def look(self) -> None:
+        """Record what changed."""
+        for watched in self._observers.values():
+            watched.look(now=self.now)
+        for job_id in self._jobs:
+            self._look_at_job(job_id)
+
+    def start(self, entry_id: str) -> None:
+        """Start an entry with an empty memory."""
+        started = entry.Entry(
+            entry_id=entry_id,
+            failure_domain=DOMAINS[int(entry_id[1:]) % len(DOMAINS)],
+            base=self.clock,
+            engine=self.engine,
+            workers_engines=self.engines,
+            fenced=self.fenced,
+            seed=self.seed,
+            domains=DOMAINS,
+            listed=self.listed,
+            in_force=IN_FORCE,
+        )
+        started.heard = dict.fromkeys(self.entries, self.now)
+        self.entries[entry_id] = started
+        started.start()
+
+    def kill(self, entry_id: str) -> None:
+        """End an entry without notice."""
+        self.entries[entry_id].clock.kill()
+        self.run.add(history.EntryKilled(at=self.now, entry_id=entry_id))
+
+    def close(self, entry_id: str) -> defer.Deferred[None]:
+        """Stop an entry as planned."""
+        self.run.add(history.EntryClosing(at=self.now, entry_id=entry_id))
+        closed = self.entries[entry_id].close()
+        closed.addCallback(lambda _: self.entries[entry_id].clock.kill())
+        return closed
+
+    def listed(self, cell: str) -> tuple[instances.Instance, ...]:
+        """The platform's list of the workers of a cell."""
+        domain = cell.rpartition(".")[0]
+        return tuple(one for one in self._listed.values() if one.failure_domain == domain)
+
+    def leave(self, worker_id: str, *, sign: str) -> None:
+        """Give one sign that a worker leaves: `list`, `word` or `refusal`."""
+        self.left.add(worker_id)
+        self.run.add(history.WorkerLeaving(at=self.now, worker_id=worker_id))
+        if sign == "list":
+            listed = self._listed[worker_id]
+            self._listed[worker_id] = instances.Instance(
+                **{
+                    name: getattr(listed, name)
+                    for name in listed.__struct_fields__
+                    if name != "state"
+                },
+                state=instances.InstanceState.LEAVING,
+            )
+        else:
+            self.engines[worker_id].leave(refuses=sign == "refusal")
+
+    def restart_worker(self, worker_id: str) -> None:
+        """End a worker's process and start it anew; it remembers nothing."""
+        self._observers.pop(worker_id).gone(now=self.now)
+        self.engines[worker_id].close()
+        self._add_worker(worker_id, self._listed[worker_id].failure_domain)
+
+    def request(
+        self,
+        entry_id: str,
+        *,
+        key: str = "",
+        idempotent: bool = True,
+        work_s: float = 0.2,
+        timeout_s: float = 1.5,
+    ) -> str:
+        """Send a request to an entry; answers its id."""
+        one = self.entries[entry_id]
+        request_id = self._next("r")
+        body = f"body of {key or request_id}".encode()
+        call = messages.RequestCall(
+            cell=self._cell_for(one, key, idempotent),
+            request=workers.ServiceRequest(
+                request_id=request_id,
+                service="orders",
+                method="POST",
+                path="/",
+                headers=(workers.Header(name="x-work-s", value=str(work_s)),),
+                body=body,
+                timeout_s=timeout_s,
+            ),
+            work_class="quote",
+            tenant="t",
+            idempotent=idempotent,
+            idempotency_key=key,
+        )
+        self.run.add(
+            history.RequestMade(
+                at=self.now,
+                request_id=request_id,
+                entry_id=entry_id,
+                idempotent=idempotent,
+                key=key,
+                body=body,
+            )
+        )
+        one.clock.run(lambda: self._route(one, call))
+        return request_id
+
+    def submit(self, *, run_s: float = 3.0, entry_id: str = "") -> str:
+        """Submit a job at the entry that owns its home cell, or at one that believes so."""
+        job_id = self._next("j")
+        job = entities.Job(
+            job_id=job_id,
+            work_class="plan",
+            tenant="t",
+            demand=resources.Resources(slots=1, cores=1.0, memory_gb=1.0),
+            expected_run_s=run_s,
+            payload=json.dumps({"run_s": run_s}).encode(),
+        )
+        owner = self.entries[entry_id] if entry_id else self._owner_of(job_id)
+        if owner is not None:
+            owner.clock.run(lambda: self._submit(owner, job))
+        return job_id
+
+    def _submit(self, owner: entry.Entry, job: entities.Job) -> None:
+        owner.submit(job).addCallback(self._told_of_job, job.job_id)
+
+    def cancel(self, job_id: str) -> None:
+        """Cancel a job at the entry that owns its home cell."""
+        owner = self._owner_of(job_id)
+        if owner is not None:
+            self.run.add(history.JobCancelled(at=self.now, job_id=job_id))
+            owner.cancel(job_id)
+
+    def finish(self, *, quiet_s: float) -> history.History:
+        """End all faults, let everything come to rest, and give the history."""
+        self.mend()
+        for one in self.entries.values():
+            one.clock.thaw()
+        for entry_id, one in list(self.entries.items()):
+            if one.clock.dead:
+                self.start(entry_id)
+        self.advance(quiet_s)
+        for watched in self._observers.values():
+            watched.sum_up(now=self.now)
+        self.run.add(history.RunEnded(at=self.now))
+        return self.run
+
+    def _mend(self, one: entry.Entry) -> None:
+        one.store.faults.replace(type(one.store.faults)())
+        one.network.jitter_s = 0.0
+        one.network.repeat_share = 0.0
+        for worker_id in self.engines:
+            faults = one.workers.faults(worker_id)
+            faults.replace(type(faults)())
+
+    def _add_worker(self, worker_id: str, domain: str) -> None:
+        engine = worker_engine.WorkerEngine(
+            clock=self.clock, worker_id=worker_id, capacity=CAPACITY, fenced=self.fenced
+        )
+        self.engines[worker_id] = engine
+        self._observers[worker_id] = observer.WorkerObserver(
+            engine=engine, capacity=CAPACITY, run=self.run
+        )
+        self._listed[worker_id] = instances.Instance(
+            instance_id=worker_id,
+            role=instances.Role.WORKER,
+            state=instances.InstanceState.LIVE,
+            host="127.0.0.1",
+            port=1,
+            region="r",
+            failure_domain=domain,
+            rack="k",
+        )
+
+    def _beat(self) -> None:
+        for sender in self.running:
+            for taker in self.entries.values():
+                if taker is not sender and not self._cut(sender, taker):
+                    taker.hear(sender)
+
+    def _cut(self, one: entry.Entry, other: entry.Entry) -> bool:
+        return frozenset((one.entry_id, other.entry_id)) in self.cuts
+
+    def _cell_for(self, one: entry.Entry, key: str, idempotent: bool) -> str:
+        if key and not idempotent:
+            return one.home(key)
+        cells = sorted(one.ownership.owners)
+        return self.random.choice(cells) if cells else ""
+
+    def _route(self, one: entry.Entry, call: messages.RequestCall) -> None:
+        """Serve a call at its owner, in one step between entries at most."""
+        owner_id = one.owner_of(call.cell)
+        owner = self.entries.get(owner_id)
+        told = functools.partial(self._told, call)
+        if owner is one:
+            one.handle(call).addCallback(told)
+        elif owner is None or owner.clock.dead or self._cut(one, owner):
+            told(entry.refusal(call, "peer-unreachable", commands.Outcome.NOT_RUN))
+        else:
+            self._ask_peer(one, owner, call).addCallback(told)
+
+    def _ask_peer(
+        self, one: entry.Entry, owner: entry.Entry, call: messages.RequestCall
+    ) -> defer.Deferred[Any]:
+        reply: defer.Deferred[Any] = defer.Deferred()
+        lost = entry.refusal(call, "peer-lost", commands.Outcome.UNKNOWN)
+
+        def settle(value: messages.RequestReply) -> None:
+            if not reply.called:
+                reply.callback(value)
+
+        def back(value: messages.RequestReply) -> None:
+            if not self._cut(one, owner):
+                one.clock.run(lambda: settle(value))
+
+        def arrive() -> None:
+            owner.handle(call).addCallback(back)
+
+        one.clock.callLater(call.request.timeout_s + entry.REPLY_MARGIN_S, settle, lost)
+        self.clock.callLater(0.002, owner.clock.run, arrive)
+        if self.repeat_peers:
+            self.clock.callLater(self.random.random(), owner.clock.run, arrive)
+        return reply
+
+    def _told(self, call: messages.RequestCall, reply: messages.RequestReply) -> None:
+        answer = reply.answer
+        told = history.Told.ANSWERED if answer else history.Told(reply.outcome.value)
+        self.run.add(
+            history.RequestTold(
+                at=self.now,
+                request_id=call.request.request_id,
+                told=told,
+                answered_id=answer.request_id if answer else "",
+                body=answer.body if answer else b"",
+                reason=reply.reason,
+            )
+        )
+
+    def _owner_of(self, job_id: str) -> entry.Entry | None:
+        for one in self.running:
+            name = one.home(job_id)
+            if name in one.cells:
+                return one
+        return None
+
+    def _told_of_job(self, reply: messages.JobReply, job_id: str) -> None:
+        accepted = reply.view is not None
+        told = history.Told.ANSWERED if accepted else history.Told(reply.outcome.value)
+        self.run.add(history.JobTold(at=self.now, job_id=job_id, accepted=accepted, told=told))
+        if accepted:
+            self._jobs.setdefault(job_id, ("", 0))
+
+    def _look_at_job(self, job_id: str) -> None:
+        acting = [(one, one.view(job_id)) for one in self.running]
+        views = [(one, view) for one, view in acting if view is not None]
+        if not views:
+            return
+        one, view = max(views, key=lambda pair: pair[0].cells[pair[0].home(job_id)].epoch)
+        if self._jobs[job_id] != (view.state, view.attempts):
+            self._jobs[job_id] = (view.state, view.attempts)
+            self.run.add(
+                history.JobSeen(
+                    at=self.now,
+                    job_id=job_id,
+                    entry_id=one.entry_id,
+                    state=view.state,
+                    attempts=view.attempts,
+                )
+            )
+
+    def _next(self, prefix: str) -> str:
+        self._numbers += 1
+        return f"{prefix}{self._numbers}"
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/observer.py
@@ -0,0 +1,114 @@
+"""Looks at workers and owners after each step, and records what changed."""
+
+from __future__ import annotations
+
+from ebonyhatch.core import resources
+from ebonyhatch.platform import worker_engine, workers
+from ebonyhatch.testing import history
+
+KEPT_STATES = (workers.TaskState.FINISHED,)
+
+
+class WorkerObserver:
+    """Records starts and ends on one worker; a restarted worker gets another observer."""
+
+    def __init__(
+        self,
+        *,
+        engine: worker_engine.WorkerEngine,
+        capacity: resources.Resources,
+        run: history.History,
+    ) -> None:
+        self._engine = engine
+        self._capacity = capacity
+        self._run = run
+        self._tasks_seen = 0
+        self._requests_seen = 0
+        self._running: set[str] = set()
+        self._finished: set[str] = set()
+
+    def look(self, *, now: float) -> None:
+        """Record what changed since the last look."""
+        worker_id = self._engine.worker_id
+        reports = {task.task_id: task for task in self._engine.report().tasks}
+        running = {
+            name for name, task in reports.items() if task.state is workers.TaskState.RUNNING
+        }
+        started = self._engine.task_starts[self._tasks_seen :]
+        self._tasks_seen += len(started)
+        for task_id in sorted(self._running - running):
+            finished = task_id in reports and reports[task_id].state in KEPT_STATES
+            self._end(task_id, now, finished)
+        for start in started:
+            self._run.add(
+                history.TaskRan(
+                    at=start.at,
+                    task_id=start.subject_id,
+                    job_id=_job(start.subject_id),
+                    worker_id=worker_id,
+                    epoch=start.epoch,
+                )
+            )
+            if start.subject_id not in running:
+                self._end(start.subject_id, now, start.subject_id in reports)
+        self._running = running
+        self._look_at_finished(reports, now)
+        self._look_at_requests()
+
+    def gone(self, *, now: float) -> None:
+        """Record the end of everything that ran there."""
+        for task_id in sorted(self._running):
+            self._end(task_id, now, False)
+        self._running = set()
+
+    def sum_up(self, *, now: float) -> None:
+        """Record the highest use."""
+        self._run.add(
+            history.WorkerUsed(
+                at=now,
+                worker_id=self._engine.worker_id,
+                capacity=self._capacity,
+                highest=self._engine.highest_use,
+            )
+        )
+
+    def _look_at_finished(self, reports: dict[str, workers.TaskReport], now: float) -> None:
+        finished = {name for name, task in reports.items() if task.state in KEPT_STATES}
+        for task_id in sorted(self._finished - finished):
+            self._run.add(
+                history.TaskForgotten(
+                    at=now,
+                    task_id=task_id,
+                    job_id=_job(task_id),
+                    worker_id=self._engine.worker_id,
+                )
+            )
+        self._finished = finished
+
+    def _look_at_requests(self) -> None:
+        started = self._engine.request_starts[self._requests_seen :]
+        self._requests_seen += len(started)
+        for start in started:
+            self._run.add(
+                history.RequestRan(
+                    at=start.at,
+                    request_id=start.subject_id,
+                    worker_id=self._engine.worker_id,
+                    epoch=start.epoch,
+                )
+            )
+
+    def _end(self, task_id: str, now: float, finished: bool) -> None:
+        self._run.add(
+            history.TaskEnded(
+                at=now,
+                task_id=task_id,
+                job_id=_job(task_id),
+                worker_id=self._engine.worker_id,
+                finished=finished,
+            )
+        )
+
+
+def _job(task_id: str) -> str:
+    return task_id.rpartition("/")[0]
