Reserve by slots where no class does harm, by whole workers where one does

Cause: whole workers were cleared at each crest, and tasks with minutes of unsaved work were stopped for queues of a few requests. Now the cheapest tasks anywhere go first, with a checkpoint where one is possible; unsaved work is given up only for a wait that lasts. Harm is learnt by least squares from service times matched to the sharers at their time.

--- a/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
@@ -4,7 +4,16 @@
 
 from collections.abc import Sequence
 
-from ebonyhatch.core import commands, events, explanation, rooms, scheduler, settings, tables
+from ebonyhatch.core import (
+    commands,
+    events,
+    explanation,
+    interference,
+    rooms,
+    scheduler,
+    settings,
+    tables,
+)
 from ebonyhatch.core.systems import (
     admission,
     eviction,
@@ -14,10 +23,11 @@
     placement,
     request_events,
     reserve,
+    sharing,
     worker_events,
 )
 
-HANDLERS = (worker_events, job_events, request_events)
+HANDLERS = (worker_events, job_events, request_events, sharing)
 """Modules that register event handlers."""
 
 PERIOD_S = 0.1
@@ -32,9 +42,17 @@
 
     __slots__ = ("_tables",)
 
-    def __init__(self, *, seed: int, defaults: settings.Settings | None = None) -> None:
-        del seed
-        self._tables = tables.Tables(defaults=defaults or settings.Settings())
+    def __init__(
+        self,
+        *,
+        seed: int,
+        defaults: settings.Settings | None = None,
+        interference_mode: str = "pairs",
+    ) -> None:
+        self._tables = tables.Tables(
+            defaults=defaults or settings.Settings(),
+            model=interference.Interference(mode=interference_mode, seed=seed),
+        )
 
     @property
     def tables(self) -> tables.Tables:
@@ -50,6 +68,7 @@
         periodic = now >= state.period_at - ROUNDING_S
         if periodic:
             state.period_at = now + PERIOD_S
+            sharing.run(state)
             reserve.run(state)
         admission.run(state)
         placement.run(state)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/demand.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/demand.py
@@ -12,7 +12,7 @@
 SURGE_RATIO = 1.3
 """Demand this far above its slow mean is a surge."""
 
-RISE_SIGMAS = 3.0
+RISE_SIGMAS = 4.0
 """A rise counts when it is this far above the noise of the arrivals."""
 
 SLOPE_SIGMAS = 1.5
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/eviction_costs.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/eviction_costs.py
@@ -12,7 +12,13 @@
 
 def unsaved_s(task: rows.Task, *, now: float) -> float:
     """Work that would be done again if the attempt were stopped now, seconds."""
-    return max(0.0, (now - task.saved_at) * task.share)
+    return task.unsaved_s + max(0.0, (now - task.saved_at) * task.share)
+
+
+def settle(task: rows.Task, *, now: float) -> None:
+    """Bring the unsaved work up to now, before the task's speed changes."""
+    task.unsaved_s = unsaved_s(task, now=now)
+    task.saved_at = now
 
 
 def savable(state: tables.Tables, task: rows.Task) -> bool:
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
@@ -5,7 +5,10 @@
 import dataclasses
 import enum
 
-from ebonyhatch.core import entities, resources
+from ebonyhatch.core import entities, interference, resources
+
+AnswersKey = tuple[int, str, interference.Composition]
+"""Second in which requests were sent, their class, and the sharers then."""
 
 
 class TaskState(enum.Enum):
@@ -46,8 +49,11 @@
         tasks: Attempts that hold a reservation, by task id.
         requests: Requests that hold a reservation, by request id.
         batch_slots: Slots that attempts hold.
-        reserved_for_urgent: Batch work isn't placed here beyond `lent_slots`.
-        lent_slots: Slots of a reserved worker that batch work may hold.
+        reserved_for_urgent: Kept free of batch classes that do harm.
+        sharers: Batch classes that run here with their numbers at full speed.
+        answers: Count and total of service times by second, class and sharers then.
+        load: Share of its processors in use, as last reported.
+        load_at: Time of that sample, seconds.
         overloaded: Measured above a limit; takes nothing.
         barred: Its health allows no placement.
         penalty: Predicted slowdown of urgent work by the batch work here, 0 for none.
@@ -69,9 +75,12 @@
     requests: dict[str, Request] = dataclasses.field(default_factory=dict)
     batch_slots: int = 0
     reserved_for_urgent: bool = False
-    lent_slots: int = 0
     overloaded: bool = False
     barred: bool = False
+    sharers: interference.Composition = ()
+    answers: dict[AnswersKey, list[float]] = dataclasses.field(default_factory=dict)
+    load: float = 0.0
+    load_at: float = -1.0
     penalty: float = 0.0
     counted_free: int = 0
     counted_total: int = 0
@@ -114,10 +123,10 @@
         state: Its state.
         placed_at: When it was placed, seconds.
         saved_s: Work of the job kept in the last checkpoint, seconds.
-        saved_at: When that work was current, seconds.
+        saved_at: When that work, and `unsaved_s`, were current, seconds.
         share: Share of its speed that it was told to run at.
         asked_at: When it was last told to save its work or to stop, seconds.
-        saving: It was told to save its work.
+        unsaved_s: Work done until `saved_at` that no checkpoint keeps, seconds.
     """
 
     task_id: str
@@ -130,7 +139,7 @@
     saved_at: float = 0.0
     share: float = 1.0
     asked_at: float = 0.0
-    saving: bool = False
+    unsaved_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
@@ -147,6 +156,7 @@
         sent_at: When it was sent last, seconds.
         avoid_worker_id: Worker that did not serve it; empty for none.
         maybe_ran: A former try may have run.
+        sharers: Sharers of the worker when it was sent.
     """
 
     request: entities.Request
@@ -158,6 +168,7 @@
     sent_at: float = 0.0
     avoid_worker_id: str = ""
     maybe_ran: bool = False
+    sharers: interference.Composition = ()
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
@@ -167,19 +178,13 @@
     Attributes:
         workers: The workers, in the order in which they were added.
         slots: Their slots.
-        need_soon: Slots that urgent work will need once checkpoints are done.
-        need_now: Slots that it needs at once.
-        enough_since: When it was last fully needed, seconds.
-        lendable: Slots that batch work may hold in the reserve.
-        least_surplus: Least surplus since `lendable` was last worked out.
-        lend_until: When `lendable` is worked out anew, seconds.
+        need: Slots that urgent work needs soon.
+        lendable: Slots that batch work may still take; below 0, what it holds too many.
+        enough_since: When all of the reserve was last needed, seconds.
     """
 
     workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
     slots: int = 0
-    need_soon: float = 0.0
-    need_now: float = 0.0
-    enough_since: float = 0.0
+    need: float = 0.0
     lendable: int = 0
-    least_surplus: int = 0
-    lend_until: float = 0.0
+    enough_since: float = 0.0
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/eviction.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/eviction.py
@@ -3,65 +3,109 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
 
 from ebonyhatch.core import commands, eviction_costs, rows, tables
-
-Cost = Callable[[tables.Tables, rows.Task], float]
+from ebonyhatch.core.systems import reserve
 
 TOLERANCE = 0.3
 """Shortage that is borne without evictions, in square roots of the need."""
 
+CHEAP_S = 5.0
+"""Work that may be lost to rid reserved workers of harmful tasks, seconds."""
+
+PATIENCE = ((0.5, math.inf), (0.3, 120.0), (0.15, 30.0))
+"""Wait of urgent work, seconds, and the cost of tasks that are then stopped unsaved."""
+
+DRAIN_S = 0.3
+"""Time in which a queue of requests is to be worked off, seconds."""
+
+THROTTLED = 0.5
+"""Share of its speed at which a harmful task goes on until it can be saved."""
+
 
 def run(state: tables.Tables) -> None:
-    """Take back what urgent work needs now, then what it will need soon."""
+    """Take back what urgent work needs."""
     state.budget.refill(
         now=state.now,
         limit=state.settings.eviction_budget * state.total_slots,
         refill_s=state.settings.eviction_refill_s,
     )
-    reserve = state.reserve
-    running, held, leaving_now = _survey(state)
-    free = reserve.slots - held
-    short_now = int(reserve.need_now - free - leaving_now)
-    if short_now > 0:
-        evict(state, running, slots=short_now, at_once=True)
-        running = [task for task in running if task.state is rows.TaskState.RUNNING]
+    _clear_reserved(state)
+    running = _running(state)
     held = sum(task.demand.slots for task in running)
-    short_soon = int(reserve.need_soon - (reserve.slots - held))
-    if short_soon > TOLERANCE * math.sqrt(reserve.need_soon):
-        evict(state, running, slots=short_soon, at_once=False)
+    slots = state.reserve.slots if state.harmful else state.total_slots
+    short = int(state.reserve.need - (slots - held))
+    if short > TOLERANCE * math.sqrt(state.reserve.need):
+        _evict(state, running, slots=short)
+    _relieve(state)
 
 
-def _survey(state: tables.Tables) -> tuple[list[rows.Task], int, int]:
-    running: list[rows.Task] = []
-    held = 0
-    leaving_now = 0
-    for worker in state.reserve.workers.values():
-        for task in worker.tasks.values():
-            held += task.demand.slots
-            if task.state is rows.TaskState.RUNNING or task.state is rows.TaskState.STARTING:
-                running.append(task)
-            elif not task.saving:
-                leaving_now += task.demand.slots
-    return running, held, leaving_now
-
-
-def evict(state: tables.Tables, tasks: list[rows.Task], *, slots: int, at_once: bool) -> None:
-    """Evict the cheapest of `tasks` until `slots` are on their way back."""
-    cost = eviction_costs.at_once if at_once else eviction_costs.with_checkpoint
-    for task in sorted(tasks, key=lambda entry: cost(state, entry)):
+def _running(state: tables.Tables) -> list[rows.Task]:
+    return [
+        task
+        for worker in reserve.usable(state)
+        for task in worker.tasks.values()
+        if task.state is rows.TaskState.RUNNING or task.state is rows.TaskState.STARTING
+    ]
+
+
+def _evict(state: tables.Tables, tasks: list[rows.Task], *, slots: int) -> None:
+    for task in sorted(tasks, key=lambda entry: eviction_costs.with_checkpoint(state, entry)):
+        if slots <= 0 or not state.budget.take():
+            return
+        slots -= task.demand.slots
+        evict_task(state, task, checkpoint=True)
+
+
+def _relieve(state: tables.Tables) -> None:
+    """Stop tasks unsaved when urgent work waits too long for checkpoints."""
+    limit_s = next((cost_s for wait_s, cost_s in PATIENCE if state.wait_s > wait_s), 0.0)
+    if not limit_s:
+        return
+    tasks = [
+        task for task in _running(state) if eviction_costs.unsaved_s(task, now=state.now) < limit_s
+    ]
+    slots = int(len(state.urgent) * state.demand.service_s / DRAIN_S)
+    for task in sorted(tasks, key=lambda entry: eviction_costs.at_once(state, entry)):
         if slots <= 0 or not state.budget.take():
             return
         slots -= task.demand.slots
-        evict_task(state, task, checkpoint=not at_once)
+        evict_task(state, task, checkpoint=False)
+
+
+def _clear_reserved(state: tables.Tables) -> None:
+    """Rid reserved workers of harmful tasks: throttle, and evict when that is cheap."""
+    for worker in state.reserve.workers.values():
+        for task in list(worker.tasks.values()):
+            if task.job.job.work_class not in state.harmful:
+                continue
+            if task.state is rows.TaskState.RUNNING:
+                _ease(state, task)
+
+
+def _ease(state: tables.Tables, task: rows.Task) -> None:
+    cheap = eviction_costs.unsaved_s(task, now=state.now) < CHEAP_S
+    if (cheap or eviction_costs.savable(state, task)) and state.budget.take():
+        evict_task(state, task, checkpoint=True)
+    elif task.share > THROTTLED:
+        throttle(state, task, share=THROTTLED)
+
+
+def throttle(state: tables.Tables, task: rows.Task, *, share: float) -> None:
+    """Set the share of its speed at which an attempt runs."""
+    eviction_costs.settle(task, now=state.now)
+    task.share = share
+    state.recompose(task.worker)
+    command = commands.ThrottleTask(
+        task_id=task.task_id, worker_id=task.worker.worker_id, share=share
+    )
+    state.commands.append(command)
 
 
 def evict_task(state: tables.Tables, task: rows.Task, *, checkpoint: bool) -> None:
     """Evict one attempt; its work is saved first if asked and possible."""
     checkpoint = checkpoint and eviction_costs.savable(state, task)
     task.state = rows.TaskState.EVICTING
-    task.saving = checkpoint
     task.asked_at = state.now
     task.job.evictions += 1
     command = commands.EvictTask(
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/job_events.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/job_events.py
@@ -104,6 +104,7 @@
     if task is not None:
         task.saved_s = event.progress_s
         task.saved_at = state.now
+        task.unsaved_s = 0.0
         task.job.progress_s = event.progress_s
 
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/placement.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/placement.py
@@ -90,9 +90,15 @@
 
 
 def _worker_for_job(state: tables.Tables, row: rows.Job) -> rows.Worker | None:
+    harmful = row.job.work_class in state.harmful
+    lendable = state.reserve.lendable >= row.job.demand.slots
     for count, worker in enumerate(state.batch_workers.best()):
         if count >= CANDIDATES_LIMIT:
             break
+        if worker.reserved_for_urgent and (harmful or not lendable):
+            break
+        if not state.harmful and not lendable:
+            break
         fits = capacity.fits(worker, row.job.demand)
         if fits and worker.worker_id != row.avoid_worker_id:
             return worker
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_events.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_events.py
@@ -5,7 +5,7 @@
 import heapq
 
 from ebonyhatch.core import events, rows, tables
-from ebonyhatch.core.systems import ingest, retry
+from ebonyhatch.core.systems import ingest, retry, sharing
 
 
 @ingest.handler(events.RequestArrived)
@@ -29,6 +29,8 @@
     row = _sent(state, event.request_id, event.worker_id)
     if row is not None:
         state.demand.served(state.now - row.sent_at)
+        if not event.failed:
+            sharing.answered(state, row, event.service_s)
         state.release_request(row)
         del state.requests[event.request_id]
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/reserve.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/reserve.py
@@ -1,16 +1,21 @@
-"""Keeps workers for urgent work: as many as its demand, slope and recent peak ask for."""
+"""Keeps slots for urgent work: as many as its demand, slope and recent peak ask for.
+
+Where no class in use does harm, any worker may carry both kinds of work and only the number
+of slots counts. Otherwise whole workers are kept free of the harmful classes.
+"""
 
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 
 from ebonyhatch.core import eviction_costs, rows, tables
 
 SOON_S = 1.2
-"""How far ahead workers are made ready along the slope of the demand."""
+"""How far ahead slots are made ready along the slope of the demand."""
 
-DRAIN_S = 0.3
-"""Time in which a queue of requests is to be worked off."""
+SHRINK_SPREAD = 0.5
+"""Slots that must be left over when a worker is given up, in square roots of the need."""
 
 
 def run(state: tables.Tables) -> None:
@@ -19,9 +24,11 @@
     state.demand.roll(now=state.now)
     state.drain.roll(now=state.now)
     state.wait_s = state.drain.wait_s(queued=len(state.urgent))
-    _work_out_need(state)
+    reserve.need = _need(state)
     _drop_unusable(state)
-    if reserve.slots < reserve.need_soon:
+    if not state.harmful:
+        _dissolve(state)
+    elif reserve.slots < reserve.need:
         _grow(state)
         reserve.enough_since = state.now
     else:
@@ -29,37 +36,48 @@
     _lend(state)
 
 
-def _work_out_need(state: tables.Tables) -> None:
-    reserve = state.reserve
+def usable(state: tables.Tables) -> Iterable[rows.Worker]:
+    """Workers whose slots count for urgent work."""
+    if state.harmful:
+        return state.reserve.workers.values()
+    return [worker for worker in state.workers.values() if not _unusable(worker)]
+
+
+def _need(state: tables.Tables) -> float:
     demand = state.demand
     soon = demand.forecast(ahead_s=SOON_S)
     if demand.surging(now=state.now):
         soon = max(soon, demand.peak * state.settings.peak_share)
     spread = state.settings.reserve_spread
     least = math.floor(state.settings.reserve_least * state.total_slots)
-    limit = float(state.total_slots)
-    reserve.need_soon = min(limit, max(least, soon + spread * math.sqrt(soon)))
-    now = state.sent + len(state.urgent) * demand.service_s / DRAIN_S
-    reserve.need_now = min(now, limit) if state.urgent else 0.0
+    return min(float(state.total_slots), max(least, soon + spread * math.sqrt(soon)))
+
+
+def _unusable(worker: rows.Worker) -> bool:
+    return worker.leaving or worker.barred
 
 
 def _drop_unusable(state: tables.Tables) -> None:
-    reserve = state.reserve
-    for worker in list(reserve.workers.values()):
-        if worker.leaving or worker.barred or worker.worker_id not in state.workers:
+    for worker in list(state.reserve.workers.values()):
+        if _unusable(worker) or worker.worker_id not in state.workers:
             _remove(state, worker)
 
 
+def _dissolve(state: tables.Tables) -> None:
+    for worker in list(state.reserve.workers.values()):
+        _remove(state, worker)
+
+
 def _grow(state: tables.Tables) -> None:
     reserve = state.reserve
     others = [
         worker
         for worker in state.workers.values()
-        if not (worker.reserved_for_urgent or worker.leaving or worker.barred)
+        if not (worker.reserved_for_urgent or _unusable(worker))
     ]
     others.sort(key=lambda worker: _cost(state, worker))
     for worker in others:
-        if reserve.slots >= reserve.need_soon:
+        if reserve.slots >= reserve.need:
             return
         worker.reserved_for_urgent = True
         reserve.workers[worker.worker_id] = worker
@@ -74,9 +92,10 @@
 
 def _shrink(state: tables.Tables) -> None:
     reserve = state.reserve
+    wanted = reserve.need + SHRINK_SPREAD * math.sqrt(reserve.need)
     while reserve.workers:
         last = next(reversed(reserve.workers.values()))
-        if reserve.slots - last.capacity.slots < reserve.need_soon:
+        if reserve.slots - last.capacity.slots < wanted:
             reserve.enough_since = state.now
             return
         if state.now - reserve.enough_since < state.settings.hold_s:
@@ -88,24 +107,15 @@
     del state.reserve.workers[worker.worker_id]
     state.reserve.slots -= worker.capacity.slots
     worker.reserved_for_urgent = False
-    worker.lent_slots = 0
     state.touch(worker)
     state.batch_dirty = True
 
 
 def _lend(state: tables.Tables) -> None:
     reserve = state.reserve
-    surplus = int(reserve.slots - reserve.need_soon)
-    if surplus < reserve.lendable or state.now >= reserve.lend_until:
-        reserve.lendable = surplus if surplus < reserve.lendable else reserve.least_surplus
-        reserve.lend_until = state.now + state.settings.hold_s
-        reserve.least_surplus = surplus
-    reserve.least_surplus = min(reserve.least_surplus, surplus)
-    left = reserve.lendable
-    for worker in reversed(reserve.workers.values()):
-        lent = max(0, min(left, worker.capacity.slots))
-        left -= lent
-        if lent != worker.lent_slots:
-            worker.lent_slots = lent
-            state.touch(worker)
-            state.batch_dirty = True
+    slots = reserve.slots if state.harmful else state.total_slots
+    held = sum(worker.batch_slots for worker in usable(state))
+    surplus = int(slots - reserve.need) - held
+    if surplus > 0 and reserve.lendable <= 0:
+        state.batch_dirty = True
+    reserve.lendable = surplus
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/worker_events.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/worker_events.py
@@ -32,6 +32,7 @@
     capacity.recount(worker)
     state.touch(worker)
     requeue.unpark(state)
+    state.period_at = state.now
     state.batch_dirty = True
 
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import bisect
+
 from ebonyhatch.core import (
     batch_queue,
     budgets,
@@ -10,6 +12,7 @@
     demand,
     drains,
     entities,
+    interference,
     resources,
     rows,
     settings,
@@ -17,6 +20,9 @@
     worker_index,
 )
 
+PENALTY_LEVELS = (0.05, 0.15, 0.3, 0.6, 1.2, 2.4)
+"""Predicted slowdowns that divide workers into levels for urgent work."""
+
 
 class Tables:
     """All rows of one cell with the indexes that the systems need."""
@@ -48,10 +54,16 @@
         "budget",
         "period_at",
         "arrived",
+        "interference",
+        "harmful",
+        "fit_at",
         "drain",
     )
 
-    def __init__(self, *, defaults: settings.Settings) -> None:
+    def __init__(self, *, defaults: settings.Settings, model: interference.Interference) -> None:
+        self.interference = model
+        self.harmful: set[str] = set()
+        self.fit_at = 0.0
         self.defaults = defaults
         self.settings = defaults
         self.demand = demand.Demand()
@@ -93,13 +105,27 @@
             self.batch_workers.remove(worker)
             return
         self.urgent_workers.put(worker, level=self._urgent_level(worker))
-        if worker.reserved_for_urgent and worker.batch_slots >= worker.lent_slots:
-            self.batch_workers.remove(worker)
-        else:
-            self.batch_workers.put(worker, level=int(worker.reserved_for_urgent))
+        self.batch_workers.put(worker, level=int(worker.reserved_for_urgent))
 
     def _urgent_level(self, worker: rows.Worker) -> int:
-        return 0 if worker.reserved_for_urgent else 1
+        worker.penalty = sum(
+            count * self.interference.slowdown(name, load=worker.load)
+            for name, count in worker.sharers
+        )
+        return bisect.bisect(PENALTY_LEVELS, worker.penalty)
+
+    def counts_for_urgent(self, worker: rows.Worker) -> bool:
+        """Tell whether the worker's slots are counted for urgent work."""
+        return worker.reserved_for_urgent or not self.harmful
+
+    def recompose(self, worker: rows.Worker) -> None:
+        """Work out anew which batch classes share a worker."""
+        counts: dict[str, float] = {}
+        for task in worker.tasks.values():
+            name = task.job.job.work_class
+            counts[name] = counts.get(name, 0.0) + task.share
+        worker.sharers = tuple(sorted(counts.items()))
+        self.touch(worker)
 
     def _count(self, worker: rows.Worker) -> None:
         usable = not (worker.leaving or worker.barred)
@@ -116,8 +142,10 @@
         task.job.task = task
         task.worker.tasks[task.task_id] = task
         task.worker.batch_slots += task.demand.slots
+        if self.counts_for_urgent(task.worker):
+            self.reserve.lendable -= task.demand.slots
         capacity.reserve(task.worker, task.demand)
-        self.touch(task.worker)
+        self.recompose(task.worker)
 
     def release_task(self, task: rows.Task) -> None:
         """Drop an attempt and its reservation."""
@@ -125,11 +153,15 @@
         task.job.task = None
         del task.worker.tasks[task.task_id]
         task.worker.batch_slots -= task.demand.slots
+        if self.counts_for_urgent(task.worker):
+            self.reserve.lendable += task.demand.slots
+        self.recompose(task.worker)
         self._release(task.worker, task.demand)
 
     def reserve_request(self, row: rows.Request, worker: rows.Worker) -> None:
         """Enter the reservation of a request that is sent."""
         row.worker = worker
+        row.sharers = worker.sharers
         worker.requests[row.request.request_id] = row
         self.sent += 1
         capacity.reserve(worker, row.demand)
