Forward as soon as home is full, and only to owners of now

Cause: a cell's room did not count requests that no tick had seen, so that requests of one turn of the loop all queued at home; and summaries of a cell's earlier owner stayed in question, which ended in not-owner. Ruled out: the scheduler's own room and the ownership record, both right after each tick.

What is left is the age of summaries (1 s against requests of 0.3 s).

--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 from ebonyhatch.core import commands, configuration, entities, errors, events, scheduler
 from ebonyhatch.node import (
     cell_status,
@@ -71,6 +72,7 @@
         self._fault: errors.EbonyhatchError | None = None
         self._classes: dict[str, entities.WorkClass] = {}
         self._events: list[events.Event] = []
+        self._unseen_requests = 0
         self._tick_timer: Any = None
         self._woken = False
         self._group = coroutines.CoroutineGroup(clock=clock)
@@ -191,8 +193,11 @@
         return self._jobs.cancel(job_id)
 
     def room(self) -> messages.CellRoom:
-        """Summarize what the cell could take now."""
+        """Summarize what the cell could take now; requests that no tick has seen count as queued."""
         room = self._scheduler.room(now=self._clock.seconds())
+        if self._unseen_requests:
+            queued = room.queued_urgent + self._unseen_requests
+            room = msgspec.structs.replace(room, queued_urgent=queued)
         return messages.CellRoom(cell=self._name, epoch=self._epoch, room=room)
 
     def explain(self, *, subject_id: str) -> str:
@@ -286,6 +291,7 @@
 
     def _emit(self, event: events.Event) -> None:
         self._events.append(event)
+        self._unseen_requests += isinstance(event, events.RequestArrived)
         if not self._woken and self._phase in _TICKING:
             self._woken = True
             self._clock.callLater(0, self._tick)
@@ -301,6 +307,7 @@
             return
         self._requests.sweep()
         batch, self._events = self._events, []
+        self._unseen_requests = 0
         decided = self._scheduler.tick(now=self._clock.seconds(), events=batch)
         for command in decided:
             self._carry_out(command)
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
@@ -346,6 +346,7 @@
     def _cell_gained(self, name: str, epoch: int) -> None:
         self.measures.epoch_changed(change="gained")
         logs.write("cell gained", cell=name, epoch=epoch)
+        self._chooser.keep()
         self._cells.gain(name, epoch)
 
     def _cell_lost(self, name: str) -> defer.Deferred[None]:
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/forwarding.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/forwarding.py
@@ -92,6 +92,7 @@
         now: float,
         own: scheduler.Room | None = None,
         tried: Collection[Target] = (),
+        among: Collection[Target] | None = None,
     ) -> Target | None:
         """Choose where to send a request.
 
@@ -99,6 +100,7 @@
             now: Seconds on the clock of `told_at`.
             own: Room at home, or None when this entry owns no cell that may serve it.
             tried: Cells that have refused it already.
+            among: The only cells that come into question; None for all that are known.
 
         Returns:
             A cell that looks better than home, or None.
@@ -108,7 +110,9 @@
         believed = [
             target
             for target, summary in self._summaries.items()
-            if now - summary.told_at <= self._age_limit_s and target not in tried
+            if now - summary.told_at <= self._age_limit_s
+            and target not in tried
+            and (among is None or target in among)
         ]
         free = [target for target in believed if self._summaries[target].free > 0]
         if free:
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/route_choice.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/route_choice.py
@@ -35,7 +35,7 @@
         own = self._best_own(serving)
         own_room = self._own_cells[own].room().room if own else None
         target = self._forwarding.choose(
-            now=self._clock.seconds(), own=own_room, tried=self._excluded(serving)
+            now=self._clock.seconds(), own=own_room, among=self._at_peers(serving)
         )
         if target is not None:
             return target
@@ -66,9 +66,14 @@
         own = [name for name in serving if name in self._own_cells]
         return max(own, key=lambda name: _spare(self._own_cells[name].room().room), default="")
 
-    def _excluded(self, serving: Collection[str]) -> set[forwarding.Target]:
+    def _at_peers(self, serving: Sequence[str]) -> set[forwarding.Target]:
+        """Pair cells with their owners of now; summaries of earlier owners don't count."""
         allowed = set(serving)
-        return {target for target in self._owned_targets() if target.cell not in allowed}
+        return {
+            target
+            for target in self._owned_targets()
+            if target.cell in allowed and target.entry_id != self._entry_id
+        }
 
     def _owned_targets(self) -> set[forwarding.Target]:
         return {
--- a/packages/ebonyhatch-node/tests/test_cell.py
+++ b/packages/ebonyhatch-node/tests/test_cell.py
@@ -213,3 +213,14 @@
     assert opened.status().jobs == {"cancelled": 8, "running": 2}
     running = [t for engine in bench.workers.engines.values() for t in engine.running_task_ids]
     assert sorted(running) == ["j8/1", "j9/1"]
+
+
+def test_room_counts_requests_that_no_tick_has_seen():
+    bench = Bench()
+    opened, _ = bench.open()
+    bench.run(1.0)
+    before = opened.room().room
+    for number in range(3):
+        opened.request(call=call(f"r{number}"))
+    now = opened.room().room
+    assert now.free_slots - now.queued_urgent == before.free_slots - 3
--- /dev/null
+++ b/packages/ebonyhatch-node/tests/test_route_choice.py
@@ -0,0 +1,85 @@
+"""The choice between own cells and peers' cells."""
+
+from __future__ import annotations
+
+import random
+
+from ebonyhatch.core import scheduler
+from ebonyhatch.node import forwarding, messages, route_choice, routing
+from twisted.internet import task
+
+
+class Placements(routing.Placements):
+    def __init__(self, **owners):
+        self.owners = owners
+
+    def owner_of(self, *, name):
+        return self.owners.get(name, "")
+
+    def cells(self):
+        return sorted(self.owners)
+
+    def serving(self, *, service):
+        return self.cells()
+
+
+class OwnCell:
+    def __init__(self, name, free_slots):
+        self.free_slots = free_slots
+        self.name = name
+
+    def room(self):
+        return room_of(self.name, self.free_slots)
+
+
+def room_of(cell, free_slots, wait_s=1.0):
+    return messages.CellRoom(
+        cell=cell,
+        epoch=1,
+        room=scheduler.Room(
+            free_slots=free_slots,
+            total_slots=8,
+            queued_urgent=0,
+            wait_s=0.0 if free_slots else wait_s,
+            queued_batch=0,
+        ),
+    )
+
+
+def choice(*, owners, own=()):
+    cells = {cell.name: cell for cell in own}
+    return route_choice.RouteChoice(
+        entry_id="a",
+        own_cells=cells,
+        placements=Placements(**owners),
+        clock=task.Clock(),
+        draw=random.Random(1),
+    )
+
+
+def test_prefers_home_while_it_has_room():
+    chooser = choice(owners={"c1": "a", "c2": "b"}, own=[OwnCell("c1", 1)])
+    chooser.learn(entry_id="b", room=room_of("c2", 8))
+    found = chooser.choose(service="s", tried=())
+    assert found == forwarding.Target(entry_id="a", cell="c1")
+
+
+def test_goes_to_a_peer_when_home_is_full():
+    chooser = choice(owners={"c1": "a", "c2": "b"}, own=[OwnCell("c1", 0)])
+    chooser.learn(entry_id="b", room=room_of("c2", 8))
+    found = chooser.choose(service="s", tried=())
+    assert found == forwarding.Target(entry_id="b", cell="c2")
+
+
+def test_ignores_the_summary_of_an_earlier_owner():
+    chooser = choice(owners={"c1": "a", "c2": "b"}, own=[OwnCell("c1", 0)])
+    chooser.learn(entry_id="b", room=room_of("c1", 8))
+    found = chooser.choose(service="s", tried=())
+    assert found == forwarding.Target(entry_id="a", cell="c1")
+    assert chooser.choose(service="s", tried=("c1",)) == forwarding.Target(entry_id="b", cell="c2")
+
+
+def test_falls_back_on_the_record_before_any_summary():
+    chooser = choice(owners={"c1": "b"})
+    assert chooser.choose(service="s", tried=()) == forwarding.Target(entry_id="b", cell="c1")
+    assert chooser.choose(service="s", tried=("c1",)) is None
