Short and long lanes by learnt run times, fair between tenants, within quotas

Batch placement is skipped unless a slot for it may be free, and a job is judged impossible once for each set of workers.

--- a/packages/ebonyhatch-core/src/ebonyhatch/core/batch_queue.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/batch_queue.py
@@ -1,4 +1,4 @@
-"""Queues of batch jobs: by priority, then fair between tenants, in a short and a long lane."""
+"""Queues of batch jobs: by priority, then a short and a long lane, fair between tenants."""
 
 from __future__ import annotations
 
@@ -10,85 +10,103 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class TenantQueue:
-    """Jobs of one tenant at one priority.
+    """Jobs of one tenant at one priority in one lane, those that were evicted first.
 
     Attributes:
         tenant: Name of the tenant.
-        lanes: Jobs in order of arrival, by lane; evicted ones are put first.
-        served: Reserved slot-seconds over the tenant's weight, so far.
+        resumed: Jobs that ran before, in the order in which they came back.
+        fresh: Jobs in order of arrival.
     """
 
     tenant: str
-    lanes: dict[rows.Lane, dict[str, rows.Job]] = dataclasses.field(
-        default_factory=lambda: {lane: {} for lane in rows.Lane}
-    )
     resumed: dict[str, rows.Job] = dataclasses.field(default_factory=dict)
-    served: float = 0.0
+    fresh: dict[str, rows.Job] = dataclasses.field(default_factory=dict)
 
     def __len__(self) -> int:
-        return len(self.resumed) + sum(len(lane) for lane in self.lanes.values())
+        return len(self.resumed) + len(self.fresh)
+
+    def jobs(self) -> Iterator[rows.Job]:
+        """Iterate over the jobs in the order in which they go."""
+        yield from self.resumed.values()
+        yield from self.fresh.values()
+
+
+Lanes = dict[rows.Lane, dict[str, TenantQueue]]
 
 
 class BatchQueue:
-    """Jobs that wait for a worker."""
+    """Jobs that wait for a worker, and what each tenant was served."""
 
-    __slots__ = ("_levels", "_size", "_short")
+    __slots__ = ("_levels", "_sizes", "_served")
 
     def __init__(self) -> None:
-        self._levels: dict[int, dict[str, TenantQueue]] = {}
-        self._size = 0
-        self._short = 0
+        self._levels: dict[int, Lanes] = {}
+        self._sizes = dict.fromkeys(rows.Lane, 0)
+        self._served: dict[tuple[int, str], float] = {}
 
     def __len__(self) -> int:
-        return self._size
-
-    @property
-    def short(self) -> int:
-        """Jobs that wait in the short lanes."""
-        return self._short
+        return sum(self._sizes.values())
+
+    def size(self, lane: rows.Lane) -> int:
+        """Jobs that wait in a lane."""
+        return self._sizes[lane]
+
+    def priorities(self) -> list[int]:
+        """Priorities of waiting jobs, highest first."""
+        return sorted(
+            (
+                priority
+                for priority, lanes in self._levels.items()
+                if any(lanes[lane] for lane in rows.Lane)
+            ),
+            reverse=True,
+        )
 
     def push(self, row: rows.Job, *, priority: int, first: bool = False) -> None:
         """Queue a job; `first` puts it before those that never ran."""
-        queue = self._tenant(priority=priority, tenant=row.job.tenant)
-        if first:
-            queue.resumed[row.job.job_id] = row
-        else:
-            queue.lanes[row.lane][row.job.job_id] = row
-            self._short += row.lane is rows.Lane.SHORT
-        self._size += 1
+        lanes = self._levels.setdefault(priority, {lane: {} for lane in rows.Lane})
+        tenant = row.job.tenant
+        queue = lanes[row.lane].get(tenant)
+        if queue is None:
+            self._catch_up(priority, tenant)
+            queue = lanes[row.lane][tenant] = TenantQueue(tenant=tenant)
+        (queue.resumed if first else queue.fresh)[row.job.job_id] = row
+        self._sizes[row.lane] += 1
 
     def remove(self, row: rows.Job, *, priority: int) -> bool:
         """Take a job out; tell whether it was in."""
-        queue = self._levels.get(priority, {}).get(row.job.tenant)
-        if queue is None:
+        lanes = self._levels.get(priority)
+        queue = lanes[row.lane].get(row.job.tenant) if lanes is not None else None
+        if lanes is None or queue is None:
             return False
-        if queue.resumed.pop(row.job.job_id, None) is not None:
-            self._size -= 1
-            return True
-        if queue.lanes[row.lane].pop(row.job.job_id, None) is not None:
-            self._size -= 1
-            self._short -= row.lane is rows.Lane.SHORT
-            return True
-        return False
-
-    def levels(self) -> Iterator[list[TenantQueue]]:
-        """Iterate over priorities, highest first; tenants least served first."""
-        for priority in sorted(self._levels, reverse=True):
-            waiting = [queue for queue in self._levels[priority].values() if len(queue)]
-            if waiting:
-                yield sorted(waiting, key=lambda queue: queue.served)
-
-    def charge(self, row: rows.Job, *, priority: int, amount: float) -> None:
-        """Add to what a tenant was served."""
-        self._tenant(priority=priority, tenant=row.job.tenant).served += amount
+        job_id = row.job.job_id
+        if queue.resumed.pop(job_id, None) is None and queue.fresh.pop(job_id, None) is None:
+            return False
+        self._sizes[row.lane] -= 1
+        if not len(queue):
+            del lanes[row.lane][row.job.tenant]
+        return True
 
-    def _tenant(self, *, priority: int, tenant: str) -> TenantQueue:
-        level = self._levels.setdefault(priority, {})
-        queue = level.get(tenant)
-        if queue is None:
-            served = min((other.served for other in level.values()), default=0.0)
-            queue = level[tenant] = TenantQueue(tenant=tenant, served=served)
-        elif not len(queue):
-            busy = [other.served for other in level.values() if len(other)]
-            queue.served = max(queue.served, min(busy, default=queue.served))
-        return queue
+    def waiting(self, *, priority: int, lane: rows.Lane) -> dict[str, TenantQueue]:
+        """Queues of a lane by tenant."""
+        return self._levels[priority][lane]
+
+    def served(self, *, priority: int, tenant: str) -> float:
+        """What a tenant was served: slot-seconds over its weight."""
+        return self._served.get((priority, tenant), 0.0)
+
+    def charge(self, *, priority: int, tenant: str, amount: float) -> None:
+        """Add to what a tenant was served."""
+        key = (priority, tenant)
+        self._served[key] = self._served.get(key, 0.0) + amount
+
+    def _catch_up(self, priority: int, tenant: str) -> None:
+        """A tenant that had nothing waiting saves no claim on the past."""
+        lanes = self._levels[priority]
+        if any(tenant in lanes[lane] for lane in rows.Lane):
+            return
+        busy = [
+            self._served.get((priority, other), 0.0) for lane in rows.Lane for other in lanes[lane]
+        ]
+        key = (priority, tenant)
+        self._served[key] = max(self._served.get(key, 0.0), min(busy, default=0.0))
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
@@ -16,12 +16,13 @@
 )
 from ebonyhatch.core.systems import (
     admission,
+    batch_placement,
     eviction,
     expire,
     ingest,
     job_events,
-    placement,
     request_events,
+    request_placement,
     reserve,
     sharing,
     worker_events,
@@ -71,7 +72,8 @@
             sharing.run(state)
             reserve.run(state)
         admission.run(state)
-        placement.run(state)
+        request_placement.run(state)
+        batch_placement.run(state)
         if periodic:
             eviction.run(state)
         taken = state.commands
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
@@ -99,6 +99,7 @@
         task: Its current attempt, or None while it waits.
         parked: No worker of the cell can hold it.
         avoid_worker_id: Worker where its last attempt failed to start; empty for none.
+        judged_at: Version of the set of workers that it was judged against.
     """
 
     job: entities.Job
@@ -109,6 +110,7 @@
     task: Task | None = None
     parked: bool = False
     avoid_worker_id: str = ""
+    judged_at: int = -1
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
@@ -122,8 +124,8 @@
         demand: What is reserved for it.
         state: Its state.
         placed_at: When it was placed, seconds.
-        saved_s: Work of the job kept in the last checkpoint, seconds.
-        saved_at: When that work, and `unsaved_s`, were current, seconds.
+        resumed_s: Work of the job that was done before this attempt, seconds.
+        saved_at: When the last checkpoint was done, or `unsaved_s` was worked out, seconds.
         share: Share of its speed that it was told to run at.
         asked_at: When it was last told to save its work or to stop, seconds.
         unsaved_s: Work done until `saved_at` that no checkpoint keeps, seconds.
@@ -135,7 +137,7 @@
     demand: resources.Resources
     state: TaskState = TaskState.STARTING
     placed_at: float = 0.0
-    saved_s: float = 0.0
+    resumed_s: float = 0.0
     saved_at: float = 0.0
     share: float = 1.0
     asked_at: float = 0.0
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/batch_placement.py
@@ -0,0 +1,140 @@
+"""Places jobs: by priority, the short lane first, fair between tenants, within quotas."""
+
+from __future__ import annotations
+
+from ebonyhatch.core import batch_queue, capacity, commands, resources, rows, tables
+
+CANDIDATES_LIMIT = 8
+"""Workers that are looked at for one job."""
+
+SCAN_LIMIT = 32
+"""Jobs that are looked at in a lane before it is left for this tick."""
+
+LEAST_CHARGE_S = 1.0
+
+
+def run(state: tables.Tables) -> None:
+    """Start queued jobs until nothing more fits."""
+    if not state.batch_dirty:
+        return
+    state.batch_dirty = False
+    for priority in state.batch.priorities():
+        for lane in _lanes(state):
+            _place_lane(state, priority, lane)
+
+
+def _lanes(state: tables.Tables) -> tuple[rows.Lane, rows.Lane]:
+    """The short lane goes first until it holds its share of the slots in use."""
+    share = state.short_slots / max(1, state.batch_slots)
+    if share > state.settings.short_share:
+        return (rows.Lane.LONG, rows.Lane.SHORT)
+    return (rows.Lane.SHORT, rows.Lane.LONG)
+
+
+def _place_lane(state: tables.Tables, priority: int, lane: rows.Lane) -> None:
+    waiting = state.batch.waiting(priority=priority, lane=lane)
+    tenants = dict(waiting)
+    left = SCAN_LIMIT
+    while tenants and left > 0 and _any_room(state):
+        name = min(tenants, key=lambda tenant: state.batch.served(priority=priority, tenant=tenant))
+        misses = _place_first(state, tenants[name], priority, left)
+        if misses:
+            left -= misses
+            del tenants[name]
+        elif not len(tenants[name]):
+            del tenants[name]
+
+
+def _any_room(state: tables.Tables) -> bool:
+    if state.reserve.lendable > 0:
+        return len(state.batch_workers) > 0
+    return bool(state.harmful) and state.batch_workers.holds(level=0)
+
+
+def _place_first(
+    state: tables.Tables, queue: batch_queue.TenantQueue, priority: int, limit: int
+) -> int:
+    """Place the first job of a queue that fits; give the number of misses if none does."""
+    misses = 0
+    for row in queue.jobs():
+        if misses >= limit:
+            break
+        worker = _worker_for(state, row) if _within_quota(state, row) else None
+        if worker is not None:
+            start(state, row, worker, priority=priority)
+            return 0
+        misses += 1
+        if _impossible(state, row):
+            _park(state, row, priority)
+            return 0
+    return max(misses, 1)
+
+
+def _within_quota(state: tables.Tables, row: rows.Job) -> bool:
+    tenant = state.tenants.get(row.job.tenant)
+    if tenant is None or tenant.quota is None:
+        return True
+    held = state.tenant_use.get(row.job.tenant, resources.NONE)
+    return (held + row.job.demand).fits(tenant.quota)
+
+
+def _worker_for(state: tables.Tables, row: rows.Job) -> rows.Worker | None:
+    harmful = row.job.work_class in state.harmful
+    lendable = state.reserve.lendable >= row.job.demand.slots
+    if not state.harmful and not lendable:
+        return None
+    demand = row.job.demand
+    for count, worker in enumerate(state.batch_workers.best()):
+        if count >= CANDIDATES_LIMIT:
+            break
+        if worker.reserved_for_urgent and (harmful or not lendable):
+            break
+        if worker.worker_id != row.avoid_worker_id and capacity.fits(worker, demand):
+            return worker
+    return None
+
+
+def start(state: tables.Tables, row: rows.Job, worker: rows.Worker, *, priority: int) -> None:
+    """Start the next attempt of a job."""
+    state.batch.remove(row, priority=priority)
+    tenant = state.tenants.get(row.job.tenant)
+    weight = tenant.weight if tenant is not None else 1.0
+    expected_s = max(LEAST_CHARGE_S, state.run_times.estimate_s(row.job) - row.progress_s)
+    amount = expected_s * row.job.demand.slots / max(weight, 1e-6)
+    state.batch.charge(priority=priority, tenant=row.job.tenant, amount=amount)
+    row.attempts += 1
+    row.avoid_worker_id = ""
+    task = rows.Task(
+        task_id=f"{row.job.job_id}/{row.attempts}",
+        job=row,
+        worker=worker,
+        demand=row.job.demand,
+        placed_at=state.now,
+        resumed_s=row.progress_s,
+        saved_at=state.now,
+    )
+    state.reserve_task(task)
+    command = commands.StartTask(
+        task_id=task.task_id,
+        job_id=row.job.job_id,
+        attempt=row.attempts,
+        worker_id=worker.worker_id,
+    )
+    state.commands.append(command)
+
+
+def _impossible(state: tables.Tables, row: rows.Job) -> bool:
+    """Tell whether no worker could ever hold a job; worked out once for each set of workers."""
+    if row.judged_at == state.workers_version:
+        return False
+    row.judged_at = state.workers_version
+    live = [worker for worker in state.workers.values() if not worker.leaving]
+    return bool(live) and not any(row.job.demand.fits(worker.capacity) for worker in live)
+
+
+def _park(state: tables.Tables, row: rows.Job, priority: int) -> None:
+    state.batch.remove(row, priority=priority)
+    row.parked = True
+    state.parked[row.job.job_id] = row
+    command = commands.ParkJob(job_id=row.job.job_id, reason="no-worker-can-hold-it")
+    state.commands.append(command)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/job_events.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/job_events.py
@@ -61,7 +61,7 @@
         demand=event.job.demand,
         state=rows.TaskState.RUNNING,
         placed_at=event.started_at,
-        saved_s=event.progress_s,
+        resumed_s=event.progress_s,
         saved_at=event.started_at,
     )
     state.reserve_task(task)
@@ -87,7 +87,10 @@
 
 @ingest.handler(events.TaskFinished)
 def task_finished(state: tables.Tables, event: events.TaskFinished) -> None:
-    """Drop a finished job."""
+    """Drop a finished job and learn its run time."""
+    task = state.tasks.get(event.task_id)
+    if task is not None:
+        state.run_times.finished(task.job.job, run_s=task.resumed_s + event.run_s)
     _drop(state, event.task_id)
 
 
@@ -102,7 +105,6 @@
     """Note the work that is kept."""
     task = state.tasks.get(event.task_id)
     if task is not None:
-        task.saved_s = event.progress_s
         task.saved_at = state.now
         task.unsaved_s = 0.0
         task.job.progress_s = event.progress_s
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/worker_events.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/worker_events.py
@@ -31,6 +31,7 @@
     worker.leaving = False
     capacity.recount(worker)
     state.touch(worker)
+    state.workers_version += 1
     requeue.unpark(state)
     state.period_at = state.now
     state.batch_dirty = True
@@ -42,6 +43,7 @@
     worker = state.workers.get(event.worker_id)
     if worker is not None:
         worker.leaving = True
+        state.workers_version += 1
         state.touch(worker)
 
 
@@ -52,6 +54,7 @@
     if worker is None:
         return
     worker.leaving = True
+    state.workers_version += 1
     for task in list(worker.tasks.values()):
         requeue.attempt_ended(state, task)
     state.touch(worker)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
@@ -15,6 +15,7 @@
     interference,
     resources,
     rows,
+    run_times,
     settings,
     urgent_queue,
     worker_index,
@@ -43,6 +44,11 @@
         "deadlines",
         "parked",
         "batch_dirty",
+        "workers_version",
+        "run_times",
+        "tenant_use",
+        "short_slots",
+        "batch_slots",
         "sent",
         "free_slots",
         "total_slots",
@@ -87,6 +93,11 @@
         self.deadlines: list[tuple[float, str]] = []
         self.parked: dict[str, rows.Job] = {}
         self.batch_dirty = True
+        self.workers_version = 0
+        self.run_times = run_times.RunTimes()
+        self.tenant_use: dict[str, resources.Resources] = {}
+        self.short_slots = 0
+        self.batch_slots = 0
         self.sent = 0
         self.free_slots = 0
         self.total_slots = 0
@@ -141,9 +152,7 @@
         self.tasks[task.task_id] = task
         task.job.task = task
         task.worker.tasks[task.task_id] = task
-        task.worker.batch_slots += task.demand.slots
-        if self.counts_for_urgent(task.worker):
-            self.reserve.lendable -= task.demand.slots
+        self._count_task(task, sign=1)
         capacity.reserve(task.worker, task.demand)
         self.recompose(task.worker)
 
@@ -152,12 +161,24 @@
         del self.tasks[task.task_id]
         task.job.task = None
         del task.worker.tasks[task.task_id]
-        task.worker.batch_slots -= task.demand.slots
-        if self.counts_for_urgent(task.worker):
-            self.reserve.lendable += task.demand.slots
+        self._count_task(task, sign=-1)
+        self.batch_dirty = True
         self.recompose(task.worker)
         self._release(task.worker, task.demand)
 
+    def _count_task(self, task: rows.Task, *, sign: int) -> None:
+        slots = sign * task.demand.slots
+        task.worker.batch_slots += slots
+        self.batch_slots += slots
+        if task.job.lane is rows.Lane.SHORT:
+            self.short_slots += slots
+        if self.counts_for_urgent(task.worker):
+            self.reserve.lendable -= slots
+        tenant = task.job.job.tenant
+        held = self.tenant_use.get(tenant, resources.NONE)
+        demand = task.job.job.demand
+        self.tenant_use[tenant] = held + demand if sign > 0 else held - demand
+
     def reserve_request(self, row: rows.Request, worker: rows.Worker) -> None:
         """Enter the reservation of a request that is sent."""
         row.worker = worker
@@ -176,9 +197,14 @@
         del worker.requests[row.request.request_id]
         self.sent -= 1
         self._release(worker, row.demand)
+        if not self.counts_for_urgent(worker):
+            self.batch_dirty = True
 
     def queue_job(self, row: rows.Job, *, first: bool = False) -> None:
-        """Queue a job for placement."""
+        """Queue a job for placement, in the lane of its expected run time."""
+        expected_s = self.run_times.estimate_s(row.job)
+        short = expected_s <= self.settings.short_run_s
+        row.lane = rows.Lane.SHORT if short else rows.Lane.LONG
         self.batch.push(row, priority=self.priority_of(row.job.work_class), first=first)
         self.batch_dirty = True
 
@@ -193,5 +219,4 @@
             capacity.release(worker, demand)
         else:
             capacity.recount(worker)
-        self.batch_dirty = True
         self.touch(worker)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/worker_index.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/worker_index.py
@@ -42,6 +42,10 @@
         if key is not None:
             del self._buckets[key][worker.worker_id]
 
+    def holds(self, *, level: int) -> bool:
+        """Tell whether any worker is at a level."""
+        return any(self._buckets[key] for key in self._order if key[0] == level)
+
     def best(self) -> Iterator[rows.Worker]:
         """Iterate from the most preferred worker; the index must not change meanwhile."""
         for key in self._order:
