--- a/packages/ebonyhatch-node/src/ebonyhatch/node/admin.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/admin.py
@@ -18,6 +18,7 @@
     admin_view,
     configuration,
     configuration_errors,
+    logs,
     problems,
 )
 from returns import result
@@ -138,11 +139,7 @@
         if not isinstance(outcome, result.Success):
             raise outcome.failure()
         written = outcome.unwrap()
-        eliot.log_message(
-            message_type="admin:records",
-            generation=written.generation,
-            changed=written.changed,
-        )
+        logs.write("records applied", generation=written.generation, changed=written.changed)
         answer = admin_answers.Written(generation=written.generation, changed=written.changed)
         return admin_answers.write(request=request, answer=answer, generation=written.generation)
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_current.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_current.py
@@ -7,7 +7,7 @@
 
 import eliot
 from ebonyhatch.core import configuration, record_faults, records
-from ebonyhatch.node import configuration_errors, configuration_head
+from ebonyhatch.node import configuration_errors, configuration_head, logs
 from ebonyhatch.platform import timing
 from returns import result
 
@@ -84,7 +84,7 @@
             path=configuration_head.KEY, record="", problem=error.problem, remedy=error.remedy
         )
         if fault != self._fault:
-            eliot.log_message(message_type="configuration:fault", error=str(error))
+            logs.write_error("configuration fault", error=error)
         self._fault = fault
 
     def take(self, raw: bytes, *, source: str) -> configuration_head.Decoded:
@@ -111,9 +111,7 @@
         self._raw = raw
         self._head = head
         self._records = records.read_accepted(bytes(head.records), previous=self._records)
-        eliot.log_message(
-            message_type="configuration:newer", generation=head.generation, source=source
-        )
+        logs.write("configuration newer", generation=head.generation, source=source)
         if not self._held:
             self._publish()
 
