Load: wait for the answer of the last request

Cause: the next arrival was drawn before the present one counted as in progress, so a run whose other requests had ended stopped at the last send.

--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/load_run.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/load_run.py
@@ -49,11 +49,12 @@
         self._clock.callLater(max(0.0, delay_s), self._due, arrival)
 
     def _due(self, arrival: load_plan.Arrival) -> None:
-        self._schedule()
         if self._in_progress >= IN_PROGRESS_LIMIT:
             self._add(arrival, load_report.Outcome.NOT_SENT)
+            self._schedule()
             return
         self._in_progress += 1
+        self._schedule()
         sent = defer.ensureDeferred(self._sent(arrival))
         sent.addErrback(lambda _: self._finish(arrival, load_report.Outcome.FAILED))
 
