--- a/packages/ebonyhatch-cli/tests/test_load_run.py
+++ b/packages/ebonyhatch-cli/tests/test_load_run.py
@@ -8,19 +8,20 @@
 
 
 class Sender:
-    def __init__(self, clock):
+    def __init__(self, clock, service_s):
         self._clock = clock
+        self._service_s = service_s
         self.sent_at = []
 
     async def send(self, arrival):
         self.sent_at.append(self._clock.seconds())
-        await task.deferLater(self._clock, 30.0)
+        await task.deferLater(self._clock, self._service_s)
         return load_report.Outcome.ANSWERED
 
 
-def run(limit):
+def run(limit, *, service_s=30.0):
     clock = task.Clock()
-    sender = Sender(clock)
+    sender = Sender(clock, service_s)
     ended = []
     running = load_run.LoadRun(plan=PLAN, send=sender.send, clock=clock)
     defer.ensureDeferred(running.start()).addCallback(ended.append)
@@ -37,6 +38,11 @@
     assert ended[0].summary()["classes"]["quote"]["answered"] == len(due)
 
 
+def test_last_request_is_waited_for_when_nothing_else_is_open():
+    _, ended = run(600, service_s=0.2)
+    assert ended[0].summary()["classes"]["quote"]["answered"] == len(list(load_plan.arrivals(PLAN)))
+
+
 def test_what_is_due_beyond_the_limit_is_not_sent(monkeypatch):
     monkeypatch.setattr(load_run, "IN_PROGRESS_LIMIT", 1)
     _, ended = run(3_600)
