--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_fields.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_fields.py
@@ -47,10 +47,13 @@
     ) -> record_schema.Record | None:
         """Convert a record, or gather its faults and answer None."""
         body = {key: value for key, value in raw.items() if key not in HEADER_FIELDS}
-        self._check_struct(value=body, struct=struct, path=self._path)
-        if self._faults:
+        try:
+            return msgspec.convert(body, struct)
+        except msgspec.ValidationError as error:
+            self._check_struct(value=body, struct=struct, path=self._path)
+            if not self._faults:
+                self._add(self._path, str(error), "write a value that fits")
             return None
-        return msgspec.convert(body, struct)
 
     def _check_struct(self, *, value: Any, struct: type[msgspec.Struct], path: str) -> None:
         if not isinstance(value, dict):
@@ -82,7 +85,8 @@
         except msgspec.ValidationError as error:
             problem, _, inner = str(error).partition(" - at `$")
             where = path + inner.rstrip("`")
-            self._add(where, f"{shown(value)} is wrong", f"it must fit: {problem}")
+            reason = problem[:1].lower() + problem[1:]
+            self._add(where, f"{shown(value)}: {reason}", "write a value that fits")
 
     def _add(self, path: str, problem: str, remedy: str) -> None:
         self._faults.append(
--- a/packages/ebonyhatch-node/tests/test_cell.py
+++ b/packages/ebonyhatch-node/tests/test_cell.py
@@ -12,14 +12,11 @@
     resources,
     scheduler,
 )
-from ebonyhatch.core import events as _e
-from ebonyhatch.core.systems import ingest as _i
 from ebonyhatch.node import cell, cell_status, messages
 from ebonyhatch.platform import instances, memory_store, memory_workers, workers
 from returns import result
 from twisted.internet import task
 
-_i._HANDLERS.setdefault(_e.UsageReported, lambda state, event: None)
 CAPACITY = resources.Resources(slots=4, connections=64, cores=8.0, memory_gb=16.0)
 CLASSES = (
     entities.WorkClass(name="quote", urgency=entities.Urgency.URGENT, deadline_s=1.0),
