--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_entries.py
@@ -0,0 +1,328 @@
+"""Capacity probes of many entries over one store: calls at rest, loss of a failure domain."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+from ebonyhatch.core import entities
+from ebonyhatch.node import configuration, ownership, ownership_record
+from ebonyhatch.platform import fault_switches, store_engine
+from ebonyhatch.testing.benches import capacity_slopes, counting_store, heap_clock
+from twisted.internet import defer
+
+ENTRY_SIZES = (10, 20, 40)
+CELL_SIZES = (20, 40, 80)
+QUICK_SIZES = (4, 6, 8)
+DOMAINS_LIMIT = 20
+JOIN_S = 60.0
+RUN_S = 120.0
+QUICK_RUN_S = 30.0
+STEP_S = 0.1
+LOSS_LIMIT_S = 180.0
+SILENCE_S = 3.0
+TENANT_SIZES = (35, 140, 560)
+QUICK_TENANT_SIZES = (5, 10, 20)
+CLASSES = 20
+CONFIGURATION_LIMIT_S = 30.0
+STORE_DELAY_S = 0.02
+WRITES = 3
+WRITE_SPACING_S = 0.3
+CUT_SIZES_S = (30.0, 120.0, 300.0)
+QUICK_CUT_SIZES_S = (10.0, 20.0, 30.0)
+SETTLE_S = 60.0
+
+
+class Entry:
+    """One entry's ownership and configuration, with a client of the store of its own."""
+
+    def __init__(self, *, fleet: Fleet, number: int) -> None:
+        self.name = f"entry-{number:03}"
+        self.domain = fleet.domains[number % len(fleet.domains)]
+        self.acting: dict[str, int] = {}
+        self.faults = fault_switches.Faults()
+        self.store = counting_store.CountingStore(
+            clock=fleet.clock, engine=fleet.engine, faults=self.faults
+        )
+        self.owned = ownership.Ownership(
+            member=ownership.Member(
+                entry_id=self.name,
+                host="127.0.0.1",
+                port=1,
+                region=f"region-{number % 6}",
+                failure_domain=self.domain,
+            ),
+            store=self.store,
+            clock=fleet.clock,
+            seed=number + 1,
+            domains=lambda: fleet.domains,
+            cells_per_domain=fleet.cells_per_domain,
+            is_silent=fleet.is_silent,
+            on_gain=self.acting.__setitem__,
+            on_loss=self._lose,
+        )
+        self.configured = configuration.Configuration(
+            store=self.store, clock=fleet.clock, seed=number + 1, on_change=lambda _: None
+        )
+
+    def start(self) -> None:
+        """Join and begin to watch."""
+        self.owned.start()
+        self.configured.start()
+
+    def _lose(self, cell: str) -> defer.Deferred[None]:
+        self.acting.pop(cell, None)
+        return defer.succeed(None)
+
+
+class Fleet:
+    """Entries that share a store on one clock."""
+
+    def __init__(self, *, entries: int, domains: int, cells_per_domain: int = 2) -> None:
+        self.clock = heap_clock.HeapClock()
+        self.engine = store_engine.StoreEngine(clock=self.clock)
+        self.domains = tuple(f"domain-{number:02}" for number in range(domains))
+        self.cells_per_domain = cells_per_domain
+        self.died_at: dict[str, float] = {}
+        self.entries = [Entry(fleet=self, number=number) for number in range(entries)]
+        for entry in self.entries:
+            entry.start()
+        self.run(JOIN_S)
+
+    @property
+    def live(self) -> list[Entry]:
+        """Entries that were not killed."""
+        return [entry for entry in self.entries if entry.name not in self.died_at]
+
+    @property
+    def reads(self) -> int:
+        """Reads of all entries so far."""
+        return sum(entry.store.reads for entry in self.entries)
+
+    @property
+    def writes(self) -> int:
+        """Writes of all entries so far."""
+        return sum(entry.store.writes for entry in self.entries)
+
+    @property
+    def owned_cells(self) -> int:
+        """Cells that a live entry acts for."""
+        return sum(len(entry.acting) for entry in self.live)
+
+    def is_silent(self, entry_id: str) -> bool:
+        """Tell whether an entry has been dead for longer than the peers' time of silence."""
+        died_at = self.died_at.get(entry_id)
+        return died_at is not None and self.clock.seconds() - died_at > SILENCE_S
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+
+    def run_until(self, condition: Callable[[], bool], *, limit_s: float) -> float:
+        """Let time pass until a condition holds; gives the time, at most the limit."""
+        began = self.clock.seconds()
+        while not condition() and self.clock.seconds() - began < limit_s:
+            self.clock.advance(STEP_S)
+        return self.clock.seconds() - began
+
+    def is_settled(self) -> bool:
+        """Tell whether the newest generation is in force at all entries."""
+        generations = {entry.configured.generation for entry in self.entries}
+        return len(generations) == 1 and max(generations) > WRITES
+
+    def is_home(self) -> bool:
+        """Tell whether each cell has one owner, in its failure domain."""
+        owned = [cell for entry in self.entries for cell in entry.acting]
+        home = all(cell.startswith(entry.domain) for entry in self.entries for cell in entry.acting)
+        return home and len(owned) == len(self.domains) * self.cells_per_domain
+
+    def slow_store(self, delay_s: float) -> None:
+        """Let each call to the store take this long."""
+        for entry in self.entries:
+            entry.faults.slow_s = delay_s
+
+    def mend(self) -> None:
+        """Connect all entries that were cut off."""
+        self.died_at.clear()
+        for entry in self.entries:
+            entry.faults.down = False
+            entry.faults.lose_answers = False
+
+    def kill_domain(self, domain: str) -> int:
+        """Cut the entries of a failure domain off for good; gives their number."""
+        gone = [entry for entry in self.entries if entry.domain == domain]
+        for entry in gone:
+            entry.faults.down = True
+            entry.faults.lose_answers = True
+            self.died_at[entry.name] = self.clock.seconds()
+        return len(gone)
+
+
+@capacity_slopes.probe("entries at rest")
+def entries_at_rest(*, seed: int, quick: bool) -> list[capacity_slopes.Slope]:
+    """Store calls and processor time of entries that change nothing."""
+    run_s = QUICK_RUN_S if quick else RUN_S
+    reads, writes, times = [], [], []
+    for size in QUICK_SIZES if quick else ENTRY_SIZES:
+        fleet = Fleet(entries=size, domains=min(size, DOMAINS_LIMIT))
+        before = (fleet.reads, fleet.writes)
+        used = capacity_slopes.cpu_s(lambda f=fleet: f.run(run_s))
+        reads.append((size, (fleet.reads - before[0]) / run_s))
+        writes.append((size, (fleet.writes - before[1]) / run_s))
+        times.append((size, used / run_s / size * 1e3))
+    return [
+        capacity_slopes.slope(
+            name="entries: store reads at rest", unit="1/s", per="entries", points=reads
+        ),
+        capacity_slopes.slope(
+            name="entries: store writes at rest", unit="1/s", per="entries", points=writes
+        ),
+        capacity_slopes.slope(
+            name="entries: ownership and watches", unit="ms/s", per="entries", points=times
+        ),
+    ]
+
+
+@capacity_slopes.probe("ownership record")
+def ownership_size(*, seed: int, quick: bool) -> list[capacity_slopes.Slope]:
+    """Size of the ownership record against cells, two for each entry."""
+    sizes = []
+    for size in CELL_SIZES:
+        record = ownership_record.Record(
+            cells_per_domain=2,
+            members={f"entry-{number:03}": _member(number) for number in range(size // 2)},
+            cells={
+                f"domain-{number:02}.0": ownership_record.Owner(
+                    entry_id=f"entry-{number // 2:03}", epoch=number
+                )
+                for number in range(size)
+            },
+        )
+        sizes.append((size, len(ownership_record.encode(record)) / 1e3))
+    return [
+        capacity_slopes.slope(
+            name="ownership: record", unit="KB", per="cells, two an entry", points=sizes
+        )
+    ]
+
+
+def _member(number: int) -> ownership_record.Member:
+    return ownership_record.Member(
+        entry_id=f"entry-{number:03}",
+        host="10.100.100.100",
+        port=8082,
+        region="region-1",
+        failure_domain=f"domain-{number:02}",
+        incarnation="lease-0123456789abcdef",
+        lease_id="lease-0123456789abcdef",
+    )
+
+
+@capacity_slopes.probe("loss of a failure domain")
+def loss_of_domain(*, seed: int, quick: bool) -> list[capacity_slopes.Slope]:
+    """Time until each cell has a live owner again, and the store calls that it takes."""
+    times, calls = [], []
+    for size in QUICK_SIZES if quick else ENTRY_SIZES:
+        fleet = Fleet(entries=size, domains=min(size, DOMAINS_LIMIT) // 2)
+        cells = len(fleet.domains) * fleet.cells_per_domain
+        before = fleet.reads + fleet.writes
+        fleet.kill_domain(fleet.domains[0])
+        took_s = fleet.run_until(lambda f=fleet, c=cells: f.owned_cells == c, limit_s=LOSS_LIMIT_S)
+        times.append((size, took_s))
+        calls.append((size, (fleet.reads + fleet.writes - before) / took_s))
+    return [
+        capacity_slopes.slope(
+            name="loss of a domain: all cells owned again", unit="s", per="entries", points=times
+        ),
+        capacity_slopes.slope(
+            name="loss of a domain: store calls meanwhile", unit="1/s", per="entries", points=calls
+        ),
+    ]
+
+
+@capacity_slopes.probe("configuration")
+def configuration_changes(*, seed: int, quick: bool) -> list[capacity_slopes.Slope]:
+    """Size, reading time, and time until in force everywhere, against tenants."""
+    sizes, times, delays = [], [], []
+    entries = QUICK_SIZES[0] if quick else ENTRY_SIZES[0]
+    for size in QUICK_TENANT_SIZES if quick else TENANT_SIZES:
+        raw = json.dumps(_records(size)).encode()
+        fleet = Fleet(entries=entries, domains=4)
+        writer = fleet.entries[0].configured
+        used = capacity_slopes.least_cpu_s(lambda w=writer, r=raw: w.check(records_json=r))
+        fleet.slow_store(STORE_DELAY_S)
+        for rank in range(WRITES):
+            writer.write(records=_ranked(raw, rank), expect=None)
+            fleet.run(WRITE_SPACING_S)
+        writer.write(records=raw, expect=None)
+        delays.append((size, fleet.run_until(fleet.is_settled, limit_s=CONFIGURATION_LIMIT_S)))
+        sizes.append((size, len(writer.head) / 1e3))
+        times.append((size, used * 1e3))
+    return [
+        capacity_slopes.slope(name="configuration: head", unit="KB", per="tenants", points=sizes),
+        capacity_slopes.slope(
+            name="configuration: reading a set", unit="ms", per="tenants", points=times
+        ),
+        capacity_slopes.slope(
+            name="configuration: in force everywhere", unit="s", per="tenants", points=delays
+        ),
+    ]
+
+
+def _ranked(raw: bytes, rank: int) -> bytes:
+    return raw.replace(b'"rank": 10', b'"rank": %d' % rank)
+
+
+@capacity_slopes.probe("cut-off region")
+def cut_off_region(*, seed: int, quick: bool) -> list[capacity_slopes.Slope]:
+    """Entries of one domain in six lose the store and their peers for a while, then return."""
+    covered, back, moves = [], [], []
+    for cut_s in QUICK_CUT_SIZES_S if quick else CUT_SIZES_S:
+        fleet = Fleet(entries=12 if quick else 24, domains=6)
+        cells = len(fleet.domains) * fleet.cells_per_domain
+        fleet.kill_domain(fleet.domains[0])
+        covered.append(
+            (cut_s, fleet.run_until(lambda f=fleet, c=cells: f.owned_cells == c, limit_s=cut_s))
+        )
+        fleet.run(cut_s - covered[-1][1])
+        before = fleet.writes
+        fleet.mend()
+        back.append((cut_s, fleet.run_until(fleet.is_home, limit_s=LOSS_LIMIT_S)))
+        fleet.run(SETTLE_S - min(SETTLE_S, back[-1][1]))
+        moves.append((cut_s, (fleet.writes - before) / SETTLE_S))
+    per = "seconds of cut"
+    return [
+        capacity_slopes.slope(
+            name="cut-off region: cells owned elsewhere", unit="s", per=per, points=covered
+        ),
+        capacity_slopes.slope(
+            name="cut-off region: cells home after the return", unit="s", per=per, points=back
+        ),
+        capacity_slopes.slope(
+            name="cut-off region: store writes after the return", unit="1/s", per=per, points=moves
+        ),
+    ]
+
+
+def _records(tenants: int) -> list[dict[str, object]]:
+    described: list[dict[str, object]] = [
+        {"kind": "priority", "name": "counter", "schema_version": 1, "rank": 10}
+    ]
+    described += [
+        {
+            "kind": "work_class",
+            "name": f"class-{number}",
+            "schema_version": 2,
+            "urgency": entities.Urgency.BATCH.value,
+            "priority": "counter",
+            "demand": {"slots": 1, "cores": 1.0, "memory_gb": 1.0},
+            "expected_run_s": 60.0,
+        }
+        for number in range(CLASSES)
+    ]
+    described += [
+        {"kind": "tenant", "name": f"team-{number}", "schema_version": 1, "weight": 1.0}
+        for number in range(tenants)
+    ]
+    return described
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_peers.py
@@ -0,0 +1,251 @@
+"""Capacity probes of the peer network on loopback: gossip, heartbeats and calls."""
+
+from __future__ import annotations
+
+import collections
+import time
+from collections.abc import Callable
+
+from ebonyhatch.core import scheduler
+from ebonyhatch.node import gossip, keys, messages, peers
+from ebonyhatch.platform import workers
+from ebonyhatch.testing.benches import capacity_slopes
+from twisted.internet import defer, reactor, task
+
+ENTRY_SIZES = (6, 12, 24)
+QUICK_ENTRY_SIZES = (2, 3, 4)
+REGIONS = 6
+CELLS = 40
+CALL_SIZES_BYTES = (200, 20_000, 200_000)
+CALLS = 300
+QUICK_CALLS = 30
+IN_FLIGHT = 8
+RUN_S = 8.0
+QUICK_RUN_S = 1.0
+WARM_UP_S = 3.0
+QUICK_WARM_UP_S = 1.0
+TIMEOUT_S = 10.0
+
+ROOM = scheduler.Room(
+    free_slots=1_234, total_slots=1_980, queued_urgent=0, wait_s=0.0123, queued_batch=1_000
+)
+
+
+class Member:
+    """One entry with gossip."""
+
+    def __init__(self, *, name: str, cells: int, ring: keys.KeyRing | None) -> None:
+        self.name = name
+        self.cells = cells
+        self.traffic: collections.Counter[str] = collections.Counter()
+        self.frames: collections.Counter[str] = collections.Counter()
+        self.network = peers.PeerNetwork(
+            reactor=reactor,
+            entry_id=name,
+            host="127.0.0.1",
+            port=0,
+            keys=ring,
+            on_bytes=self._count,
+        )
+        self.gossiper = gossip.Gossiper(reactor=reactor, network=self.network, report=self._report)
+
+    def close(self) -> None:
+        """Stop."""
+        self.gossiper.close()
+        self.network.close()
+
+    def _count(self, direction: str, size: int) -> None:
+        self.traffic[direction] += size
+        self.frames[direction] += 1
+
+    def _report(self) -> messages.Gossip:
+        return messages.Gossip(
+            entry_id=self.name,
+            generation=123_456,
+            ownership_version=12_345,
+            rooms=tuple(
+                messages.CellRoom(cell=f"domain-{number:02}.1", epoch=12, room=ROOM)
+                for number in range(self.cells)
+            ),
+        )
+
+
+class Mesh:
+    """Entries that all know each other; `near` counts those of one region."""
+
+    def __init__(self, *, size: int, regions: int, cells: int, keyed: bool = False) -> None:
+        names = [f"entry-{number:03}" for number in range(size)]
+        pairs = {name: keys.new_pair() for name in names}
+        public = {name: pair.public for name, pair in pairs.items()}
+        rings = {name: keys.KeyRing(pair=pairs[name], peers=public) for name in names}
+        self.members = [
+            Member(name=name, cells=cells, ring=rings[name] if keyed else None) for name in names
+        ]
+        self._regions = regions
+
+    def start(self) -> None:
+        """Listen, link and begin to tell."""
+        for member in self.members:
+            member.network.start()
+        for number, member in enumerate(self.members):
+            region = number % self._regions
+            others = [(n, other) for n, other in enumerate(self.members) if n != number]
+            near = tuple(o.name for n, o in others if n % self._regions == region)
+            far = tuple(o.name for n, o in others if n % self._regions != region)
+            member.network.set_peers(
+                peers=tuple(
+                    peers.PeerAddress(
+                        entry_id=other.name,
+                        host="127.0.0.1",
+                        port=other.network.port,
+                        near=other.name in near,
+                    )
+                    for _, other in others
+                )
+            )
+            member.gossiper.set_peers(near=near, far=far)
+            member.gossiper.start()
+
+    def close(self) -> None:
+        """Stop all."""
+        for member in self.members:
+            member.close()
+
+    def total(self, counter: str) -> int:
+        """Sum a counter over all members, both directions."""
+        return sum(sum(getattr(member, counter).values()) for member in self.members)
+
+
+def run_on_reactor(work: Callable[[], defer.Deferred[None]]) -> None:
+    """Run the reactor by hand until `work` is done, so that it can be run again."""
+    done = work()
+    failed: list[object] = []
+    done.addErrback(failed.append)
+    while not done.called:
+        reactor.iterate(0.01)  # type: ignore[attr-defined]
+    if failed:
+        raise RuntimeError(str(failed[0]))
+
+
+def sleep(seconds: float) -> defer.Deferred[None]:
+    """Wait on the reactor."""
+    return task.deferLater(reactor, seconds, lambda: None)  # type: ignore[arg-type]
+
+
+class MeshFigures:
+    """What one mesh spends, for each entry."""
+
+    def __init__(self, *, mesh: Mesh, quick: bool) -> None:
+        self._mesh = mesh
+        self._run_s = QUICK_RUN_S if quick else RUN_S
+        self._warm_up_s = QUICK_WARM_UP_S if quick else WARM_UP_S
+        self.kb_s = 0.0
+        self.frames_s = 0.0
+        self.cpu_ms_s = 0.0
+
+    def measure(self) -> MeshFigures:
+        """Run the mesh for a while."""
+        run_on_reactor(lambda: defer.ensureDeferred(self._measure()))
+        return self
+
+    async def _measure(self) -> None:
+        mesh = self._mesh
+        mesh.start()
+        await sleep(self._warm_up_s)
+        traffic, frames = mesh.total("traffic"), mesh.total("frames")
+        cpu, began = time.process_time(), time.monotonic()
+        await sleep(self._run_s)
+        spent_s = (time.monotonic() - began) * len(mesh.members)
+        self.kb_s = (mesh.total("traffic") - traffic) / spent_s / 1e3
+        self.frames_s = (mesh.total("frames") - frames) / spent_s
+        self.cpu_ms_s = (time.process_time() - cpu) / spent_s * 1e3
+        mesh.close()
+
+
+@capacity_slopes.probe("gossip")
+def gossip_traffic(*, seed: int, quick: bool) -> list[capacity_slopes.Slope]:
+    """Payload and processor time of gossip and heartbeats, all entries in one region or in six."""
+    slopes = []
+    for title, regions, keyed in (("one region", 1, False), ("six regions, keys", 6, True)):
+        kilobytes, frames, times = [], [], []
+        for size in QUICK_ENTRY_SIZES if quick else ENTRY_SIZES:
+            mesh = Mesh(size=size, regions=regions, cells=max(1, CELLS // size), keyed=keyed)
+            figures = MeshFigures(mesh=mesh, quick=quick).measure()
+            kilobytes.append((size, figures.kb_s))
+            frames.append((size, figures.frames_s))
+            times.append((size, figures.cpu_ms_s))
+        slopes += [
+            capacity_slopes.slope(
+                name=f"gossip, {title}: payload both ways",
+                unit="KB/s",
+                per="entries",
+                points=kilobytes,
+            ),
+            capacity_slopes.slope(
+                name=f"gossip, {title}: frames both ways", unit="1/s", per="entries", points=frames
+            ),
+            capacity_slopes.slope(
+                name=f"gossip, {title}: processor time", unit="ms/s", per="entries", points=times
+            ),
+        ]
+    return slopes
+
+
+@capacity_slopes.probe("peer calls")
+def peer_calls(*, seed: int, quick: bool) -> list[capacity_slopes.Slope]:
+    """Processor time of both sides for a forwarded request and its answer."""
+    points = []
+    for size in CALL_SIZES_BYTES:
+        mesh = Mesh(size=2, regions=1, cells=1)
+        points.append((size / 1e3, _call_us(mesh, size, QUICK_CALLS if quick else CALLS)))
+    return [
+        capacity_slopes.slope(
+            name="peer call: both sides", unit="us", per="KB of body each way", points=points
+        )
+    ]
+
+
+def _call_us(mesh: Mesh, size: int, count: int) -> float:
+    spent: list[float] = []
+
+    async def work() -> None:
+        mesh.start()
+        one, two = (member.network for member in mesh.members)
+        answer = messages.RequestReply(request_id="r", answer=_answer(size))
+        two.handle(messages.RequestCall, lambda sender, message: answer)
+        while one.last_heard_s(mesh.members[1].name) is None:
+            await sleep(0.01)
+        began = time.process_time()
+        for _ in range(count // IN_FLIGHT):
+            await defer.gatherResults(
+                [
+                    one.call(
+                        entry_id=mesh.members[1].name, message=_call(size), timeout_s=TIMEOUT_S
+                    ).addCallback(lambda reply: reply.unwrap())
+                    for _ in range(IN_FLIGHT)
+                ]
+            )
+        spent.append(time.process_time() - began)
+        mesh.close()
+
+    run_on_reactor(lambda: defer.ensureDeferred(work()))
+    return spent[0] / (count // IN_FLIGHT * IN_FLIGHT) * 1e6
+
+
+def _answer(size: int) -> workers.ServiceAnswer:
+    return workers.ServiceAnswer(request_id="r", status=200, headers=(), body=bytes(size))
+
+
+def _call(size: int) -> messages.RequestCall:
+    request = workers.ServiceRequest(
+        request_id="r",
+        service="quotes",
+        method="POST",
+        path="/v1/quotes",
+        headers=(workers.Header(name="Content-Type", value="application/json"),),
+        body=bytes(size),
+        timeout_s=TIMEOUT_S,
+    )
+    return messages.RequestCall(
+        cell="domain-01.1", request=request, work_class="quote", tenant="team-1", idempotent=True
+    )
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_scheduler.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_scheduler.py
@@ -46,9 +46,7 @@
         ]
         self.tick([events.ClassesChanged(classes=(URGENT, BATCH), tenants=tenants), *joined])
 
-    def tick(
-        self, happened: list[events.Event], step_s: float = TICK_S
-    ) -> list[commands.Command]:
+    def tick(self, happened: list[events.Event], step_s: float = TICK_S) -> list[commands.Command]:
         """Hand events over after a step of the clock."""
         self.now += step_s
         return self.scheduler.tick(now=self.now, events=happened)
