--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
@@ -0,0 +1,89 @@
+"""The scheduler that nodes run: tables and the systems over them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from ebonyhatch.core import (
+    commands,
+    events,
+    explanation,
+    interference,
+    rooms,
+    scheduler,
+    settings,
+    tables,
+)
+from ebonyhatch.core.systems import (
+    admission,
+    batch_placement,
+    eviction,
+    expire,
+    ingest,
+    job_events,
+    request_events,
+    request_placement,
+    reserve,
+    sharing,
+    worker_events,
+)
+
+HANDLERS = (worker_events, job_events, request_events, sharing)
+"""Modules that register event handlers."""
+
+PERIOD_S = 0.1
+"""How often the systems that look at all workers run."""
+
+ROUNDING_S = 1e-6
+
+
+@scheduler.policy("default")
+class DefaultScheduler(scheduler.Scheduler):
+    """Runs the systems over the tables each tick."""
+
+    __slots__ = ("_tables",)
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        defaults: settings.Settings | None = None,
+        interference_mode: str = "pairs",
+    ) -> None:
+        self._tables = tables.Tables(
+            defaults=defaults or settings.Settings(),
+            model=interference.Interference(mode=interference_mode, seed=seed),
+        )
+
+    @property
+    def tables(self) -> tables.Tables:
+        """The tables, for tests and operators' views."""
+        return self._tables
+
+    def tick(self, *, now: float, events: Sequence[events.Event]) -> list[commands.Command]:
+        """Take in events and decide."""
+        state = self._tables
+        state.now = now
+        ingest.run(state, events)
+        expire.run(state)
+        periodic = now >= state.period_at - ROUNDING_S
+        if periodic:
+            state.period_at = now + PERIOD_S
+            sharing.run(state)
+            reserve.run(state)
+        admission.run(state)
+        request_placement.run(state)
+        batch_placement.run(state)
+        if periodic:
+            eviction.run(state)
+        taken = state.commands
+        state.commands = []
+        return taken
+
+    def room(self, *, now: float) -> scheduler.Room:
+        """Summarize what the cell could take."""
+        return rooms.summarize(self._tables)
+
+    def explain(self, *, subject_id: str) -> str:
+        """Say in a sentence why a job or request waits, or where it is."""
+        return explanation.explain(self._tables, subject_id=subject_id)
