--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_store.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_store.py
@@ -15,6 +15,9 @@
 REFUSED_STATUSES = frozenset({400, 404, 413, 429, 503})
 """Statuses that may say that a call had no effect."""
 
+OVERLOAD_STATUSES = frozenset({429, 503})
+"""Of these, the ones that say that the service takes no calls now."""
+
 Read = Callable[[bytes], Any]
 
 
@@ -98,8 +101,9 @@
 ) -> Any:
     if isinstance(outcome, result.Failure):
         error = outcome.failure()
-        kind = store.UnknownError if error.sent else store.RefusedError
-        return result.Failure(kind(key=key, reason=error.reason))
+        if error.sent:
+            return result.Failure(store.UnknownError(key=key, reason=error.reason))
+        return result.Failure(store.RefusedError(key=key, reason=error.reason, unavailable=True))
     answer = outcome.unwrap()
     try:
         return _value(answer, key, read, expected_version)
@@ -118,7 +122,10 @@
         )
     if answer.status in REFUSED_STATUSES:
         refused = answers.decode(answer.body, store_messages.RefusedAnswer)
-        return result.Failure(store.RefusedError(key=key, reason=refused.refused))
+        overload = answer.status in OVERLOAD_STATUSES
+        return result.Failure(
+            store.RefusedError(key=key, reason=refused.refused, unavailable=overload)
+        )
     raise answers.BadAnswerError(f"status {answer.status}")
 
 
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/memory_store.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/memory_store.py
@@ -93,7 +93,7 @@
     def _call(self, key: str, effect: Callable[[], Any], *, extra_s: float = 0.0) -> Any:
         return self._calls.call(
             effect=effect,
-            refused=lambda reason: store.RefusedError(key=key, reason=reason),
+            refused=lambda reason: store.RefusedError(key=key, reason=reason, unavailable=True),
             unknown=lambda reason: store.UnknownError(key=key, reason=reason),
             timeout_s=self._timeout_s + extra_s,
         )
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/store.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/store.py
@@ -34,15 +34,19 @@
 
 
 class RefusedError(StoreError):
-    """The call certainly had no effect: overload, bad argument, no such lease, not reachable."""
+    """The call certainly had no effect: overload, bad argument, no such lease, not reachable.
 
-    def __init__(self, *, key: str, reason: str) -> None:
+    `unavailable` tells that the service was not reached or takes no calls now.
+    """
+
+    def __init__(self, *, key: str, reason: str, unavailable: bool = False) -> None:
         super().__init__(
             problem=f"the store refused {key}: {reason}",
             remedy="try again later with backoff, or mend the argument",
         )
         self.key = key
         self.reason = reason
+        self.unavailable = unavailable
 
 
 class UnknownError(StoreError):
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/store_messages.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/store_messages.py
@@ -53,7 +53,7 @@
 
 
 class RefusedAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """The call had no effect, status 400 or 503."""
+    """The call had no effect, status 400; 429 or 503 when overloaded."""
 
     refused: str
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/store.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/store.py
@@ -144,7 +144,7 @@
         conflict = store_messages.ConflictAnswer(actual_version=error.actual_version)
         return serving.json_reply(conflict, status=409)
     if isinstance(error, store.RefusedError):
-        return serving.json_reply(store_messages.RefusedAnswer(refused=error.reason), status=503)
+        return serving.json_reply(store_messages.RefusedAnswer(refused=error.reason), status=400)
     return serving.json_reply(store_messages.RefusedAnswer(refused=str(error)), status=400)
 
 
