--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/connection_pool.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/connection_pool.py
@@ -40,6 +40,18 @@
     timer: timing.Timer
 
 
+class _ClientConnection(client.HTTP11ClientProtocol):
+    """Keeps the parser of the last answer: only it knows the `Connection` header."""
+
+    parser: Any = None
+
+    def request(self, request: Any) -> Any:
+        """Send a request."""
+        answering = super().request(request)
+        self.parser = self._parser
+        return answering
+
+
 class _ConnectionFactory(protocol.Factory):
     """Builds client protocols that come back to the pool after each answer."""
 
@@ -51,7 +63,7 @@
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Build the protocol of a new connection."""
-        built = client.HTTP11ClientProtocol(lambda made: self._pool.give_back(self._key, made))
+        built = _ClientConnection(lambda made: self._pool.give_back(self._key, made))
         built.factory = self
         return built
 
@@ -217,6 +229,12 @@
         """Whether a connection was handed out, so that the first byte may have left."""
         return self._connection is not None
 
+    @property
+    def connection_options(self) -> frozenset[str]:
+        """What the answer's `Connection` header names, in lower case."""
+        lines = self._connection.parser.connHeaders.getRawHeaders("Connection", [])
+        return frozenset(name.strip().lower() for line in lines for name in line.split(","))
+
     def getConnection(self, key: Key, endpoint: Any) -> defer.Deferred[Any]:  # noqa: N802
         """Answer a connection of the pool, and remember it."""
         return self._pool.getConnection(key, endpoint).addCallback(self._remember)
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_calls.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_calls.py
@@ -165,7 +165,7 @@
     def _read(
         self, response: Any, request_id: str, checkout: connection_pool.Checkout
     ) -> defer.Deferred[Answer]:
-        headers = _header_lines(response)
+        headers = _header_lines(response, dropped=checkout.connection_options)
         repeated = [value for name, value in headers if name.lower() == REQUEST_ID_HEADER.lower()]
         if repeated != [request_id]:
             checkout.drop()
@@ -196,10 +196,11 @@
     return f"http://[{host}]:{port}" if ":" in host else f"http://{host}:{port}"
 
 
-def _header_lines(response: Any) -> tuple[tuple[str, str], ...]:
+def _header_lines(response: Any, *, dropped: frozenset[str]) -> tuple[tuple[str, str], ...]:
     return tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, values in response.headers.getAllRawHeaders()
+        if name.decode("latin-1").lower() not in dropped
         for value in values
     )
 
