A dropped connection is never used again; faults over HTTP spare who sets them

Found by the test of mismatched answers, which failed at times: an answer that came whole put its connection back into the pool before the abort was seen, and the next call met it and ended as unknown. Every call that fails now drops its connection the same way.

--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/connection_pool.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/connection_pool.py
@@ -41,9 +41,20 @@
 
 
 class _ClientConnection(client.HTTP11ClientProtocol):
-    """Keeps the parser of the last answer: only it knows the `Connection` header."""
+    """A connection that knows whether it was dropped.
+
+    It keeps the parser of the last answer, since only that knows the `Connection` header.
+    """
 
     parser: Any = None
+    dropped = False
+
+    def drop(self) -> None:
+        """Abort; whatever still arrives, the pool will not use it again."""
+        self.dropped = True
+        transport: Any = self.transport
+        if transport is not None:
+            transport.abortConnection()
 
     def request(self, request: Any) -> Any:
         """Send a request."""
@@ -120,7 +131,7 @@
                 self._discard(idle)
         self._idle.clear()
         for connection in list(self._probing):
-            connection.transport.abortConnection()
+            connection.drop()
 
     def getConnection(self, key: Key, endpoint: Any) -> defer.Deferred[Any]:  # noqa: N802
         """Answer a connection for one call: idle and known to work, or new."""
@@ -128,7 +139,7 @@
         while idles:
             idle = idles.pop()
             idle.timer.cancel()
-            if idle.connection.state != "QUIESCENT":
+            if idle.connection.dropped or idle.connection.state != "QUIESCENT":
                 continue
             if self._reactor.seconds() - idle.since < PROBE_IDLE_S:
                 return defer.succeed(idle.connection)
@@ -140,7 +151,7 @@
         if self._closed:
             connection.transport.loseConnection()
             return
-        if connection in self._probing:
+        if connection.dropped or connection in self._probing:
             return
         idles = self._idle.setdefault(key, collections.deque())
         idle = _Idle(
@@ -172,7 +183,7 @@
         url = f"http://{key[1].decode('ascii')}:{key[2]}{PROBE_PATH}"
         answered = agent.request(b"GET", url.encode("ascii"))
         answered.addCallback(body_reader.read, limit_bytes=PROBE_LIMIT_BYTES)
-        timer = self._reactor.callLater(PROBE_TIMEOUT_S, connection.transport.abortConnection)
+        timer = self._reactor.callLater(PROBE_TIMEOUT_S, connection.drop)
         answered.addCallbacks(lambda _: connection.state == "QUIESCENT", lambda _: False)
         answered.addCallback(self._end_probe, key, connection, timer, verdict)
         return verdict
@@ -195,7 +206,7 @@
 
     def _drop_silent(self, key: Key, connection: Any) -> None:
         self._dropped += 1
-        connection.transport.abortConnection()
+        connection.drop()
         idles = self._idle.get(key, collections.deque())
         now = self._reactor.seconds()
         while idles and now - idles[0].since >= PROBE_IDLE_S:
@@ -212,7 +223,7 @@
     def _discard(self, idle: _Idle) -> None:
         if idle.timer.active():
             idle.timer.cancel()
-        idle.connection.transport.abortConnection()
+        idle.connection.drop()
 
 
 class Checkout:
@@ -241,8 +252,8 @@
 
     def drop(self) -> None:
         """Abort the connection, so that nothing more is read from it."""
-        if self._connection is not None and self._connection.transport is not None:
-            self._connection.transport.abortConnection()
+        if self._connection is not None:
+            self._connection.drop()
 
     def _remember(self, connection: Any) -> Any:
         self._connection = connection
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_calls.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_calls.py
@@ -206,6 +206,7 @@
 
 
 def _to_result(failure: failure_module.Failure, checkout: connection_pool.Checkout) -> Any:
+    checkout.drop()
     if isinstance(failure.value, CallError):
         return result.Failure(failure.value)
     sent = checkout.sent and not failure.check(client.RequestNotSent)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/connections.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/connections.py
@@ -39,12 +39,13 @@
     protocol = Connection
     noisy = False
 
-    def silence(self) -> None:
-        """Make every connection that is open now silent for good."""
+    def silence(self, *, spared: Any = None) -> None:
+        """Make every connection that is open now silent for good, but one."""
         for connection in self.protocols:
-            connection.silent = True
+            connection.silent = connection is not spared
 
-    def abort(self) -> None:
-        """Abort every open connection."""
+    def abort(self, *, spared: Any = None) -> None:
+        """Abort every open connection but one."""
         for connection in list(self.protocols):
-            connection.transport.abortConnection()
+            if connection is not spared:
+                connection.transport.abortConnection()
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/serving.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/serving.py
@@ -98,20 +98,25 @@
             self._factory.abort()
         return defer.DeferredList([stopped for stopped in closing if stopped is not None])
 
-    def apply_faults(self) -> None:
-        """Bring the connections in line with the faults."""
+    def apply_faults(self, *, spared: Any = None) -> None:
+        """Bring the connections in line with the faults, but for the one that asks for it."""
         if self._factory is None:
             return
         if self._faults.silent_connections:
-            self._factory.silence()
+            self._factory.silence(spared=spared)
             self._faults.silent_connections = False
         if self._faults.down and self._main is not None:
             self._main.stopListening()
             self._main = None
-            self._factory.abort()
+            self._factory.abort(spared=spared)
         elif not self._faults.down and self._main is None:
             self._listen()
 
+    def silence(self) -> None:
+        """Make every connection that is open now silent for good."""
+        if self._factory is not None:
+            self._factory.silence()
+
     def answer(self, request: Any, effect: Effect) -> Any:
         """Carry out `effect` on the body under the faults; it answers a `Reply`, maybe later.
 
@@ -178,7 +183,8 @@
         except BadCallError as error:
             request.setResponseCode(400)
             return str(error).encode()
-        running.apply_faults()
+        running.apply_faults(spared=request.transport)
+        request.setHeader("Connection", "close")
     request.setHeader("Content-Type", "application/json")
     return msgspec.json.encode(running.faults)
 
--- a/packages/ebonyhatch-testing/tests/test_stand_ins.py
+++ b/packages/ebonyhatch-testing/tests/test_stand_ins.py
@@ -6,12 +6,15 @@
 import sys
 
 import pytest
+import treq
 from ebonyhatch.platform import (
+    connection_pool,
     fault_switches,
     http_instances,
     http_store,
     http_workers,
     instances,
+    store,
 )
 from ebonyhatch.testing import reactor_thread
 from ebonyhatch.testing.contracts import (
@@ -23,6 +26,7 @@
 from ebonyhatch.testing.stand_ins import instances as instances_stand_in
 from ebonyhatch.testing.stand_ins import store as store_stand_in
 from ebonyhatch.testing.stand_ins import worker as worker_stand_in
+from twisted.internet import error
 
 REACTOR = reactor_thread.reactor
 TIMEOUT_S = 0.5
@@ -111,6 +115,50 @@
         rig.close()
 
 
+class TestFaultsOverHttp:
+    @pytest.fixture
+    def under_test(self):
+        rig = HttpStoreRig()
+        yield rig
+        rig.close()
+
+    def ask(self, rig, method, path, body=None, *, port=None):
+        url = f"http://127.0.0.1:{port or rig.stand_in.server.port}{path}"
+
+        def call():
+            asked = treq.request(method, url, data=body, persistent=False)
+            return asked.addCallback(treq.json_content)
+
+        return rig.rig.run(call)
+
+    def test_faults_are_set_and_cleared_also_while_down(self, under_test):
+        shown = self.ask(under_test, "PUT", "/faults", b'{"down": true}')
+        assert shown["down"] is True
+        with pytest.raises(error.ConnectError):
+            self.ask(under_test, "GET", "/faults")
+        second = under_test.stand_in.server.faults_port
+        assert self.ask(under_test, "PUT", "/faults", b"{}", port=second)["down"] is False
+        assert under_test.get().version == 0
+        assert self.ask(under_test, "GET", "/counts") == {"get": 1}
+
+    def test_open_connections_go_silent_and_new_ones_work(self, under_test, monkeypatch):
+        monkeypatch.setattr(connection_pool, "PROBE_IDLE_S", 0.0)
+        under_test.get()
+        under_test.set_faults(silent_connections=True)
+        version = under_test.swap(b"1", expected=0).unwrap()
+        assert under_test.get().version == version
+        assert under_test.port.calls.pool.dropped == 1
+
+    def test_waiting_call_on_a_silent_connection_is_unknown(self, under_test):
+        def watch_then_silence():
+            watching = under_test.port.watch(key="k", after_version=0, wait_s=0.2)
+            REACTOR.callLater(0.1, lambda: under_test.stand_in.server.silence())
+            return watching
+
+        outcome = under_test.rig.run(watch_then_silence)
+        assert isinstance(outcome.failure(), store.UnknownError)
+
+
 @pytest.mark.parametrize(
     ("name", "options"),
     [
