--- a/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
@@ -238,6 +238,10 @@
 
 def _write_answer(request: server.Request, answer: workers.ServiceAnswer) -> bytes:
     request.setResponseCode(answer.status)
+    values: dict[str, list[str]] = {}
     for header in service_calls.end_to_end(answer.headers):
-        request.responseHeaders.addRawHeader(header.name, header.value)
+        values.setdefault(header.name, []).append(header.value)
+    for name, lines in values.items():
+        request.responseHeaders.setRawHeaders(name, lines)
+    request.setHeader("Content-Length", str(len(answer.body)))
     return answer.body
