--- a/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
@@ -17,7 +17,7 @@
     routing,
     service_calls,
 )
-from ebonyhatch.platform import timing, workers
+from ebonyhatch.platform import header_rules, timing, workers
 from returns import result
 from twisted.internet import defer
 from twisted.web import server
@@ -239,7 +239,7 @@
 def _write_answer(request: server.Request, answer: workers.ServiceAnswer) -> bytes:
     request.setResponseCode(answer.status)
     values: dict[str, list[str]] = {}
-    for header in service_calls.end_to_end(answer.headers):
+    for header in header_rules.end_to_end(answer.headers):
         values.setdefault(header.name, []).append(header.value)
     for name, lines in values.items():
         request.responseHeaders.setRawHeaders(name, lines)
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/service_calls.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/service_calls.py
@@ -8,7 +8,7 @@
 import msgspec
 from ebonyhatch.core import configuration, entities
 from ebonyhatch.node import caller_errors, messages
-from ebonyhatch.platform import workers
+from ebonyhatch.platform import header_rules, workers
 from returns import result
 
 CLASS_HEADER = "ebonyhatch-class"
@@ -22,23 +22,6 @@
 MS_PER_S = 1000.0
 
 _OWN_HEADERS = frozenset({CLASS_HEADER, TENANT_HEADER, TIMEOUT_HEADER, KEY_HEADER})
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "host",
-        "expect",
-    }
-)
-
 Headers = Sequence[workers.Header]
 
 
@@ -70,18 +53,6 @@
         return result.Failure(error)
 
 
-def end_to_end(headers: Headers) -> tuple[workers.Header, ...]:
-    """Strip hop-by-hop headers, those that `Connection` names among them."""
-    named = {
-        name.strip().lower()
-        for header in headers
-        if header.name.lower() == "connection"
-        for name in header.value.split(",")
-    }
-    dropped = _HOP_BY_HOP | named
-    return tuple(header for header in headers if header.name.lower() not in dropped)
-
-
 def _read(request: CallerRequest, in_force: configuration.InForce) -> messages.RequestCall:
     service = _service(request.service, in_force)
     if len(request.body) > service.body_limit_bytes:
@@ -173,5 +144,5 @@
 
 
 def _passed_on(headers: Headers) -> tuple[workers.Header, ...]:
-    kept = end_to_end(headers)
+    kept = header_rules.end_to_end(headers)
     return tuple(header for header in kept if header.name.lower() not in _OWN_HEADERS)
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/gateway.py
@@ -0,0 +1,218 @@
+"""Bench of the gateway: throughput and latency against a bare relay, over loopback."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import http.client
+import json
+import pathlib
+import random
+import statistics
+import tempfile
+import time
+import urllib.parse
+
+import click
+import msgspec
+from ebonyhatch.testing import processes, samples
+from ebonyhatch.testing.benches import registry
+
+CALLERS = 16
+REQUESTS_ALONE = 300
+REQUESTS_EACH = 60
+QUICK_DIVISOR = 5
+BODY_BYTES = (10, 2_000)
+MS_PER_S = 1000.0
+TARGETS = {
+    "throughput_at_16_to_relay": 0.7,
+    "median_at_1_to_relay": 1.5,
+    "median_forwarded_to_relay": 2.2,
+}
+
+
+class Route(msgspec.Struct, frozen=True, kw_only=True):
+    """One way to the service."""
+
+    name: str
+    url: str
+
+
+class Figures(msgspec.Struct, frozen=True, kw_only=True):
+    """What one route did under one seed."""
+
+    median_ms: float
+    p99_ms: float
+    requests_per_s: float
+
+
+@registry.bench("gateway")
+def run(*, seeds: tuple[int, ...], quick: bool = False) -> None:
+    """Measure each route for each seed and print medians and the worst."""
+    divisor = QUICK_DIVISOR if quick else 1
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = processes.Deployment(
+            folder=pathlib.Path(folder),
+            entry_ids=("entry-a", "entry-b"),
+            worker_ids=("worker-1", "worker-2"),
+            slots=CALLERS,
+        )
+        with processes.running(deployment):
+            routes = _prepare(deployment)
+            rows = {
+                seed: {route.name: _measure(route, seed, divisor) for route in routes}
+                for seed in seeds
+            }
+    _print(rows)
+
+
+def _prepare(deployment: processes.Deployment) -> tuple[Route, ...]:
+    """Bring up the relay and a service for each failure domain."""
+    deployment.apply_records(entry_id="entry-a", records=_records())
+    relay = _start_relay(deployment)
+    owners = processes.wait_for(lambda: _owners(deployment), what="a cell for each entry")
+    own = next(domain for domain, owner in owners.items() if owner == "entry-a")
+    other = next(domain for domain, owner in owners.items() if owner == "entry-b")
+    routes = (
+        Route(name="relay", url=relay),
+        Route(name="own", url=deployment.caller_url("entry-a", f"/v1/services/{own}/x")),
+        Route(name="forwarded", url=deployment.caller_url("entry-a", f"/v1/services/{other}/x")),
+    )
+    for route in routes:
+        processes.wait_for(
+            lambda url=route.url: processes.fetch(url).status == 200,  # type: ignore[misc]
+            what=route.name,
+        )
+    return routes
+
+
+def _records() -> list[dict[str, object]]:
+    service = next(record for record in samples.RECORDS if record["kind"] == "service")
+    others = [record for record in samples.RECORDS if record["kind"] != "service"]
+    domains = ("domain-1", "domain-2")
+    hosted = [{**service, "name": name, "failure_domains": [name]} for name in domains]
+    return others + hosted
+
+
+def _start_relay(deployment: processes.Deployment) -> str:
+    """Start a worker of its own and the relay before it."""
+    worker_port, relay_port = processes.free_port(), processes.free_port()
+    deployment.start_module(
+        name="bare-worker",
+        module="ebonyhatch.testing.stand_ins.worker",
+        arguments=(
+            "--worker-id",
+            "bare",
+            "--port",
+            str(worker_port),
+            "--slots",
+            str(CALLERS),
+        ),
+    )
+    deployment.start_module(
+        name="relay",
+        module="ebonyhatch.testing.relay",
+        arguments=(
+            "--port",
+            str(relay_port),
+            "--target",
+            f"http://{processes.HOST}:{worker_port}",
+        ),
+    )
+    return f"http://{processes.HOST}:{relay_port}/service/quotes/x"
+
+
+def _owners(deployment: processes.Deployment) -> dict[str, str]:
+    """Map failure domains to owners once each entry serves a cell."""
+    found = {
+        str(cell["name"]).rpartition(".")[0]: str(cell["owner"])
+        for entry_id in deployment.entries
+        for cell in deployment.status(entry_id)["cells"]  # type: ignore[attr-defined]
+        if cell["serving"]
+    }
+    return found if set(found.values()) == set(deployment.entries) else {}
+
+
+def _measure(route: Route, seed: int, divisor: int) -> Figures:
+    draw = random.Random(seed)
+    bodies = [draw.randbytes(draw.randint(*BODY_BYTES)) for _ in range(REQUESTS_EACH)]
+    alone = _ask_in_turn(route.url, bodies, REQUESTS_ALONE // divisor)
+    began_at = time.perf_counter()
+    with concurrent.futures.ThreadPoolExecutor(max_workers=CALLERS) as pool:
+        asked = [
+            pool.submit(_ask_in_turn, route.url, bodies, REQUESTS_EACH // divisor)
+            for _ in range(CALLERS)
+        ]
+        count = sum(len(done.result()) for done in asked)
+    together_s = time.perf_counter() - began_at
+    return Figures(
+        median_ms=statistics.median(alone) * MS_PER_S,
+        p99_ms=sorted(alone)[int(0.99 * len(alone))] * MS_PER_S,
+        requests_per_s=count / together_s,
+    )
+
+
+def _ask_in_turn(url: str, bodies: list[bytes], count: int) -> list[float]:
+    """Ask one after another over one connection; every answer is checked."""
+    parts = urllib.parse.urlsplit(url)
+    connection = http.client.HTTPConnection(parts.netloc, timeout=10.0)
+    taken_s = []
+    for number in range(count):
+        body = bodies[number % len(bodies)]
+        began_at = time.perf_counter()
+        connection.request("POST", parts.path, body=body)
+        answer = connection.getresponse()
+        if answer.read() != body or answer.status != 200:
+            raise AssertionError(f"{url} answered {answer.status}")
+        taken_s.append(time.perf_counter() - began_at)
+    connection.close()
+    return taken_s
+
+
+def _print(rows: dict[int, dict[str, Figures]]) -> None:
+    click.echo("seed route      median ms  p99 ms  requests/s at 16")
+    for seed, figures in rows.items():
+        for name, row in figures.items():
+            click.echo(
+                f"{seed:4} {name:10} {row.median_ms:9.2f} {row.p99_ms:7.2f} {row.requests_per_s:9.0f}"
+            )
+    click.echo(json.dumps(_closing(rows)))
+
+
+def _closing(rows: dict[int, dict[str, Figures]]) -> dict[str, object]:
+    ratios = {
+        "throughput_at_16_to_relay": [
+            row["own"].requests_per_s / row["relay"].requests_per_s for row in rows.values()
+        ],
+        "median_at_1_to_relay": [
+            row["own"].median_ms / row["relay"].median_ms for row in rows.values()
+        ],
+        "median_forwarded_to_relay": [
+            row["forwarded"].median_ms / row["relay"].median_ms for row in rows.values()
+        ],
+    }
+    measured = {name: statistics.median(values) for name, values in ratios.items()}
+    return {
+        "bench": "gateway",
+        "seed": list(rows),
+        "figures": {
+            seed: {name: msgspec.to_builtins(row) for name, row in figures.items()}
+            for seed, figures in rows.items()
+        },
+        "baseline": "relay",
+        "targets": {
+            name: {
+                "target": target,
+                "measured": round(measured[name], 3),
+                "met": _met(name, measured[name], target),
+            }
+            for name, target in TARGETS.items()
+        },
+    }
+
+
+def _met(name: str, measured: float, target: float) -> bool:
+    return measured >= target if name.startswith("throughput") else measured <= target
+
+
+if __name__ == "__main__":
+    registry.main("gateway")
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
@@ -120,6 +120,10 @@
             name=worker_id,
         )
 
+    def start_module(self, *, name: str, module: str, arguments: tuple[str, ...]) -> None:
+        """Start another module of this package as a process."""
+        self._spawn(name, ["-m", module, *arguments])
+
     def start_entry(self, *, entry_id: str) -> None:
         """Start a daemon."""
         settings = self._folder / f"{entry_id}.json"
