--- a/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
@@ -16,6 +16,9 @@
         reserve_spread: Slots kept for urgent work above its demand, in square roots of it.
         reserve_least: Least share of all slots kept for urgent work.
         peak_share: Share of the recent peak that is made ready when demand surges.
+        surge_margin: Factor on the demand expected while it rises steeply.
+        eviction_cost_limit_s: Work of one task that may be lost to make room ahead, seconds.
+        patience_s: Wait of urgent work after which dearer tasks are stopped too, seconds.
         hold_s: How long the reserve stays after the demand for it fell, seconds.
         eviction_budget: Evictions allowed at once, as a share of all slots.
         eviction_refill_s: Time in which a spent budget comes back, seconds.
@@ -30,7 +33,10 @@
     reserve_spread: float = 1.0
     reserve_least: float = 0.05
     peak_share: float = 1.0
+    surge_margin: float = 1.15
     hold_s: float = 8.0
+    eviction_cost_limit_s: float = 12.0
+    patience_s: float = 0.25
     eviction_budget: float = 0.75
     eviction_refill_s: float = 120.0
     checkpoint_spacing_s: float = 30.0
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/eviction.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/eviction.py
@@ -13,8 +13,8 @@
 CHEAP_S = 5.0
 """Work that may be lost to rid reserved workers of harmful tasks, seconds."""
 
-PATIENCE = ((0.5, math.inf), (0.3, 120.0), (0.15, 30.0))
-"""Wait of urgent work, seconds, and the cost of tasks that are then stopped unsaved."""
+PATIENCE = ((2.5, math.inf), (2.0, 90.0), (1.0, 30.0))
+"""Waits of urgent work, in patiences, and the work that may then be lost in a task, seconds."""
 
 DRAIN_S = 0.3
 """Time in which a queue of requests is to be worked off, seconds."""
@@ -50,8 +50,10 @@
 
 
 def _evict(state: tables.Tables, tasks: list[rows.Task], *, slots: int) -> None:
-    for task in sorted(tasks, key=lambda entry: eviction_costs.with_checkpoint(state, entry)):
-        if slots <= 0 or not state.budget.take():
+    limit_s = state.settings.eviction_cost_limit_s
+    costs = [(eviction_costs.with_checkpoint(state, task), task) for task in tasks]
+    for cost_s, task in sorted(costs, key=lambda entry: entry[0]):
+        if slots <= 0 or cost_s > limit_s or not state.budget.take():
             return
         slots -= task.demand.slots
         evict_task(state, task, checkpoint=True)
@@ -59,7 +61,8 @@
 
 def _relieve(state: tables.Tables) -> None:
     """Stop tasks unsaved when urgent work waits too long for checkpoints."""
-    limit_s = next((cost_s for wait_s, cost_s in PATIENCE if state.wait_s > wait_s), 0.0)
+    waits = state.wait_s / state.settings.patience_s
+    limit_s = next((cost_s for wait, cost_s in PATIENCE if waits > wait), 0.0)
     if not limit_s:
         return
     tasks = [
@@ -105,6 +108,8 @@
 def evict_task(state: tables.Tables, task: rows.Task, *, checkpoint: bool) -> None:
     """Evict one attempt; its work is saved first if asked and possible."""
     checkpoint = checkpoint and eviction_costs.savable(state, task)
+    if checkpoint and task.share > THROTTLED and task.job.job.work_class in state.harmful:
+        throttle(state, task, share=THROTTLED)
     task.state = rows.TaskState.EVICTING
     task.asked_at = state.now
     task.job.evictions += 1
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/reserve.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/reserve.py
@@ -17,6 +17,9 @@
 SHRINK_SPREAD = 0.5
 """Slots that must be left over when a worker is given up, in square roots of the need."""
 
+LENT_LIMIT = 8
+"""Most slots of reserved workers that batch work may hold."""
+
 
 def run(state: tables.Tables) -> None:
     """Work out what urgent work needs and fit the reserve to it."""
@@ -28,11 +31,9 @@
     _drop_unusable(state)
     if not state.harmful:
         _dissolve(state)
-    elif reserve.slots < reserve.need:
-        _grow(state)
-        reserve.enough_since = state.now
     else:
-        _shrink(state)
+        reserve.held_costly = sum(_costly(state, worker) for worker in reserve.workers.values())
+        _fit(state)
     _lend(state)
 
 
@@ -48,6 +49,7 @@
     soon = demand.forecast(ahead_s=SOON_S)
     if demand.surging(now=state.now):
         soon = max(soon, demand.peak * state.settings.peak_share)
+        soon *= state.settings.surge_margin
     spread = state.settings.reserve_spread
     least = math.floor(state.settings.reserve_least * state.total_slots)
     return min(float(state.total_slots), max(least, soon + spread * math.sqrt(soon)))
@@ -68,6 +70,15 @@
         _remove(state, worker)
 
 
+def _fit(state: tables.Tables) -> None:
+    reserve = state.reserve
+    if reserve.slots - reserve.held_costly < reserve.need:
+        _grow(state)
+        reserve.enough_since = state.now
+    else:
+        _shrink(state)
+
+
 def _grow(state: tables.Tables) -> None:
     reserve = state.reserve
     others = [
@@ -77,11 +88,12 @@
     ]
     others.sort(key=lambda worker: _cost(state, worker))
     for worker in others:
-        if reserve.slots >= reserve.need:
+        if reserve.slots - reserve.held_costly >= reserve.need:
             return
         worker.reserved_for_urgent = True
         reserve.workers[worker.worker_id] = worker
         reserve.slots += worker.capacity.slots
+        reserve.held_costly += _costly(state, worker)
         state.touch(worker)
 
 
@@ -90,17 +102,29 @@
     return sum(eviction_costs.with_checkpoint(state, task) for task in tasks)
 
 
+def _costly(state: tables.Tables, worker: rows.Worker) -> int:
+    """Slots of a worker that harmful tasks hold and that would cost too much to take back."""
+    limit_s = state.settings.eviction_cost_limit_s
+    return sum(
+        task.demand.slots
+        for task in worker.tasks.values()
+        if task.job.job.work_class in state.harmful
+        and task.state is not rows.TaskState.EVICTING
+        and eviction_costs.with_checkpoint(state, task) > limit_s
+    )
+
+
 def _shrink(state: tables.Tables) -> None:
     reserve = state.reserve
-    wanted = reserve.need + SHRINK_SPREAD * math.sqrt(reserve.need)
+    wanted = reserve.need + SHRINK_SPREAD * math.sqrt(reserve.need) + reserve.held_costly
     while reserve.workers:
-        last = next(reversed(reserve.workers.values()))
-        if reserve.slots - last.capacity.slots < wanted:
+        fullest = max(reserve.workers.values(), key=lambda worker: worker.batch_slots)
+        if reserve.slots - fullest.capacity.slots < wanted:
             reserve.enough_since = state.now
             return
         if state.now - reserve.enough_since < state.settings.hold_s:
             return
-        _remove(state, last)
+        _remove(state, fullest)
 
 
 def _remove(state: tables.Tables, worker: rows.Worker) -> None:
@@ -116,6 +140,8 @@
     slots = reserve.slots if state.harmful else state.total_slots
     held = sum(worker.batch_slots for worker in usable(state))
     surplus = int(slots - reserve.need) - held
+    if state.harmful:
+        surplus = min(surplus, LENT_LIMIT - held)
     if surplus > 0 and reserve.lendable <= 0:
         state.batch_dirty = True
     reserve.lendable = surplus
