--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/configuration_fleet.py
@@ -0,0 +1,123 @@
+"""Six configurations on one fake clock and one store, which tell each other their heads."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from ebonyhatch.core import configuration as core_configuration
+from ebonyhatch.node import configuration, configuration_head
+from ebonyhatch.platform import fault_switches, memory_store, store_engine
+from twisted.internet import task
+
+ENTRIES = 6
+STEP_S = 0.1
+GOSSIP_S = 1.0
+
+IN_FORCE_S = 5.0
+"""Time within which accepted records must be in force everywhere."""
+
+START_S = 6.0
+SETTLED_S = 20.0
+
+
+def encoded(rank: object) -> bytes:
+    """Encode a set of one record."""
+    record = {"kind": "priority", "name": "top", "schema_version": 1, "rank": rank}
+    return json.dumps([record]).encode()
+
+
+class ConfigurationFleet:
+    """Entries with faults of their own.
+
+    Attributes:
+        clock: The clock of all.
+        engine: The store's state.
+        entries: The configuration of each entry.
+        faults: Faults of each entry's calls to the store.
+        gossiping: Whether each entry talks with its peers.
+        seen: Generations that came in force on each entry, over its restarts.
+        runs: The same for each time that an entry was started.
+    """
+
+    def __init__(self) -> None:
+        self.clock = task.Clock()
+        self.engine = store_engine.StoreEngine(clock=self.clock)
+        self.seen: list[list[int]] = [[] for _ in range(ENTRIES)]
+        self.runs: list[list[int]] = []
+        self.faults = [fault_switches.Faults() for _ in range(ENTRIES)]
+        self.gossiping = [True] * ENTRIES
+        self.entries = [self._fresh(index) for index in range(ENTRIES)]
+        self.advance(START_S)
+
+    @property
+    def in_force(self) -> list[int]:
+        """Generation in force on each entry."""
+        return [entry.in_force.generation for entry in self.entries]
+
+    @property
+    def reverted(self) -> list[list[int]]:
+        """What was seen on each entry where an older generation followed a newer one."""
+        return [seen for seen in self.seen if seen != sorted(seen)]
+
+    def restart(self, index: int) -> None:
+        """Replace an entry by one with empty memory."""
+        self.entries[index].close()
+        self.entries[index] = self._fresh(index)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass, with gossip."""
+        for step in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+            if step % round(GOSSIP_S / STEP_S) == 0:
+                self._gossip()
+
+    def write(
+        self, index: int, rank: object, *, expect: int | None = None, wait_s: float = SETTLED_S
+    ) -> Any:
+        """Write a set through an entry and give the outcome after `wait_s`."""
+        outcomes = self.begin(index, rank, expect=expect)
+        self.advance(wait_s)
+        return outcomes[0]
+
+    def begin(self, index: int, rank: object, *, expect: int | None = None) -> list[Any]:
+        """Begin to write a set through an entry; the outcome is appended to the answer."""
+        outcomes: list[Any] = []
+        write = self.entries[index].write(records=encoded(rank), expect=expect)
+        write.addCallback(outcomes.append)
+        return outcomes
+
+    def head(self, *, age_s: float) -> bytes:
+        """Read the head as it was in the store."""
+        return self.engine.get(key=configuration_head.KEY, age_s=age_s).value
+
+    def heal(self) -> None:
+        """End all faults and let the entries settle."""
+        for faults in self.faults:
+            faults.replace(fault_switches.Faults())
+        self.gossiping = [True] * ENTRIES
+        self.advance(30)
+
+    def _fresh(self, index: int) -> configuration.Configuration:
+        store = memory_store.MemoryStore(
+            clock=self.clock, engine=self.engine, faults=self.faults[index]
+        )
+        store.start()
+        run: list[int] = []
+        self.runs.append(run)
+
+        def on_change(new: core_configuration.InForce) -> None:
+            run.append(new.generation)
+            self.seen[index].append(new.generation)
+
+        entry = configuration.Configuration(
+            store=store, clock=self.clock, seed=len(self.runs), on_change=on_change
+        )
+        entry.start()
+        return entry
+
+    def _gossip(self) -> None:
+        talking = [e for e, on in zip(self.entries, self.gossiping, strict=True) if on]
+        for entry in talking:
+            for peer in talking:
+                entry.offer(generation=peer.generation, head=peer.head)
