--- /dev/null
+++ b/packages/ebonyhatch-cli/tests/test_main.py
@@ -0,0 +1,60 @@
+"""The binary against real daemons, and what its help promises."""
+
+import json
+import os
+import re
+import subprocess
+import sys
+
+from click import testing
+from ebonyhatch.cli import exit_codes, main
+from ebonyhatch.testing import processes, samples
+
+COMMAND = [sys.executable, "-m", "ebonyhatch.cli.main"]
+LIMIT_S = 60
+
+
+def run(entry, *arguments):
+    environment = {**os.environ, "EBONYHATCH_TOKEN": processes.TOKEN, "EBONYHATCH_ENTRY": entry}
+    return subprocess.run(
+        [*COMMAND, *arguments], env=environment, capture_output=True, text=True, timeout=LIMIT_S
+    )
+
+
+def test_records_job_and_load_through_a_daemon(tmp_path):
+    deployment = processes.Deployment(
+        folder=tmp_path, entry_ids=("entry-a",), worker_ids=("worker-1",)
+    )
+    path = tmp_path / "records.json"
+    path.write_text(json.dumps(samples.RECORDS), encoding="utf-8")
+    with processes.running(deployment):
+        admin = deployment.admin_url("entry-a", "")
+        callers = deployment.caller_url("entry-a", "")
+        applied = run(admin, "records", "apply", "--expect", "0", str(path))
+        assert (applied.returncode, applied.stdout) == (0, "generation 1 accepted\n")
+        processes.wait_for(lambda: "yes" in run(admin, "status").stdout, what="a serving cell")
+        job = ["job", "submit", "--class", "cutting", "--payload", '{"run_s": 0.2}', "--wait"]
+        finished = run(callers, "--output", "json", *job)
+        assert (finished.returncode, json.loads(finished.stdout)["state"]) == (0, "finished")
+        load = ["load", "--service", "quotes", "--class", "quote=20", "--duration-s", "1"]
+        loaded = run(callers, "--output", "json", *load, "--verify-echo")
+        counts = json.loads(loaded.stdout)["classes"]["quote"]
+        assert counts["answered"] > 0
+        assert counts["wrong-answer"] == 0
+    unreachable = run(admin, "status")
+    assert unreachable.returncode == exit_codes.UNAVAILABLE
+    assert "remedy" in unreachable.stderr
+
+
+def test_help_documents_every_exit_code():
+    shown = testing.CliRunner().invoke(main.main, ["--help"]).stdout
+    listed = {int(code) for code in re.findall(r"^ +(\d)  ", shown, re.MULTILINE)}
+    assert listed == {
+        code for name, code in vars(exit_codes).items() if name.isupper() and name != "TABLE"
+    }
+
+
+def test_every_command_has_an_example():
+    for name in main.main.commands:
+        shown = testing.CliRunner().invoke(main.main, [name, "--help"]).stdout
+        assert "Examples:" in shown, name
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_fields.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_fields.py
@@ -12,6 +12,9 @@
 HEADER_FIELDS = frozenset({"kind", "schema_version"})
 """Fields that say which struct describes a record."""
 
+FAULTS_LIMIT = 50
+"""Most faults listed of one record."""
+
 SHOWN_CHARACTERS = 60
 """Longest piece of foreign text in a message."""
 
@@ -68,9 +71,8 @@
                 self._add(f"{path}.{name}", "the field is missing", "add it")
 
     def _check_unknown(self, *, value: dict[Any, Any], known: list[str], path: str) -> None:
-        for name in value:
-            if name in known:
-                continue
+        unknown = [name for name in value if name not in known]
+        for name in unknown[:FAULTS_LIMIT]:
             close = difflib.get_close_matches(str(name)[:SHOWN_CHARACTERS], known, n=1)
             remedy = f"did you mean {close[0]!r}?" if close else f"use one of {', '.join(known)}"
             self._add(f"{path}.{shown(name)}", "there is no such field", remedy)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_reading.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_reading.py
@@ -10,6 +10,9 @@
 RAW_LIMIT_BYTES = 900_000
 """Largest encoded set of records; the rest of a store value holds the history."""
 
+FAULTS_LIMIT = 1_000
+"""Faults after which no further record is read."""
+
 RECORD_LIMIT = 20_000
 """Most records in a set."""
 
@@ -43,6 +46,9 @@
         """Read every record; what is wrong is in `faults` afterwards."""
         items = self._decoded(raw)
         for index, item in enumerate(items):
+            if len(self.faults) >= FAULTS_LIMIT:
+                self._fault(f"records[{index}]", "not read: too many faults", "mend those above")
+                break
             self._read_item(index=index, item=item)
         for index, header in self._unread:
             self._stand_in(index=index, header=header)
--- a/packages/ebonyhatch-core/tests/test_records.py
+++ b/packages/ebonyhatch-core/tests/test_records.py
@@ -1,7 +1,14 @@
 import json
 
 import pytest
-from ebonyhatch.core import entities, record_changes, records, resources
+from ebonyhatch.core import (
+    entities,
+    record_changes,
+    record_fields,
+    record_reading,
+    records,
+    resources,
+)
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -144,6 +151,14 @@
     assert str(changes) == "changed priority/top@1; removed tenant/darkhan@1"
 
 
+def test_faults_are_bounded():
+    wide = {**ACCEPTED[0], **{f"field-{number}": 1 for number in range(5_000)}}
+    assert len(paths(records.read([wide]))) <= record_fields.FAULTS_LIMIT
+    many = paths(records.read([{}] * 5_000))
+    assert len(many) == record_reading.FAULTS_LIMIT + 1
+    assert many[-1] == f"records[{record_reading.FAULTS_LIMIT}]"
+
+
 @settings(derandomize=True, deadline=None, max_examples=300)
 @given(raw=JSON | NEAR_RECORDS | st.binary(max_size=40))
 def test_any_input_is_read_or_refused_with_faults(raw):
