--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/record_commands.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/record_commands.py
@@ -4,6 +4,8 @@
 
 import datetime
 import pathlib
+from collections.abc import Coroutine
+from typing import Any
 
 import click
 import msgspec
@@ -13,6 +15,7 @@
     exit_codes,
     options,
     printing,
+    record_diff,
     record_files,
     records_client,
     views,
@@ -20,8 +23,6 @@
 from ebonyhatch.core import record_changes, records
 from returns import result
 
-SIGNS = {"added": "+", "changed": "~", "removed": "-"}
-
 
 @click.group(
     epilog=options.examples(
@@ -50,7 +51,7 @@
     if not isinstance(read, result.Success):
         raise cli_errors.InvalidRecordsError(faults=offered.located(read.failure().faults))
     if chosen.entry:
-        _ask(chosen, offered)
+        _run_located(chosen, _client(chosen).check(offered.encoded), offered)
     if chosen.as_json:
         printing.json_line({"ok": True, "records": len(offered.records)})
     else:
@@ -63,11 +64,14 @@
 def diff(context: click.Context, files: tuple[pathlib.Path, ...]) -> None:
     """Show what applying a set would change; exits with 1 if anything would."""
     chosen = options.settings_of(context)
-    checked = _ask(chosen, record_files.load(files))
+    offered = record_files.load(files)
+    checked, in_force = _run_located(chosen, _compare(_client(chosen), offered), offered)
     if chosen.as_json:
         printing.json_line(checked)
+    elif not checked.changes.count:
+        click.echo("no change")
     else:
-        _print_changes(checked.changes)
+        _print_differences(in_force.records, offered, checked.changes)
     context.exit(exit_codes.DIFFERENT if checked.changes.count else exit_codes.OK)
 
 
@@ -79,10 +83,8 @@
     """Put a set in force everywhere; applying it twice changes nothing."""
     chosen = options.settings_of(context)
     offered = record_files.load(files)
-    try:
-        written = chosen.run(_client(chosen).apply(offered.encoded, expect=expect))
-    except cli_errors.ProblemError as error:
-        raise _located(error, offered) from error
+    apply_call = _client(chosen).apply(offered.encoded, expect=expect)
+    written = _run_located(chosen, apply_call, offered)
     if chosen.as_json:
         printing.json_line(written)
     elif written.changed:
@@ -123,9 +125,20 @@
     return records_client.RecordsClient(client=chosen.client(), clock=chosen.time())
 
 
-def _ask(chosen: environment.Environment, offered: record_files.RecordFiles) -> views.Checked:
+async def _compare(
+    client: records_client.RecordsClient, offered: record_files.RecordFiles
+) -> tuple[views.Checked, views.Records]:
+    return await client.check(offered.encoded), await client.get()
+
+
+def _run_located(
+    chosen: environment.Environment,
+    call: Coroutine[Any, Any, Any],
+    offered: record_files.RecordFiles,
+) -> Any:
+    """Run a call, and name the files in the faults that it brings."""
     try:
-        return chosen.run(_client(chosen).check(offered.encoded))
+        return chosen.run(call)
     except cli_errors.ProblemError as error:
         raise _located(error, offered) from error
 
@@ -138,12 +151,13 @@
     return cli_errors.InvalidRecordsError(faults=offered.located(error.faults))
 
 
-def _print_changes(changes: record_changes.Changes) -> None:
-    for sort, sign in SIGNS.items():
-        for name in getattr(changes, sort):
-            click.echo(f"{sign} {name}")
-    if not changes.count:
-        click.echo("no change")
+def _print_differences(
+    in_force: list[dict[str, object]],
+    offered: record_files.RecordFiles,
+    changes: record_changes.Changes,
+) -> None:
+    for line in record_diff.lines(old=in_force, new=offered.records, changes=changes):
+        click.echo(line)
 
 
 def _time(seconds: float) -> str:
--- a/packages/ebonyhatch-cli/tests/test_record_commands.py
+++ b/packages/ebonyhatch-cli/tests/test_record_commands.py
@@ -134,6 +134,12 @@
     assert diff.exit_code == exit_codes.DIFFERENT
     assert "+ tenant/default@1" in diff.stdout
     setup.run("records", "apply", path)
+    edited = [
+        {**record, "weight": 3.0} if "weight" in record else record for record in samples.RECORDS
+    ]
+    shown = setup.run("records", "diff", setup.file("edited.json", edited[:-1])).stdout
+    assert "~ tenant/default@1\n    weight: 1.0 -> 3.0\n" in shown
+    assert "- tenant/workshop-1@1" in shown
     history = setup.run("--output", "json", "records", "history")
     assert json.loads(history.stdout)["generations"][0]["generation"] == 1
     assert "added" in setup.run("records", "history").stdout
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/command_line.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/command_line.py
@@ -54,9 +54,11 @@
     def __init__(self, *, http: LossyHttp, clock: task.Clock) -> None:
         self._http = http
         self._clock = clock
+        self._ran = False
 
     def __call__(self, *arguments: str, token: str = "", entry: str = URL) -> testing.Result:
-        """Run one command."""
+        """Run one command; like the reactor, it runs one coroutine and no second."""
+        self._ran = False
         chosen = environment.Environment(http=self._http, clock=self._clock, run=self._run)
         return testing.CliRunner().invoke(
             main.main,
@@ -66,6 +68,8 @@
         )
 
     def _run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
+        assert not self._ran
+        self._ran = True
         ended: list[Any] = []
         defer.Deferred.fromCoroutine(coroutine).addBoth(ended.append)
         for _ in range(STEPS_LIMIT):
