--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_cell.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_cell.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 
 from ebonyhatch.core import configuration, default_scheduler, entities, resources
@@ -137,7 +138,9 @@
     for size in QUICK_SIZES if quick else WORKER_SIZES:
         bench = Bench(worker_count=size)
         before = (bench.store.reads, bench.store.writes)
-        times.append((size, capacity_slopes.cpu_s(lambda b=bench: b.run(run_s)) / run_s * 1e3))
+        times.append(
+            (size, capacity_slopes.cpu_s(functools.partial(bench.run, run_s)) / run_s * 1e3)
+        )
         reads.append((size, (bench.store.reads - before[0]) / run_s))
         writes.append((size, (bench.store.writes - before[1]) / run_s))
     per = "workers of the cell"
@@ -157,7 +160,7 @@
         bench = Bench(worker_count=QUICK_SIZES[-1] if quick else WORKER_SIZES[-1])
         before = (bench.store.writes, bench.store.swapped_bytes, bench.store.reads)
         used = capacity_slopes.cpu_s(
-            lambda b=bench, r=rate: b.offer(rate=r, seconds=run_s, jobs=True)
+            functools.partial(bench.offer, rate=rate, seconds=run_s, jobs=True)
         )
         times.append((rate, used / run_s * 1e3))
         writes.append((rate, (bench.store.writes - before[0]) / run_s))
@@ -180,7 +183,7 @@
     for rate in QUICK_RATES if quick else REQUEST_RATES:
         bench = Bench(worker_count=QUICK_SIZES[-1] if quick else WORKER_SIZES[-1])
         used = capacity_slopes.cpu_s(
-            lambda b=bench, r=rate: b.offer(rate=r, seconds=run_s, jobs=False)
+            functools.partial(bench.offer, rate=rate, seconds=run_s, jobs=False)
         )
         times.append((rate, used / run_s * 1e3))
     return [
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_entries.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 from collections.abc import Callable
 
@@ -109,6 +110,10 @@
         """Cells that a live entry acts for."""
         return sum(len(entry.acting) for entry in self.live)
 
+    def owns(self, cells: int) -> bool:
+        """Tell whether this many cells have a live owner."""
+        return self.owned_cells == cells
+
     def is_silent(self, entry_id: str) -> bool:
         """Tell whether an entry has been dead for longer than the peers' time of silence."""
         died_at = self.died_at.get(entry_id)
@@ -167,7 +172,7 @@
     for size in QUICK_SIZES if quick else ENTRY_SIZES:
         fleet = Fleet(entries=size, domains=min(size, DOMAINS_LIMIT))
         before = (fleet.reads, fleet.writes)
-        used = capacity_slopes.cpu_s(lambda f=fleet: f.run(run_s))
+        used = capacity_slopes.cpu_s(functools.partial(fleet.run, run_s))
         reads.append((size, (fleet.reads - before[0]) / run_s))
         writes.append((size, (fleet.writes - before[1]) / run_s))
         times.append((size, used / run_s / size * 1e3))
@@ -228,7 +233,7 @@
         cells = len(fleet.domains) * fleet.cells_per_domain
         before = fleet.reads + fleet.writes
         fleet.kill_domain(fleet.domains[0])
-        took_s = fleet.run_until(lambda f=fleet, c=cells: f.owned_cells == c, limit_s=LOSS_LIMIT_S)
+        took_s = fleet.run_until(functools.partial(fleet.owns, cells), limit_s=LOSS_LIMIT_S)
         times.append((size, took_s))
         calls.append((size, (fleet.reads + fleet.writes - before) / took_s))
     return [
@@ -250,7 +255,7 @@
         raw = json.dumps(_records(size)).encode()
         fleet = Fleet(entries=entries, domains=4)
         writer = fleet.entries[0].configured
-        used = capacity_slopes.least_cpu_s(lambda w=writer, r=raw: w.check(records_json=r))
+        used = capacity_slopes.least_cpu_s(functools.partial(writer.check, records_json=raw))
         fleet.slow_store(STORE_DELAY_S)
         for rank in range(WRITES):
             writer.write(records=_ranked(raw, rank), expect=None)
@@ -283,7 +288,7 @@
         cells = len(fleet.domains) * fleet.cells_per_domain
         fleet.kill_domain(fleet.domains[0])
         covered.append(
-            (cut_s, fleet.run_until(lambda f=fleet, c=cells: f.owned_cells == c, limit_s=cut_s))
+            (cut_s, fleet.run_until(functools.partial(fleet.owns, cells), limit_s=cut_s))
         )
         fleet.run(cut_s - covered[-1][1])
         before = fleet.writes
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_peers.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_peers.py
@@ -5,6 +5,7 @@
 import collections
 import time
 from collections.abc import Callable
+from typing import Any
 
 from ebonyhatch.core import scheduler
 from ebonyhatch.node import gossip, keys, messages, peers
@@ -25,6 +26,7 @@
 WARM_UP_S = 3.0
 QUICK_WARM_UP_S = 1.0
 TIMEOUT_S = 10.0
+POLL_S = 0.01
 
 ROOM = scheduler.Room(
     free_slots=1_234, total_slots=1_980, queued_urgent=0, wait_s=0.0123, queued_batch=1_000
@@ -120,16 +122,17 @@
     """Run the reactor by hand until `work` is done, so that it can be run again."""
     done = work()
     failed: list[object] = []
+    loop: Any = reactor
     done.addErrback(failed.append)
     while not done.called:
-        reactor.iterate(0.01)  # type: ignore[attr-defined]
+        loop.iterate(POLL_S)
     if failed:
         raise RuntimeError(str(failed[0]))
 
 
 def sleep(seconds: float) -> defer.Deferred[None]:
     """Wait on the reactor."""
-    return task.deferLater(reactor, seconds, lambda: None)  # type: ignore[arg-type]
+    return task.deferLater(reactor, seconds, lambda: None)
 
 
 class MeshFigures:
