--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/node_ports.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/node_ports.py
@@ -8,6 +8,7 @@
 
 from ebonyhatch.platform import memory_store, memory_workers, store, workers
 from ebonyhatch.testing.histories import node_clock
+from returns import result
 from twisted.internet import defer, task
 
 
@@ -52,6 +53,7 @@
     def __init__(self, *, inner: memory_store.MemoryStore, network: Network) -> None:
         self.inner = inner
         self.written_late_s = 0.0
+        self.lose_written = False
         self._base = network.base
         self._send = network.send
 
@@ -74,6 +76,9 @@
             written = self.inner.swap(
                 key=key, expected_version=expected_version, value=value, lease_id=lease_id
             )
+            if self.lose_written:
+                lost = store.UnknownError(key=key, reason="the answer was lost")
+                written.addCallback(lambda _: result.Failure(lost))
             if self.written_late_s:
                 written.addCallback(self._later, self.written_late_s)
             return written
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/steps.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/steps.py
@@ -159,6 +159,11 @@
     _entry(run, pick).store.faults.lose_answers = True
 
 
+@action("lose-written")
+def _lose_written(run: fleet.Fleet, pick: int) -> None:
+    _entry(run, pick).store_port.lose_written = True
+
+
 @action("store-down")
 def _store_down(run: fleet.Fleet, pick: int) -> None:
     for one in run.entries.values():
--- a/packages/ebonyhatch-testing/tests/test_protections.py
+++ b/packages/ebonyhatch-testing/tests/test_protections.py
@@ -95,6 +95,18 @@
     return run
 
 
+def answer_of_a_write_is_lost() -> fleet.Fleet:
+    run = joined()
+    owner = owner_of_next_job(run)
+    run.submit(run_s=4.0)
+    run.advance(1.0)
+    owner.store_port.lose_written = True
+    run.advance(4.0)
+    run.mend()
+    run.advance(5.0)
+    return run
+
+
 def owner_dies_and_successor_cannot_reach_the_worker() -> fleet.Fleet:
     run = joined()
     owner = owner_of_next_job(run)
@@ -221,7 +233,7 @@
 
 def without_nonce(patch: pytest.MonkeyPatch) -> None:
     async def settle(self: Any, key: str, *, value: bytes, at_least: int) -> Any:
-        return settled_store.Written(version=at_least)
+        return settled_store.Overtaken(stored=await self.read(key, at_least=at_least))
 
     patch.setattr(settled_store.SettledStore, "_settle", settle)
 
@@ -280,7 +292,7 @@
 
 
 def without_capacity(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(capacity, "fits", lambda *args, **kwargs: True)
+    patch.setattr(capacity, "reserve", lambda worker, demand: None)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -318,7 +330,7 @@
     ),
     Case(
         line="resumes-once",
-        scenario=submission_reaches_a_superseded_owner,
+        scenario=answer_of_a_write_is_lost,
         remove=without_nonce,
     ),
     Case(
