--- a/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import bisect
+
 from ebonyhatch.core import (
     batch_queue,
     budgets,
@@ -10,13 +12,18 @@
     demand,
     drains,
     entities,
+    interference,
     resources,
     rows,
+    run_times,
     settings,
     urgent_queue,
     worker_index,
 )
 
+PENALTY_LEVELS = (0.05, 0.15, 0.3, 0.6, 1.2, 2.4)
+"""Predicted slowdowns that divide workers into levels for urgent work."""
+
 
 class Tables:
     """All rows of one cell with the indexes that the systems need."""
@@ -37,6 +44,11 @@
         "deadlines",
         "parked",
         "batch_dirty",
+        "workers_version",
+        "run_times",
+        "tenant_use",
+        "short_slots",
+        "batch_slots",
         "sent",
         "free_slots",
         "total_slots",
@@ -48,10 +60,16 @@
         "budget",
         "period_at",
         "arrived",
+        "interference",
+        "harmful",
+        "fit_at",
         "drain",
     )
 
-    def __init__(self, *, defaults: settings.Settings) -> None:
+    def __init__(self, *, defaults: settings.Settings, model: interference.Interference) -> None:
+        self.interference = model
+        self.harmful: set[str] = set()
+        self.fit_at = 0.0
         self.defaults = defaults
         self.settings = defaults
         self.demand = demand.Demand()
@@ -75,6 +93,11 @@
         self.deadlines: list[tuple[float, str]] = []
         self.parked: dict[str, rows.Job] = {}
         self.batch_dirty = True
+        self.workers_version = 0
+        self.run_times = run_times.RunTimes()
+        self.tenant_use: dict[str, resources.Resources] = {}
+        self.short_slots = 0
+        self.batch_slots = 0
         self.sent = 0
         self.free_slots = 0
         self.total_slots = 0
@@ -93,13 +116,27 @@
             self.batch_workers.remove(worker)
             return
         self.urgent_workers.put(worker, level=self._urgent_level(worker))
-        if worker.reserved_for_urgent and worker.batch_slots >= worker.lent_slots:
-            self.batch_workers.remove(worker)
-        else:
-            self.batch_workers.put(worker, level=int(worker.reserved_for_urgent))
+        self.batch_workers.put(worker, level=int(worker.reserved_for_urgent))
 
     def _urgent_level(self, worker: rows.Worker) -> int:
-        return 0 if worker.reserved_for_urgent else 1
+        worker.penalty = sum(
+            count * self.interference.slowdown(name, load=worker.load)
+            for name, count in worker.sharers
+        )
+        return bisect.bisect(PENALTY_LEVELS, worker.penalty)
+
+    def counts_for_urgent(self, worker: rows.Worker) -> bool:
+        """Tell whether the worker's slots are counted for urgent work."""
+        return worker.reserved_for_urgent or not self.harmful
+
+    def recompose(self, worker: rows.Worker) -> None:
+        """Work out anew which batch classes share a worker."""
+        counts: dict[str, float] = {}
+        for task in worker.tasks.values():
+            name = task.job.job.work_class
+            counts[name] = counts.get(name, 0.0) + task.share
+        worker.sharers = tuple(sorted(counts.items()))
+        self.touch(worker)
 
     def _count(self, worker: rows.Worker) -> None:
         usable = not (worker.leaving or worker.barred)
@@ -115,21 +152,37 @@
         self.tasks[task.task_id] = task
         task.job.task = task
         task.worker.tasks[task.task_id] = task
-        task.worker.batch_slots += task.demand.slots
+        self._count_task(task, sign=1)
         capacity.reserve(task.worker, task.demand)
-        self.touch(task.worker)
+        self.recompose(task.worker)
 
     def release_task(self, task: rows.Task) -> None:
         """Drop an attempt and its reservation."""
         del self.tasks[task.task_id]
         task.job.task = None
         del task.worker.tasks[task.task_id]
-        task.worker.batch_slots -= task.demand.slots
+        self._count_task(task, sign=-1)
+        self.batch_dirty = True
+        self.recompose(task.worker)
         self._release(task.worker, task.demand)
 
+    def _count_task(self, task: rows.Task, *, sign: int) -> None:
+        slots = sign * task.demand.slots
+        task.worker.batch_slots += slots
+        self.batch_slots += slots
+        if task.job.lane is rows.Lane.SHORT:
+            self.short_slots += slots
+        if self.counts_for_urgent(task.worker):
+            self.reserve.lendable -= slots
+        tenant = task.job.job.tenant
+        held = self.tenant_use.get(tenant, resources.NONE)
+        demand = task.job.job.demand
+        self.tenant_use[tenant] = held + demand if sign > 0 else held - demand
+
     def reserve_request(self, row: rows.Request, worker: rows.Worker) -> None:
         """Enter the reservation of a request that is sent."""
         row.worker = worker
+        row.sharers = worker.sharers
         worker.requests[row.request.request_id] = row
         self.sent += 1
         capacity.reserve(worker, row.demand)
@@ -144,9 +197,14 @@
         del worker.requests[row.request.request_id]
         self.sent -= 1
         self._release(worker, row.demand)
+        if not self.counts_for_urgent(worker):
+            self.batch_dirty = True
 
     def queue_job(self, row: rows.Job, *, first: bool = False) -> None:
-        """Queue a job for placement."""
+        """Queue a job for placement, in the lane of its expected run time."""
+        expected_s = self.run_times.estimate_s(row.job)
+        short = expected_s <= self.settings.short_run_s
+        row.lane = rows.Lane.SHORT if short else rows.Lane.LONG
         self.batch.push(row, priority=self.priority_of(row.job.work_class), first=first)
         self.batch_dirty = True
 
@@ -161,5 +219,4 @@
             capacity.release(worker, demand)
         else:
             capacity.recount(worker)
-        self.batch_dirty = True
         self.touch(worker)
