--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
@@ -246,17 +246,21 @@
         if self._tick_timer is not None and self._tick_timer.active():
             self._tick_timer.cancel()
         self._requests.refuse_all(reason="closed")
+        self._keyed.refuse_all(reason="closed")
         self._group.close()
         self._journal.close()
 
     async def _drain(self) -> None:
         limit = self._clock.seconds() + CLOSE_TIMEOUT_S
-        while self._requests.in_flight and self._clock.seconds() < limit:
+        while self._in_progress() and self._clock.seconds() < limit:
             await self._group.sleep(CLOSE_POLL_S)
         flushed = self._journal.flushed()
         while not flushed.called and self._clock.seconds() < limit:
             await self._group.sleep(CLOSE_POLL_S)
 
+    def _in_progress(self) -> bool:
+        return bool(self._requests.in_flight or self._keyed.in_flight)
+
     def _may_act(self) -> bool:
         """Tell whether commands may go to workers: the fence or the lease keeps them safe."""
         if self._phase not in (cell_status.CellPhase.ACTIVE, cell_status.CellPhase.CLOSING):
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/keyed_driver.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/keyed_driver.py
@@ -20,6 +20,7 @@
 class _Running:
     """A key whose request is in progress here."""
 
+    call: messages.RequestCall
     digest: str
     waiting: list[tuple[str, request_driver.ReplyOutcome]]
     reply: messages.RequestReply | None = None
@@ -45,6 +46,17 @@
         self._refusal = refusal
         self._running: dict[str, _Running] = {}
 
+    @property
+    def in_flight(self) -> int:
+        """Keys whose request has no reply yet."""
+        return sum(running.reply is None for running in self._running.values())
+
+    def refuse_all(self, *, reason: str) -> None:
+        """Reply to every request whose intent isn't durable yet; it was not sent."""
+        for running in self._running.values():
+            if running.reply is None:
+                self._tell(running, self._refusal(running.call, reason))
+
     def settle_inherited(self) -> None:
         """Give up the answers of requests that an earlier owner sent."""
         for row in self._keys.rows():
@@ -66,7 +78,7 @@
             return self._join(running, call)
         if row is not None:
             return defer.succeed(self._repeat(row, call))
-        running = _Running(digest=digest, waiting=[])
+        running = _Running(call=call, digest=digest, waiting=[])
         self._running[key] = running
         joined = self._join(running, call)
         self._group.spawn(self._run(key, running, call))
--- a/packages/ebonyhatch-node/tests/test_cell.py
+++ b/packages/ebonyhatch-node/tests/test_cell.py
@@ -41,11 +41,12 @@
             self.clock.advance(0.05)
 
     def open(self, *, epoch=1, entry_id="e1", may_act=lambda: True):
+        self.last_store = memory_store.MemoryStore(clock=self.clock, engine=self.store.engine)
         opened = cell.Cell(
             name="a.0",
             epoch=epoch,
             entry_id=entry_id,
-            store=memory_store.MemoryStore(clock=self.clock, engine=self.store.engine),
+            store=self.last_store,
             workers_port=self.workers,
             scheduler=scheduler.build(name="default", seed=1),
             clock=self.clock,
@@ -224,3 +225,18 @@
         opened.request(call=call(f"r{number}"))
     now = opened.room().room
     assert now.free_slots - now.queued_urgent == before.free_slots - 3
+
+
+def test_close_answers_a_keyed_request_whose_intent_is_not_durable():
+    bench = Bench()
+    opened, _ = bench.open()
+    bench.run(1)
+    bench.last_store.faults.slow_s = 1.0
+    asked = opened.request(call=call("r1", key="k", idempotent=False, timeout_s=60.0))
+    bench.run(1.5)
+    bench.last_store.faults.lose_answers = True
+    closed = opened.close()
+    bench.run(20)
+    assert closed.called
+    assert outcome_of(asked).outcome is commands.Outcome.NOT_RUN
+    assert bench.request_starts() == []
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/entry.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/entry.py
@@ -54,6 +54,7 @@
         self.store_port = node_ports.NodeStore(inner=self.store, network=self.to_store)
         self._paced = paced_store.PacedStore(store_port=self.store_port, clock=self.clock)
         self.closing = False
+        self.calls: set[str] = set()
         self.heard: dict[str, float] = {}
         self.cells: dict[str, cell.Cell] = {}
         self.schedulers: dict[str, eviction.EvictingScheduler] = {}
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
@@ -136,10 +136,18 @@
     def close(self, entry_id: str) -> defer.Deferred[None]:
         """Stop an entry as planned."""
         self.run.add(history.EntryClosing(at=self.now, entry_id=entry_id))
-        closed = self.entries[entry_id].close()
-        closed.addCallback(lambda _: self.entries[entry_id].clock.kill())
+        one = self.entries[entry_id]
+        closed = one.close()
+        closed.addCallback(lambda _: self._end_when_idle(one))
         return closed
 
+    def _end_when_idle(self, one: entry.Entry) -> None:
+        """End a process that has handed its cells over, once its callers have their replies."""
+        if one.calls:
+            one.clock.callLater(STEP_S, self._end_when_idle, one)
+        else:
+            one.clock.kill()
+
     def listed(self, cell: str) -> tuple[instances.Instance, ...]:
         """The platform's list of the workers of a cell."""
         domain = cell.rpartition(".")[0]
@@ -207,6 +215,7 @@
                 body=body,
             )
         )
+        one.calls.add(request_id)
         one.clock.run(lambda: self._route(one, call))
         return request_id
 
@@ -299,7 +308,7 @@
         """Serve a call at its owner, in one step between entries at most."""
         owner_id = one.owner_of(call.cell)
         owner = self.entries.get(owner_id)
-        told = functools.partial(self._told, call)
+        told = functools.partial(self._told, one, call)
         if owner is one:
             one.handle(call).addCallback(told)
         elif owner is None or owner.clock.dead or self._cut(one, owner):
@@ -330,7 +339,10 @@
             self.clock.callLater(self.random.random(), owner.clock.run, arrive)
         return reply
 
-    def _told(self, call: messages.RequestCall, reply: messages.RequestReply) -> None:
+    def _told(
+        self, one: entry.Entry, call: messages.RequestCall, reply: messages.RequestReply
+    ) -> None:
+        one.calls.discard(call.request.request_id)
         answer = reply.answer
         told = history.Told.ANSWERED if answer else history.Told(reply.outcome.value)
         self.run.add(
