--- a/packages/ebonyhatch-node/src/ebonyhatch/node/main.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/main.py
@@ -109,6 +109,15 @@
         self._reactor.callWhenRunning(self._begin)
         self._reactor.run(installSignalHandlers=False)
 
+    def stop(self) -> None:
+        """Stop gracefully; a second call ends at once and says what was cut off."""
+        if self._stopping:
+            self._cut_off("a second signal")
+            return
+        self._stopping = True
+        self._reactor.callLater(self._stop_s, self._cut_off, "the limit limits.stop_s")
+        defer.ensureDeferred(self._close())
+
     def _begin(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._signalled)
@@ -122,15 +131,7 @@
             self._end(EXIT_NOT_STARTED)
 
     def _signalled(self, number: int, frame: object) -> None:
-        self._reactor.callFromThread(self._stop)
-
-    def _stop(self) -> None:
-        if self._stopping:
-            self._cut_off("a second signal")
-            return
-        self._stopping = True
-        self._reactor.callLater(self._stop_s, self._cut_off, "the limit limits.stop_s")
-        defer.ensureDeferred(self._close())
+        self._reactor.callFromThread(self.stop)
 
     async def _close(self) -> None:
         await self._entry.close()
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/gateway.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/gateway.py
@@ -126,7 +126,7 @@
     found = {
         str(cell["name"]).rpartition(".")[0]: str(cell["owner"])
         for entry_id in deployment.entries
-        for cell in deployment.status(entry_id)["cells"]  # type: ignore[attr-defined]
+        for cell in deployment.status(entry_id)["cells"]
         if cell["serving"]
     }
     return found if set(found.values()) == set(deployment.entries) else {}
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
@@ -14,7 +14,7 @@
 import urllib.request
 from collections.abc import Callable, Iterator, Mapping
 from concurrent import futures
-from typing import IO, TypeVar
+from typing import IO, Any, TypeVar
 
 import msgspec
 
@@ -34,9 +34,9 @@
     headers: dict[str, str]
     body: bytes
 
-    def json(self) -> dict[str, object]:
+    def json(self) -> dict[str, Any]:
         """Decode the body."""
-        return msgspec.json.decode(self.body, type=dict[str, object])
+        return msgspec.json.decode(self.body, type=dict[str, Any])
 
 
 class Ports(msgspec.Struct, frozen=True, kw_only=True):
@@ -165,10 +165,30 @@
             )
         return answer
 
-    def status(self, entry_id: str) -> dict[str, object]:
+    def status(self, entry_id: str) -> dict[str, Any]:
         """Read the status of an entry."""
         return self.admin(entry_id, "/v1/admin/status").json()
 
+    def cells(self, at: str = "") -> list[str]:
+        """Name the cells that an entry knows; the first entry by default."""
+        return [str(cell["name"]) for cell in self._cells(at)]
+
+    def owner_of(self, cell: str, *, at: str = "") -> str:
+        """Name the owner of a cell that serves it, as an entry says; empty while none does."""
+        asked = [at] if at else list(self.entries)
+        for entry_id in asked:
+            for row in self._cells(entry_id):
+                if row["name"] == cell and row["serving"]:
+                    return str(row["owner"])
+        return ""
+
+    def worker_history(self, worker_id: str) -> dict[str, Any]:
+        """Read what a worker ever ran."""
+        return fetch(f"http://{HOST}:{self._worker_ports[worker_id]}/history").json()
+
+    def _cells(self, entry_id: str) -> list[dict[str, Any]]:
+        return self.status(entry_id or next(iter(self.entries))).get("cells", [])
+
     def admin(self, entry_id: str, path: str, *, method: str = "GET", body: str = "") -> Answer:
         """Call the administration API with the token."""
         headers = {"Authorization": f"Bearer {TOKEN}", "Content-Type": "application/json"}
