--- a/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
@@ -12,7 +12,9 @@
     rooms,
     scheduler,
     settings,
+    table_views,
     tables,
+    views,
 )
 from ebonyhatch.core.systems import (
     admission,
@@ -84,6 +86,10 @@
         """Summarize what the cell could take."""
         return rooms.summarize(self._tables)
 
+    def view(self) -> views.View:
+        """Show workers, queues and reserve."""
+        return table_views.build(self._tables)
+
     def explain(self, *, subject_id: str) -> str:
         """Say in a sentence why a job or request waits, or where it is."""
         return explanation.explain(self._tables, subject_id=subject_id)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/explanation.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/explanation.py
@@ -6,14 +6,14 @@
 
 
 def explain(state: tables.Tables, *, subject_id: str) -> str:
-    """Explain a job or a request by its id."""
+    """Explain a job or a request by its id; empty when it is not known."""
     job = state.jobs.get(subject_id)
     if job is not None:
         return _explain_job(state, job)
     request = state.requests.get(subject_id)
     if request is not None:
         return _explain_request(state, request)
-    return f"{subject_id} is not known to this cell"
+    return ""
 
 
 def _explain_job(state: tables.Tables, row: rows.Job) -> str:
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/scheduler.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/scheduler.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 
 import msgspec
-from ebonyhatch.core import commands, errors, events
+from ebonyhatch.core import commands, errors, events, views
 
 
 class Room(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,7 +50,11 @@
 
     @abc.abstractmethod
     def explain(self, *, subject_id: str) -> str:
-        """Say in a sentence why a job or request waits, or where it is."""
+        """Say in a sentence why a job or request waits, or where it is; empty when unknown."""
+
+    def view(self) -> views.View:
+        """Show workers, queues and reserve to operators; empty where a policy shows nothing."""
+        return views.View()
 
 
 class UnknownPolicyError(errors.EbonyhatchError):
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/messages.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/messages.py
@@ -136,6 +136,19 @@
     job_id: str
 
 
+class ExplainCall(Message, frozen=True, kw_only=True):
+    """Asks whether a cell of the receiver knows a job, attempt or request."""
+
+    subject_id: str
+
+
+class ExplainReply(Message, frozen=True, kw_only=True):
+    """Where the subject is and why; an empty text where it is not known."""
+
+    cell: str = ""
+    text: str = ""
+
+
 class JobReply(Message, frozen=True, kw_only=True):
     """Answer to the job calls.
 
