Configuration: jitter between watches; a damaged or newer head is tested

Entries that share a watch wake together; the pause before the next one is now drawn from half a second to a second.

--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_reading.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_reading.py
@@ -28,6 +28,10 @@
 class Reader:
     """Reads one set; faults and notices are gathered, never raised.
 
+    Attributes:
+        faults: What is wrong with the set.
+        notices: What isn't understood, and what stands in for it.
+
     Args:
         previous: The set last understood; its records stand in for those of a newer schema.
         tolerant: Whether records of newer schema versions are notices rather than faults.
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_watch.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_watch.py
@@ -23,7 +23,7 @@
 """How much later than due an answer may come before the call is given up."""
 
 SPACING_S = 1.0
-"""Shortest time between two watches, and between two re-reads."""
+"""Longest pause before the next watch or re-read; at least half of it is kept."""
 
 REREAD_TRIES = 5
 """Most re-reads for one hint."""
@@ -32,6 +32,9 @@
 class Watch:
     """Keeps one watch on the head.
 
+    Attributes:
+        first_answer: Fires once the store or a peer has answered.
+
     Args:
         store_port: The store.
         current: Takes what is read.
@@ -84,7 +87,7 @@
             if self._take(await self._bounded(call, wait_s=wait_s)):
                 delays.reset()
                 wait_s = WATCH_WAIT_S
-                await self._group.sleep(SPACING_S)
+                await self._group.sleep(SPACING_S * self._generator.uniform(0.5, 1.0))
             else:
                 await self._group.sleep(delays.next_s())
 
--- a/packages/ebonyhatch-node/tests/test_configuration.py
+++ b/packages/ebonyhatch-node/tests/test_configuration.py
@@ -108,6 +108,36 @@
     assert fleet.entries[0].age_s > 5
 
 
+@pytest.mark.parametrize(
+    ("damage", "kind"),
+    [
+        (lambda head: head[:-9], configuration_errors.CorruptHeadError),
+        (
+            lambda head: head.replace(b'"rank":1', b'"rank":7'),
+            configuration_errors.CorruptHeadError,
+        ),
+        (lambda head: b"", configuration_errors.CorruptHeadError),
+        (
+            lambda head: head.replace(b'"format":1', b'"format":2'),
+            configuration_errors.NewerFormatError,
+        ),
+    ],
+)
+def test_head_that_cannot_be_read_changes_nothing_and_is_not_written_over(fleet, damage, kind):
+    fleet.write(0, 1, wait_s=10)
+    good = fleet.head(age_s=0)
+    fleet.put_head(damage(good))
+    fleet.advance(40)
+    fleet.restart(3)
+    fleet.advance(10)
+    assert fleet.in_force == [1] * configuration_fleet.ENTRIES
+    assert "configuration" in fleet.entries[3].faults[0].problem
+    assert isinstance(fleet.write(0, 2, wait_s=60).failure(), kind)
+    fleet.put_head(good)
+    assert fleet.write(3, 2).unwrap().generation == 2
+    assert fleet.in_force == [2] * configuration_fleet.ENTRIES
+
+
 def test_idle_entries_cost_two_store_calls_a_minute_each(fleet):
     before = fleet.engine.counts.total()
     fleet.advance(600)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/configuration_fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/configuration_fleet.py
@@ -91,6 +91,11 @@
         """Read the head as it was in the store."""
         return self.engine.get(key=configuration_head.KEY, age_s=age_s).value
 
+    def put_head(self, value: bytes) -> None:
+        """Write over the head, as nobody should."""
+        version = self.engine.get(key=configuration_head.KEY).version
+        self.engine.swap(key=configuration_head.KEY, expected_version=version, value=value)
+
     def heal(self) -> None:
         """End all faults and let the entries settle."""
         for faults in self.faults:
