--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/cli_errors.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/cli_errors.py
@@ -26,7 +26,7 @@
     def __init__(self) -> None:
         super().__init__(
             problem="no entry was named",
-            remedy="give --entry http://IP:PORT or set EBONYHATCH_ENTRY",
+            remedy="give --entry http://IP:PORT or set EBONYHATCH_URL",
         )
 
 
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/main.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/main.py
@@ -36,7 +36,7 @@
 
 @click.group(
     epilog=options.examples(
-        "export EBONYHATCH_ENTRY=http://127.0.0.1:7110",
+        "export EBONYHATCH_URL=http://127.0.0.1:7110",
         "ebonyhatch --token-file token.txt records apply --expect 7 records.json",
         "ebonyhatch --output json status",
     )
@@ -47,11 +47,11 @@
 )
 @click.option(
     "--entry",
-    envvar="EBONYHATCH_ENTRY",
+    envvar="EBONYHATCH_URL",
     metavar="URL",
     default="",
     help="Address of an entry: its admin address for records, status and explain, its callers' "
-    "address for job and load. Variable: EBONYHATCH_ENTRY.",
+    "address for job and load. Variable: EBONYHATCH_URL.",
 )
 @click.option(
     "--token-file",
--- a/packages/ebonyhatch-cli/tests/test_main.py
+++ b/packages/ebonyhatch-cli/tests/test_main.py
@@ -8,6 +8,7 @@
 
 from click import testing
 from ebonyhatch.cli import exit_codes, main
+from ebonyhatch.node import settings_schema
 from ebonyhatch.testing import processes, samples
 
 COMMAND = [sys.executable, "-m", "ebonyhatch.cli.main"]
@@ -15,7 +16,7 @@
 
 
 def run(entry, *arguments):
-    environment = {**os.environ, "EBONYHATCH_TOKEN": processes.TOKEN, "EBONYHATCH_ENTRY": entry}
+    environment = {**os.environ, "EBONYHATCH_TOKEN": processes.TOKEN, "EBONYHATCH_URL": entry}
     return subprocess.run(
         [*COMMAND, *arguments], env=environment, capture_output=True, text=True, timeout=LIMIT_S
     )
@@ -58,3 +59,8 @@
     for name in main.main.commands:
         shown = testing.CliRunner().invoke(main.main, [name, "--help"]).stdout
         assert "Examples:" in shown, name
+
+
+def test_variables_of_the_command_line_are_none_of_the_daemon():
+    for name in ("EBONYHATCH_URL", "EBONYHATCH_TOKEN"):
+        assert not settings_schema.is_variable(name)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/command_line.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/command_line.py
@@ -64,7 +64,7 @@
             main.main,
             arguments,
             obj=chosen,
-            env={"EBONYHATCH_TOKEN": token, "EBONYHATCH_ENTRY": entry},
+            env={"EBONYHATCH_TOKEN": token, "EBONYHATCH_URL": entry},
         )
 
     def _run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
