--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
@@ -165,12 +165,16 @@
 
     def request(self, *, call: messages.RequestCall) -> request_driver.ReplyOutcome:
         """Serve a request; fires with the answer or the truth about its outcome."""
+        recalled = self._requests.recall(call)
+        if recalled is not None:
+            return recalled
+        keyed = bool(call.idempotency_key) and not call.idempotent
         reason = self._reason_against()
-        if reason:
-            return defer.succeed(self._refusal(call, reason))
-        if call.idempotency_key and not call.idempotent:
-            return self._keyed.request(call)
-        return self._serve(call)
+        if reason and not (keyed and self._keyed.running(call)):
+            refused = self._refusal(call, reason)
+            self._requests.remember(refused)
+            return defer.succeed(refused)
+        return self._keyed.request(call) if keyed else self._serve(call)
 
     def submit(self, *, job: entities.Job) -> job_requests.ReplyOutcome:
         """Accept a job; fires once it is durable, or refused."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/keyed_driver.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/keyed_driver.py
@@ -65,6 +65,10 @@
                     journal_entries.KeyAnswered(key=row.key, request_id=row.request_id, answer=b"")
                 )
 
+    def running(self, call: messages.RequestCall) -> bool:
+        """Whether the first request of a call's key is in progress."""
+        return keyed_requests.scoped_key(call) in self._running
+
     def request(self, call: messages.RequestCall) -> request_driver.ReplyOutcome:
         """Serve a call, or repeat what is known of its key."""
         key = keyed_requests.scoped_key(call)
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/request_driver.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/request_driver.py
@@ -17,8 +17,11 @@
 DEADLINE_GRACE_S = 0.25
 """Time past its deadline after which a request is ended without the scheduler, seconds."""
 
-RECENT_KEPT = 1000
-"""Replies to non-idempotent requests that are kept for repeated messages."""
+RECENT_KEPT = 2000
+"""Replies that are kept for repeated messages."""
+
+RECENT_BODY_BYTES = 4_096
+"""Largest body that is kept with them; a repeated message gets `unknown` after a larger one."""
 
 RETRY_AFTER_S = 1.0
 """Advice to callers who are refused, seconds."""
@@ -92,16 +95,9 @@
         return len(self._in_flight)
 
     def serve(self, call: messages.RequestCall, *, work_class: entities.WorkClass) -> ReplyOutcome:
-        """Have a request served; a repeated message gets the reply of the first."""
+        """Have a request served."""
         request_id = call.request.request_id
         waiting: ReplyOutcome = defer.Deferred()
-        if request_id in self._recent:
-            waiting.callback(self._recent[request_id])
-            return waiting
-        known = self._in_flight.get(request_id)
-        if known is not None:
-            known.waiting.append(waiting)
-            return waiting
         now = self._clock.seconds()
         entry = InFlight(call=call, deadline_at=now + call.request.timeout_s, waiting=[waiting])
         self._in_flight[request_id] = entry
@@ -109,6 +105,29 @@
         self._emit(events.RequestArrived(request=_described(entry, work_class, now)))
         return waiting
 
+    def recall(self, call: messages.RequestCall) -> ReplyOutcome | None:
+        """Give a repeated message the reply of the first; None for a new request."""
+        request_id = call.request.request_id
+        if request_id in self._recent:
+            return defer.succeed(self._recent[request_id])
+        known = self._in_flight.get(request_id)
+        if known is None:
+            return None
+        waiting: ReplyOutcome = defer.Deferred()
+        known.waiting.append(waiting)
+        return waiting
+
+    def remember(self, reply: messages.RequestReply) -> None:
+        """Keep a reply for repeated messages, so that none is told or done anything else."""
+        if reply.answer is not None and len(reply.answer.body) > RECENT_BODY_BYTES:
+            unknown = commands.Outcome.UNKNOWN
+            reply = messages.RequestReply(
+                request_id=reply.request_id, outcome=unknown, reason="repeated"
+            )
+        self._recent[reply.request_id] = reply
+        if len(self._recent) > RECENT_KEPT:
+            self._recent.popitem(last=False)
+
     def refusal(self, call: messages.RequestCall, *, reason: str) -> messages.RequestReply:
         """Reply to a request that certainly was not sent."""
         return messages.RequestReply(
@@ -215,10 +234,7 @@
         if self._in_flight.get(reply.request_id) is not entry:
             return
         del self._in_flight[reply.request_id]
-        if not entry.call.idempotent:
-            self._recent[reply.request_id] = reply
-            if len(self._recent) > RECENT_KEPT:
-                self._recent.popitem(last=False)
+        self.remember(reply)
         waiting, entry.waiting = entry.waiting, []
         for outcome in waiting:
             outcome.callback(reply)
--- a/packages/ebonyhatch-node/tests/test_cell.py
+++ b/packages/ebonyhatch-node/tests/test_cell.py
@@ -240,3 +240,16 @@
     assert closed.called
     assert outcome_of(asked).outcome is commands.Outcome.NOT_RUN
     assert bench.request_starts() == []
+
+
+def test_repeated_message_never_gets_another_outcome_than_the_first():
+    bench = Bench()
+    opened, _ = bench.open()
+    bench.run(1)
+    running = opened.request(call=call("r1", work_s="0.8"))
+    bench.run(0.2)
+    opened.close()
+    again = opened.request(call=call("r1", work_s="0.8"))
+    bench.run(1)
+    assert outcome_of(again) == outcome_of(running)
+    assert bench.request_starts() == ["r1"]
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/checker.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/checker.py
@@ -161,7 +161,8 @@
             yield f"{record.entry_id} went back to generation {record.generation}"
         newest[record.entry_id] = max(record.generation, newest.get(record.entry_id, 0))
         for at, generation in accepted:
-            if record.at > at + CONFIGURATION_LIMIT_S and record.generation < generation:
+            due_at = max(at, record.at - record.reachable_s) + CONFIGURATION_LIMIT_S
+            if record.at > due_at and record.generation < generation:
                 yield f"{record.entry_id} at {record.at} has {record.generation}"
 
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/entry.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/entry.py
@@ -6,8 +6,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from ebonyhatch.core import commands, configuration, entities, rendezvous, scheduler
-from ebonyhatch.node import cell, cell_status, messages, ownership, paced_store
+from ebonyhatch.core import commands, entities, rendezvous, scheduler
+from ebonyhatch.core import configuration as configurations
+from ebonyhatch.node import (
+    cell,
+    cell_status,
+    configuration,
+    messages,
+    ownership,
+    paced_store,
+)
 from ebonyhatch.platform import instances, memory_store, memory_workers, store_engine
 from ebonyhatch.testing.histories import eviction, node_clock, node_ports
 from twisted.internet import defer, task
@@ -36,7 +44,7 @@
         seed: int,
         domains: tuple[str, ...],
         listed: Callable[[str], tuple[instances.Instance, ...]],
-        in_force: configuration.InForce,
+        in_force: configurations.InForce,
     ) -> None:
         self.entry_id = entry_id
         self.clock = node_clock.NodeClock(base=base)
@@ -58,6 +66,13 @@
         self.heard: dict[str, float] = {}
         self.cells: dict[str, cell.Cell] = {}
         self.schedulers: dict[str, eviction.EvictingScheduler] = {}
+        self.configuration = configuration.Configuration(
+            store=self._paced,
+            clock=self.clock,
+            seed=generator.getrandbits(64) + int(base.seconds() * 1000),
+            on_change=lambda in_force: None,
+        )
+        self._impaired_at = base.seconds()
         self.ownership = ownership.Ownership(
             member=ownership.Member(
                 entry_id=entry_id,
@@ -79,6 +94,7 @@
     def start(self) -> None:
         """Join the others."""
         self.ownership.start()
+        self.configuration.start()
         self._refresh()
 
     def close(self) -> defer.Deferred[None]:
@@ -86,6 +102,14 @@
         self.closing = True
         return self.ownership.close()
 
+    def reachable_for(self) -> float:
+        """Time for which this process and its calls to the store have had no fault, seconds."""
+        plain = type(self.store.faults)()
+        impaired = self.to_store.jitter_s or self.to_store.repeat_share or self.to_store.delay_s
+        if not self.clock.running or impaired or self.store.faults != plain:
+            self._impaired_at = self.clock.seconds()
+        return self.clock.seconds() - self._impaired_at
+
     def hear(self, other: Entry) -> None:
         """Take a peer's heartbeat, with the ownership record that it knows."""
         self.clock.run(lambda: self._hear(other))
@@ -132,6 +156,8 @@
         self.heard[other.entry_id] = self.clock.seconds()
         known = other.ownership
         self.ownership.offer(version=known.version, record=known.record)
+        configured = other.configuration
+        self.configuration.offer(generation=configured.generation, head=configured.head)
 
     def _is_silent(self, entry_id: str) -> bool:
         return self.clock.seconds() - self.heard.get(entry_id, 0.0) > SILENT_S
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
@@ -16,8 +16,9 @@
     worker_engine,
     workers,
 )
-from ebonyhatch.testing import history
+from ebonyhatch.testing import checker, history
 from ebonyhatch.testing.histories import entry, observer
+from returns import result
 from twisted.internet import defer, task
 
 STEP_S = 0.05
@@ -101,6 +102,7 @@
             self._steps += 1
             if self._steps % round(HEARTBEAT_S / STEP_S) == 0:
                 self._beat()
+                self._look_at_configurations()
             self.look()
 
     def look(self) -> None:
@@ -245,6 +247,14 @@
             self.run.add(history.JobCancelled(at=self.now, job_id=job_id))
             owner.cancel(job_id)
 
+    def configure(self, entry_id: str, *, weight: int) -> None:
+        """Have an operator write a new configuration at an entry."""
+        tenant = {"kind": "tenant", "name": "t", "schema_version": 1, "weight": float(weight)}
+        written = self.entries[entry_id].configuration.write(
+            records=json.dumps([tenant]).encode(), expect=None
+        )
+        written.addCallback(self._told_of_configuration)
+
     def finish(self, *, quiet_s: float) -> history.History:
         """End all faults, let everything come to rest, and give the history."""
         self.mend()
@@ -295,6 +305,25 @@
                 if taker is not sender and not self._cut(sender, taker):
                     taker.hear(sender)
 
+    def _told_of_configuration(self, outcome: Any) -> None:
+        if isinstance(outcome, result.Success):
+            generation = outcome.unwrap().generation
+            self.run.add(history.ConfigurationAccepted(at=self.now, generation=generation))
+
+    def _look_at_configurations(self) -> None:
+        for one in self.entries.values():
+            reachable_s = one.reachable_for()
+            generation = one.configuration.in_force.generation
+            if one.clock.running and (generation or reachable_s > checker.CONFIGURATION_LIMIT_S):
+                self.run.add(
+                    history.ConfigurationSeen(
+                        at=self.now,
+                        entry_id=one.entry_id,
+                        generation=generation,
+                        reachable_s=reachable_s,
+                    )
+                )
+
     def _cut(self, one: entry.Entry, other: entry.Entry) -> bool:
         return frozenset((one.entry_id, other.entry_id)) in self.cuts
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/steps.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/steps.py
@@ -9,7 +9,7 @@
 Action = Callable[[fleet.Fleet, int], None]
 _ACTIONS: dict[str, Action] = {}
 
-WORK = ("request", "charge", "keyed", "submit", "cancel", "evict")
+WORK = ("request", "charge", "keyed", "submit", "cancel", "evict", "configure")
 """Actions that are no faults."""
 
 KEYS = 4
@@ -108,6 +108,13 @@
         decider.evict(count=1 + pick % 3)
 
 
+@action("configure")
+def _configure(run: fleet.Fleet, pick: int) -> None:
+    one = _running(run, pick)
+    if one is not None:
+        run.configure(one.entry_id, weight=1 + pick)
+
+
 @action("kill")
 def _kill(run: fleet.Fleet, pick: int) -> None:
     one = _entry(run, pick)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/history.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/history.py
@@ -132,10 +132,11 @@
 
 
 class ConfigurationSeen(Happening, frozen=True, kw_only=True):
-    """The generation in force on an entry that could reach the store or a peer."""
+    """The generation in force on an entry, and how long it could reach the store."""
 
     entry_id: str
     generation: int
+    reachable_s: float
 
 
 class RunEnded(Happening, frozen=True, kw_only=True):
--- a/packages/ebonyhatch-testing/tests/test_protections.py
+++ b/packages/ebonyhatch-testing/tests/test_protections.py
@@ -12,6 +12,7 @@
 from ebonyhatch.core import capacity, commands, default_scheduler, journal_entries
 from ebonyhatch.node import (
     cell,
+    configuration_current,
     journal,
     journal_log,
     request_driver,
@@ -185,6 +186,17 @@
     return run
 
 
+def store_answers_from_its_past() -> fleet.Fleet:
+    run = joined()
+    for weight in (1, 2):
+        run.configure("e0", weight=weight)
+        run.advance(6.0)
+    for _ in range(40):
+        run.entries["e1"].store.faults.stale_s = run.now - 15.0
+        run.advance(1.0)
+    return run
+
+
 def more_work_than_trusting_workers_hold() -> fleet.Fleet:
     """Workers take whatever they are given, so that only the system keeps the limits."""
     run = joined()
@@ -291,6 +303,10 @@
     patch.setattr(request_driver.RequestDriver, "_take_answer", readdress)
 
 
+def without_generation_check(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(configuration_current.Current, "_is_newer", lambda self, head: True)
+
+
 def without_capacity(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(capacity, "reserve", lambda worker, demand: None)
 
@@ -351,6 +367,11 @@
     ),
     Case(line="not-run", scenario=answers_break_off, remove=without_truth),
     Case(line="own-answer", scenario=answers_are_exchanged, remove=without_answer_ids),
+    Case(
+        line="configuration",
+        scenario=store_answers_from_its_past,
+        remove=without_generation_check,
+    ),
     Case(line="capacity", scenario=more_work_than_trusting_workers_hold, remove=without_capacity),
 ]
 
