--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
@@ -10,6 +10,7 @@
 from ebonyhatch.core import commands, configuration, entities, resources
 from ebonyhatch.node import messages
 from ebonyhatch.platform import (
+    fault_switches,
     instances,
     memory_workers,
     store_engine,
@@ -101,8 +102,8 @@
             self.clock.advance(STEP_S)
             self._steps += 1
             if self._steps % round(HEARTBEAT_S / STEP_S) == 0:
-                self._beat()
                 self._look_at_configurations()
+                self._beat()
             self.look()
 
     def look(self) -> None:
@@ -112,8 +113,8 @@
         for job_id in self._jobs:
             self._look_at_job(job_id)
 
-    def start(self, entry_id: str) -> None:
-        """Start an entry with an empty memory."""
+    def start(self, entry_id: str, *, store_faults: fault_switches.Faults | None = None) -> None:
+        """Start an entry with an empty memory, and with faults of its calls to the store."""
         started = entry.Entry(
             entry_id=entry_id,
             failure_domain=DOMAINS[int(entry_id[1:]) % len(DOMAINS)],
@@ -128,6 +129,8 @@
         )
         started.heard = dict.fromkeys(self.entries, self.now)
         self.entries[entry_id] = started
+        if store_faults is not None:
+            started.store.faults.replace(store_faults)
         started.start()
 
     def kill(self, entry_id: str) -> None:
--- a/packages/ebonyhatch-testing/tests/test_protections.py
+++ b/packages/ebonyhatch-testing/tests/test_protections.py
@@ -20,7 +20,7 @@
     task_reports,
     worker_link,
 )
-from ebonyhatch.platform import holdings, worker_engine
+from ebonyhatch.platform import fault_switches, holdings, worker_engine
 from ebonyhatch.testing import checker
 from ebonyhatch.testing.histories import entry, fleet
 from returns import result
@@ -186,14 +186,15 @@
     return run
 
 
-def store_answers_from_its_past() -> fleet.Fleet:
+def restarted_entry_reads_the_past() -> fleet.Fleet:
     run = joined()
     for weight in (1, 2):
         run.configure("e0", weight=weight)
         run.advance(6.0)
-    for _ in range(40):
-        run.entries["e1"].store.faults.stale_s = run.now - 15.0
-        run.advance(1.0)
+    run.kill("e1")
+    past = fault_switches.Faults(slow_s=1.9, stale_s=run.now - 15.0)
+    run.start("e1", store_faults=past)
+    run.advance(6.0)
     return run
 
 
@@ -369,7 +370,7 @@
     Case(line="own-answer", scenario=answers_are_exchanged, remove=without_answer_ids),
     Case(
         line="configuration",
-        scenario=store_answers_from_its_past,
+        scenario=restarted_entry_reads_the_past,
         remove=without_generation_check,
     ),
     Case(line="capacity", scenario=more_work_than_trusting_workers_hold, remove=without_capacity),
