--- a/packages/ebonyhatch-node/src/ebonyhatch/node/task_driver.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/task_driver.py
@@ -123,8 +123,12 @@
 
     async def _send_start(self, row: job_machine.JobRow, attempt: attempts.Attempt) -> None:
         link = self._links.get(row.worker_id)
-        if attempt.stopping or not self._may_act():
-            await self._reports.withdraw(row, reason="stopped")
+        if attempt.stopping:
+            stopped = events.TaskStopped(task_id=row.task_id, progress_s=row.progress_s)
+            await self._reports.withdraw(row, reason="stopped", event=stopped)
+            return
+        if not self._may_act():
+            await self._reports.withdraw(row, reason="lease-lapsed")
             return
         if link is None or not link.claimed or link.leaving:
             await self._reports.withdraw(row, reason="worker-leaving")
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/task_reports.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/task_reports.py
@@ -85,13 +85,15 @@
             attempt.saving = True
             self._group.spawn(self._journal_checkpoint(row, checkpoint, progress_s))
 
-    def withdraw(self, row: job_machine.JobRow, *, reason: str) -> defer.Deferred[None]:
+    def withdraw(
+        self, row: job_machine.JobRow, *, reason: str, event: events.Event | None = None
+    ) -> defer.Deferred[None]:
         """End an attempt that certainly never ran."""
         entry = journal_entries.AttemptWithdrawn(
             job_id=row.job.job_id, attempt=row.attempts, reason=reason
         )
-        event = events.TaskStartFailed(task_id=row.task_id, reason=reason)
-        return self._requeue(row, entry, event)
+        failed = events.TaskStartFailed(task_id=row.task_id, reason=reason)
+        return self._requeue(row, entry, event or failed)
 
     def _attempt(self, row: job_machine.JobRow) -> attempts.Attempt:
         return self._table.find_or_add(row.task_id, row.worker_id)
