--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
@@ -10,14 +10,16 @@
 from ebonyhatch.core import commands, configuration, entities, resources
 from ebonyhatch.node import messages
 from ebonyhatch.platform import (
+    fault_switches,
     instances,
     memory_workers,
     store_engine,
     worker_engine,
     workers,
 )
-from ebonyhatch.testing import history
+from ebonyhatch.testing import checker, history
 from ebonyhatch.testing.histories import entry, observer
+from returns import result
 from twisted.internet import defer, task
 
 STEP_S = 0.05
@@ -100,6 +102,7 @@
             self.clock.advance(STEP_S)
             self._steps += 1
             if self._steps % round(HEARTBEAT_S / STEP_S) == 0:
+                self._look_at_configurations()
                 self._beat()
             self.look()
 
@@ -110,8 +113,8 @@
         for job_id in self._jobs:
             self._look_at_job(job_id)
 
-    def start(self, entry_id: str) -> None:
-        """Start an entry with an empty memory."""
+    def start(self, entry_id: str, *, store_faults: fault_switches.Faults | None = None) -> None:
+        """Start an entry with an empty memory, and with faults of its calls to the store."""
         started = entry.Entry(
             entry_id=entry_id,
             failure_domain=DOMAINS[int(entry_id[1:]) % len(DOMAINS)],
@@ -126,6 +129,8 @@
         )
         started.heard = dict.fromkeys(self.entries, self.now)
         self.entries[entry_id] = started
+        if store_faults is not None:
+            started.store.faults.replace(store_faults)
         started.start()
 
     def kill(self, entry_id: str) -> None:
@@ -245,6 +250,14 @@
             self.run.add(history.JobCancelled(at=self.now, job_id=job_id))
             owner.cancel(job_id)
 
+    def configure(self, entry_id: str, *, weight: int) -> None:
+        """Have an operator write a new configuration at an entry."""
+        tenant = {"kind": "tenant", "name": "t", "schema_version": 1, "weight": float(weight)}
+        written = self.entries[entry_id].configuration.write(
+            records=json.dumps([tenant]).encode(), expect=None
+        )
+        written.addCallback(self._told_of_configuration)
+
     def finish(self, *, quiet_s: float) -> history.History:
         """End all faults, let everything come to rest, and give the history."""
         self.mend()
@@ -295,6 +308,25 @@
                 if taker is not sender and not self._cut(sender, taker):
                     taker.hear(sender)
 
+    def _told_of_configuration(self, outcome: Any) -> None:
+        if isinstance(outcome, result.Success):
+            generation = outcome.unwrap().generation
+            self.run.add(history.ConfigurationAccepted(at=self.now, generation=generation))
+
+    def _look_at_configurations(self) -> None:
+        for one in self.entries.values():
+            reachable_s = one.reachable_for()
+            generation = one.configuration.in_force.generation
+            if one.clock.running and (generation or reachable_s > checker.CONFIGURATION_LIMIT_S):
+                self.run.add(
+                    history.ConfigurationSeen(
+                        at=self.now,
+                        entry_id=one.entry_id,
+                        generation=generation,
+                        reachable_s=reachable_s,
+                    )
+                )
+
     def _cut(self, one: entry.Entry, other: entry.Entry) -> bool:
         return frozenset((one.entry_id, other.entry_id)) in self.cuts
 
--- a/packages/ebonyhatch-testing/tests/test_protections.py
+++ b/packages/ebonyhatch-testing/tests/test_protections.py
@@ -12,6 +12,7 @@
 from ebonyhatch.core import capacity, commands, default_scheduler, journal_entries
 from ebonyhatch.node import (
     cell,
+    configuration_current,
     journal,
     journal_log,
     request_driver,
@@ -19,7 +20,7 @@
     task_reports,
     worker_link,
 )
-from ebonyhatch.platform import holdings, worker_engine
+from ebonyhatch.platform import fault_switches, holdings, worker_engine
 from ebonyhatch.testing import checker
 from ebonyhatch.testing.histories import entry, fleet
 from returns import result
@@ -185,6 +186,18 @@
     return run
 
 
+def restarted_entry_reads_the_past() -> fleet.Fleet:
+    run = joined()
+    for weight in (1, 2):
+        run.configure("e0", weight=weight)
+        run.advance(6.0)
+    run.kill("e1")
+    past = fault_switches.Faults(slow_s=1.9, stale_s=run.now - 15.0)
+    run.start("e1", store_faults=past)
+    run.advance(6.0)
+    return run
+
+
 def more_work_than_trusting_workers_hold() -> fleet.Fleet:
     """Workers take whatever they are given, so that only the system keeps the limits."""
     run = joined()
@@ -291,6 +304,10 @@
     patch.setattr(request_driver.RequestDriver, "_take_answer", readdress)
 
 
+def without_generation_check(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(configuration_current.Current, "_is_newer", lambda self, head: True)
+
+
 def without_capacity(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(capacity, "reserve", lambda worker, demand: None)
 
@@ -351,6 +368,11 @@
     ),
     Case(line="not-run", scenario=answers_break_off, remove=without_truth),
     Case(line="own-answer", scenario=answers_are_exchanged, remove=without_answer_ids),
+    Case(
+        line="configuration",
+        scenario=restarted_entry_reads_the_past,
+        remove=without_generation_check,
+    ),
     Case(line="capacity", scenario=more_work_than_trusting_workers_hold, remove=without_capacity),
 ]
 
