--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
 
 import msgspec
-from ebonyhatch.core import commands, configuration, entities, errors, events, scheduler
+from ebonyhatch.core import (
+    commands,
+    configuration,
+    entities,
+    errors,
+    events,
+    scheduler,
+    views,
+)
 from ebonyhatch.node import (
     cell_status,
     cell_workers,
@@ -40,6 +48,21 @@
 StartOutcome = defer.Deferred[result.Result[None, errors.EbonyhatchError]]
 
 
+def _unseen(
+    *, now: float, taken: Sequence[events.Event], decided: Sequence[commands.Command]
+) -> None:
+    """See nothing."""
+
+
+class See(Protocol):
+    """Sees the events and commands of each tick."""
+
+    def __call__(
+        self, *, now: float, taken: Sequence[events.Event], decided: Sequence[commands.Command]
+    ) -> None:
+        """See one tick."""
+
+
 def _ignore(kind: str, fields: dict[str, Any]) -> None:
     """Drop an event of the log."""
 
@@ -59,6 +82,7 @@
         clock: timing.Clock,
         may_act: Callable[[], bool],
         on_event: Callable[[str, dict[str, Any]], None] = _ignore,
+        see: See = _unseen,
         seed: int,
     ) -> None:
         self._name = name
@@ -68,6 +92,7 @@
         self._clock = clock
         self._lease_valid = may_act
         self._on_event = on_event
+        self._see = see
         self._phase = cell_status.CellPhase.NEW
         self._fault: errors.EbonyhatchError | None = None
         self._classes: dict[str, entities.WorkClass] = {}
@@ -205,8 +230,12 @@
         return messages.CellRoom(cell=self._name, epoch=self._epoch, room=room)
 
     def explain(self, *, subject_id: str) -> str:
-        """Say why a job or a request waits, or where it is."""
-        return self._scheduler.explain(subject_id=subject_id)
+        """Say why a job or a request waits, or where it is; empty when it is not known."""
+        return self._scheduler.explain(subject_id=subject_id) or self._jobs.explain(subject_id)
+
+    def view(self) -> views.View:
+        """Show workers, queues and reserve to operators."""
+        return self._scheduler.view()
 
     def status(self) -> cell_status.CellStatus:
         """Describe the cell to operators."""
@@ -316,7 +345,9 @@
         self._requests.sweep()
         batch, self._events = self._events, []
         self._unseen_requests = 0
-        decided = self._scheduler.tick(now=self._clock.seconds(), events=batch)
+        now = self._clock.seconds()
+        decided = self._scheduler.tick(now=now, events=batch)
+        self._see(now=now, taken=batch, decided=decided)
         for command in decided:
             self._carry_out(command)
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
@@ -12,10 +12,12 @@
     access,
     admin,
     cell,
+    cell_observer,
     cell_set,
     configuration,
     daemon_view,
     gateway,
+    gauges,
     gossip,
     heads,
     http_server,
@@ -31,8 +33,9 @@
     route_choice,
     routing,
     settings,
+    store_health,
 )
-from ebonyhatch.platform import instances, store, workers
+from ebonyhatch.platform import guarded_store, instances, store, workers
 from twisted.internet import defer, task
 from twisted.web import resource
 
@@ -40,7 +43,7 @@
 SILENCE_S = 3.0
 """Silence after which a peer's store lease is looked up."""
 
-GAUGES_PERIOD_S = 1.0
+GAUGES_PERIOD_S = 5.0
 
 
 class Platform(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,6 +84,13 @@
         self._listening: list[Any] = []
         self._draining = False
         self.measures = metrics.Metrics(label_sets=chosen.limits.metric_label_sets)
+        self._health = store_health.StoreHealth(clock=reactor, measures=self.measures)
+        self._store = guarded_store.GuardedStore(
+            inner=platform.store,
+            clock=reactor,
+            generator=random.Random(seed),
+            observe=self._health.observe,
+        )
         self._network = self._make_network()
         self._listed = self._make_instance_view()
         self._cells = self._make_cells()
@@ -101,11 +111,12 @@
         self._gateway = self._make_gateway()
         self._view = daemon_view.DaemonView(
             entry_id=chosen.entry.id,
-            configured=self._configured,
             owned=self._owned,
             cells=self._cells,
             gossiper=self._gossiper,
             listed=self._listed,
+            network=self._network,
+            health=self._health,
             draining=lambda: self._draining,
             warnings=self._warnings,
         )
@@ -129,7 +140,7 @@
             PeerBindError: When the peers' address can't be listened on.
             twisted.internet.error.CannotListenError: Likewise for an HTTP address.
         """
-        self._platform.store.start()
+        self._store.start()
         self._platform.workers.start()
         self._platform.instances.start()
         self._network.start()
@@ -165,7 +176,7 @@
             await defer.maybeDeferred(port.stopListening)
         self._platform.instances.close()
         self._platform.workers.close()
-        self._platform.store.close()
+        self._store.close()
         logs.write("entry stopped", entry_id=self._settings.entry.id)
 
     def in_progress(self) -> int:
@@ -223,7 +234,7 @@
 
     def _make_configuration(self) -> configuration.Configuration:
         return configuration.Configuration(
-            store=self._platform.store,
+            store=self._store,
             clock=self._reactor,
             seed=self._seed,
             on_change=self._configuration_changed,
@@ -240,7 +251,7 @@
         )
         return ownership.Ownership(
             member=member,
-            store=self._platform.store,
+            store=self._store,
             clock=self._reactor,
             seed=self._seed,
             domains=lambda: self._listed.domains,
@@ -292,12 +303,13 @@
             name=owned.name,
             epoch=owned.epoch,
             entry_id=self._settings.entry.id,
-            store=self._platform.store,
+            store=self._store,
             workers_port=self._platform.workers,
             scheduler=scheduler.build(name=policy.name, seed=policy.seed),
             clock=self._reactor,
             may_act=self._owned.lease_valid,
             on_event=self._cell_event,
+            see=cell_observer.CellObserver(measures=self.measures).see,
             seed=self._seed,
         )
 
@@ -308,6 +320,12 @@
         )
         for kind in (messages.JobSubmitCall, messages.JobShowCall, messages.JobCancelCall):
             self._network.handle(kind, lambda sender, call: self._router.handle_job(call=call))
+        self._network.handle(messages.ExplainCall, self._explain)
+
+    def _explain(self, sender: str, message: messages.Message) -> messages.ExplainReply:
+        if not isinstance(message, messages.ExplainCall):
+            return messages.ExplainReply()
+        return self._view.explain_here(subject_id=message.subject_id)
 
     def _heard(self, sender: str, message: messages.Message) -> None:
         if not isinstance(message, messages.Gossip):
@@ -362,10 +380,13 @@
         logs.write(kind, entry_id=self._settings.entry.id, **fields)
 
     def _set_gauges(self) -> None:
-        self.measures.set_generation(
-            generation=self._configured.generation, age_s=self._configured.age_s
+        gauges.set_all(
+            measures=self.measures,
+            shown=[serving.view() for serving in self._cells.serving.values()],
+            configured=self._configured,
+            gossiper=self._gossiper,
+            store_age_s=self._health.age_s,
         )
-        self.measures.set_cells(count=len(self._cells.serving))
 
     def _admin_root(self) -> resource.Resource:
         operators = admin.Admin(
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/daemon_view.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/daemon_view.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
+from ebonyhatch.core import views
 from ebonyhatch.node import (
     admin_view,
     cell_set,
-    configuration,
     gossip,
     instance_view,
+    messages,
     ownership,
+    peers,
+    store_health,
 )
 from ebonyhatch.platform import instances
+from returns import result
+
+EXPLAIN_TIMEOUT_S = 2.0
 
 
 class DaemonView(admin_view.AdminView):
@@ -22,49 +28,82 @@
         self,
         *,
         entry_id: str,
-        configured: configuration.Configuration,
         owned: ownership.Ownership,
         cells: cell_set.CellSet,
         gossiper: gossip.Gossiper,
         listed: instance_view.InstanceView,
+        network: peers.PeerNetwork,
+        health: store_health.StoreHealth,
         draining: Callable[[], bool],
         warnings: Callable[[], tuple[str, ...]],
     ) -> None:
         self._entry_id = entry_id
-        self._configured = configured
         self._owned = owned
         self._cells = cells
         self._gossiper = gossiper
         self._listed = listed
+        self._network = network
+        self._health = health
         self._draining = draining
         self._warnings = warnings
 
     def status(self) -> admin_view.EntryStatus:
         """Summarize the entry as it is now."""
+        shown = {name: serving.view() for name, serving in self._cells.serving.items()}
+        workers = [_worker(name, row) for name, view in shown.items() for row in view.workers]
+        parked = [_parked(name, row) for name, view in shown.items() for row in view.parked]
+        limit = admin_view.SHOWN_LIMIT
         return admin_view.EntryStatus(
             entry_id=self._entry_id,
             draining=self._draining(),
-            store=self._store(),
+            store=admin_view.StoreStatus(
+                reachable=self._health.reachable, age_s=self._health.age_s
+            ),
             cells=tuple(self._cell(name) for name in sorted(self._owned.owners)),
+            workers=tuple(workers[:limit]),
+            worker_count=len(workers),
+            queues=merged_queues(shown.values()),
+            parked=tuple(parked[:limit]),
+            parked_count=len(parked),
             peers=tuple(self._peer(entry.instance_id) for entry in self._others()),
             warnings=self._warnings(),
         )
 
     async def explain(self, *, subject_id: str) -> admin_view.Explanation | None:
-        """Explain a job, attempt or request that a cell of this entry holds."""
+        """Explain a job, attempt or request that some reachable entry knows."""
+        own = self.explain_here(subject_id=subject_id)
+        if own.text:
+            return self._explanation(subject_id, self._entry_id, own)
+        for entry in self._others():
+            reply = await self._ask(entry.instance_id, subject_id)
+            if reply.text:
+                return self._explanation(subject_id, entry.instance_id, reply)
+        return None
+
+    def explain_here(self, *, subject_id: str) -> messages.ExplainReply:
+        """Explain what a cell of this entry knows; empty when none does."""
         for name, serving in self._cells.serving.items():
             text = serving.explain(subject_id=subject_id)
             if text:
-                return admin_view.Explanation(
-                    subject_id=subject_id, entry_id=self._entry_id, cell=name, text=text
-                )
-        return None
+                return messages.ExplainReply(cell=name, text=text)
+        return messages.ExplainReply()
 
-    def _store(self) -> admin_view.StoreStatus:
-        age_s = self._configured.age_s
-        reachable = self._owned.lease_valid()
-        shown = None if age_s == float("inf") else age_s
-        return admin_view.StoreStatus(reachable=reachable, age_s=shown)
+    async def _ask(self, entry_id: str, subject_id: str) -> messages.ExplainReply:
+        call = messages.ExplainCall(subject_id=subject_id)
+        outcome = await self._network.call(
+            entry_id=entry_id, message=call, timeout_s=EXPLAIN_TIMEOUT_S
+        )
+        match outcome:
+            case result.Success(messages.ExplainReply() as reply):
+                return reply
+        return messages.ExplainReply()
+
+    def _explanation(
+        self, subject_id: str, entry_id: str, reply: messages.ExplainReply
+    ) -> admin_view.Explanation:
+        return admin_view.Explanation(
+            subject_id=subject_id, entry_id=entry_id, cell=reply.cell, text=reply.text
+        )
 
     def _cell(self, name: str) -> admin_view.CellStatus:
         owner = self._owned.owners[name]
@@ -90,3 +129,32 @@
             generation=heard.gossip.generation,
             draining=heard.gossip.draining,
         )
+
+
+def merged_queues(shown: Iterable[views.View]) -> tuple[admin_view.QueueStatus, ...]:
+    """Add up the queues of several cells by class."""
+    waiting: dict[str, int] = {}
+    oldest: dict[str, float] = {}
+    for view in shown:
+        for row in view.queues:
+            waiting[row.work_class] = waiting.get(row.work_class, 0) + row.waiting
+            oldest[row.work_class] = max(oldest.get(row.work_class, 0.0), row.oldest_s)
+    return tuple(
+        admin_view.QueueStatus(work_class=name, waiting=count, oldest_s=oldest[name])
+        for name, count in sorted(waiting.items())
+    )
+
+
+def _worker(cell: str, row: views.WorkerView) -> admin_view.WorkerStatus:
+    return admin_view.WorkerStatus(
+        worker_id=row.worker_id,
+        cell=cell,
+        health=row.health,
+        capacity=row.capacity,
+        reserved=row.reserved,
+        measured_age_s=row.load_age_s,
+    )
+
+
+def _parked(cell: str, row: views.ParkedView) -> admin_view.ParkedJob:
+    return admin_view.ParkedJob(job_id=row.job_id, cell=cell, reason=row.reason)
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/gauges.py
@@ -0,0 +1,68 @@
+"""Sets the gauges of an entry from what its parts show."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Sequence
+
+from ebonyhatch.core import views
+from ebonyhatch.node import configuration, gossip, metrics
+
+HEARD_S = 3.0
+"""Age of gossip up to which a peer counts as heard."""
+
+HEALTHS = ("healthy", "overloaded", "barred", "leaving")
+
+
+def set_all(
+    *,
+    measures: metrics.Metrics,
+    shown: Sequence[views.View],
+    configured: configuration.Configuration,
+    gossiper: gossip.Gossiper,
+    store_age_s: float | None,
+) -> None:
+    """Set every gauge; ages that are not known are shown as infinite."""
+    measures.set_generation(generation=configured.generation, age_s=configured.age_s)
+    measures.set_store_age(age_s=float("inf") if store_age_s is None else store_age_s)
+    measures.set_cells(count=len(shown))
+    measures.set_reserve(
+        slots=sum(view.reserve_slots for view in shown), crest=any(view.crest for view in shown)
+    )
+    _set_workers(measures, shown)
+    _set_queues(measures, shown)
+    _set_slowdowns(measures, shown)
+    _set_peers(measures, gossiper)
+
+
+def _set_workers(measures: metrics.Metrics, shown: Sequence[views.View]) -> None:
+    found = collections.Counter(row.health for view in shown for row in view.workers)
+    for health in HEALTHS:
+        measures.set_workers(health=health, count=found[health])
+
+
+def _set_queues(measures: metrics.Metrics, shown: Sequence[views.View]) -> None:
+    waiting: collections.Counter[str] = collections.Counter()
+    for view in shown:
+        for row in view.queues:
+            waiting[row.work_class] += row.waiting
+        for slowdown in view.slowdowns:
+            waiting[slowdown.batch] += 0
+    for work_class, length in waiting.items():
+        measures.set_queue(work_class=work_class, length=length)
+
+
+def _set_slowdowns(measures: metrics.Metrics, shown: Sequence[views.View]) -> None:
+    worst: dict[str, float] = {}
+    for view in shown:
+        for row in view.slowdowns:
+            worst[row.batch] = max(worst.get(row.batch, 0.0), row.slowdown)
+    for batch, slowdown in worst.items():
+        measures.set_interference(urgent="all", batch=batch, slowdown=slowdown)
+
+
+def _set_peers(measures: metrics.Metrics, gossiper: gossip.Gossiper) -> None:
+    ages = [gossiper.age_s(name) for name in gossiper.generations()]
+    heard = sum(age is not None and age <= HEARD_S for age in ages)
+    measures.set_peers(state="heard", count=heard)
+    measures.set_peers(state="silent", count=len(ages) - heard)
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/job_requests.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_requests.py
@@ -62,6 +62,14 @@
             return messages.JobReply(status=404, reason="no such job")
         return messages.JobReply(view=view_of(row))
 
+    def explain(self, job_id: str) -> str:
+        """Say in a sentence what became of a job; empty when it is not known."""
+        row = self._jobs.get(job_id)
+        if row is None:
+            return ""
+        why = f": {row.reason}" if row.reason else ""
+        return f"{job_id} is {row.state} after {row.attempts} attempts{why}"
+
     def cancel(self, job_id: str) -> ReplyOutcome:
         """Cancel a job; one that has ended stays as it is."""
         row = self._jobs.get(job_id)
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/store_health.py
@@ -0,0 +1,42 @@
+"""How the store answers this entry, by kind and outcome of its calls."""
+
+from __future__ import annotations
+
+from ebonyhatch.node import metrics
+from ebonyhatch.platform import guarded_store, timing
+
+ANSWERED = frozenset(
+    {
+        guarded_store.CallOutcome.OK,
+        guarded_store.CallOutcome.CONFLICT,
+        guarded_store.CallOutcome.REFUSED,
+    }
+)
+"""Outcomes that the store itself decided."""
+
+
+class StoreHealth:
+    """Counts calls and remembers the last answer."""
+
+    def __init__(self, *, clock: timing.Clock, measures: metrics.Metrics) -> None:
+        self._clock = clock
+        self._measures = measures
+        self._answered_at: float | None = None
+        self._reachable = False
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the last call was answered."""
+        return self._reachable
+
+    @property
+    def age_s(self) -> float | None:
+        """Seconds since the last answer; None before the first."""
+        return None if self._answered_at is None else self._clock.seconds() - self._answered_at
+
+    def observe(self, kind: guarded_store.Kind, outcome: guarded_store.CallOutcome) -> None:
+        """Take in the outcome of one call."""
+        self._measures.store_called(kind=kind.value, outcome=outcome.value)
+        self._reachable = outcome in ANSWERED
+        if self._reachable:
+            self._answered_at = self._clock.seconds()
