Evictions wait longer before unsaved work is given up, in steps by its amount

The wait is the age of the first request in the queue. The estimate from the rate of sends was ruled out: it lags a second behind the slots that come back and stopped too many tasks.

--- a/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
@@ -181,6 +181,7 @@
         workers: The workers, in the order in which they were added.
         slots: Their slots.
         held_costly: Slots of them that would cost too much to take back.
+        relieved: When slots were taken back for a queue, and how many.
         need: Slots that urgent work needs soon.
         lendable: Slots that batch work may still take; below 0, what it holds too many.
         enough_since: When all of the reserve was last needed, seconds.
@@ -189,6 +190,7 @@
     workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
     slots: int = 0
     held_costly: int = 0
+    relieved: list[tuple[float, int]] = dataclasses.field(default_factory=list)
     need: float = 0.0
     lendable: int = 0
     enough_since: float = 0.0
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
@@ -37,7 +37,7 @@
     hold_s: float = 8.0
     eviction_cost_limit_s: float = 12.0
     patience_s: float = 0.25
-    eviction_budget: float = 0.75
+    eviction_budget: float = 1.0
     eviction_refill_s: float = 120.0
     checkpoint_spacing_s: float = 30.0
     standby_share: float = 0.0
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/eviction.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/eviction.py
@@ -13,10 +13,10 @@
 CHEAP_S = 5.0
 """Work that may be lost to rid reserved workers of harmful tasks, seconds."""
 
-PATIENCE = ((2.5, math.inf), (2.0, 90.0), (1.0, 30.0))
+PATIENCE = ((2.5, math.inf), (2.0, 90.0), (1.5, 30.0), (1.0, 15.0))
 """Waits of urgent work, in patiences, and the work that may then be lost in a task, seconds."""
 
-DRAIN_S = 0.3
+DRAIN_S = 0.8
 """Time in which a queue of requests is to be worked off, seconds."""
 
 THROTTLED = 0.5
@@ -61,14 +61,20 @@
 
 def _relieve(state: tables.Tables) -> None:
     """Stop tasks unsaved when urgent work waits too long for checkpoints."""
-    waits = state.wait_s / state.settings.patience_s
+    head = state.urgent.head()
+    if head is None:
+        return
+    waits = (state.now - head.request.arrived_at) / state.settings.patience_s
     limit_s = next((cost_s for wait, cost_s in PATIENCE if waits > wait), 0.0)
     if not limit_s:
         return
     tasks = [
         task for task in _running(state) if eviction_costs.unsaved_s(task, now=state.now) < limit_s
     ]
-    slots = int(len(state.urgent) * state.demand.service_s / DRAIN_S)
+    slots = int(len(state.urgent) * state.demand.service_s / DRAIN_S) - _relieved(state)
+    if slots <= 0:
+        return
+    state.reserve.relieved.append((state.now, slots))
     for task in sorted(tasks, key=lambda entry: eviction_costs.at_once(state, entry)):
         if slots <= 0 or not state.budget.take():
             return
@@ -76,6 +82,13 @@
         evict_task(state, task, checkpoint=False)
 
 
+def _relieved(state: tables.Tables) -> int:
+    """Slots that were taken back for the same queue."""
+    recent = [entry for entry in state.reserve.relieved if entry[0] > state.now - DRAIN_S]
+    state.reserve.relieved = recent
+    return sum(slots for _, slots in recent)
+
+
 def _clear_reserved(state: tables.Tables) -> None:
     """Rid reserved workers of harmful tasks: throttle, and evict when that is cheap."""
     for worker in state.reserve.workers.values():
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/urgent_queue.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/urgent_queue.py
@@ -31,6 +31,12 @@
         """Count one request that left without being popped."""
         self._size -= 1
 
+    def head(self) -> rows.Request | None:
+        """The request that goes next, or None; it stays queued."""
+        while self._heap and self._heap[0][3].state is not rows.RequestState.QUEUED:
+            heapq.heappop(self._heap)
+        return self._heap[0][3] if self._heap else None
+
     def pop(self) -> rows.Request | None:
         """Take the request that goes next, or None."""
         while self._heap:
