--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
@@ -171,10 +171,10 @@
         keyed = bool(call.idempotency_key) and not call.idempotent
         reason = self._reason_against()
         if reason and not (keyed and self._keyed.running(call)):
-            refused = self._refusal(call, reason)
-            self._requests.remember(refused)
-            return defer.succeed(refused)
-        return self._keyed.request(call) if keyed else self._serve(call)
+            served = defer.succeed(self._refusal(call, reason))
+        else:
+            served = self._keyed.request(call) if keyed else self._serve(call)
+        return served.addCallback(self._requests.remember)
 
     def submit(self, *, job: entities.Job) -> job_requests.ReplyOutcome:
         """Accept a job; fires once it is durable, or refused."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/request_driver.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/request_driver.py
@@ -117,16 +117,18 @@
         known.waiting.append(waiting)
         return waiting
 
-    def remember(self, reply: messages.RequestReply) -> None:
+    def remember(self, reply: messages.RequestReply) -> messages.RequestReply:
         """Keep a reply for repeated messages, so that none is told or done anything else."""
+        kept = reply
         if reply.answer is not None and len(reply.answer.body) > RECENT_BODY_BYTES:
             unknown = commands.Outcome.UNKNOWN
-            reply = messages.RequestReply(
+            kept = messages.RequestReply(
                 request_id=reply.request_id, outcome=unknown, reason="repeated"
             )
-        self._recent[reply.request_id] = reply
+        self._recent[reply.request_id] = kept
         if len(self._recent) > RECENT_KEPT:
             self._recent.popitem(last=False)
+        return reply
 
     def refusal(self, call: messages.RequestCall, *, reason: str) -> messages.RequestReply:
         """Reply to a request that certainly was not sent."""
@@ -142,7 +144,7 @@
         entry = self._in_flight.get(command.request_id)
         link = self._links.get(command.worker_id)
         sent = {"request_id": command.request_id, "worker_id": command.worker_id}
-        if entry is None or link is None or not link.claimed or not self._may_act():
+        if entry is None or link is None or not link.open or not self._may_act():
             self._emit(events.RequestNotRun(**sent))
         elif not entry.call.idempotent and entry.truth is commands.Outcome.UNKNOWN:
             self._emit(events.RequestLost(**sent))
@@ -234,7 +236,6 @@
         if self._in_flight.get(reply.request_id) is not entry:
             return
         del self._in_flight[reply.request_id]
-        self.remember(reply)
         waiting, entry.waiting = entry.waiting, []
         for outcome in waiting:
             outcome.callback(reply)
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/task_driver.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/task_driver.py
@@ -130,7 +130,7 @@
         if not self._may_act():
             await self._reports.withdraw(row, reason="lease-lapsed")
             return
-        if link is None or not link.claimed or link.leaving:
+        if link is None or not link.open:
             await self._reports.withdraw(row, reason="worker-leaving")
             return
         outcome = await self._port.start_task(
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/worker_link.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/worker_link.py
@@ -21,6 +21,9 @@
 SILENT_RENEWALS = 3
 """Renewals without an answer after which a worker is only asked, not renewed."""
 
+FRESH_S = 2.5
+"""Age of the last report up to which work may be sent; a leaving worker may have said so since."""
+
 PROBE_LIMIT_S = 5.0
 """Longest time between two questions to a silent worker, seconds."""
 
@@ -65,6 +68,7 @@
         self._leases_until = clock.seconds() + TASK_LEASE_S + LEASE_MARGIN_S
         self._lost = False
         self._says_leaving = False
+        self._reported_at = float("-inf")
         self._refused_at = float("-inf")
         self._acknowledged: dict[str, None] = {}
         self._sleeping: defer.Deferred[None] | None = None
@@ -90,9 +94,15 @@
 
     @property
     def leaving(self) -> bool:
-        """Whether any sign says that it must get nothing new."""
+        """Whether any sign says that it must get nothing new, silence among them."""
         listed_live = self.listed and self.instance.state == instances.InstanceState.LIVE
-        return not listed_live or self._says_leaving
+        return not listed_live or self._says_leaving or not self._claimed
+
+    @property
+    def open(self) -> bool:
+        """Whether work may be sent to it now."""
+        fresh = self._clock.seconds() - self._reported_at <= FRESH_S
+        return fresh and not self.leaving
 
     def start(self) -> None:
         """Claim the worker, then renew it until `close`."""
@@ -158,6 +168,7 @@
         self._delays.reset()
         self._claimed = self._ever_claimed = True
         self._lost = False
+        self._reported_at = sent_at
         self._extend()
         for task_id in acknowledged:
             self._acknowledged.pop(task_id, None)
@@ -172,8 +183,9 @@
         self._failures += 1
         if renewing and isinstance(error, workers.OutcomeUnknownError):
             self._extend()
-        if self._failures >= SILENT_RENEWALS:
+        if self._failures >= SILENT_RENEWALS and self._claimed:
             self._claimed = False
+            self._on_refusal(self)
         if not self._claimed and not self._lost and self._leases_ran_out():
             self._lost = True
             self._on_lost(self)
--- a/packages/ebonyhatch-node/tests/test_cell.py
+++ b/packages/ebonyhatch-node/tests/test_cell.py
@@ -253,3 +253,36 @@
     bench.run(1)
     assert outcome_of(again) == outcome_of(running)
     assert bench.request_starts() == ["r1"]
+
+
+def test_nothing_is_sent_on_old_news_of_a_worker():
+    bench = Bench(fenced=False)
+    lease = {"valid": True}
+    opened, _ = bench.open(may_act=lambda: lease["valid"])
+    bench.run(13)
+    lease["valid"] = False
+    for engine in bench.workers.engines.values():
+        engine.leave()
+    bench.run(5)
+    lease["valid"] = True
+    opened.submit(job=job("j1"))
+    asked = opened.request(call=call("r1"))
+    bench.run(5)
+    assert bench.starts() == []
+    assert bench.request_starts() == []
+    assert outcome_of(asked).outcome is commands.Outcome.NOT_RUN
+
+
+def test_keyed_refusal_is_repeated_to_a_repeated_message():
+    bench = Bench()
+    opened, _ = bench.open()
+    bench.run(1)
+    bench.last_store.faults.down = True
+    first = opened.request(call=call("r1", key="k", idempotent=False))
+    bench.run(1)
+    bench.last_store.faults.down = False
+    bench.run(10)
+    again = opened.request(call=call("r1", key="k", idempotent=False))
+    bench.run(2)
+    assert outcome_of(again) == outcome_of(first)
+    assert bench.request_starts() == []
