The result of an attempt that was given up is taken while no later one is intended

A worker that was silent past its leases and came back with a finished attempt had its result dropped and the work done again. Test seen failing first.

--- a/packages/ebonyhatch-core/src/ebonyhatch/core/job_machine.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/job_machine.py
@@ -144,6 +144,7 @@
         _waiting.upon(cancel, enter=_cancelled, outputs=[])
         _waiting.upon(park, enter=_parked, outputs=[])
         _waiting.upon(fail, enter=_failed, outputs=[])
+        _waiting.upon(finish, enter=_finished, outputs=[])
     for _attempting in (_starting, _running):
         _attempting.upon(start, enter=_running, outputs=[])
         _attempting.upon(checkpoint, enter=_running, outputs=[])
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/job_table.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_table.py
@@ -66,6 +66,13 @@
             return None
         return row
 
+    def waiting_after(self, task_id: str) -> job_machine.JobRow | None:
+        """Row that waits and whose last attempt is `task_id`; its result may still come."""
+        row = self._rows.get(task_id.rpartition("/")[0])
+        if row is None or row.task_id != task_id or row.state not in job_machine.WAITING:
+            return None
+        return row
+
     def attempts_on(self, worker_id: str) -> list[job_machine.JobRow]:
         """Rows whose last attempt may be running on a worker."""
         return [self._rows[job_id] for job_id in self._by_worker.get(worker_id, ())]
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/task_reports.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/task_reports.py
@@ -100,6 +100,8 @@
 
     def _take_task(self, link: worker_link.WorkerLink, task: workers.TaskReport) -> None:
         row = self._jobs.of_task(task.task_id)
+        if row is None and task.state == workers.TaskState.FINISHED:
+            row = self._jobs.waiting_after(task.task_id)
         if row is None or row.worker_id != link.worker_id:
             self._drop(link, task)
             return
@@ -195,7 +197,7 @@
         if attempt is None or not isinstance(written, result.Success):
             return
         self._tell_over(attempt, event)
-        if row.state == job_machine.JobState.FAILED:
+        if row.state in job_machine.ENDED:
             self._emit(events.JobCancelled(job_id=row.job.job_id))
         if row.state == job_machine.JobState.QUEUED and not _requeues(event, attempt):
             self._emit(task_entries.submitted(row))
--- a/packages/ebonyhatch-node/tests/test_cell.py
+++ b/packages/ebonyhatch-node/tests/test_cell.py
@@ -286,3 +286,20 @@
     bench.run(2)
     assert outcome_of(again) == outcome_of(first)
     assert bench.request_starts() == []
+
+
+def test_result_of_a_lost_attempt_is_taken_while_no_later_one_is_intended():
+    bench = Bench()
+    del bench.state["w2"]
+    opened, _ = bench.open()
+    bench.run(1)
+    opened.submit(job=job("j1", run_s=4.0))
+    bench.run(3)
+    bench.workers.faults("w1").silent = True
+    bench.run(25)
+    assert opened.show(job_id="j1").view.state == "queued"
+    bench.workers.faults("w1").silent = False
+    bench.run(10)
+    view = opened.show(job_id="j1").view
+    assert (view.state, view.attempts) == ("finished", 1)
+    assert bench.starts() == ["j1/1"]
