--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
@@ -277,7 +277,7 @@
         for network in (one.to_store, one.to_workers):
             network.delay_s = network.jitter_s = network.repeat_share = 0.0
         one.store_port.written_late_s = 0.0
-        one.store_port.lose_written = False
+        one.store_port.lose_written = one.store_port.watch_silent = False
         one.workers_port.exchange_answers = False
         for worker_id in self.engines:
             faults = one.workers.faults(worker_id)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/node_ports.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/node_ports.py
@@ -54,6 +54,7 @@
         self.inner = inner
         self.written_late_s = 0.0
         self.lose_written = False
+        self.watch_silent = False
         self._base = network.base
         self._send = network.send
 
@@ -92,9 +93,16 @@
 
     def watch(self, *, key: str, after_version: int, wait_s: float) -> store.StoredOutcome:
         """Wait for a change."""
-        return self._send(
+        answer: store.StoredOutcome = self._send(
             lambda: self.inner.watch(key=key, after_version=after_version, wait_s=wait_s)
         )
+        outcome: store.StoredOutcome = defer.Deferred(lambda _: None)
+        answer.addCallback(self._answer_watch, outcome)
+        return outcome
+
+    def _answer_watch(self, stored: Any, outcome: store.StoredOutcome) -> None:
+        if not (self.watch_silent or outcome.called):
+            outcome.callback(stored)
 
     def grant(self, *, ttl_s: float) -> store.LeaseOutcome:
         """Grant a lease."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/steps.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/steps.py
@@ -171,6 +171,11 @@
     _entry(run, pick).store_port.lose_written = True
 
 
+@action("silence-watches")
+def _silence_watches(run: fleet.Fleet, pick: int) -> None:
+    _entry(run, pick).store_port.watch_silent = True
+
+
 @action("store-down")
 def _store_down(run: fleet.Fleet, pick: int) -> None:
     for one in run.entries.values():
