--- a/packages/ebonyhatch-node/tests/test_cell.py
+++ b/packages/ebonyhatch-node/tests/test_cell.py
@@ -253,3 +253,53 @@
     bench.run(1)
     assert outcome_of(again) == outcome_of(running)
     assert bench.request_starts() == ["r1"]
+
+
+def test_nothing_is_sent_on_old_news_of_a_worker():
+    bench = Bench(fenced=False)
+    lease = {"valid": True}
+    opened, _ = bench.open(may_act=lambda: lease["valid"])
+    bench.run(13)
+    lease["valid"] = False
+    for engine in bench.workers.engines.values():
+        engine.leave()
+    bench.run(5)
+    lease["valid"] = True
+    opened.submit(job=job("j1"))
+    asked = opened.request(call=call("r1"))
+    bench.run(5)
+    assert bench.starts() == []
+    assert bench.request_starts() == []
+    assert outcome_of(asked).outcome is commands.Outcome.NOT_RUN
+
+
+def test_keyed_refusal_is_repeated_to_a_repeated_message():
+    bench = Bench()
+    opened, _ = bench.open()
+    bench.run(1)
+    bench.last_store.faults.down = True
+    first = opened.request(call=call("r1", key="k", idempotent=False))
+    bench.run(1)
+    bench.last_store.faults.down = False
+    bench.run(10)
+    again = opened.request(call=call("r1", key="k", idempotent=False))
+    bench.run(2)
+    assert outcome_of(again) == outcome_of(first)
+    assert bench.request_starts() == []
+
+
+def test_result_of_a_lost_attempt_is_taken_while_no_later_one_is_intended():
+    bench = Bench()
+    del bench.state["w2"]
+    opened, _ = bench.open()
+    bench.run(1)
+    opened.submit(job=job("j1", run_s=4.0))
+    bench.run(3)
+    bench.workers.faults("w1").silent = True
+    bench.run(25)
+    assert opened.show(job_id="j1").view.state == "queued"
+    bench.workers.faults("w1").silent = False
+    bench.run(10)
+    view = opened.show(job_id="j1").view
+    assert (view.state, view.attempts) == ("finished", 1)
+    assert bench.starts() == ["j1/1"]
