Render metrics in turns of the loop; capacity bench with its model

Metrics are now rendered in slices; buckets went from 12 to 9, samples of creation times are off and the default is 128 pairs.

--- a/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
@@ -374,7 +374,9 @@
             access=access.Access(token_sha256=self._settings.access.token_sha256),
         )
         return observation.Observation(
-            metrics=self.measures.render, readiness=self.readiness, rest=operators.app.resource()
+            metrics=self.measures.render_in_turns,
+            readiness=self.readiness,
+            rest=operators.app.resource(),
         ).app.resource()
 
     def _listen(self, endpoint: settings.Endpoint, root: resource.Resource) -> None:
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/metrics.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/metrics.py
@@ -2,17 +2,27 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 import prometheus_client
+import prometheus_client.metrics_core
 from ebonyhatch.node import labels
+from twisted.internet import defer, task
 
-LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 30.0, 300.0)
+LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 2.5, 10.0, 60.0, 600.0)
 """Bounds of the latency histograms, seconds."""
 
-DEFAULT_LABEL_SETS = 256
+DEFAULT_LABEL_SETS = 128
+SLICE_SAMPLES = 500
+"""Samples that are rendered in one turn of the loop."""
+
 REASONS_LIMIT = 64
 CLASSES_LIMIT = 64
 PREFIX = "ebonyhatch_"
 
+# The time of creation would be one more sample of each series.
+prometheus_client.disable_created_metrics()
+
 
 class Metrics:
     """Everything that the daemon counts; names begin with `ebonyhatch_`."""
@@ -165,4 +175,40 @@
 
     def render(self) -> bytes:
         """Write all metrics in the text format of Prometheus."""
-        return prometheus_client.generate_latest(self._registry)
+        return b"".join(self.slices())
+
+    def render_in_turns(self) -> defer.Deferred[bytes]:
+        """Write all metrics a slice in each turn of the loop, so that none is held up."""
+        parts: list[bytes] = []
+
+        def turns() -> Iterator[None]:
+            for part in self.slices():
+                parts.append(part)
+                yield
+
+        return task.coiterate(turns()).addCallback(lambda _: b"".join(parts))
+
+    def slices(self) -> Iterator[bytes]:
+        """Write all metrics in parts of at most `SLICE_SAMPLES` samples."""
+        for family in self._registry.collect():
+            samples = family.samples
+            for first in range(0, max(1, len(samples)), SLICE_SAMPLES):
+                family.samples = samples[first : first + SLICE_SAMPLES]
+                text = prometheus_client.generate_latest(_Family(family=family))
+                yield text if first == 0 else _without_header(text)
+
+
+class _Family:
+    """A registry of one family of samples, for the library's renderer."""
+
+    def __init__(self, *, family: prometheus_client.metrics_core.Metric) -> None:
+        self._family = family
+
+    def collect(self) -> Iterator[prometheus_client.metrics_core.Metric]:
+        """Give the family."""
+        yield self._family
+
+
+def _without_header(text: bytes) -> bytes:
+    """Drop the lines of help and type, which may stand only once."""
+    return b"".join(line for line in text.splitlines(keepends=True) if not line.startswith(b"#"))
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/observation.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/observation.py
@@ -6,6 +6,7 @@
 
 import klein
 import msgspec
+from twisted.internet import defer
 from twisted.web import resource, server
 
 HTTP_UNAVAILABLE = 503
@@ -30,7 +31,7 @@
     def __init__(
         self,
         *,
-        metrics: Callable[[], bytes],
+        metrics: Callable[[], defer.Deferred[bytes]],
         readiness: Callable[[], Readiness],
         rest: resource.Resource,
     ) -> None:
@@ -39,7 +40,7 @@
         self._rest = rest
 
     @app.route("/metrics")
-    def metrics(self, request: server.Request) -> bytes:
+    def metrics(self, request: server.Request) -> defer.Deferred[bytes]:
         """Serve all metrics in the text format of Prometheus."""
         request.setHeader("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
         return self._metrics()
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/settings.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/settings.py
@@ -94,7 +94,7 @@
     stop_s: float = 30.0
     peer_calls: int = 1_024
     peer_queue_bytes: int = 8_000_000
-    metric_label_sets: int = 256
+    metric_label_sets: int = 128
 
 
 class Cells(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/ebonyhatch-node/tests/test_metrics.py
+++ b/packages/ebonyhatch-node/tests/test_metrics.py
@@ -1,4 +1,8 @@
+import prometheus_client
 from ebonyhatch.node import labels, metrics
+from prometheus_client import parser
+from twisted.internet import defer
+from twisted.trial import unittest
 
 
 def test_pairs_beyond_the_bound_are_folded():
@@ -12,6 +16,26 @@
     assert any('tenant="other"' in line for line in counts)
 
 
+def test_slices_are_one_exposition(monkeypatch):
+    monkeypatch.setattr(metrics, "SLICE_SAMPLES", 7)
+    counted = metrics.Metrics()
+    for number in range(20):
+        counted.waited(work_class="c", tenant=f"t{number}", seconds=0.02)
+    text = counted.render().decode()
+    families = list(parser.text_string_to_metric_families(text))
+    assert len({family.name for family in families}) == len(families)
+    assert text == prometheus_client.generate_latest(counted._registry).decode()
+
+
+class TurnsTest(unittest.TestCase):
+    @defer.inlineCallbacks
+    def test_rendering_in_turns_gives_the_same(self):
+        counted = metrics.Metrics()
+        counted.refused(reason="deadline", outcome="not-run")
+        text = yield counted.render_in_turns()
+        assert text == counted.render()
+
+
 def test_reasons_and_long_values_are_bounded():
     folded = labels.LabelSet(limit=2)
     assert [folded.fold(value) for value in ("a", "b", "c", "a", "x" * 99)] == [
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity.py
@@ -0,0 +1,102 @@
+"""Bench `capacity`: slopes of every part, and what they say at the size of the letter."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import msgspec
+from ebonyhatch.testing.benches import (
+    capacity_cell,
+    capacity_daemon,
+    capacity_entries,
+    capacity_metrics,
+    capacity_model,
+    capacity_peers,
+    capacity_scheduler,
+    capacity_slopes,
+    registry,
+)
+
+PROBE_MODULES = (
+    capacity_scheduler,
+    capacity_metrics,
+    capacity_cell,
+    capacity_entries,
+    capacity_peers,
+    capacity_daemon,
+)
+"""Modules that register probes; those that weigh memory come first."""
+
+
+@registry.bench("capacity")
+def capacity(*, seeds: tuple[int, ...], quick: bool = False) -> None:
+    """Measure every slope, print the tables and the closing line."""
+    slopes: dict[str, capacity_slopes.Slope] = {}
+    for name, probe in capacity_slopes.probes().items():
+        for slope in probe(seed=seeds[0], quick=quick):
+            slopes[slope.name] = slope
+            print(f"{name} | {_shown(slope)}", flush=True)
+    fleets = _fleets(slopes)
+    for fleet in fleets:
+        for row in _rows(slopes, fleet):
+            print(f"{fleet.name} | {_shown_row(row)}")
+    print(json.dumps(_closing(slopes, fleets, seeds)))
+
+
+def _fleets(slopes: dict[str, capacity_slopes.Slope]) -> list[capacity_model.Fleet]:
+    """Today, the letter with six entries, and the letter with as many as it needs."""
+    six = capacity_model.LETTER_SIX
+    needed = capacity_model.Model(slopes=slopes, fleet=six).entries_needed()
+    grown = msgspec.structs.replace(six, name=f"letter, {needed} entries", entries=needed)
+    return [capacity_model.TODAY, six, grown]
+
+
+def _rows(
+    slopes: dict[str, capacity_slopes.Slope], fleet: capacity_model.Fleet
+) -> list[capacity_model.Row]:
+    return capacity_model.Model(slopes=slopes, fleet=fleet).rows()
+
+
+def _shown(slope: capacity_slopes.Slope) -> str:
+    points = ", ".join(f"{point.size:g}: {point.value:.4g}" for point in slope.points)
+    line = f"{slope.fixed:.4g} + {slope.per_unit:.4g} each"
+    return f"{slope.name} | {slope.unit} | {slope.per} | {points} | {line}"
+
+
+def _shown_row(row: capacity_model.Row) -> str:
+    limit = "" if row.limit is None else f"{row.limit:g} {'met' if row.met else 'MISSED'}"
+    return f"{row.role} | {row.what} | {row.value:.4g} | {row.unit} | {limit}"
+
+
+def _closing(
+    slopes: dict[str, capacity_slopes.Slope],
+    fleets: list[capacity_model.Fleet],
+    seeds: tuple[int, ...],
+) -> dict[str, Any]:
+    today, _, grown = fleets
+    targets = {
+        f"{fleet.name}: {row.role}: {row.what} ({row.unit})": {
+            "target": row.limit,
+            "measured": round(row.value, 3),
+            "met": row.met,
+        }
+        for fleet in fleets
+        for row in _rows(slopes, fleet)
+        if row.limit is not None
+    }
+    return {
+        "bench": "capacity",
+        "seed": list(seeds),
+        "figures": _figures(_rows(slopes, grown)),
+        "baseline": {today.name: _figures(_rows(slopes, today))},
+        "targets": targets,
+    }
+
+
+def _figures(rows: list[capacity_model.Row]) -> dict[str, float]:
+    return {f"{row.role}: {row.what} ({row.unit})": float(f"{row.value:.4g}") for row in rows}
+
+
+if __name__ == "__main__":
+    registry.main("capacity")
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_metrics.py
@@ -0,0 +1,43 @@
+"""Capacity probes of the metrics: memory and time of a scrape against label sets."""
+
+from __future__ import annotations
+
+import time
+
+from ebonyhatch.node import metrics
+from ebonyhatch.testing.benches import capacity_slopes
+
+SIZES = (128, 512, 1_024)
+QUICK_SIZES = (16, 32, 64)
+
+
+@capacity_slopes.probe("metrics")
+def label_sets(*, seed: int, quick: bool) -> list[capacity_slopes.Slope]:
+    """Memory, time to render and the longest slice of it against pairs of class and tenant."""
+    kept, sizes, times, slices = [], [], [], []
+    for size in QUICK_SIZES if quick else SIZES:
+        before = capacity_slopes.resident_bytes()
+        measures = metrics.Metrics(label_sets=size)
+        for number in range(size):
+            pair = {"work_class": f"class-{number % 8}", "tenant": f"team-{number}"}
+            measures.waited(**pair, seconds=0.02)
+            measures.served(**pair, seconds=0.1)
+            measures.completed(**pair, seconds=0.12)
+        kept.append(measures)
+        sizes.append((size, (capacity_slopes.resident_bytes() - before) / 1e6))
+        times.append((size, capacity_slopes.least_cpu_s(measures.render) * 1e3))
+        slices.append((size, min(_longest_slice_ms(measures) for _ in range(3))))
+    per = "pairs of class and tenant"
+    return [
+        capacity_slopes.slope(name="metrics: memory", unit="MB", per=per, points=sizes),
+        capacity_slopes.slope(name="metrics: one scrape", unit="ms", per=per, points=times),
+        capacity_slopes.slope(name="metrics: longest turn", unit="ms", per=per, points=slices),
+    ]
+
+
+def _longest_slice_ms(measures: metrics.Metrics) -> float:
+    longest, began = 0.0, time.process_time()
+    for _ in measures.slices():
+        now = time.process_time()
+        longest, began = max(longest, now - began), now
+    return longest * 1e3
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_model.py
@@ -0,0 +1,326 @@
+"""What the measured slopes say about a fleet of a given size."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+import msgspec
+from ebonyhatch.node import cell, gossip, journal, peer_link, worker_link
+from ebonyhatch.platform import store
+from ebonyhatch.testing.benches import capacity_slopes
+
+USABLE_SHARE = 0.6
+"""Share of a core that an entry's one loop may be busy before waiting grows."""
+
+FRAME_OVERHEAD_BYTES = 141
+"""ZMTP header 9, TCP/IP header with timestamps 66, and an acknowledgement of 66."""
+
+KEYED_FRAME_BYTES = 33
+"""What CURVE adds to a frame."""
+
+PING_FRAMES = 4.0
+"""Pings and pongs a second of two entries that are near each other."""
+
+PING_BYTES = 20.0
+ENTRIES_OF_JOB = 4.0
+"""Journal entries of a job that starts once: submitted, intended, started, finished."""
+
+CUT_S = 300.0
+CONTROL_CORE_LIMIT = 0.019
+CONTROL_MEMORY_LIMIT_MB = 256.0
+CONTROL_TRAFFIC_LIMIT_KB_S = 14.0
+STORE_WRITES_LIMIT = 400.0
+STORE_READS_LIMIT = 2_000.0
+FORCE_LIMIT_S = 5.0
+DAY_S = 86_400.0
+
+
+class Fleet(msgspec.Struct, frozen=True, kw_only=True):
+    """Sizes of a fleet."""
+
+    name: str
+    entries: int
+    workers: int
+    domains: int
+    regions: int
+    cells_per_domain: int
+    urgent_running: int
+    batch_running: int
+    batch_queued: int
+    starts_s: float
+    jobs_day: float
+    tenants: int
+    changes_day: float
+
+    @property
+    def cells(self) -> int:
+        """Cells of all failure domains."""
+        return self.domains * self.cells_per_domain
+
+    @property
+    def cells_of_entry(self) -> float:
+        """Cells of one entry, at least one."""
+        return max(1.0, self.cells / self.entries)
+
+    @property
+    def near(self) -> float:
+        """Entries of one region."""
+        return self.entries / self.regions
+
+
+TODAY = Fleet(
+    name="Tsagaan Zuslan today",
+    entries=6,
+    workers=24,
+    domains=3,
+    regions=1,
+    cells_per_domain=2,
+    urgent_running=150,
+    batch_running=40,
+    batch_queued=200,
+    starts_s=30.0,
+    jobs_day=2_000,
+    tenants=20,
+    changes_day=20,
+)
+LETTER_SIX = Fleet(
+    name="letter, 6 entries",
+    entries=6,
+    workers=3_300,
+    domains=20,
+    regions=6,
+    cells_per_domain=2,
+    urgent_running=12_000,
+    batch_running=39_000,
+    batch_queued=24_000,
+    starts_s=760.0,
+    jobs_day=24_000,
+    tenants=140,
+    changes_day=5_500,
+)
+
+
+class Row(msgspec.Struct, frozen=True, kw_only=True):
+    """One line of the capacity table.
+
+    Attributes:
+        role: Who bears it.
+        what: What it is.
+        value: At the fleet's size.
+        unit: Unit of the value.
+        limit: What it must stay within; None where nothing is asked.
+    """
+
+    role: str
+    what: str
+    value: float
+    unit: str
+    limit: float | None = None
+
+    @property
+    def met(self) -> bool:
+        """Whether it stays within its limit."""
+        return self.limit is None or self.value <= self.limit
+
+
+class Model:
+    """Rows for a fleet, from slopes by name."""
+
+    def __init__(self, *, slopes: Mapping[str, capacity_slopes.Slope], fleet: Fleet) -> None:
+        self._slopes = slopes
+        self._fleet = fleet
+
+    def rows(self) -> list[Row]:
+        """All rows."""
+        return [*self.processor(), *self.memory(), *self.traffic(), *self.store(), *self.events()]
+
+    def request_cores(self) -> float:
+        """Cores of all entries for requests, forwarded but for one in as many as entries."""
+        fleet = self._fleet
+        forwarded = 1.0 - 1.0 / fleet.entries
+        call_ms = self._at("peer call: both sides", 1.0) / 1e3
+        request_ms = self._slope("daemon: gateway and owner") + forwarded * call_ms
+        return fleet.starts_s * request_ms / 1e3
+
+    def renewal_cores(self) -> float:
+        """Cores of all entries for the renewals of all workers."""
+        report_ms = (self._at("scheduler: one report", 0.0)) / 1e3
+        renewals = self._fleet.workers / worker_link.RENEW_INTERVAL_S
+        return renewals * (self._slope("daemon: at rest") + report_ms) / 1e3
+
+    def job_cores(self) -> float:
+        """Cores of all entries for jobs, at the mean rate of a day."""
+        return self._fleet.jobs_day / DAY_S * self._slope("daemon: jobs") / 1e3
+
+    def tick_cores(self) -> float:
+        """Cores of all entries for the ticks of all cells."""
+        workers_of_cell = self._fleet.workers / self._fleet.cells
+        tick_us = self._at("scheduler: idle tick", workers_of_cell)
+        return self._fleet.cells / cell.TICK_S * tick_us / 1e6
+
+    def own_cores(self) -> float:
+        """Cores of one entry whatever it owns: loop, gossip, heartbeats, ownership, watches."""
+        gossip_ms = self._at("gossip, six regions, keys: processor time", self._fleet.entries)
+        ownership_ms = self._at("entries: ownership and watches", self._fleet.entries)
+        return (self._at("daemon: at rest", 0.0) + gossip_ms + ownership_ms) / 1e3
+
+    def entries_needed(self) -> int:
+        """Entries that carry all work with their loops busy at most the usable share."""
+        shared = self.request_cores() + self.renewal_cores() + self.job_cores() + self.tick_cores()
+        return math.ceil(shared / (USABLE_SHARE - self.own_cores()))
+
+    def control_core(self) -> float:
+        """Share of a core that one entry spends on control: all but requests and jobs."""
+        shared = self.renewal_cores() + self.tick_cores()
+        return shared / self._fleet.entries + self.own_cores()
+
+    def workers_within_control(self) -> int:
+        """Workers that one entry can own within the limit on control."""
+        left = CONTROL_CORE_LIMIT - self.own_cores()
+        return max(0, int(left / (self.renewal_cores() / self._fleet.workers)))
+
+    def processor(self) -> list[Row]:
+        """Processor time."""
+        limit = CONTROL_CORE_LIMIT * 100
+        return [
+            _row("entry as gateway", "requests, all entries", self.request_cores(), "cores"),
+            _row("entry as owner", "renewals, all entries", self.renewal_cores(), "cores"),
+            _row("entry as owner", "ticks, all entries", self.tick_cores(), "cores"),
+            _row("entry as owner", "jobs, all entries", self.job_cores(), "cores"),
+            _row("entry", "whatever it owns", self.own_cores() * 100, "% of a core"),
+            _row("entry", "control", self.control_core() * 100, "% of a core", limit),
+            _row("entry", "workers within the limit", self.workers_within_control(), "workers"),
+            _row("entry", "needed at the peak", self.entries_needed(), "entries"),
+        ]
+
+    def memory(self) -> list[Row]:
+        """Memory of one entry."""
+        fleet = self._fleet
+        share = fleet.cells_of_entry / fleet.cells
+        rows_mb = (
+            self._slope("scheduler: memory of workers") * fleet.workers
+            + self._slope("scheduler: memory of queued jobs") * fleet.batch_queued
+            + self._slope("scheduler: memory of running attempts")
+            * (fleet.batch_running + fleet.urgent_running)
+        ) * share
+        links_mb = self._slope("daemon: memory at rest") * fleet.workers * share
+        metrics_mb = self._at("metrics: memory", 256.0)
+        base_mb = self._at("daemon: memory at rest", 0.0)
+        total = base_mb + rows_mb + links_mb + metrics_mb
+        return [
+            _row("entry", "memory before work", base_mb, "MB"),
+            _row("entry as owner", "tables of its cells", rows_mb, "MB"),
+            _row("entry as owner", "links to its workers", links_mb, "MB"),
+            _row("entry", "metrics at 256 label sets", metrics_mb, "MB"),
+            _row("entry", "memory", total, "MB", CONTROL_MEMORY_LIMIT_MB),
+        ]
+
+    def traffic(self) -> list[Row]:
+        """Traffic of one entry with its peers, both ways, without forwarded requests."""
+        fleet = self._fleet
+        near = max(1.0, fleet.near) - 1.0
+        far = fleet.entries - 1.0 - near
+        heads = 2.0 * min(far, float(gossip.FAR_FANOUT))
+        pings = PING_FRAMES * (near + far / peer_link.IDLE_FACTOR_FAR)
+        frames = 2.0 * near + heads + pings
+        payload_bytes = (
+            2.0 * near * self._at("gossip: frame", fleet.cells_of_entry)
+            + heads * self._at("gossip: frame", 0.0)
+            + pings * PING_BYTES
+        )
+        wire_bytes = payload_bytes + frames * (FRAME_OVERHEAD_BYTES + KEYED_FRAME_BYTES)
+        limit = CONTROL_TRAFFIC_LIMIT_KB_S
+        return [
+            _row("entry as peer", "frames both ways", frames, "1/s"),
+            _row("entry as peer", "payload both ways", payload_bytes / 1e3, "KB/s"),
+            _row("entry as peer", "on the wire", wire_bytes / 1e3, "KB/s", limit),
+        ]
+
+    def store(self) -> list[Row]:
+        """Calls of all entries to the store."""
+        fleet = self._fleet
+        entry_reads = self._slope("entries: store reads at rest") * fleet.entries
+        entry_writes = self._slope("entries: store writes at rest") * fleet.entries
+        job_entries_s = fleet.jobs_day / DAY_S * ENTRIES_OF_JOB
+        quiet = min(job_entries_s, fleet.cells / journal.WRITE_INTERVAL_S)
+        peak = min(fleet.starts_s * ENTRIES_OF_JOB, fleet.cells / journal.WRITE_INTERVAL_S)
+        record = self._at("ownership: record", fleet.cells)
+        head = self._at("configuration: head", fleet.tenants)
+        change = head * fleet.entries * fleet.changes_day / DAY_S
+        return [
+            _row("store", "reads, no work", entry_reads, "1/s"),
+            _row("store", "writes, no work", entry_writes, "1/s"),
+            _row("store", "writes, jobs of a day", entry_writes + quiet, "1/s", STORE_WRITES_LIMIT),
+            _row(
+                "store",
+                "writes, each start at the peak is batch",
+                entry_writes + peak,
+                "1/s",
+                STORE_WRITES_LIMIT,
+            ),
+            _row(
+                "store",
+                "reads, likewise, first turn of the rings",
+                entry_reads + peak,
+                "1/s",
+                STORE_READS_LIMIT,
+            ),
+            _row(
+                "store",
+                "journal bytes, likewise",
+                self._slope("cell: journal bytes") * fleet.starts_s,
+                "KB/s",
+            ),
+            _row("store", "ownership record", record, "KB", store.VALUE_LIMIT_BYTES / 1e3),
+            _row("store", "configuration head", head, "KB", store.VALUE_LIMIT_BYTES / 1e3),
+            _row("store", "configuration read by all entries", change, "KB/s"),
+        ]
+
+    def events(self) -> list[Row]:
+        """What rare events cost."""
+        entries = float(self._fleet.entries)
+        return [
+            _row(
+                "configuration",
+                "in force everywhere",
+                self._at("configuration: in force everywhere", self._fleet.tenants),
+                "s",
+                FORCE_LIMIT_S,
+            ),
+            _row(
+                "loss of a failure domain",
+                "all cells owned again",
+                self._at("loss of a domain: all cells owned again", entries),
+                "s",
+            ),
+            _row(
+                "loss of a failure domain",
+                "store calls meanwhile",
+                self._at("loss of a domain: store calls meanwhile", entries),
+                "1/s",
+                STORE_READS_LIMIT,
+            ),
+            _row(
+                "region cut off for 5 minutes",
+                "its cells owned elsewhere",
+                self._at("cut-off region: cells owned elsewhere", CUT_S),
+                "s",
+            ),
+            _row(
+                "region cut off for 5 minutes",
+                "its cells home after the return",
+                self._at("cut-off region: cells home after the return", CUT_S),
+                "s",
+            ),
+        ]
+
+    def _slope(self, name: str) -> float:
+        return max(0.0, self._slopes[name].per_unit)
+
+    def _at(self, name: str, size: float) -> float:
+        return max(0.0, self._slopes[name].at(size))
+
+
+def _row(role: str, what: str, value: float, unit: str, limit: float | None = None) -> Row:
+    return Row(role=role, what=what, value=value, unit=unit, limit=limit)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_peers.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_peers.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from ebonyhatch.core import scheduler
-from ebonyhatch.node import gossip, keys, messages, peers
+from ebonyhatch.node import frames, gossip, keys, messages, peers
 from ebonyhatch.platform import workers
 from ebonyhatch.testing.benches import capacity_slopes
 from twisted.internet import defer, reactor, task
@@ -17,6 +17,7 @@
 QUICK_ENTRY_SIZES = (2, 3, 4)
 REGIONS = 6
 CELLS = 40
+FRAME_CELLS = (0, 7, 20, 40)
 CALL_SIZES_BYTES = (200, 20_000, 200_000)
 CALLS = 300
 QUICK_CALLS = 30
@@ -61,15 +62,20 @@
         self.frames[direction] += 1
 
     def _report(self) -> messages.Gossip:
-        return messages.Gossip(
-            entry_id=self.name,
-            generation=123_456,
-            ownership_version=12_345,
-            rooms=tuple(
-                messages.CellRoom(cell=f"domain-{number:02}.1", epoch=12, room=ROOM)
-                for number in range(self.cells)
-            ),
-        )
+        return gossip_of(self.name, self.cells)
+
+
+def gossip_of(entry_id: str, cells: int) -> messages.Gossip:
+    """Build gossip of an entry with this many cells."""
+    return messages.Gossip(
+        entry_id=entry_id,
+        generation=123_456,
+        ownership_version=12_345,
+        rooms=tuple(
+            messages.CellRoom(cell=f"domain-{number:02}.1", epoch=12, room=ROOM)
+            for number in range(cells)
+        ),
+    )
 
 
 class Mesh:
@@ -155,12 +161,12 @@
         mesh = self._mesh
         mesh.start()
         await sleep(self._warm_up_s)
-        traffic, frames = mesh.total("traffic"), mesh.total("frames")
+        traffic, counted = mesh.total("traffic"), mesh.total("frames")
         cpu, began = time.process_time(), time.monotonic()
         await sleep(self._run_s)
         spent_s = (time.monotonic() - began) * len(mesh.members)
         self.kb_s = (mesh.total("traffic") - traffic) / spent_s / 1e3
-        self.frames_s = (mesh.total("frames") - frames) / spent_s
+        self.frames_s = (mesh.total("frames") - counted) / spent_s
         self.cpu_ms_s = (time.process_time() - cpu) / spent_s * 1e3
         mesh.close()
 
@@ -170,12 +176,12 @@
     """Payload and processor time of gossip and heartbeats, all entries in one region or in six."""
     slopes = []
     for title, regions, keyed in (("one region", 1, False), ("six regions, keys", 6, True)):
-        kilobytes, frames, times = [], [], []
+        kilobytes, counts, times = [], [], []
         for size in QUICK_ENTRY_SIZES if quick else ENTRY_SIZES:
             mesh = Mesh(size=size, regions=regions, cells=max(1, CELLS // size), keyed=keyed)
             figures = MeshFigures(mesh=mesh, quick=quick).measure()
             kilobytes.append((size, figures.kb_s))
-            frames.append((size, figures.frames_s))
+            counts.append((size, figures.frames_s))
             times.append((size, figures.cpu_ms_s))
         slopes += [
             capacity_slopes.slope(
@@ -185,7 +191,7 @@
                 points=kilobytes,
             ),
             capacity_slopes.slope(
-                name=f"gossip, {title}: frames both ways", unit="1/s", per="entries", points=frames
+                name=f"gossip, {title}: frames both ways", unit="1/s", per="entries", points=counts
             ),
             capacity_slopes.slope(
                 name=f"gossip, {title}: processor time", unit="ms/s", per="entries", points=times
@@ -194,6 +200,18 @@
     return slopes
 
 
+@capacity_slopes.probe("gossip frame")
+def gossip_frame(*, seed: int, quick: bool) -> list[capacity_slopes.Slope]:
+    """Size of one gossip frame against the cells of its sender; at 0 it tells heads only."""
+    points = []
+    for cells in FRAME_CELLS:
+        frame = frames.encode(
+            kind=frames.Kind.SEND, sender="entry-001", message=gossip_of("entry-001", cells)
+        )
+        points.append((cells, len(frame)))
+    return [capacity_slopes.slope(name="gossip: frame", unit="B", per="cells", points=points)]
+
+
 @capacity_slopes.probe("peer calls")
 def peer_calls(*, seed: int, quick: bool) -> list[capacity_slopes.Slope]:
     """Processor time of both sides for a forwarded request and its answer."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
@@ -137,6 +137,10 @@
         """Send a signal to one of the processes."""
         self._processes[name].send_signal(number)
 
+    def pid(self, *, name: str) -> int:
+        """Process id of one of the processes, for measurements."""
+        return self._processes[name].pid
+
     def wait_exit(self, *, name: str) -> int:
         """Wait for the exit code of one of the processes."""
         return self._processes[name].wait(timeout=START_LIMIT_S)
