--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
 
 import msgspec
-from ebonyhatch.core import commands, configuration, entities, errors, events, scheduler
+from ebonyhatch.core import (
+    commands,
+    configuration,
+    entities,
+    errors,
+    events,
+    scheduler,
+    views,
+)
 from ebonyhatch.node import (
     cell_status,
     cell_workers,
@@ -40,6 +48,21 @@
 StartOutcome = defer.Deferred[result.Result[None, errors.EbonyhatchError]]
 
 
+def _unseen(
+    *, now: float, taken: Sequence[events.Event], decided: Sequence[commands.Command]
+) -> None:
+    """See nothing."""
+
+
+class See(Protocol):
+    """Sees the events and commands of each tick."""
+
+    def __call__(
+        self, *, now: float, taken: Sequence[events.Event], decided: Sequence[commands.Command]
+    ) -> None:
+        """See one tick."""
+
+
 def _ignore(kind: str, fields: dict[str, Any]) -> None:
     """Drop an event of the log."""
 
@@ -59,6 +82,7 @@
         clock: timing.Clock,
         may_act: Callable[[], bool],
         on_event: Callable[[str, dict[str, Any]], None] = _ignore,
+        see: See = _unseen,
         seed: int,
     ) -> None:
         self._name = name
@@ -68,6 +92,7 @@
         self._clock = clock
         self._lease_valid = may_act
         self._on_event = on_event
+        self._see = see
         self._phase = cell_status.CellPhase.NEW
         self._fault: errors.EbonyhatchError | None = None
         self._classes: dict[str, entities.WorkClass] = {}
@@ -165,12 +190,16 @@
 
     def request(self, *, call: messages.RequestCall) -> request_driver.ReplyOutcome:
         """Serve a request; fires with the answer or the truth about its outcome."""
+        recalled = self._requests.recall(call)
+        if recalled is not None:
+            return recalled
+        keyed = bool(call.idempotency_key) and not call.idempotent
         reason = self._reason_against()
-        if reason:
-            return defer.succeed(self._refusal(call, reason))
-        if call.idempotency_key and not call.idempotent:
-            return self._keyed.request(call)
-        return self._serve(call)
+        if reason and not (keyed and self._keyed.running(call)):
+            served = defer.succeed(self._refusal(call, reason))
+        else:
+            served = self._keyed.request(call) if keyed else self._serve(call)
+        return served.addCallback(self._requests.remember)
 
     def submit(self, *, job: entities.Job) -> job_requests.ReplyOutcome:
         """Accept a job; fires once it is durable, or refused."""
@@ -201,8 +230,12 @@
         return messages.CellRoom(cell=self._name, epoch=self._epoch, room=room)
 
     def explain(self, *, subject_id: str) -> str:
-        """Say why a job or a request waits, or where it is."""
-        return self._scheduler.explain(subject_id=subject_id)
+        """Say why a job or a request waits, or where it is; empty when it is not known."""
+        return self._scheduler.explain(subject_id=subject_id) or self._jobs.explain(subject_id)
+
+    def view(self) -> views.View:
+        """Show workers, queues and reserve to operators."""
+        return self._scheduler.view()
 
     def status(self) -> cell_status.CellStatus:
         """Describe the cell to operators."""
@@ -246,17 +279,21 @@
         if self._tick_timer is not None and self._tick_timer.active():
             self._tick_timer.cancel()
         self._requests.refuse_all(reason="closed")
+        self._keyed.refuse_all(reason="closed")
         self._group.close()
         self._journal.close()
 
     async def _drain(self) -> None:
         limit = self._clock.seconds() + CLOSE_TIMEOUT_S
-        while self._requests.in_flight and self._clock.seconds() < limit:
+        while self._in_progress() and self._clock.seconds() < limit:
             await self._group.sleep(CLOSE_POLL_S)
         flushed = self._journal.flushed()
         while not flushed.called and self._clock.seconds() < limit:
             await self._group.sleep(CLOSE_POLL_S)
 
+    def _in_progress(self) -> bool:
+        return bool(self._requests.in_flight or self._keyed.in_flight)
+
     def _may_act(self) -> bool:
         """Tell whether commands may go to workers: the fence or the lease keeps them safe."""
         if self._phase not in (cell_status.CellPhase.ACTIVE, cell_status.CellPhase.CLOSING):
@@ -308,7 +345,9 @@
         self._requests.sweep()
         batch, self._events = self._events, []
         self._unseen_requests = 0
-        decided = self._scheduler.tick(now=self._clock.seconds(), events=batch)
+        now = self._clock.seconds()
+        decided = self._scheduler.tick(now=now, events=batch)
+        self._see(now=now, taken=batch, decided=decided)
         for command in decided:
             self._carry_out(command)
 
--- a/packages/ebonyhatch-node/tests/test_cell.py
+++ b/packages/ebonyhatch-node/tests/test_cell.py
@@ -41,11 +41,12 @@
             self.clock.advance(0.05)
 
     def open(self, *, epoch=1, entry_id="e1", may_act=lambda: True):
+        self.last_store = memory_store.MemoryStore(clock=self.clock, engine=self.store.engine)
         opened = cell.Cell(
             name="a.0",
             epoch=epoch,
             entry_id=entry_id,
-            store=memory_store.MemoryStore(clock=self.clock, engine=self.store.engine),
+            store=self.last_store,
             workers_port=self.workers,
             scheduler=scheduler.build(name="default", seed=1),
             clock=self.clock,
@@ -224,3 +225,81 @@
         opened.request(call=call(f"r{number}"))
     now = opened.room().room
     assert now.free_slots - now.queued_urgent == before.free_slots - 3
+
+
+def test_close_answers_a_keyed_request_whose_intent_is_not_durable():
+    bench = Bench()
+    opened, _ = bench.open()
+    bench.run(1)
+    bench.last_store.faults.slow_s = 1.0
+    asked = opened.request(call=call("r1", key="k", idempotent=False, timeout_s=60.0))
+    bench.run(1.5)
+    bench.last_store.faults.lose_answers = True
+    closed = opened.close()
+    bench.run(20)
+    assert closed.called
+    assert outcome_of(asked).outcome is commands.Outcome.NOT_RUN
+    assert bench.request_starts() == []
+
+
+def test_repeated_message_never_gets_another_outcome_than_the_first():
+    bench = Bench()
+    opened, _ = bench.open()
+    bench.run(1)
+    running = opened.request(call=call("r1", work_s="0.8"))
+    bench.run(0.2)
+    opened.close()
+    again = opened.request(call=call("r1", work_s="0.8"))
+    bench.run(1)
+    assert outcome_of(again) == outcome_of(running)
+    assert bench.request_starts() == ["r1"]
+
+
+def test_nothing_is_sent_on_old_news_of_a_worker():
+    bench = Bench(fenced=False)
+    lease = {"valid": True}
+    opened, _ = bench.open(may_act=lambda: lease["valid"])
+    bench.run(13)
+    lease["valid"] = False
+    for engine in bench.workers.engines.values():
+        engine.leave()
+    bench.run(5)
+    lease["valid"] = True
+    opened.submit(job=job("j1"))
+    asked = opened.request(call=call("r1"))
+    bench.run(5)
+    assert bench.starts() == []
+    assert bench.request_starts() == []
+    assert outcome_of(asked).outcome is commands.Outcome.NOT_RUN
+
+
+def test_keyed_refusal_is_repeated_to_a_repeated_message():
+    bench = Bench()
+    opened, _ = bench.open()
+    bench.run(1)
+    bench.last_store.faults.down = True
+    first = opened.request(call=call("r1", key="k", idempotent=False))
+    bench.run(1)
+    bench.last_store.faults.down = False
+    bench.run(10)
+    again = opened.request(call=call("r1", key="k", idempotent=False))
+    bench.run(2)
+    assert outcome_of(again) == outcome_of(first)
+    assert bench.request_starts() == []
+
+
+def test_result_of_a_lost_attempt_is_taken_while_no_later_one_is_intended():
+    bench = Bench()
+    del bench.state["w2"]
+    opened, _ = bench.open()
+    bench.run(1)
+    opened.submit(job=job("j1", run_s=4.0))
+    bench.run(3)
+    bench.workers.faults("w1").silent = True
+    bench.run(25)
+    assert opened.show(job_id="j1").view.state == "queued"
+    bench.workers.faults("w1").silent = False
+    bench.run(10)
+    view = opened.show(job_id="j1").view
+    assert (view.state, view.attempts) == ("finished", 1)
+    assert bench.starts() == ["j1/1"]
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/command_line.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/command_line.py
@@ -54,18 +54,22 @@
     def __init__(self, *, http: LossyHttp, clock: task.Clock) -> None:
         self._http = http
         self._clock = clock
+        self._ran = False
 
     def __call__(self, *arguments: str, token: str = "", entry: str = URL) -> testing.Result:
-        """Run one command."""
+        """Run one command; like the reactor, it runs one coroutine and no second."""
+        self._ran = False
         chosen = environment.Environment(http=self._http, clock=self._clock, run=self._run)
         return testing.CliRunner().invoke(
             main.main,
             arguments,
             obj=chosen,
-            env={"EBONYHATCH_TOKEN": token, "EBONYHATCH_ENTRY": entry},
+            env={"EBONYHATCH_TOKEN": token, "EBONYHATCH_URL": entry},
         )
 
     def _run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
+        assert not self._ran
+        self._ran = True
         ended: list[Any] = []
         defer.Deferred.fromCoroutine(coroutine).addBoth(ended.append)
         for _ in range(STEPS_LIMIT):
--- a/packages/ebonyhatch-testing/tests/test_protections.py
+++ b/packages/ebonyhatch-testing/tests/test_protections.py
@@ -12,6 +12,7 @@
 from ebonyhatch.core import capacity, commands, default_scheduler, journal_entries
 from ebonyhatch.node import (
     cell,
+    configuration_current,
     journal,
     journal_log,
     request_driver,
@@ -19,7 +20,7 @@
     task_reports,
     worker_link,
 )
-from ebonyhatch.platform import holdings, worker_engine
+from ebonyhatch.platform import fault_switches, holdings, worker_engine
 from ebonyhatch.testing import checker
 from ebonyhatch.testing.histories import entry, fleet
 from returns import result
@@ -49,17 +50,6 @@
     return owner
 
 
-def owner_thaws_after_it_was_superseded() -> fleet.Fleet:
-    run = joined()
-    owner = frozen_while_its_intent_is_written(run)
-    run.advance(14.0)
-    run.mend()
-    owner.to_workers.delay_s = 0.3
-    owner.clock.thaw()
-    run.advance(2.0)
-    return run
-
-
 def unfenced_owner_thaws_after_its_lease() -> fleet.Fleet:
     run = joined(fenced=False)
     run.advance(12.0)
@@ -72,8 +62,8 @@
     return run
 
 
-def start_arrives_late_at_an_unfenced_worker() -> fleet.Fleet:
-    run = joined(fenced=False)
+def start_arrives_late(*, fenced: bool) -> fleet.Fleet:
+    run = joined(fenced=fenced)
     run.advance(12.0)
     owner = owner_of_next_job(run)
     run.submit(run_s=40.0)
@@ -85,6 +75,14 @@
     return run
 
 
+def start_arrives_late_at_a_fenced_worker() -> fleet.Fleet:
+    return start_arrives_late(fenced=True)
+
+
+def start_arrives_late_at_an_unfenced_worker() -> fleet.Fleet:
+    return start_arrives_late(fenced=False)
+
+
 def submission_reaches_a_superseded_owner() -> fleet.Fleet:
     run = joined()
     owner = owner_of_next_job(run)
@@ -95,6 +93,18 @@
     return run
 
 
+def answer_of_a_write_is_lost() -> fleet.Fleet:
+    run = joined()
+    owner = owner_of_next_job(run)
+    run.submit(run_s=4.0)
+    run.advance(1.0)
+    owner.store_port.lose_written = True
+    run.advance(4.0)
+    run.mend()
+    run.advance(5.0)
+    return run
+
+
 def owner_dies_and_successor_cannot_reach_the_worker() -> fleet.Fleet:
     run = joined()
     owner = owner_of_next_job(run)
@@ -173,6 +183,18 @@
     return run
 
 
+def restarted_entry_reads_the_past() -> fleet.Fleet:
+    run = joined()
+    for weight in (1, 2):
+        run.configure("e0", weight=weight)
+        run.advance(6.0)
+    run.kill("e1")
+    past = fault_switches.Faults(slow_s=1.9, stale_s=run.now - 15.0)
+    run.start("e1", store_faults=past)
+    run.advance(6.0)
+    return run
+
+
 def more_work_than_trusting_workers_hold() -> fleet.Fleet:
     """Workers take whatever they are given, so that only the system keeps the limits."""
     run = joined()
@@ -197,7 +219,9 @@
 
 
 def without_lease_rule(patch: pytest.MonkeyPatch) -> None:
+    """Old news of a worker would stop most of what a lapsed owner does, so it counts as fresh."""
     patch.setattr(cell.Cell, "_may_act", lambda self: True)
+    patch.setattr(worker_link, "FRESH_S", float("inf"))
 
 
 def without_wait_for_task_leases(patch: pytest.MonkeyPatch) -> None:
@@ -221,7 +245,7 @@
 
 def without_nonce(patch: pytest.MonkeyPatch) -> None:
     async def settle(self: Any, key: str, *, value: bytes, at_least: int) -> Any:
-        return settled_store.Written(version=at_least)
+        return settled_store.Overtaken(stored=await self.read(key, at_least=at_least))
 
     patch.setattr(settled_store.SettledStore, "_settle", settle)
 
@@ -279,8 +303,12 @@
     patch.setattr(request_driver.RequestDriver, "_take_answer", readdress)
 
 
+def without_generation_check(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(configuration_current.Current, "_is_newer", lambda self, head: True)
+
+
 def without_capacity(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(capacity, "fits", lambda *args, **kwargs: True)
+    patch.setattr(capacity, "reserve", lambda worker, demand: None)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -293,7 +321,7 @@
 CASES = [
     Case(
         line="one-place",
-        scenario=owner_thaws_after_it_was_superseded,
+        scenario=start_arrives_late_at_a_fenced_worker,
         remove=without_epoch_check,
     ),
     Case(
@@ -318,7 +346,7 @@
     ),
     Case(
         line="resumes-once",
-        scenario=submission_reaches_a_superseded_owner,
+        scenario=answer_of_a_write_is_lost,
         remove=without_nonce,
     ),
     Case(
@@ -339,6 +367,11 @@
     ),
     Case(line="not-run", scenario=answers_break_off, remove=without_truth),
     Case(line="own-answer", scenario=answers_are_exchanged, remove=without_answer_ids),
+    Case(
+        line="configuration",
+        scenario=restarted_entry_reads_the_past,
+        remove=without_generation_check,
+    ),
     Case(line="capacity", scenario=more_work_than_trusting_workers_hold, remove=without_capacity),
 ]
 
