--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/adapters.py
@@ -0,0 +1,207 @@
+"""Bench of the HTTP adapters: cost of a call against plain treq, over loopback."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import random
+import statistics
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import msgspec
+import treq
+from ebonyhatch.platform import http_calls, http_store, http_workers, workers
+from ebonyhatch.testing import reactor_thread
+from ebonyhatch.testing.benches import measures, registry
+from twisted.internet import defer
+from twisted.web import client, http_headers
+
+HOST = "127.0.0.1"
+BATCHES = 12
+CALLS_PER_BATCH = 100
+QUICK_DIVISOR = 6
+BODY_BYTES = 1_000
+US_PER_S = 1e6
+RATIO_TARGET = 1.2
+BASELINE = "treq"
+
+Ask = Callable[[], Any]
+
+
+class Contender(msgspec.Struct, frozen=True, kw_only=True):
+    """One way to make one kind of call."""
+
+    call: str
+    way: str
+    ask: Ask
+
+
+class Cost(msgspec.Struct, frozen=True, kw_only=True):
+    """Cost of a call, microseconds; the last one is processor time of the caller alone."""
+
+    median_us: float
+    p99_us: float
+    processor_us: float
+
+
+@registry.bench("adapters")
+def run(*, seeds: tuple[int, ...], quick: bool = False) -> None:
+    """Measure each adapter and plain treq in turn for each seed."""
+    batches = max(2, BATCHES // QUICK_DIVISOR) if quick else BATCHES
+    with _stand_in("store") as store_port, _stand_in("worker", "--worker-id", "w1") as worker_port:
+        rows = [_measure(store_port, worker_port, seed, batches) for seed in seeds]
+    _print(seeds, rows)
+
+
+@contextlib.contextmanager
+def _stand_in(name: str, *options: str) -> Iterator[int]:
+    command = [sys.executable, "-m", f"ebonyhatch.testing.stand_ins.{name}", *options]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    try:
+        yield json.loads(process.stdout.readline() if process.stdout else b"")["listening"]
+    finally:
+        process.terminate()
+        process.wait()
+
+
+def _measure(
+    store_port: int, worker_port: int, seed: int, batches: int
+) -> dict[tuple[str, str], Cost]:
+    generator = random.Random(seed)
+    adapters = _Adapters(store_port=store_port, worker_port=worker_port)
+    reactor_thread.run(adapters.start)
+    contenders = adapters.contenders(generator.randbytes(BODY_BYTES))
+    waits: dict[tuple[str, str], list[float]] = {}
+    processor: dict[tuple[str, str], float] = {}
+    for batch in range(batches + 1):
+        generator.shuffle(contenders)
+        for one in contenders:
+            taken, used = _batch(one.ask)
+            if batch == 0:
+                continue
+            waits.setdefault((one.call, one.way), []).extend(taken)
+            processor[one.call, one.way] = processor.get((one.call, one.way), 0.0) + used
+    reactor_thread.run(adapters.close)
+    return {key: _cost(taken, processor[key]) for key, taken in waits.items()}
+
+
+def _batch(ask: Ask) -> tuple[list[float], float]:
+    """Make calls one after the other; answers their waits and the processor time of all."""
+
+    @defer.inlineCallbacks
+    def calls() -> Any:
+        waits = []
+        began = time.thread_time()
+        for _ in range(CALLS_PER_BATCH):
+            asked_at = time.perf_counter()
+            yield ask()
+            waits.append(time.perf_counter() - asked_at)
+        return waits, time.thread_time() - began
+
+    return reactor_thread.run(calls)
+
+
+def _cost(waits: list[float], processor_s: float) -> Cost:
+    return Cost(
+        median_us=statistics.median(waits) * US_PER_S,
+        p99_us=measures.percentile(waits, 0.99) * US_PER_S,
+        processor_us=processor_s / len(waits) * US_PER_S,
+    )
+
+
+class _Adapters:
+    """The adapters and plain treq, each with its own pool."""
+
+    def __init__(self, *, store_port: int, worker_port: int) -> None:
+        reactor = reactor_thread.reactor
+        self._store = http_store.HttpStore(reactor=reactor, host=HOST, port=store_port)
+        self._workers = http_workers.HttpWorkers(reactor=reactor)
+        self._address = workers.Address(worker_id="w1", host=HOST, port=worker_port)
+        self._store_url = http_calls.base_url(host=HOST, port=store_port)
+        self._worker_url = http_calls.base_url(host=HOST, port=worker_port)
+        self._pool = client.HTTPConnectionPool(reactor)
+
+    def start(self) -> None:
+        """Make ready for calls."""
+        self._store.start()
+        self._workers.start()
+
+    def close(self) -> Any:
+        """Close all connections."""
+        self._store.close()
+        self._workers.close()
+        return self._pool.closeCachedConnections()
+
+    def contenders(self, body: bytes) -> list[Contender]:
+        """Each kind of call, by the adapter and by plain treq."""
+        request = workers.ServiceRequest(
+            request_id="r1",
+            service="orders",
+            method="POST",
+            path="quote",
+            headers=(),
+            body=body,
+            timeout_s=5.0,
+        )
+        address = self._address
+        renewed = b'{"epoch":1,"lease_s":5.0,"acknowledged":[]}'
+        asks: dict[str, tuple[Ask, Ask]] = {
+            "get": (
+                lambda: self._store.get(key="k"),
+                lambda: self._plain(f"{self._store_url}/v1/get", b'{"key":"k"}'),
+            ),
+            "renew": (
+                lambda: self._workers.renew(address=address, epoch=1, lease_s=5.0),
+                lambda: self._plain(f"{self._worker_url}/v1/renew", renewed),
+            ),
+            "forward": (
+                lambda: self._workers.forward(address=address, epoch=1, request=request),
+                lambda: self._plain(f"{self._worker_url}/service/orders/quote", body),
+            ),
+        }
+        return [
+            Contender(call=call, way=way, ask=ask)
+            for call, ways in asks.items()
+            for way, ask in zip(("adapter", BASELINE), ways, strict=True)
+        ]
+
+    def _plain(self, url: str, body: bytes) -> Any:
+        headers = http_headers.Headers({"Ebonyhatch-Request-Id": ["r1"], "Ebonyhatch-Epoch": ["1"]})
+        asked = treq.post(url, data=body, headers=headers, pool=self._pool, timeout=5.0)
+        return asked.addCallback(treq.content)
+
+
+def _print(seeds: tuple[int, ...], rows: list[dict[tuple[str, str], Cost]]) -> None:
+    """Print medians over the seeds, and the ratios of the worst seed as targets."""
+    figures: dict[str, dict[str, float]] = {"adapter": {}, BASELINE: {}}
+    targets = []
+    for call in sorted({call for call, _ in rows[0]}):
+        for way, named in figures.items():
+            for field in Cost.__struct_fields__:
+                values = [getattr(row[call, way], field) for row in rows]
+                named[f"{call}_{field}"] = round(statistics.median(values), 1)
+        for field in ("median_us", "processor_us"):
+            ratios = [
+                getattr(row[call, "adapter"], field) / getattr(row[call, BASELINE], field)
+                for row in rows
+            ]
+            targets.append(
+                measures.Target(
+                    name=f"{call}_{field}_to_treq", target=RATIO_TARGET, measured=max(ratios)
+                )
+            )
+    measures.print_targets(
+        bench="adapters",
+        seeds=seeds,
+        measured=dict(figures["adapter"]),
+        baseline=dict(figures[BASELINE]),
+        targets=targets,
+    )
+
+
+if __name__ == "__main__":
+    registry.main("adapters")
