--- a/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
@@ -19,8 +19,10 @@
     batch_placement,
     eviction,
     expire,
+    holds,
     ingest,
     job_events,
+    lanes,
     request_events,
     request_placement,
     reserve,
@@ -71,6 +73,8 @@
             state.period_at = now + PERIOD_S
             sharing.run(state)
             reserve.run(state)
+            lanes.run(state)
+            holds.run(state)
         admission.run(state)
         request_placement.run(state)
         batch_placement.run(state)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
@@ -55,6 +55,7 @@
         load: Share of its processors in use, as last reported.
         load_at: Time of that sample, seconds.
         overloaded: Measured above a limit; takes nothing.
+        held: Its room is held for a job that waits for it.
         barred: Its health allows no placement.
         penalty: Predicted slowdown of urgent work by the batch work here, 0 for none.
         counted_free: Its part of the cell's count of free slots.
@@ -77,6 +78,7 @@
     reserved_for_urgent: bool = False
     overloaded: bool = False
     barred: bool = False
+    held: bool = False
     sharers: interference.Composition = ()
     answers: dict[AnswersKey, list[float]] = dataclasses.field(default_factory=dict)
     load: float = 0.0
@@ -99,6 +101,7 @@
         task: Its current attempt, or None while it waits.
         parked: No worker of the cell can hold it.
         avoid_worker_id: Worker where its last attempt failed to start; empty for none.
+        queued_at: When it was queued last, seconds.
         judged_at: Version of the set of workers that it was judged against.
     """
 
@@ -111,6 +114,7 @@
     parked: bool = False
     avoid_worker_id: str = ""
     judged_at: int = -1
+    queued_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/run_times.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/run_times.py
@@ -40,17 +40,25 @@
 class RunTimes:
     """Learns from finished jobs."""
 
-    __slots__ = ("_classes",)
+    __slots__ = ("_classes", "_version")
 
     def __init__(self) -> None:
+        self._version = 0
         self._classes: dict[tuple[str, str], ClassTimes] = {}
 
+    @property
+    def version(self) -> int:
+        """Grows when the estimates have changed much."""
+        return self._version
+
     def finished(self, job: entities.Job, *, run_s: float) -> None:
         """Take in the run time of a job."""
         run_s = max(run_s, 0.001)
         for tenant in ("", job.tenant):
             times = self._classes.setdefault((job.work_class, tenant), ClassTimes())
             _add(times, run_s=run_s, declared_s=max(job.expected_run_s, 0.001))
+            if times.count >= LEAST_SAMPLES and times.count % LEAST_SAMPLES == 0:
+                self._version += 1
 
     def estimate_s(self, job: entities.Job) -> float:
         """Expected run time: the declared one, drawn towards that of class and tenant."""
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
@@ -42,7 +42,7 @@
     checkpoint_spacing_s: float = 30.0
     standby_share: float = 0.0
     short_run_s: float = 60.0
-    short_share: float = 0.5
+    short_share: float = 0.8
     size_quantile: float = 0.0
     harm_limit: float = 0.15
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/batch_placement.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/batch_placement.py
@@ -12,6 +12,9 @@
 
 LEAST_CHARGE_S = 1.0
 
+HOLD_AFTER_S = 5.0
+"""Wait of the first job of a queue after which a worker is held for it."""
+
 
 def run(state: tables.Tables) -> None:
     """Start queued jobs until nothing more fits."""
@@ -63,10 +66,12 @@
         if worker is not None:
             start(state, row, worker, priority=priority)
             return 0
-        misses += 1
         if _impossible(state, row):
             _park(state, row, priority)
             return 0
+        if not misses and state.now - row.queued_at > HOLD_AFTER_S:
+            state.misfits.append(row)
+        misses += 1
     return max(misses, 1)
 
 
@@ -94,6 +99,15 @@
     return None
 
 
+def allowed(state: tables.Tables, row: rows.Job, worker: rows.Worker) -> bool:
+    """Tell whether the reserve lets a job start on a worker with room for it."""
+    if not _within_quota(state, row):
+        return False
+    if state.counts_for_urgent(worker):
+        return state.reserve.lendable >= row.job.demand.slots
+    return True
+
+
 def start(state: tables.Tables, row: rows.Job, worker: rows.Worker, *, priority: int) -> None:
     """Start the next attempt of a job."""
     state.batch.remove(row, priority=priority)
--- /dev/null
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/lanes.py
@@ -0,0 +1,26 @@
+"""Moves waiting jobs between lanes as run times become known."""
+
+from __future__ import annotations
+
+from ebonyhatch.core import rows, tables
+
+
+def run(state: tables.Tables) -> None:
+    """Judge all waiting jobs anew when the estimates have changed much."""
+    if state.run_times.version == state.lanes_version:
+        return
+    state.lanes_version = state.run_times.version
+    for row in state.jobs.values():
+        if row.task is None and not row.parked:
+            _judge(state, row)
+
+
+def _judge(state: tables.Tables, row: rows.Job) -> None:
+    lane = state.lane_of(row)
+    if lane is row.lane:
+        return
+    priority = state.priority_of(row.job.work_class)
+    if state.batch.remove(row, priority=priority):
+        row.lane = lane
+        state.batch.push(row, priority=priority, first=row.attempts > 0)
+        state.batch_dirty = True
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
@@ -46,6 +46,9 @@
         "batch_dirty",
         "workers_version",
         "run_times",
+        "lanes_version",
+        "holds",
+        "misfits",
         "tenant_use",
         "short_slots",
         "batch_slots",
@@ -95,6 +98,9 @@
         self.batch_dirty = True
         self.workers_version = 0
         self.run_times = run_times.RunTimes()
+        self.lanes_version = 0
+        self.holds: dict[str, rows.Worker] = {}
+        self.misfits: list[rows.Job] = []
         self.tenant_use: dict[str, resources.Resources] = {}
         self.short_slots = 0
         self.batch_slots = 0
@@ -116,7 +122,10 @@
             self.batch_workers.remove(worker)
             return
         self.urgent_workers.put(worker, level=self._urgent_level(worker))
-        self.batch_workers.put(worker, level=int(worker.reserved_for_urgent))
+        if worker.held:
+            self.batch_workers.remove(worker)
+        else:
+            self.batch_workers.put(worker, level=int(worker.reserved_for_urgent))
 
     def _urgent_level(self, worker: rows.Worker) -> int:
         worker.penalty = sum(
@@ -202,12 +211,16 @@
 
     def queue_job(self, row: rows.Job, *, first: bool = False) -> None:
         """Queue a job for placement, in the lane of its expected run time."""
-        expected_s = self.run_times.estimate_s(row.job)
-        short = expected_s <= self.settings.short_run_s
-        row.lane = rows.Lane.SHORT if short else rows.Lane.LONG
+        row.lane = self.lane_of(row)
+        row.queued_at = self.now
         self.batch.push(row, priority=self.priority_of(row.job.work_class), first=first)
         self.batch_dirty = True
 
+    def lane_of(self, row: rows.Job) -> rows.Lane:
+        """The lane of a job's expected run time."""
+        short = self.run_times.estimate_s(row.job) <= self.settings.short_run_s
+        return rows.Lane.SHORT if short else rows.Lane.LONG
+
     def forget_job(self, row: rows.Job) -> None:
         """Drop a job that has no attempt, wherever it waits."""
         self.batch.remove(row, priority=self.priority_of(row.job.work_class))
