--- a/packages/ebonyhatch-core/src/ebonyhatch/core/budgets.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/budgets.py
@@ -1,4 +1,4 @@
-"""Budget of evictions: a token bucket."""
+"""Budgets of evictions and of retries: token buckets."""
 
 from __future__ import annotations
 
@@ -33,3 +33,35 @@
             return False
         self._tokens -= 1.0
         return True
+
+
+RETRY_SHARE = 0.2
+"""Retries that one success pays for."""
+
+RETRY_TOKENS = 100.0
+"""Most retries that may be saved up."""
+
+
+class RetryBudget:
+    """Tokens that successes pay in."""
+
+    __slots__ = ("_tokens",)
+
+    def __init__(self) -> None:
+        self._tokens = RETRY_TOKENS
+
+    @property
+    def tokens(self) -> float:
+        """Retries that may be sent now."""
+        return self._tokens
+
+    def succeed(self) -> None:
+        """Pay in for one success."""
+        self._tokens = min(RETRY_TOKENS, self._tokens + RETRY_SHARE)
+
+    def take(self) -> bool:
+        """Spend one token, if there is one."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/capacity.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/capacity.py
@@ -48,3 +48,5 @@
         reserve(worker, task.demand)
     for request in worker.requests.values():
         reserve(worker, request.demand)
+    for demand in worker.hedged.values():
+        reserve(worker, demand)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
@@ -19,12 +19,14 @@
     batch_placement,
     eviction,
     expire,
+    health,
     holds,
     ingest,
     job_events,
     lanes,
     request_events,
     request_placement,
+    requeue,
     reserve,
     sharing,
     worker_events,
@@ -71,6 +73,8 @@
         periodic = now >= state.period_at - ROUNDING_S
         if periodic:
             state.period_at = now + PERIOD_S
+            health.run(state)
+            requeue.run(state)
             sharing.run(state)
             reserve.run(state)
             lanes.run(state)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
@@ -35,6 +35,25 @@
     LONG = "long"
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Standing:
+    """Decayed counts of starts and failed starts of a worker or a class.
+
+    Attributes:
+        weight: Starts.
+        failures: Failed starts.
+        answers: Answers of requests.
+        slowness: Mean ratio of service times to the expected one.
+        workers: Of a class: when it failed last, by worker.
+    """
+
+    weight: float = 0.0
+    failures: float = 0.0
+    answers: int = 0
+    slowness: float = 1.0
+    workers: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class Worker:
     """A worker and what is reserved on it.
@@ -56,7 +75,14 @@
         load_at: Time of that sample, seconds.
         overloaded: Measured above a limit; takes nothing.
         held: Its room is held for a job that waits for it.
-        barred: Its health allows no placement.
+        barred: Its health allows no placement but probes.
+        standing: Counts of its failures.
+        answered_at: When it answered a request last, seconds.
+        probing: A probe is on its way.
+        probe_at: When a barred worker may be probed next, seconds.
+        probe_after_s: Wait after the next failed probe, seconds.
+        probes_passed: Probes passed in a row.
+        hedged: Reservations of requests that were tried elsewhere since, by id.
         penalty: Predicted slowdown of urgent work by the batch work here, 0 for none.
         counted_free: Its part of the cell's count of free slots.
         counted_total: Its part of the cell's count of slots.
@@ -79,6 +105,13 @@
     overloaded: bool = False
     barred: bool = False
     held: bool = False
+    standing: Standing = dataclasses.field(default_factory=Standing)
+    answered_at: float = 0.0
+    probing: bool = False
+    probe_at: float = 0.0
+    probe_after_s: float = 0.0
+    probes_passed: int = 0
+    hedged: dict[str, resources.Resources] = dataclasses.field(default_factory=dict)
     sharers: interference.Composition = ()
     answers: dict[AnswersKey, list[float]] = dataclasses.field(default_factory=dict)
     load: float = 0.0
@@ -101,6 +134,7 @@
         task: Its current attempt, or None while it waits.
         parked: No worker of the cell can hold it.
         avoid_worker_id: Worker where its last attempt failed to start; empty for none.
+        start_failures: Starts that failed in a row.
         queued_at: When it was queued last, seconds.
         judged_at: Version of the set of workers that it was judged against.
     """
@@ -115,6 +149,7 @@
     avoid_worker_id: str = ""
     judged_at: int = -1
     queued_at: float = 0.0
+    start_failures: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
@@ -163,6 +198,7 @@
         avoid_worker_id: Worker that did not serve it; empty for none.
         maybe_ran: A former try may have run.
         sharers: Sharers of the worker when it was sent.
+        former: Worker of the first try, if it was hedged.
     """
 
     request: entities.Request
@@ -175,6 +211,7 @@
     avoid_worker_id: str = ""
     maybe_ran: bool = False
     sharers: interference.Composition = ()
+    former: Worker | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
@@ -27,6 +27,7 @@
         short_run_s: Jobs that are expected to run longer wait in the long lane, seconds.
         short_share: Most of the batch slots that the short lane takes first.
         size_quantile: Quantile of the measured use of a class that is reserved at least.
+        class_memory_s: How long a failed start counts against its class, seconds.
         harm_limit: Predicted slowdown of urgent work above which batch work gives way.
     """
 
@@ -45,6 +46,7 @@
     short_share: float = 0.8
     size_quantile: float = 0.0
     harm_limit: float = 0.15
+    class_memory_s: float = 30.0
 
 
 NAMES = tuple(field.name for field in dataclasses.fields(Settings))
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/eviction.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/eviction.py
@@ -5,7 +5,7 @@
 import math
 
 from ebonyhatch.core import commands, eviction_costs, rows, tables
-from ebonyhatch.core.systems import reserve
+from ebonyhatch.core.systems import health, reserve
 
 TOLERANCE = 0.3
 """Shortage that is borne without evictions, in square roots of the need."""
@@ -30,6 +30,7 @@
         limit=state.settings.eviction_budget * state.total_slots,
         refill_s=state.settings.eviction_refill_s,
     )
+    _end_hung_starts(state)
     _clear_reserved(state)
     running = _running(state)
     held = sum(task.demand.slots for task in running)
@@ -40,6 +41,17 @@
     _relieve(state)
 
 
+def _end_hung_starts(state: tables.Tables) -> None:
+    """Evict what a worker never confirmed to have started."""
+    for worker in state.workers.values():
+        if not worker.barred:
+            continue
+        for task in list(worker.tasks.values()):
+            late = state.now - task.placed_at > health.START_LIMIT_S
+            if task.state is rows.TaskState.STARTING and late:
+                evict_task(state, task, checkpoint=False)
+
+
 def _running(state: tables.Tables) -> list[rows.Task]:
     return [
         task
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/expire.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/expire.py
@@ -5,7 +5,7 @@
 import heapq
 
 from ebonyhatch.core import rows, tables
-from ebonyhatch.core.systems import retry
+from ebonyhatch.core.systems import health, retry
 
 
 def run(state: tables.Tables) -> None:
@@ -21,6 +21,7 @@
 def _expire(state: tables.Tables, row: rows.Request) -> None:
     if row.worker is not None:
         state.demand.served(state.now - row.sent_at)
+        health.bad(state, row.worker, row.request.work_class)
     if row.state is rows.RequestState.QUEUED:
         state.urgent.discard()
     retry.refuse(state, row, outcome=retry.truth(row), reason="deadline")
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/job_events.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/job_events.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ebonyhatch.core import commands, events, rows, tables
-from ebonyhatch.core.systems import ingest, requeue, worker_events
+from ebonyhatch.core.systems import health, ingest, requeue, worker_events
 
 
 @ingest.handler(events.JobSubmitted)
@@ -74,6 +74,8 @@
     if task is not None and task.state is rows.TaskState.STARTING:
         task.state = rows.TaskState.RUNNING
         task.saved_at = state.now
+        task.job.start_failures = 0
+        health.good(state, task.worker, task.job.job.work_class)
 
 
 @ingest.handler(events.TaskStartFailed)
@@ -82,7 +84,8 @@
     task = state.tasks.get(event.task_id)
     if task is not None:
         task.job.avoid_worker_id = task.worker.worker_id
-        requeue.attempt_ended(state, task)
+        health.bad(state, task.worker, task.job.job.work_class)
+        requeue.start_failed(state, task)
 
 
 @ingest.handler(events.TaskFinished)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_events.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_events.py
@@ -5,7 +5,7 @@
 import heapq
 
 from ebonyhatch.core import events, rows, tables
-from ebonyhatch.core.systems import ingest, retry, sharing
+from ebonyhatch.core.systems import health, ingest, retry, sharing
 
 
 @ingest.handler(events.RequestArrived)
@@ -25,30 +25,53 @@
 
 @ingest.handler(events.RequestAnswered)
 def request_answered(state: tables.Tables, event: events.RequestAnswered) -> None:
-    """Drop an answered request."""
+    """Drop an answered request; the first answer of a hedged one counts."""
     row = _sent(state, event.request_id, event.worker_id)
     if row is not None:
-        state.demand.served(state.now - row.sent_at)
-        if not event.failed:
-            sharing.answered(state, row, event.service_s)
+        _learn(state, row, event)
         state.release_request(row)
-        del state.requests[event.request_id]
+        retry.forget(state, row)
+    elif retry.release_former(state, event.request_id, event.worker_id):
+        _answered_by_former(state, event)
+
+
+def _learn(state: tables.Tables, row: rows.Request, event: events.RequestAnswered) -> None:
+    state.demand.served(state.now - row.sent_at)
+    state.retries.succeed()
+    health.served(state, row, event.service_s)
+    if not event.failed:
+        sharing.answered(state, row, event.service_s)
+
+
+def _answered_by_former(state: tables.Tables, event: events.RequestAnswered) -> None:
+    row = state.requests.get(event.request_id)
+    if row is not None and row.state is rows.RequestState.QUEUED:
+        state.urgent.discard()
+        retry.forget(state, row)
 
 
 @ingest.handler(events.RequestNotRun)
 def request_not_run(state: tables.Tables, event: events.RequestNotRun) -> None:
     """Try a request again that certainly did not run."""
     row = _sent(state, event.request_id, event.worker_id)
-    if row is not None:
-        retry.not_run(state, row)
+    if row is None:
+        retry.release_former(state, event.request_id, event.worker_id)
+        return
+    if row.worker is not None:
+        health.bad(state, row.worker, row.request.work_class)
+    retry.not_run(state, row)
 
 
 @ingest.handler(events.RequestLost)
 def request_lost(state: tables.Tables, event: events.RequestLost) -> None:
     """Try a request again if it may run twice; else its outcome is unknown."""
     row = _sent(state, event.request_id, event.worker_id)
-    if row is not None:
-        retry.lost(state, row)
+    if row is None:
+        retry.release_former(state, event.request_id, event.worker_id)
+        return
+    if row.worker is not None:
+        health.bad(state, row.worker, row.request.work_class)
+    retry.lost(state, row)
 
 
 @ingest.handler(events.RequestWithdrawn)
@@ -59,7 +82,7 @@
         return
     if row.state is rows.RequestState.QUEUED:
         state.urgent.discard()
-        del state.requests[event.request_id]
+        retry.forget(state, row)
     row.state = rows.RequestState.WITHDRAWN
 
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_placement.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_placement.py
@@ -30,6 +30,10 @@
 
 
 def _worker_for_request(state: tables.Tables, row: rows.Request) -> rows.Worker | None:
+    if state.probes and row.request.idempotent and not row.attempts:
+        probed = _probe(state, row)
+        if probed is not None:
+            return probed
     fallback = None
     for count, worker in enumerate(state.urgent_workers.best()):
         if count >= CANDIDATES_LIMIT:
@@ -42,6 +46,16 @@
     return fallback
 
 
+def _probe(state: tables.Tables, row: rows.Request) -> rows.Worker | None:
+    """Give a request to a worker on probation, one at a time."""
+    for worker_id, worker in list(state.probes.items()):
+        del state.probes[worker_id]
+        if worker.barred and not worker.leaving and capacity.fits(worker, row.demand):
+            worker.probing = True
+            return worker
+    return None
+
+
 def _send(state: tables.Tables, row: rows.Request, worker: rows.Worker) -> None:
     row.state = rows.RequestState.SENT
     row.attempts += 1
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/retry.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/retry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhatch.core import commands, rows, tables
+from ebonyhatch.core import capacity, commands, rows, tables
 
 ATTEMPTS_LIMIT = 2
 """Most times that a request is sent in the whole system."""
@@ -14,24 +14,44 @@
 def not_run(state: tables.Tables, row: rows.Request) -> None:
     """A sent request did not run: queue it again or refuse it."""
     _avoid_and_release(state, row)
-    if row.state is rows.RequestState.WITHDRAWN:
-        del state.requests[row.request.request_id]
-    elif row.attempts < ATTEMPTS_LIMIT:
-        _queue_again(state, row)
-    else:
-        refuse(state, row, outcome=truth(row), reason="worker-refused")
+    _again_or_refuse(state, row, may_repeat=True, reason="worker-refused")
 
 
 def lost(state: tables.Tables, row: rows.Request) -> None:
     """A sent request may have run: queue it again if it is idempotent, else say so."""
     row.maybe_ran = True
     _avoid_and_release(state, row)
-    if row.state is rows.RequestState.WITHDRAWN:
-        del state.requests[row.request.request_id]
-    elif row.request.idempotent and row.attempts < ATTEMPTS_LIMIT:
-        _queue_again(state, row)
-    else:
-        refuse(state, row, outcome=commands.Outcome.UNKNOWN, reason="worker-lost")
+    _again_or_refuse(state, row, may_repeat=row.request.idempotent, reason="worker-lost")
+
+
+def hedge(state: tables.Tables, row: rows.Request) -> None:
+    """Try an idempotent request elsewhere; the first try keeps its reservation."""
+    worker = row.worker
+    may = row.request.idempotent and row.attempts < ATTEMPTS_LIMIT
+    if worker is None or not may or row.state is not rows.RequestState.SENT:
+        return
+    if not state.retries.take():
+        return
+    row.maybe_ran = True
+    row.avoid_worker_id = worker.worker_id
+    row.former = worker
+    worker.hedged[row.request.request_id] = row.demand
+    del worker.requests[row.request.request_id]
+    state.sent -= 1
+    row.worker = None
+    row.state = rows.RequestState.QUEUED
+    state.urgent.push(row)
+
+
+def release_former(state: tables.Tables, request_id: str, worker_id: str) -> bool:
+    """Drop the reservation of a first try that was hedged; tell whether there was one."""
+    worker = state.workers.get(worker_id)
+    demand = worker.hedged.pop(request_id, None) if worker is not None else None
+    if worker is None or demand is None:
+        return False
+    capacity.release(worker, demand)
+    state.touch(worker)
+    return True
 
 
 def truth(row: rows.Request) -> commands.Outcome:
@@ -50,26 +70,39 @@
 ) -> None:
     """Give a request its final outcome and drop it."""
     state.release_request(row)
-    if row.state is rows.RequestState.WITHDRAWN:
-        del state.requests[row.request.request_id]
-        return
-    command = commands.RefuseRequest(
-        request_id=row.request.request_id,
-        outcome=outcome,
-        reason=reason,
-        retry_after_s=retry_after_s,
-    )
-    state.commands.append(command)
+    if row.state is not rows.RequestState.WITHDRAWN:
+        command = commands.RefuseRequest(
+            request_id=row.request.request_id,
+            outcome=outcome,
+            reason=reason,
+            retry_after_s=retry_after_s,
+        )
+        state.commands.append(command)
+    forget(state, row)
+
+
+def forget(state: tables.Tables, row: rows.Request) -> None:
+    """Drop a request that has its outcome."""
     row.state = rows.RequestState.WITHDRAWN
-    del state.requests[row.request.request_id]
+    request_id = row.request.request_id
+    if row.former is not None:
+        release_former(state, request_id, row.former.worker_id)
+    del state.requests[request_id]
+
+
+def _again_or_refuse(
+    state: tables.Tables, row: rows.Request, *, may_repeat: bool, reason: str
+) -> None:
+    if row.state is rows.RequestState.WITHDRAWN:
+        forget(state, row)
+    elif may_repeat and row.attempts < ATTEMPTS_LIMIT and state.retries.take():
+        row.state = rows.RequestState.QUEUED
+        state.urgent.push(row)
+    else:
+        refuse(state, row, outcome=truth(row), reason=reason)
 
 
 def _avoid_and_release(state: tables.Tables, row: rows.Request) -> None:
     if row.worker is not None:
         row.avoid_worker_id = row.worker.worker_id
     state.release_request(row)
-
-
-def _queue_again(state: tables.Tables, row: rows.Request) -> None:
-    row.state = rows.RequestState.QUEUED
-    state.urgent.push(row)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/worker_events.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/worker_events.py
@@ -29,6 +29,8 @@
         state.reserve.slots += event.capacity.slots - worker.capacity.slots
     worker.capacity = event.capacity
     worker.leaving = False
+    worker.barred = False
+    worker.standing = rows.Standing()
     capacity.recount(worker)
     state.touch(worker)
     state.workers_version += 1
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
@@ -46,6 +46,10 @@
         "batch_dirty",
         "workers_version",
         "run_times",
+        "retries",
+        "probes",
+        "class_standings",
+        "delayed",
         "lanes_version",
         "holds",
         "misfits",
@@ -99,6 +103,10 @@
         self.workers_version = 0
         self.run_times = run_times.RunTimes()
         self.lanes_version = 0
+        self.retries = budgets.RetryBudget()
+        self.probes: dict[str, rows.Worker] = {}
+        self.class_standings: dict[str, rows.Standing] = {}
+        self.delayed: list[tuple[float, str]] = []
         self.holds: dict[str, rows.Worker] = {}
         self.misfits: list[rows.Job] = []
         self.tenant_use: dict[str, resources.Resources] = {}
@@ -114,6 +122,13 @@
         found = self.classes.get(work_class)
         return found.priority if found is not None else 0
 
+    def class_standing(self, work_class: str) -> rows.Standing:
+        """Counts of failed starts of a class."""
+        standing = self.class_standings.get(work_class)
+        if standing is None:
+            standing = self.class_standings[work_class] = rows.Standing()
+        return standing
+
     def touch(self, worker: rows.Worker) -> None:
         """Bring the indexes and counts up to date after a worker changed."""
         self._count(worker)
@@ -228,7 +243,7 @@
         self.jobs.pop(row.job.job_id, None)
 
     def _release(self, worker: rows.Worker, demand: resources.Resources) -> None:
-        if worker.tasks or worker.requests:
+        if worker.tasks or worker.requests or worker.hedged:
             capacity.release(worker, demand)
         else:
             capacity.recount(worker)
