Place waiting jobs each period while the reserve lends slots

Cause: placement was tried anew only when the loan rose from nothing, so jobs that found every worker full of requests waited for ever once those ended. Ruled out: parking, quotas, the index of workers (both workers free).

--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/reserve.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/reserve.py
@@ -142,6 +142,6 @@
     surplus = int(slots - reserve.need) - held
     if state.harmful:
         surplus = min(surplus, LENT_LIMIT - held)
-    if surplus > 0 and reserve.lendable <= 0:
+    if surplus > 0:
         state.batch_dirty = True
     reserve.lendable = surplus
--- a/packages/ebonyhatch-core/tests/test_default_scheduler.py
+++ b/packages/ebonyhatch-core/tests/test_default_scheduler.py
@@ -142,3 +142,18 @@
     assert scheduler.room(now=0.0).free_slots == 1
     again = scheduler.tick(now=0.1, events=[events.TaskLost(task_id="j1/3")])
     assert again[0].task_id == "j1/4"
+
+
+def test_waiting_job_is_placed_once_requests_leave_room():
+    scheduler = build()
+    asked = [arrived("r1"), arrived("r2")]
+    scheduler.tick(now=0.0, events=asked)
+    scheduler.tick(now=0.1, events=[submitted("j1")])
+    answered = [
+        events.RequestAnswered(request_id=f"r{number}", worker_id="w0", service_s=0.5)
+        for number in (1, 2)
+    ]
+    decided = scheduler.tick(now=0.55, events=answered)
+    for step in range(1, 400):
+        decided += scheduler.tick(now=0.55 + step / 10, events=[])
+    assert "StartTask" in kinds(decided)
