--- a/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
@@ -198,7 +198,6 @@
         avoid_worker_id: Worker that did not serve it; empty for none.
         maybe_ran: A former try may have run.
         sharers: Sharers of the worker when it was sent.
-        former: Worker of the first try, if it was hedged.
     """
 
     request: entities.Request
@@ -211,7 +210,6 @@
     avoid_worker_id: str = ""
     maybe_ran: bool = False
     sharers: interference.Composition = ()
-    former: Worker | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/health.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/health.py
@@ -33,6 +33,9 @@
 PROBE_FIRST_S = 2.0
 PROBE_LONGEST_S = 15.0
 PROBES_TO_RETURN = 3
+PROBE_PATIENCE_S = 15.0
+"""Without a request to probe with, a worker returns after this time."""
+
 START_LIMIT_S = 15.0
 """Time in which a start must be confirmed."""
 
@@ -93,6 +96,8 @@
             _look_for_hang(state, worker)
         if worker.barred and state.now >= worker.probe_at and not worker.probing:
             state.probes[worker.worker_id] = worker
+            if state.now >= worker.probe_at + PROBE_PATIENCE_S:
+                _return(state, worker)
     for standing in state.class_standings.values():
         _forget(standing, before=state.now - state.settings.class_memory_s)
 
@@ -142,11 +147,16 @@
     worker.probes_passed += 1
     worker.probe_at = state.now
     if worker.probes_passed >= PROBES_TO_RETURN:
-        worker.barred = False
-        worker.standing = rows.Standing()
-        state.probes.pop(worker.worker_id, None)
-        state.batch_dirty = True
-        state.touch(worker)
+        _return(state, worker)
+
+
+def _return(state: tables.Tables, worker: rows.Worker) -> None:
+    worker.barred = False
+    worker.probing = False
+    worker.standing = rows.Standing()
+    state.probes.pop(worker.worker_id, None)
+    state.batch_dirty = True
+    state.touch(worker)
 
 
 def _probe_failed(state: tables.Tables, worker: rows.Worker) -> None:
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/retry.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/retry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import heapq
+
 from ebonyhatch.core import capacity, commands, rows, tables
 
 ATTEMPTS_LIMIT = 2
@@ -34,7 +36,9 @@
         return
     row.maybe_ran = True
     row.avoid_worker_id = worker.worker_id
-    row.former = worker
+    heapq.heappush(
+        state.hedges, (row.request.deadline_at, row.request.request_id, worker.worker_id)
+    )
     worker.hedged[row.request.request_id] = row.demand
     del worker.requests[row.request.request_id]
     state.sent -= 1
@@ -84,10 +88,7 @@
 def forget(state: tables.Tables, row: rows.Request) -> None:
     """Drop a request that has its outcome."""
     row.state = rows.RequestState.WITHDRAWN
-    request_id = row.request.request_id
-    if row.former is not None:
-        release_former(state, request_id, row.former.worker_id)
-    del state.requests[request_id]
+    del state.requests[row.request.request_id]
 
 
 def _again_or_refuse(
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
@@ -24,6 +24,9 @@
 PENALTY_LEVELS = (0.05, 0.15, 0.3, 0.6, 1.2, 2.4)
 """Predicted slowdowns that divide workers into levels for urgent work."""
 
+FAILURE_PENALTY = 8.0
+"""Slowdown that is taken to be as bad as a worker that fails all it starts."""
+
 
 class Tables:
     """All rows of one cell with the indexes that the systems need."""
@@ -50,6 +53,7 @@
         "probes",
         "class_standings",
         "delayed",
+        "hedges",
         "lanes_version",
         "holds",
         "misfits",
@@ -106,6 +110,7 @@
         self.retries = budgets.RetryBudget()
         self.probes: dict[str, rows.Worker] = {}
         self.class_standings: dict[str, rows.Standing] = {}
+        self.hedges: list[tuple[float, str, str]] = []
         self.delayed: list[tuple[float, str]] = []
         self.holds: dict[str, rows.Worker] = {}
         self.misfits: list[rows.Job] = []
@@ -147,7 +152,9 @@
             count * self.interference.slowdown(name, load=worker.load)
             for name, count in worker.sharers
         )
-        return bisect.bisect(PENALTY_LEVELS, worker.penalty)
+        standing = worker.standing
+        failing = standing.failures / standing.weight if standing.failures > 0.5 else 0.0
+        return bisect.bisect(PENALTY_LEVELS, worker.penalty + FAILURE_PENALTY * failing)
 
     def counts_for_urgent(self, worker: rows.Worker) -> bool:
         """Tell whether the worker's slots are counted for urgent work."""
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/faults.py
@@ -0,0 +1,177 @@
+"""Bench of faulty workers: lost requests in each fault, return to use, and what must hold."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import time
+
+from ebonyhatch.core import default_scheduler, scheduler
+from ebonyhatch.testing import (
+    fleet,
+    fleet_faults,
+    naive_scheduler,
+    urgent_first_scheduler,
+    workloads,
+)
+from ebonyhatch.testing.benches import measures, registry
+
+REGISTERED = (default_scheduler, urgent_first_scheduler, naive_scheduler)
+POLICIES = ("default", "urgent-first")
+USES_TO_COUNT = 5
+"""A worker is in use again when it started so many requests or tasks."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class FaultFigures:
+    """Figures of one policy under all faults.
+
+    Attributes:
+        lost: Share of requests without an answer in time, by window.
+        p99_s: Tail latency by window, seconds.
+        back_s: From the mending of the failing worker to its use, seconds.
+        second_tries: Second sends as a share of all.
+        most_tries: Most sends of one request.
+    """
+
+    lost: dict[str, float]
+    p99_s: dict[str, float]
+    back_s: float
+    second_tries: float
+    most_tries: int
+    limits_exceeded: int
+    double_runs: int
+    finished_jobs: int
+
+
+def windows(times: fleet_faults.Times) -> dict[str, tuple[float, float]]:
+    """Spans of time over which lost requests are counted; a first second is let pass."""
+    return {
+        "before": (30.0, times.fails[0]),
+        "first second": (times.fails[0], times.fails[0] + 1.0),
+        "failing": (times.fails[0] + 1.0, times.slow_at),
+        "slow": (times.slow_at, times.hangs_at),
+        "hanging": (times.hangs_at, times.rack_gone[0]),
+        "rack gone": (times.rack_gone[0], times.rack_gone[1]),
+        "rack back": (times.rack_gone[1], times.wave[0]),
+        "wave": (times.wave[0], times.wave[1]),
+        "cancellations": (times.cancel_at, times.end_s - 3.0),
+    }
+
+
+def run_faults(
+    policy: str, draw: workloads.Draw, *, seed: int, times: fleet_faults.Times
+) -> FaultFigures:
+    """Run one policy under all faults."""
+    ran = fleet.Fleet(policy=scheduler.build(name=policy, seed=seed), draw=draw)
+    faults = fleet_faults.Faults(ran=ran, seed=seed, times=times)
+    faults.schedule()
+    ran.run()
+    mended_at = times.fails[1]
+    uses = [at for at in ran.uses[faults.failing.worker_id] if at > mended_at]
+    back_s = uses[USES_TO_COUNT] - mended_at if len(uses) > USES_TO_COUNT else math.inf
+    lost: dict[str, float] = {}
+    p99_s: dict[str, float] = {}
+    for name, (begin, end) in windows(times).items():
+        numbers = [
+            number for number, arrival in enumerate(draw.arrivals) if begin <= arrival.at < end
+        ]
+        lost[name] = sum(_late(ran, draw, number) for number in numbers) / max(1, len(numbers))
+        latencies = [
+            ran.latencies[number] if ran.latencies[number] >= 0 else math.inf for number in numbers
+        ]
+        p99_s[name] = measures.percentile(latencies, 0.99)
+    counts = ran.counts
+    return FaultFigures(
+        lost=lost,
+        p99_s=p99_s,
+        back_s=back_s,
+        second_tries=counts.second_sends / max(1, counts.sends),
+        most_tries=max(ran.attempts, default=0),
+        limits_exceeded=counts.limits_exceeded,
+        double_runs=counts.double_runs + counts.double_finishes,
+        finished_jobs=counts.finished_jobs,
+    )
+
+
+def _late(ran: fleet.Fleet, draw: workloads.Draw, number: int) -> bool:
+    latency = ran.latencies[number]
+    deadline_s = draw.deployment.urgent[draw.arrivals[number].kind].deadline_s
+    slack_s = 2 * draw.deployment.caller_s
+    return latency < 0 or latency > deadline_s + slack_s
+
+
+def targets_of(name: str, found: list[FaultFigures]) -> list[measures.Target]:
+    """Compare the worst of all seeds with the targets."""
+    return [
+        measures.Target(
+            name=f"{name}: lost while one fails all",
+            target=0.01,
+            measured=max(entry.lost["failing"] for entry in found),
+        ),
+        measures.Target(
+            name=f"{name}: back in use s",
+            target=60.0,
+            measured=max(entry.back_s for entry in found),
+        ),
+        measures.Target(
+            name=f"{name}: most tries of a request",
+            target=2,
+            measured=max(entry.most_tries for entry in found),
+        ),
+        measures.Target(
+            name=f"{name}: limits exceeded",
+            target=0,
+            measured=max(entry.limits_exceeded for entry in found),
+        ),
+        measures.Target(
+            name=f"{name}: runs in two places",
+            target=0,
+            measured=max(entry.double_runs for entry in found),
+        ),
+    ]
+
+
+@registry.bench("faults")
+def faults(*, seeds: tuple[int, ...], quick: bool) -> None:
+    """Run both deployments over all seeds; `quick` leaves out the second."""
+    times = fleet_faults.Times()
+    targets: list[measures.Target] = []
+    measured: dict[str, object] = {}
+    baseline: dict[str, object] = {}
+    deployments = list(workloads.DEPLOYMENTS.items())
+    for name, deployment in deployments[:1] if quick else deployments:
+        ours = []
+        for seed in seeds:
+            draw = workloads.draw(
+                deployment=deployment, seed=seed, crests=0, duration_s=times.end_s
+            )
+            for policy in POLICIES:
+                began = time.perf_counter()
+                found = run_faults(policy, draw, seed=seed, times=times)
+                _print_run(name, seed, policy, found, time.perf_counter() - began)
+                if policy == "default":
+                    ours.append(found)
+                    measured[f"{name}/{seed}"] = dataclasses.asdict(found)
+                else:
+                    baseline[f"{name}/{seed}"] = dataclasses.asdict(found)
+        targets += targets_of(name, ours)
+    measures.print_targets(
+        bench="faults", seeds=seeds, measured=measured, baseline=baseline, targets=targets
+    )
+
+
+def _print_run(name: str, seed: int, policy: str, found: FaultFigures, took_s: float) -> None:
+    lost = " ".join(f"{key} {value:.4f}" for key, value in found.lost.items())
+    tails = " ".join(f"{key} {value:.2f}" for key, value in found.p99_s.items())
+    print(
+        f"{name} seed {seed} {policy:13} lost: {lost}; p99 s: {tails};"
+        f" back {found.back_s:.1f} s second tries {found.second_tries:.4f}"
+        f" most {found.most_tries} exceeded {found.limits_exceeded}"
+        f" twice {found.double_runs} jobs {found.finished_jobs} ({took_s:.0f} s)",
+        flush=True,
+    )
+
+
+if __name__ == "__main__":
+    registry.main("faults")
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/measures.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/measures.py
@@ -162,14 +162,21 @@
         "targets": {
             target.name: {
                 "target": target.target,
-                "measured": _finite(target.measured),
+                "measured": target.measured,
                 "met": target.met,
             }
             for target in targets
         },
     }
-    print(json.dumps(line, default=str))
-
-
-def _finite(value: float) -> float | str:
-    return value if math.isfinite(value) else "inf"
+    print(json.dumps(_finite(line)))
+
+
+def _finite(value: object) -> object:
+    """Replace what JSON has no number for."""
+    if isinstance(value, dict):
+        return {str(key): _finite(entry) for key, entry in value.items()}
+    if isinstance(value, list):
+        return [_finite(entry) for entry in value]
+    if isinstance(value, float) and not math.isfinite(value):
+        return str(value)
+    return value
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/fleet.py
@@ -43,7 +43,7 @@
         self._events: list[events.Event] = []
         self._next_job = draw.jobs()
         self._waiting = 0
-        self._attempt = [0] * len(draw.arrivals)
+        self.attempts = [0] * len(draw.arrivals)
         self._harm = [
             {
                 batch.name: draw.harm[urgent.name, batch.name] - 1.0
@@ -59,6 +59,8 @@
         self.latencies = [UNANSWERED] * len(draw.arrivals)
         self.starts = [UNANSWERED] * len(draw.arrivals)
         self.refused: dict[int, commands.Outcome] = {}
+        self.uses: dict[str, list[float]] = {}
+        self._set_up()
 
     @property
     def now(self) -> float:
@@ -76,7 +78,6 @@
 
     def run(self) -> None:
         """Run the whole draw."""
-        self._set_up()
         arrivals = self._draw.arrivals
         count = len(arrivals)
         position = 0
@@ -108,13 +109,29 @@
                 worker_id=f"w{number:04}", rack=rack, capacity=deployment.capacity
             )
             self.workers[worker.worker_id] = worker
+            self.uses[worker.worker_id] = []
             self.join(worker)
             self.at(self._source.uniform(0, REPORT_EVERY_S), self._report, worker)
-        self._submit(BACKLOG_JOBS)
+        self.submit(BACKLOG_JOBS)
         for number in range(deployment.bursts):
-            self.at((number + 0.5) * draw.duration_s / deployment.bursts, self._submit, BURST_JOBS)
+            self.at((number + 0.5) * draw.duration_s / deployment.bursts, self.submit, BURST_JOBS)
         self.at(0.0, self._periodic)
 
+    def lose_worker(self, worker: fleet_rows.SimulatedWorker, *, detected_after_s: float) -> None:
+        """Lose a worker with all that runs there; it is known a while later."""
+        worker.gone = True
+        for task in list(worker.tasks.values()):
+            self.lose_work(task)
+        numbers = list(worker.requests.values())
+        for number, attempt in list(worker.requests):
+            self._free_request(number, attempt, worker)
+        self.at(self._now + detected_after_s, self._tell_loss, worker, numbers)
+
+    def _tell_loss(self, worker: fleet_rows.SimulatedWorker, numbers: list[int]) -> None:
+        for number in numbers:
+            self.tell(events.RequestLost(request_id=str(number), worker_id=worker.worker_id))
+        self.tell(events.WorkerGone(worker_id=worker.worker_id))
+
     def _periodic(self) -> None:
         self.at(self._now + TICK_S, self._periodic)
 
@@ -125,7 +142,7 @@
         for command in self._policy.tick(now=self._now, events=taken):
             _CARRY_OUT[type(command)](self, command)
         if self._waiting < BACKLOG_JOBS:
-            self._submit(BACKLOG_JOBS + 20 - self._waiting)
+            self.submit(BACKLOG_JOBS + 20 - self._waiting)
 
     def join(self, worker: fleet_rows.SimulatedWorker) -> None:
         """Announce a worker."""
@@ -139,7 +156,8 @@
             )
         )
 
-    def _submit(self, count: int) -> None:
+    def submit(self, count: int) -> None:
+        """Submit the next drawn jobs."""
         for _ in range(count):
             drawn = next(self._next_job)
             self.jobs[drawn.job.job_id] = fleet_rows.SimulatedJob(
@@ -177,7 +195,7 @@
         number = int(command.request_id)
         arrival = self._draw.arrivals[number]
         worker = self.workers[command.worker_id]
-        self._attempt[number] = command.attempt
+        self.attempts[number] = command.attempt
         self.counts.sends += 1
         self.counts.second_sends += command.attempt > 1
         arguments = (number, command.attempt, worker)
@@ -189,12 +207,13 @@
             return
         self._hold(worker, self._demands[arrival.kind], self._draw.urgent_cores)
         worker.memory_gb += self._draw.urgent_memory_gb
-        worker.requests[command.request_id] = number
+        worker.requests[(number, command.attempt)] = number
         if self.starts[number] < 0:
             self.starts[number] = self._now - arrival.at
         if worker.hangs:
             self.at(command.deadline_at, self._lose_request, *arguments)
             return
+        self.uses[worker.worker_id].append(self._now)
         service_s = arrival.service_s * self._slowdown(worker, arrival.kind) / worker.speed
         service_s += 2 * workloads.NETWORK_S
         if self._now + service_s > command.deadline_at:
@@ -212,8 +231,8 @@
         load = worker.cores / worker.capacity.cores
         return 1.0 + extra * (1.0 + max(0.0, load - CALM_LOAD) / (1.0 - CALM_LOAD))
 
-    def _free_request(self, number: int, worker: fleet_rows.SimulatedWorker) -> bool:
-        if worker.requests.pop(str(number), None) is None:
+    def _free_request(self, number: int, attempt: int, worker: fleet_rows.SimulatedWorker) -> bool:
+        if worker.requests.pop((number, attempt), None) is None:
             return False
         arrival = self._draw.arrivals[number]
         self._hold(worker, self._demands[arrival.kind], self._draw.urgent_cores, sign=-1)
@@ -223,7 +242,7 @@
     def _answer(
         self, number: int, attempt: int, worker: fleet_rows.SimulatedWorker, service_s: float
     ) -> None:
-        if not self._free_request(number, worker):
+        if not self._free_request(number, attempt, worker):
             return
         if self.latencies[number] < 0 and number not in self.refused:
             arrival = self._draw.arrivals[number]
@@ -241,9 +260,8 @@
         self.tell(events.RequestNotRun(request_id=str(number), worker_id=worker.worker_id))
 
     def _lose_request(self, number: int, attempt: int, worker: fleet_rows.SimulatedWorker) -> None:
-        if self._attempt[number] == attempt:
-            self._free_request(number, worker)
-            self.tell(events.RequestLost(request_id=str(number), worker_id=worker.worker_id))
+        self._free_request(number, attempt, worker)
+        self.tell(events.RequestLost(request_id=str(number), worker_id=worker.worker_id))
 
     def _refused(self, command: commands.RefuseRequest) -> None:
         self.refused[int(command.request_id)] = command.outcome
@@ -260,6 +278,7 @@
             self.at(self._now + START_S, self._fail_start, command, job)
             return
         self.counts.starts += 1
+        self.uses[worker.worker_id].append(self._now)
         task = fleet_rows.SimulatedTask(
             task_id=command.task_id,
             job=job,
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/fleet_rows.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/fleet_rows.py
@@ -22,7 +22,7 @@
     cores: float = 0.0
     memory_gb: float = 0.0
     tasks: dict[str, SimulatedTask] = dataclasses.field(default_factory=dict)
-    requests: dict[str, int] = dataclasses.field(default_factory=dict)
+    requests: dict[tuple[int, int], int] = dataclasses.field(default_factory=dict)
     gone: bool = False
     fails_starts: float = 0.0
     hangs: bool = False
