--- a/packages/ebonyhatch-node/src/ebonyhatch/node/journal.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/journal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Callable
 
@@ -75,6 +76,9 @@
         self.size_bytes = size_bytes
 
 
+_INSTANCES = itertools.count()
+"""Numbers of the journals of this process, so that two of one epoch share no nonce."""
+
 AppendOutcome = defer.Deferred[result.Result[None, errors.EbonyhatchError]]
 
 
@@ -100,7 +104,7 @@
         on_fault: Callable[[errors.EbonyhatchError], None],
     ) -> None:
         self._cell = cell
-        self._writer = f"{writer}/{epoch}"
+        self._writer = f"{writer}/{epoch}/{next(_INSTANCES)}"
         self._clock = clock
         self._random = random.Random(f"{seed}/{cell}/{epoch}")
         self._on_fault = on_fault
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/failover.py
@@ -0,0 +1,150 @@
+"""Bench of failover: time without an owner, outcomes told meanwhile, and calls to the store.
+
+Time is that of a fake clock; the entries run the daemon's ownership and cells over ports in
+memory. The baseline is the time rule: workers that refuse no older epoch.
+"""
+
+from __future__ import annotations
+
+import collections
+import statistics
+
+import msgspec
+from ebonyhatch.core import default_scheduler, scheduler
+from ebonyhatch.node import frames, messages
+from ebonyhatch.testing import checker, history
+from ebonyhatch.testing.benches import registry
+from ebonyhatch.testing.histories import fleet
+
+ENTRIES = 6
+JOIN_S = 40.0
+IDLE_S = 60.0
+STEADY_S = 30.0
+AFTER_KILL_S = 40.0
+QUICK_PERIOD_S = 5.0
+QUIET_S = 60.0
+REQUEST_INTERVAL_S = 0.1
+JOBS_A_STEP = 2
+JOB_RUN_S = 5.0
+
+assert default_scheduler.DefaultScheduler
+
+
+class Figures(msgspec.Struct, frozen=True, kw_only=True):
+    """What one run measured.
+
+    Attributes:
+        gap_s: From the kill of the owner until its workers ran something new, seconds.
+        answered: Requests answered after the kill.
+        not_run: Requests refused after the kill, certainly not run.
+        unknown: Requests whose outcome nobody knows, or whose caller's entry died.
+        violations: What the checker found.
+        idle_calls: Store calls a second and entry, waiting watches included, without work.
+        steady_calls: The same under load.
+        steady_writes: Writes a second and entry under load.
+        takeover_calls: Store calls a second and entry in the ten seconds after the kill.
+    """
+
+    gap_s: float
+    answered: int
+    not_run: int
+    unknown: int
+    violations: int
+    idle_calls: float
+    steady_calls: float
+    steady_writes: float
+    takeover_calls: float
+
+
+@registry.bench("failover")
+def run(*, seeds: tuple[int, ...], quick: bool) -> None:
+    """Measure each seed with workers that refuse older epochs, then with those that don't."""
+    for fenced in (True, False):
+        rule = "fenced" if fenced else "time rule"
+        measured = []
+        for seed in seeds:
+            figures = measure(seed=seed, fenced=fenced, quick=quick)
+            measured.append(figures)
+            print(f"{rule} seed {seed} {figures}")
+        gaps = [figures.gap_s for figures in measured]
+        print(f"{rule}: gap median {statistics.median(gaps):.2f} s, worst {max(gaps):.2f} s")
+    print(f"gossip of an entry to {ENTRIES - 1} peers: {gossip_bytes()} bytes a period")
+
+
+def measure(*, seed: int, fenced: bool, quick: bool = False) -> Figures:
+    """Measure one run."""
+    run = fleet.Fleet(seed=seed, entries=ENTRIES, fenced=fenced)
+    run.advance(JOIN_S)
+    idle = _calls_while(run, QUICK_PERIOD_S if quick else IDLE_S, load=False)
+    steady = _calls_while(run, QUICK_PERIOD_S if quick else STEADY_S, load=True)
+    run.advance(run.random.random() * 2.0)
+    victim = next(one for one in run.running if one.cells)
+    cell = sorted(victim.cells)[0]
+    killed_at = run.now
+    run.kill(victim.entry_id)
+    takeover = _calls_while(run, 10.0, load=True, cell=cell)
+    _calls_while(run, AFTER_KILL_S, load=True, cell=cell)
+    ended = run.finish(quiet_s=QUIET_S)
+    told = collections.Counter(
+        record.told for record in ended.of(history.RequestTold) if record.at >= killed_at
+    )
+    return Figures(
+        gap_s=_first_start(ended, cell, killed_at) - killed_at,
+        answered=told[history.Told.ANSWERED],
+        not_run=told[history.Told.NOT_RUN],
+        unknown=told[history.Told.UNKNOWN],
+        violations=len(checker.check(ended)),
+        idle_calls=sum(idle.values()),
+        steady_calls=sum(steady.values()),
+        steady_writes=steady["swap"],
+        takeover_calls=sum(takeover.values()),
+    )
+
+
+def gossip_bytes() -> int:
+    """Bytes that one entry with one cell sends to all its peers in a period."""
+    room = scheduler.Room(
+        free_slots=48, total_slots=64, queued_urgent=0, wait_s=0.0123, queued_batch=200
+    )
+    cell_room = messages.CellRoom(cell="a.0", epoch=1234, room=room)
+    told = messages.Gossip(
+        entry_id="entry-1", generation=12345, ownership_version=123456, rooms=(cell_room,)
+    )
+    frame = frames.encode(kind=frames.Kind.SEND, sender="entry-1", message=told)
+    return len(frame) * (ENTRIES - 1)
+
+
+def _calls_while(
+    run: fleet.Fleet, seconds: float, *, load: bool, cell: str = ""
+) -> collections.Counter[str]:
+    """Let time pass, with requests and jobs if wanted; store calls a second and entry."""
+    before = run.engine.counts.copy()
+    for _ in range(round(seconds / REQUEST_INTERVAL_S)):
+        if load:
+            _send(run, cell)
+        run.advance(REQUEST_INTERVAL_S)
+    made = run.engine.counts.copy()
+    made.subtract(before)
+    share = 1.0 / seconds / ENTRIES
+    return collections.Counter({kind: count * share for kind, count in made.items()})  # type: ignore[misc]
+
+
+def _send(run: fleet.Fleet, cell: str) -> None:
+    one = run.random.choice(run.running)
+    run.request(one.entry_id, cell=cell, work_s=0.05)
+    if run.random.random() < 0.2:
+        for _ in range(JOBS_A_STEP):
+            run.submit(run_s=JOB_RUN_S)
+
+
+def _first_start(ended: history.History, cell: str, after: float) -> float:
+    domain = cell.rpartition(".")[0]
+    return min(
+        record.at
+        for record in ended.of(history.RequestRan) + ended.of(history.TaskRan)
+        if record.at > after and record.worker_id.startswith(f"w-{domain}")
+    )
+
+
+if __name__ == "__main__":
+    registry.main("failover")
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
@@ -186,6 +186,7 @@
         entry_id: str,
         *,
         key: str = "",
+        cell: str = "",
         idempotent: bool = True,
         work_s: float = 0.2,
         timeout_s: float = 1.5,
@@ -195,7 +196,7 @@
         request_id = self._next("r")
         body = f"body of {key or request_id}".encode()
         call = messages.RequestCall(
-            cell=self._cell_for(one, key, idempotent),
+            cell=cell or self._cell_for(one, key, idempotent),
             request=workers.ServiceRequest(
                 request_id=request_id,
                 service="orders",
