--- a/packages/ebonyhatch-node/tests/test_configuration.py
+++ b/packages/ebonyhatch-node/tests/test_configuration.py
@@ -1,7 +1,13 @@
 import pytest
-from ebonyhatch.node import configuration, configuration_current, configuration_errors
-from ebonyhatch.testing import configuration_fleet
-from hypothesis import given, settings
+from ebonyhatch.node import (
+    configuration,
+    configuration_current,
+    configuration_errors,
+    configuration_head,
+)
+from ebonyhatch.platform import fault_switches
+from ebonyhatch.testing import checker, configuration_fleet
+from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 from returns import result
 
@@ -20,19 +26,24 @@
 
 
 def silence_one_watch(fleet):
+    fleet.write(0, 1, wait_s=10)
     fleet.faults[3].silent = True
     fleet.advance(40)
-    fleet.write(0, 1, wait_s=configuration_fleet.IN_FORCE_S)
-    return fleet.in_force
+    fleet.write(0, 2, wait_s=configuration_fleet.IN_FORCE_S)
+    in_force = fleet.in_force
+    fleet.advance(5)
+    return in_force
 
 
 def test_silent_watch_is_made_up_for_by_peers(fleet):
-    assert silence_one_watch(fleet) == [1] * configuration_fleet.ENTRIES
+    assert silence_one_watch(fleet) == [2] * configuration_fleet.ENTRIES
+    assert checker.check(fleet.history) == []
 
 
-def test_without_peers_a_silent_watch_misses_the_change(fleet):
-    fleet.gossiping[3] = False
-    assert silence_one_watch(fleet) == [1, 1, 1, 0, 1, 1]
+def test_without_heads_from_peers_a_silent_watch_misses_the_change(fleet, monkeypatch):
+    monkeypatch.setattr(configuration.Configuration, "offer", lambda self, **known: None)
+    assert silence_one_watch(fleet) == [2, 2, 2, 1, 2, 2]
+    assert {found.line for found in checker.check(fleet.history)} == {"configuration"}
 
 
 def test_generation_told_without_head_is_read_again(fleet):
@@ -60,6 +71,7 @@
 
 def test_late_reads_and_older_peers_revert_nothing(fleet):
     assert read_from_the_past(fleet) == []
+    assert checker.check(fleet.history) == []
     fleet.advance(10)
     assert fleet.in_force == [2] * configuration_fleet.ENTRIES
 
@@ -67,6 +79,7 @@
 def test_without_the_generation_check_a_late_read_reverts(fleet, monkeypatch):
     monkeypatch.setattr(configuration_current.Current, "_is_newer", lambda self, head: True)
     assert read_from_the_past(fleet) != []
+    assert {found.line for found in checker.check(fleet.history)} == {"configuration"}
 
 
 def restart_on_a_stale_store(fleet):
@@ -80,12 +93,14 @@
 
 def test_restart_on_a_stale_store_takes_the_newest_from_peers(fleet):
     assert restart_on_a_stale_store(fleet) == []
+    assert checker.check(fleet.history) == []
     assert fleet.in_force == [2] * configuration_fleet.ENTRIES
 
 
 def test_without_waiting_for_peers_a_restart_reverts(fleet, monkeypatch):
     monkeypatch.setattr(configuration, "PEERS_SETTLE_S", 0.0)
     assert restart_on_a_stale_store(fleet) != []
+    assert {found.line for found in checker.check(fleet.history)} == {"configuration"}
 
 
 def test_fresh_entry_takes_configuration_from_peers_during_an_outage(fleet):
@@ -155,46 +170,99 @@
     assert fleet.entries[0].in_force.generation in (0, 1)
 
 
-FAULTS = ("down", "silent", "lose_answers", "cut_answers")
-STEPS = st.lists(
-    st.one_of(
-        st.tuples(st.just("write"), st.integers(0, 5), st.integers(0, 9)),
-        st.tuples(st.just("restart"), st.integers(0, 5), st.none()),
-        st.tuples(st.just("stale"), st.integers(0, 5), st.sampled_from([0, 3, 30])),
-        st.tuples(st.just("gossip"), st.integers(0, 5), st.booleans()),
-        st.tuples(st.just("wait"), st.just(0), st.sampled_from([0.2, 1, 4, 40])),
-        *(st.tuples(st.just(name), st.integers(0, 5), st.booleans()) for name in FAULTS),
+ENTRY = st.integers(0, configuration_fleet.ENTRIES - 1)
+FAULTS = st.sampled_from(
+    [
+        {},
+        {"down": True},
+        {"silent": True},
+        {"lose_answers": True},
+        {"cut_answers": True},
+        {"slow_s": 0.5},
+        {"stale_s": 8.0},
+        {"stale_s": 45.0},
+    ]
+)
+ROUNDS = st.lists(
+    st.fixed_dictionaries(
+        {
+            "faults": st.dictionaries(ENTRY, FAULTS, max_size=4),
+            "silent_peers": st.sets(ENTRY, max_size=2),
+            "restart": st.none() | ENTRY,
+            "look": st.none() | ENTRY,
+            "write": ENTRY,
+            "loses_answer": st.booleans(),
+            "wait_s": st.sampled_from([0.3, 3, 8, 8, 40]),
+        }
     ),
-    max_size=15,
+    min_size=2,
+    max_size=6,
 )
 
 
-def carry_out(fleet, step):
-    name, index, value = step
-    if name == "write":
-        return [fleet.begin(index, value)]
-    if name == "restart":
-        fleet.restart(index)
-    elif name == "gossip":
-        fleet.gossiping[index] = value
-    elif name == "stale":
-        fleet.faults[index].stale_s = value
-    elif name == "wait":
-        fleet.advance(value)
-    else:
-        setattr(fleet.faults[index], name, value)
-    return []
-
-
-@settings(derandomize=True, deadline=None, max_examples=40)
-@given(steps=STEPS)
-def test_drawn_faults_lose_no_accepted_generation(steps):
-    fleet = configuration_fleet.ConfigurationFleet()
-    outcomes = [outcome for step in steps for outcome in carry_out(fleet, step)]
+def begin(fleet, number, drawn):
+    """Begin a write, which may be answered to its read and not to its swap."""
+    if not drawn["loses_answer"]:
+        return fleet.begin(drawn["write"], number)
+    faults = fleet.faults[drawn["write"]]
+    faults.slow_s = 0.5
+    outcomes = fleet.begin(drawn["write"], number)
+    fleet.advance(0.7)
+    faults.lose_answers = True
+    return outcomes
+
+
+def carry_out(fleet, rounds):
+    """Write once a round under the faults drawn for it; gives the outcomes."""
+    outcomes = []
+    for number, drawn in enumerate(rounds):
+        for index, faults in enumerate(fleet.faults):
+            chosen = fault_switches.Faults(**drawn["faults"].get(index, {}))
+            faults.replace(chosen)
+            fleet.gossiping[index] = index not in drawn["silent_peers"]
+        if drawn["restart"] is not None:
+            fleet.restart(drawn["restart"])
+        outcomes.append(begin(fleet, number, drawn))
+        fleet.advance(drawn["wait_s"])
+        if drawn["look"] is not None:
+            fleet.entries[drawn["look"]].history()
     fleet.heal()
+    return outcomes
+
+
+def judge_drawn(rounds):
+    fleet = configuration_fleet.ConfigurationFleet()
+    outcomes = carry_out(fleet, rounds)
     assert len(set(fleet.in_force)) == 1
     changes = [o[0].unwrap() for o in outcomes if isinstance(o[0], result.Success)]
     made = [change.generation for change in changes if change.changed]
     assert len(made) == len(set(made))
     assert max(made, default=0) <= fleet.in_force[0]
     assert all(run == sorted(set(run)) for run in fleet.runs)
+    for number, (told,) in enumerate(outcomes):
+        if not isinstance(told, result.Success) and told.failure().outcome == "not-run":
+            assert not fleet.was_written(number)
+    assert checker.check(fleet.history) == []
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(rounds=ROUNDS)
+def test_drawn_faults_lose_no_accepted_generation(rounds):
+    judge_drawn(rounds)
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "removed"),
+    [
+        (configuration_current.Current, "_is_newer", lambda self, head: True),
+        (configuration, "PEERS_SETTLE_S", 0.0),
+        (configuration.Configuration, "offer", lambda self, **known: None),
+        (configuration_head.Head, "remembers", lambda self, nonce: None),
+    ],
+    ids=["generation", "wait-for-peers", "heads-from-peers", "nonce"],
+)
+def test_drawn_faults_find_each_protection_that_is_removed(monkeypatch, owner, name, removed):
+    monkeypatch.setattr(owner, name, removed)
+    drawn = settings(derandomize=True, deadline=None, max_examples=300, phases=[Phase.generate])
+    with pytest.raises(AssertionError):
+        drawn(given(rounds=ROUNDS)(judge_drawn))()
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/configuration_fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/configuration_fleet.py
@@ -7,7 +7,9 @@
 
 from ebonyhatch.core import configuration as core_configuration
 from ebonyhatch.node import configuration, configuration_head
-from ebonyhatch.platform import fault_switches, memory_store, store_engine
+from ebonyhatch.platform import fault_switches, memory_store, store, store_engine, timing
+from ebonyhatch.testing import history
+from returns import result
 from twisted.internet import task
 
 ENTRIES = 6
@@ -17,6 +19,9 @@
 IN_FORCE_S = 5.0
 """Time within which accepted records must be in force everywhere."""
 
+CLEAN_S = 40.0
+"""Time after the last fault of an entry's store calls when no call hangs any more."""
+
 START_S = 6.0
 SETTLED_S = 20.0
 
@@ -27,6 +32,28 @@
     return json.dumps([record]).encode()
 
 
+class RecordingEngine(store_engine.StoreEngine):
+    """A store that remembers every value that was written.
+
+    Attributes:
+        written: The values, in order.
+    """
+
+    def __init__(self, *, clock: timing.Clock) -> None:
+        super().__init__(clock=clock)
+        self.written: list[bytes] = []
+
+    def swap(
+        self, *, key: str, expected_version: int, value: bytes, lease_id: str = ""
+    ) -> store.Stored:
+        """Write a key that is at the expected version."""
+        stored = super().swap(
+            key=key, expected_version=expected_version, value=value, lease_id=lease_id
+        )
+        self.written.append(value)
+        return stored
+
+
 class ConfigurationFleet:
     """Entries with faults of their own.
 
@@ -38,15 +65,19 @@
         gossiping: Whether each entry talks with its peers.
         seen: Generations that came in force on each entry, over its restarts.
         runs: The same for each time that an entry was started.
+        history: What operators were told, and what was in force on entries in reach.
     """
 
     def __init__(self) -> None:
         self.clock = task.Clock()
-        self.engine = store_engine.StoreEngine(clock=self.clock)
+        self.engine = RecordingEngine(clock=self.clock)
         self.seen: list[list[int]] = [[] for _ in range(ENTRIES)]
         self.runs: list[list[int]] = []
         self.faults = [fault_switches.Faults() for _ in range(ENTRIES)]
         self.gossiping = [True] * ENTRIES
+        self.history = history.History()
+        self._faulty_at = [-CLEAN_S] * ENTRIES
+        self._cut_off_at = [-CLEAN_S] * ENTRIES
         self.entries = [self._fresh(index) for index in range(ENTRIES)]
         self.advance(START_S)
 
@@ -60,6 +91,12 @@
         """What was seen on each entry where an older generation followed a newer one."""
         return [seen for seen in self.seen if seen != sorted(seen)]
 
+    def was_written(self, rank: object) -> bool:
+        """Tell whether a set was ever written."""
+        part = encoded(rank).replace(b" ", b"")
+        fields = sorted(part.strip(b"[{}]").split(b","))
+        return any(all(field in value for field in fields) for value in self.engine.written)
+
     def restart(self, index: int) -> None:
         """Replace an entry by one with empty memory."""
         self.entries[index].close()
@@ -68,9 +105,11 @@
     def advance(self, seconds: float) -> None:
         """Let time pass, with gossip."""
         for step in range(round(seconds / STEP_S)):
+            self._note_reach()
             self.clock.advance(STEP_S)
             if step % round(GOSSIP_S / STEP_S) == 0:
                 self._gossip()
+                self._observe()
 
     def write(
         self, index: int, rank: object, *, expect: int | None = None, wait_s: float = SETTLED_S
@@ -84,6 +123,7 @@
         """Begin to write a set through an entry; the outcome is appended to the answer."""
         outcomes: list[Any] = []
         write = self.entries[index].write(records=encoded(rank), expect=expect)
+        write.addCallback(self._told)
         write.addCallback(outcomes.append)
         return outcomes
 
@@ -104,19 +144,21 @@
         self.advance(30)
 
     def _fresh(self, index: int) -> configuration.Configuration:
-        store = memory_store.MemoryStore(
+        port = memory_store.MemoryStore(
             clock=self.clock, engine=self.engine, faults=self.faults[index]
         )
-        store.start()
+        port.start()
         run: list[int] = []
         self.runs.append(run)
 
         def on_change(new: core_configuration.InForce) -> None:
             run.append(new.generation)
             self.seen[index].append(new.generation)
+            if self._in_reach(index, for_s=2 * GOSSIP_S):
+                self._see(index, new.generation)
 
         entry = configuration.Configuration(
-            store=store, clock=self.clock, seed=len(self.runs), on_change=on_change
+            store=port, clock=self.clock, seed=len(self.runs), on_change=on_change
         )
         entry.start()
         return entry
@@ -126,3 +168,36 @@
         for entry in talking:
             for peer in talking:
                 entry.offer(generation=peer.generation, head=peer.head)
+
+    def _told(self, outcome: Any) -> Any:
+        if isinstance(outcome, result.Success):
+            generation = outcome.unwrap().generation
+            accepted = history.ConfigurationAccepted(at=self.clock.seconds(), generation=generation)
+            self.history.add(accepted)
+        return outcome
+
+    def _see(self, index: int, generation: int) -> None:
+        seen = history.ConfigurationSeen(
+            at=self.clock.seconds(), entry_id=f"entry-{index}", generation=generation
+        )
+        self.history.add(seen)
+
+    def _observe(self) -> None:
+        for index, generation in enumerate(self.in_force):
+            if generation and self._in_reach(index, for_s=IN_FORCE_S):
+                self._see(index, generation)
+
+    def _in_reach(self, index: int, *, for_s: float) -> bool:
+        return self.clock.seconds() - self._cut_off_at[index] > for_s
+
+    def _note_reach(self) -> None:
+        """Note which entries can reach neither the store nor a peer that can."""
+        now = self.clock.seconds()
+        for index, faults in enumerate(self.faults):
+            if faults != fault_switches.Faults():
+                self._faulty_at[index] = now
+        clean = [now - at >= CLEAN_S for at in self._faulty_at]
+        by_peers = any(ok and talks for ok, talks in zip(clean, self.gossiping, strict=True))
+        for index in range(ENTRIES):
+            if not clean[index] and not (by_peers and self.gossiping[index]):
+                self._cut_off_at[index] = now
