--- a/packages/ebonyhatch-node/src/ebonyhatch/node/request_driver.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/request_driver.py
@@ -17,8 +17,11 @@
 DEADLINE_GRACE_S = 0.25
 """Time past its deadline after which a request is ended without the scheduler, seconds."""
 
-RECENT_KEPT = 1000
-"""Replies to non-idempotent requests that are kept for repeated messages."""
+RECENT_KEPT = 2000
+"""Replies that are kept for repeated messages."""
+
+RECENT_BODY_BYTES = 4_096
+"""Largest body that is kept with them; a repeated message gets `unknown` after a larger one."""
 
 RETRY_AFTER_S = 1.0
 """Advice to callers who are refused, seconds."""
@@ -92,16 +95,9 @@
         return len(self._in_flight)
 
     def serve(self, call: messages.RequestCall, *, work_class: entities.WorkClass) -> ReplyOutcome:
-        """Have a request served; a repeated message gets the reply of the first."""
+        """Have a request served."""
         request_id = call.request.request_id
         waiting: ReplyOutcome = defer.Deferred()
-        if request_id in self._recent:
-            waiting.callback(self._recent[request_id])
-            return waiting
-        known = self._in_flight.get(request_id)
-        if known is not None:
-            known.waiting.append(waiting)
-            return waiting
         now = self._clock.seconds()
         entry = InFlight(call=call, deadline_at=now + call.request.timeout_s, waiting=[waiting])
         self._in_flight[request_id] = entry
@@ -109,6 +105,31 @@
         self._emit(events.RequestArrived(request=_described(entry, work_class, now)))
         return waiting
 
+    def recall(self, call: messages.RequestCall) -> ReplyOutcome | None:
+        """Give a repeated message the reply of the first; None for a new request."""
+        request_id = call.request.request_id
+        if request_id in self._recent:
+            return defer.succeed(self._recent[request_id])
+        known = self._in_flight.get(request_id)
+        if known is None:
+            return None
+        waiting: ReplyOutcome = defer.Deferred()
+        known.waiting.append(waiting)
+        return waiting
+
+    def remember(self, reply: messages.RequestReply) -> messages.RequestReply:
+        """Keep a reply for repeated messages, so that none is told or done anything else."""
+        kept = reply
+        if reply.answer is not None and len(reply.answer.body) > RECENT_BODY_BYTES:
+            unknown = commands.Outcome.UNKNOWN
+            kept = messages.RequestReply(
+                request_id=reply.request_id, outcome=unknown, reason="repeated"
+            )
+        self._recent[reply.request_id] = kept
+        if len(self._recent) > RECENT_KEPT:
+            self._recent.popitem(last=False)
+        return reply
+
     def refusal(self, call: messages.RequestCall, *, reason: str) -> messages.RequestReply:
         """Reply to a request that certainly was not sent."""
         return messages.RequestReply(
@@ -123,7 +144,7 @@
         entry = self._in_flight.get(command.request_id)
         link = self._links.get(command.worker_id)
         sent = {"request_id": command.request_id, "worker_id": command.worker_id}
-        if entry is None or link is None or not link.claimed or not self._may_act():
+        if entry is None or link is None or not link.open or not self._may_act():
             self._emit(events.RequestNotRun(**sent))
         elif not entry.call.idempotent and entry.truth is commands.Outcome.UNKNOWN:
             self._emit(events.RequestLost(**sent))
@@ -215,10 +236,6 @@
         if self._in_flight.get(reply.request_id) is not entry:
             return
         del self._in_flight[reply.request_id]
-        if not entry.call.idempotent:
-            self._recent[reply.request_id] = reply
-            if len(self._recent) > RECENT_KEPT:
-                self._recent.popitem(last=False)
         waiting, entry.waiting = entry.waiting, []
         for outcome in waiting:
             outcome.callback(reply)
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/task_reports.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/task_reports.py
@@ -85,19 +85,23 @@
             attempt.saving = True
             self._group.spawn(self._journal_checkpoint(row, checkpoint, progress_s))
 
-    def withdraw(self, row: job_machine.JobRow, *, reason: str) -> defer.Deferred[None]:
+    def withdraw(
+        self, row: job_machine.JobRow, *, reason: str, event: events.Event | None = None
+    ) -> defer.Deferred[None]:
         """End an attempt that certainly never ran."""
         entry = journal_entries.AttemptWithdrawn(
             job_id=row.job.job_id, attempt=row.attempts, reason=reason
         )
-        event = events.TaskStartFailed(task_id=row.task_id, reason=reason)
-        return self._requeue(row, entry, event)
+        failed = events.TaskStartFailed(task_id=row.task_id, reason=reason)
+        return self._requeue(row, entry, event or failed)
 
     def _attempt(self, row: job_machine.JobRow) -> attempts.Attempt:
         return self._table.find_or_add(row.task_id, row.worker_id)
 
     def _take_task(self, link: worker_link.WorkerLink, task: workers.TaskReport) -> None:
         row = self._jobs.of_task(task.task_id)
+        if row is None and task.state == workers.TaskState.FINISHED:
+            row = self._jobs.waiting_after(task.task_id)
         if row is None or row.worker_id != link.worker_id:
             self._drop(link, task)
             return
@@ -193,7 +197,7 @@
         if attempt is None or not isinstance(written, result.Success):
             return
         self._tell_over(attempt, event)
-        if row.state == job_machine.JobState.FAILED:
+        if row.state in job_machine.ENDED:
             self._emit(events.JobCancelled(job_id=row.job.job_id))
         if row.state == job_machine.JobState.QUEUED and not _requeues(event, attempt):
             self._emit(task_entries.submitted(row))
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
@@ -10,14 +10,16 @@
 from ebonyhatch.core import commands, configuration, entities, resources
 from ebonyhatch.node import messages
 from ebonyhatch.platform import (
+    fault_switches,
     instances,
     memory_workers,
     store_engine,
     worker_engine,
     workers,
 )
-from ebonyhatch.testing import history
+from ebonyhatch.testing import checker, history
 from ebonyhatch.testing.histories import entry, observer
+from returns import result
 from twisted.internet import defer, task
 
 STEP_S = 0.05
@@ -100,6 +102,7 @@
             self.clock.advance(STEP_S)
             self._steps += 1
             if self._steps % round(HEARTBEAT_S / STEP_S) == 0:
+                self._look_at_configurations()
                 self._beat()
             self.look()
 
@@ -110,8 +113,8 @@
         for job_id in self._jobs:
             self._look_at_job(job_id)
 
-    def start(self, entry_id: str) -> None:
-        """Start an entry with an empty memory."""
+    def start(self, entry_id: str, *, store_faults: fault_switches.Faults | None = None) -> None:
+        """Start an entry with an empty memory, and with faults of its calls to the store."""
         started = entry.Entry(
             entry_id=entry_id,
             failure_domain=DOMAINS[int(entry_id[1:]) % len(DOMAINS)],
@@ -126,6 +129,8 @@
         )
         started.heard = dict.fromkeys(self.entries, self.now)
         self.entries[entry_id] = started
+        if store_faults is not None:
+            started.store.faults.replace(store_faults)
         started.start()
 
     def kill(self, entry_id: str) -> None:
@@ -136,10 +141,18 @@
     def close(self, entry_id: str) -> defer.Deferred[None]:
         """Stop an entry as planned."""
         self.run.add(history.EntryClosing(at=self.now, entry_id=entry_id))
-        closed = self.entries[entry_id].close()
-        closed.addCallback(lambda _: self.entries[entry_id].clock.kill())
+        one = self.entries[entry_id]
+        closed = one.close()
+        closed.addCallback(lambda _: self._end_when_idle(one))
         return closed
 
+    def _end_when_idle(self, one: entry.Entry) -> None:
+        """End a process that has handed its cells over, once its callers have their replies."""
+        if one.calls:
+            one.clock.callLater(STEP_S, self._end_when_idle, one)
+        else:
+            one.clock.kill()
+
     def listed(self, cell: str) -> tuple[instances.Instance, ...]:
         """The platform's list of the workers of a cell."""
         domain = cell.rpartition(".")[0]
@@ -207,6 +220,7 @@
                 body=body,
             )
         )
+        one.calls.add(request_id)
         one.clock.run(lambda: self._route(one, call))
         return request_id
 
@@ -236,6 +250,14 @@
             self.run.add(history.JobCancelled(at=self.now, job_id=job_id))
             owner.cancel(job_id)
 
+    def configure(self, entry_id: str, *, weight: int) -> None:
+        """Have an operator write a new configuration at an entry."""
+        tenant = {"kind": "tenant", "name": "t", "schema_version": 1, "weight": float(weight)}
+        written = self.entries[entry_id].configuration.write(
+            records=json.dumps([tenant]).encode(), expect=None
+        )
+        written.addCallback(self._told_of_configuration)
+
     def finish(self, *, quiet_s: float) -> history.History:
         """End all faults, let everything come to rest, and give the history."""
         self.mend()
@@ -255,6 +277,7 @@
         for network in (one.to_store, one.to_workers):
             network.delay_s = network.jitter_s = network.repeat_share = 0.0
         one.store_port.written_late_s = 0.0
+        one.store_port.lose_written = one.store_port.watch_silent = False
         one.workers_port.exchange_answers = False
         for worker_id in self.engines:
             faults = one.workers.faults(worker_id)
@@ -285,6 +308,25 @@
                 if taker is not sender and not self._cut(sender, taker):
                     taker.hear(sender)
 
+    def _told_of_configuration(self, outcome: Any) -> None:
+        if isinstance(outcome, result.Success):
+            generation = outcome.unwrap().generation
+            self.run.add(history.ConfigurationAccepted(at=self.now, generation=generation))
+
+    def _look_at_configurations(self) -> None:
+        for one in self.entries.values():
+            reachable_s = one.reachable_for()
+            generation = one.configuration.in_force.generation
+            if one.clock.running and (generation or reachable_s > checker.CONFIGURATION_LIMIT_S):
+                self.run.add(
+                    history.ConfigurationSeen(
+                        at=self.now,
+                        entry_id=one.entry_id,
+                        generation=generation,
+                        reachable_s=reachable_s,
+                    )
+                )
+
     def _cut(self, one: entry.Entry, other: entry.Entry) -> bool:
         return frozenset((one.entry_id, other.entry_id)) in self.cuts
 
@@ -298,7 +340,7 @@
         """Serve a call at its owner, in one step between entries at most."""
         owner_id = one.owner_of(call.cell)
         owner = self.entries.get(owner_id)
-        told = functools.partial(self._told, call)
+        told = functools.partial(self._told, one, call)
         if owner is one:
             one.handle(call).addCallback(told)
         elif owner is None or owner.clock.dead or self._cut(one, owner):
@@ -329,7 +371,10 @@
             self.clock.callLater(self.random.random(), owner.clock.run, arrive)
         return reply
 
-    def _told(self, call: messages.RequestCall, reply: messages.RequestReply) -> None:
+    def _told(
+        self, one: entry.Entry, call: messages.RequestCall, reply: messages.RequestReply
+    ) -> None:
+        one.calls.discard(call.request.request_id)
         answer = reply.answer
         told = history.Told.ANSWERED if answer else history.Told(reply.outcome.value)
         self.run.add(
