--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_cell.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_cell.py
@@ -13,6 +13,8 @@
 WORKER_SIZES = (21, 42, 83)
 JOB_RATES = (5, 20, 60)
 REQUEST_RATES = (50, 100, 200)
+CELL_SIZES = (2, 7, 20)
+WORKERS_OF_SMALL_CELL = 5
 QUICK_SIZES = (4, 8, 16)
 QUICK_RATES = (2, 4, 8)
 TENANT = "team-1"
@@ -151,6 +153,22 @@
     ]
 
 
+@capacity_slopes.probe("cells at rest")
+def cells_at_rest(*, seed: int, quick: bool) -> list[capacity_slopes.Slope]:
+    """Processor time of cells without work against their number, each with a few workers."""
+    run_s = QUICK_RUN_S if quick else RUN_S
+    points = []
+    for size in CELL_SIZES:
+        benches = [Bench(worker_count=WORKERS_OF_SMALL_CELL) for _ in range(size)]
+        used = sum(capacity_slopes.cpu_s(functools.partial(bench.run, run_s)) for bench in benches)
+        points.append((size, used / run_s * 1e3))
+    return [
+        capacity_slopes.slope(
+            name="cells: at rest, 5 workers each", unit="ms/s", per="cells", points=points
+        )
+    ]
+
+
 @capacity_slopes.probe("cell under jobs")
 def cell_under_jobs(*, seed: int, quick: bool) -> list[capacity_slopes.Slope]:
     """Processor time, journal writes and bytes against jobs submitted, started and finished."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_entries.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_entries.py
@@ -25,6 +25,8 @@
 TENANT_SIZES = (35, 140, 560)
 QUICK_TENANT_SIZES = (5, 10, 20)
 CLASSES = 20
+CHANGE_SIZES = (4, 8, 16)
+MINUTE_S = 60.0
 CONFIGURATION_LIMIT_S = 30.0
 STORE_DELAY_S = 0.02
 WRITES = 3
@@ -275,6 +277,37 @@
     ]
 
 
+@capacity_slopes.probe("configuration changes")
+def configuration_rate(*, seed: int, quick: bool) -> list[capacity_slopes.Slope]:
+    """Processor time and store calls of an entry against changes, each of 140 tenants."""
+    entries = QUICK_SIZES[0] if quick else ENTRY_SIZES[0]
+    raw = json.dumps(_records(TENANT_SIZES[1])).encode()
+    times, reads = [], []
+    for count in CHANGE_SIZES:
+        fleet = Fleet(entries=entries, domains=4)
+        before = fleet.reads
+        used = capacity_slopes.cpu_s(functools.partial(_write_all, fleet, raw, count))
+        times.append((count, used / entries * 1e3))
+        reads.append((count, (fleet.reads - before) / entries))
+    per = "changes in a minute"
+    return [
+        capacity_slopes.slope(
+            name="configuration: an entry's time for changes", unit="ms", per=per, points=times
+        ),
+        capacity_slopes.slope(
+            name="configuration: an entry's reads for changes", unit="reads", per=per, points=reads
+        ),
+    ]
+
+
+def _write_all(fleet: Fleet, raw: bytes, count: int) -> None:
+    for rank in range(count):
+        fleet.entries[rank % len(fleet.entries)].configured.write(
+            records=_ranked(raw, rank), expect=None
+        )
+        fleet.run(MINUTE_S / count)
+
+
 def _ranked(raw: bytes, rank: int) -> bytes:
     return raw.replace(b'"rank": 10', b'"rank": %d' % rank)
 
