--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/failover.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/failover.py
@@ -27,7 +27,7 @@
 JOBS_A_STEP = 2
 JOB_RUN_S = 5.0
 
-assert default_scheduler.DefaultScheduler
+POLICY = default_scheduler.DefaultScheduler
 
 
 class Figures(msgspec.Struct, frozen=True, kw_only=True):
@@ -126,7 +126,7 @@
     made = run.engine.counts.copy()
     made.subtract(before)
     share = 1.0 / seconds / ENTRIES
-    return collections.Counter({kind: count * share for kind, count in made.items()})  # type: ignore[misc]
+    return collections.Counter({kind: count * share for kind, count in made.items()})
 
 
 def _send(run: fleet.Fleet, cell: str) -> None:
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/configuration_fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/configuration_fleet.py
@@ -178,7 +178,10 @@
 
     def _see(self, index: int, generation: int) -> None:
         seen = history.ConfigurationSeen(
-            at=self.clock.seconds(), entry_id=f"entry-{index}", generation=generation
+            at=self.clock.seconds(),
+            entry_id=f"entry-{index}",
+            generation=generation,
+            reachable_s=self.clock.seconds() - self._cut_off_at[index],
         )
         self.history.add(seen)
 
