A send without an outcome keeps its reservation for a while

Cause: at its deadline, or when its answer was lost, a request gave its slot back although the worker may go on with it; 20 requests of 1 s and 40 jobs on workers that trust whatever they are given put 7 requests on 3 slots. Ruled out: placement (limits held in what it counted) and hedges. The slot is now kept until a late outcome, else for twice the request's own time from its send. What runs longer unseen still shows only in measured use.

--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/expire.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/expire.py
@@ -10,7 +10,7 @@
 
 def run(state: tables.Tables) -> None:
     """Refuse what is past its deadline."""
-    _expire_hedges(state)
+    _release_held(state)
     deadlines = state.deadlines
     while deadlines and deadlines[0][0] <= state.now:
         request_id = heapq.heappop(deadlines)[1]
@@ -19,11 +19,11 @@
             _expire(state, row)
 
 
-def _expire_hedges(state: tables.Tables) -> None:
-    """At its deadline the first try of a hedged request has ended too."""
+def _release_held(state: tables.Tables) -> None:
+    """Free what sends without an outcome have kept for long enough."""
     while state.hedges and state.hedges[0][0] <= state.now:
-        _, request_id, worker_id = heapq.heappop(state.hedges)
-        retry.release_former(state, request_id, worker_id)
+        _, request_id, worker_id, attempt = heapq.heappop(state.hedges)
+        retry.release_held(state, request_id, worker_id, attempt)
 
 
 def _expire(state: tables.Tables, row: rows.Request) -> None:
@@ -32,4 +32,6 @@
         health.bad(state, row.worker, row.request.work_class)
     if row.state is rows.RequestState.QUEUED:
         state.urgent.discard()
-    retry.refuse(state, row, outcome=retry.truth(row), reason="deadline")
+    outcome = retry.truth(row)
+    retry.hold(state, row)
+    retry.refuse(state, row, outcome=outcome, reason="deadline")
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/retry.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/retry.py
@@ -9,6 +9,9 @@
 ATTEMPTS_LIMIT = 2
 """Most times that a request is sent in the whole system."""
 
+HOLD_SHARE = 2.0
+"""Time that a send without an outcome keeps its reservation, in times of the request's own."""
+
 RETRY_AFTER_S = 1.0
 """Advice to callers when nothing better is known."""
 
@@ -22,7 +25,9 @@
 def lost(state: tables.Tables, row: rows.Request) -> None:
     """A sent request may have run: queue it again if it is idempotent, else say so."""
     row.maybe_ran = True
-    _avoid_and_release(state, row)
+    if row.worker is not None:
+        row.avoid_worker_id = row.worker.worker_id
+    hold(state, row)
     _again_or_refuse(state, row, may_repeat=row.request.idempotent, reason="worker-lost")
 
 
@@ -36,21 +41,40 @@
         return
     row.maybe_ran = True
     row.avoid_worker_id = worker.worker_id
-    heapq.heappush(
-        state.hedges, (row.request.deadline_at, row.request.request_id, worker.worker_id)
-    )
-    worker.hedged[row.request.request_id] = row.demand
-    del worker.requests[row.request.request_id]
-    state.sent -= 1
-    row.worker = None
+    hold(state, row)
     row.state = rows.RequestState.QUEUED
     state.urgent.push(row)
 
 
+def hold(state: tables.Tables, row: rows.Request) -> None:
+    """Keep the reservation of a send whose end is not known, and free the row for another.
+
+    It is released by a late outcome, else once twice the request's time has passed: the worker
+    may go on with what nobody waits for any more.
+    """
+    worker = row.worker
+    if worker is None:
+        return
+    request = row.request
+    worker.hedged[_send_key(request.request_id, row.attempts)] = row.demand
+    release_at = row.sent_at + HOLD_SHARE * (request.deadline_at - request.arrived_at)
+    heapq.heappush(state.hedges, (release_at, request.request_id, worker.worker_id, row.attempts))
+    del worker.requests[request.request_id]
+    state.sent -= 1
+    row.worker = None
+
+
 def release_former(state: tables.Tables, request_id: str, worker_id: str) -> bool:
-    """Drop the reservation of a first try that was hedged; tell whether there was one."""
+    """Drop the reservation of the earliest send that is held; tell whether there was one."""
+    attempts = range(1, ATTEMPTS_LIMIT + 1)
+    return any(release_held(state, request_id, worker_id, number) for number in attempts)
+
+
+def release_held(state: tables.Tables, request_id: str, worker_id: str, attempt: int) -> bool:
+    """Drop the reservation of one send; tell whether it was held."""
     worker = state.workers.get(worker_id)
-    demand = worker.hedged.pop(request_id, None) if worker is not None else None
+    key = _send_key(request_id, attempt)
+    demand = worker.hedged.pop(key, None) if worker is not None else None
     if worker is None or demand is None:
         return False
     capacity.release(worker, demand)
@@ -107,3 +131,7 @@
     if row.worker is not None:
         row.avoid_worker_id = row.worker.worker_id
     state.release_request(row)
+
+
+def _send_key(request_id: str, attempt: int) -> str:
+    return f"{request_id}/{attempt}"
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
@@ -110,7 +110,7 @@
         self.retries = budgets.RetryBudget()
         self.probes: dict[str, rows.Worker] = {}
         self.class_standings: dict[str, rows.Standing] = {}
-        self.hedges: list[tuple[float, str, str]] = []
+        self.hedges: list[tuple[float, str, str, int]] = []
         self.delayed: list[tuple[float, str]] = []
         self.holds: dict[str, rows.Worker] = {}
         self.misfits: list[rows.Job] = []
