--- a/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
@@ -29,10 +29,11 @@
     requeue,
     reserve,
     sharing,
+    usage,
     worker_events,
 )
 
-HANDLERS = (worker_events, job_events, request_events, sharing)
+HANDLERS = (worker_events, job_events, request_events, usage)
 """Modules that register event handlers."""
 
 PERIOD_S = 0.1
@@ -84,6 +85,7 @@
         batch_placement.run(state)
         if periodic:
             eviction.run(state)
+            usage.run(state)
         taken = state.commands
         state.commands = []
         return taken
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
@@ -74,6 +74,7 @@
         load: Share of its processors in use, as last reported.
         load_at: Time of that sample, seconds.
         overloaded: Measured above a limit; takes nothing.
+        relieved_at: When batch work was last taken back for that, seconds.
         held: Its room is held for a job that waits for it.
         barred: Its health allows no placement but probes.
         standing: Counts of its failures.
@@ -105,6 +106,7 @@
     overloaded: bool = False
     barred: bool = False
     held: bool = False
+    relieved_at: float = -100.0
     standing: Standing = dataclasses.field(default_factory=Standing)
     answered_at: float = 0.0
     probing: bool = False
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/batch_placement.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/batch_placement.py
@@ -88,7 +88,7 @@
     lendable = state.reserve.lendable >= row.job.demand.slots
     if not state.harmful and not lendable:
         return None
-    demand = row.job.demand
+    demand = reserved(state, row)
     for count, worker in enumerate(state.batch_workers.best()):
         if count >= CANDIDATES_LIMIT:
             break
@@ -99,6 +99,16 @@
     return None
 
 
+def reserved(state: tables.Tables, row: rows.Job) -> resources.Resources:
+    """What is reserved for a job, within what some worker holds."""
+    demand = state.sizes.reserved(row.job, quantile=state.settings.size_quantile)
+    if demand is not row.job.demand and not any(
+        demand.fits(worker.capacity) for worker in state.workers.values()
+    ):
+        return row.job.demand
+    return demand
+
+
 def allowed(state: tables.Tables, row: rows.Job, worker: rows.Worker) -> bool:
     """Tell whether the reserve lets a job start on a worker with room for it."""
     if not _within_quota(state, row):
@@ -122,7 +132,7 @@
         task_id=f"{row.job.job_id}/{row.attempts}",
         job=row,
         worker=worker,
-        demand=row.job.demand,
+        demand=reserved(state, row),
         placed_at=state.now,
         resumed_s=row.progress_s,
         saved_at=state.now,
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/holds.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/holds.py
@@ -33,12 +33,17 @@
     waits = row is not None and row.task is None and not row.parked
     if row is None or not waits or _unfit(worker):
         _let_go(state, job_id, worker)
-    elif capacity.fits(worker, row.job.demand) and batch_placement.allowed(state, row, worker):
+    elif _fits(state, row, worker):
         _let_go(state, job_id, worker)
         priority = state.priority_of(row.job.work_class)
         batch_placement.start(state, row, worker, priority=priority)
 
 
+def _fits(state: tables.Tables, row: rows.Job, worker: rows.Worker) -> bool:
+    demand = batch_placement.reserved(state, row)
+    return capacity.fits(worker, demand) and batch_placement.allowed(state, row, worker)
+
+
 def _unfit(worker: rows.Worker) -> bool:
     return worker.leaving or worker.barred or worker.reserved_for_urgent
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/sharing.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/sharing.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from ebonyhatch.core import events, rows, tables
-from ebonyhatch.core.systems import ingest
 
 WINDOW_S = 2.0
 """A usage report tells the load of the seconds before it."""
@@ -30,14 +29,10 @@
         found[1] += service_s
 
 
-@ingest.handler(events.UsageReported)
-def usage_reported(state: tables.Tables, event: events.UsageReported) -> None:
-    """Learn from the answers of the time that the report tells of."""
-    worker = state.workers.get(event.worker_id)
-    if worker is None:
-        return
+def reported(state: tables.Tables, worker: rows.Worker, event: events.UsageReported) -> None:
+    """Learn from the answers of the time that a usage report tells of."""
     load = event.usage.cores / max(worker.capacity.cores, 1e-9)
-    if event.sampled_at > worker.load_at:
+    if event.sampled_at >= worker.load_at:
         worker.load_at = event.sampled_at
         worker.load = load
     for key in list(worker.answers):
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
@@ -17,6 +17,7 @@
     rows,
     run_times,
     settings,
+    sizes,
     urgent_queue,
     worker_index,
 )
@@ -49,6 +50,7 @@
         "batch_dirty",
         "workers_version",
         "run_times",
+        "sizes",
         "retries",
         "probes",
         "class_standings",
@@ -107,6 +109,7 @@
         self.workers_version = 0
         self.run_times = run_times.RunTimes()
         self.lanes_version = 0
+        self.sizes = sizes.Sizes()
         self.retries = budgets.RetryBudget()
         self.probes: dict[str, rows.Worker] = {}
         self.class_standings: dict[str, rows.Standing] = {}
