--- a/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
@@ -44,7 +44,7 @@
     standby_share: float = 0.0
     short_run_s: float = 60.0
     short_share: float = 0.8
-    size_quantile: float = 0.9
+    size_quantile: float = 0.75
     harm_limit: float = 0.15
     class_memory_s: float = 30.0
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/reserve.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/reserve.py
@@ -14,7 +14,7 @@
 SOON_S = 1.2
 """How far ahead slots are made ready along the slope of the demand."""
 
-SHRINK_SPREAD = 0.5
+SHRINK_SPREAD = 0.15
 """Slots that must be left over when a worker is given up, in square roots of the need."""
 
 LENT_LIMIT = 8
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/decisions.py
@@ -0,0 +1,129 @@
+"""Bench of the decisions: harmful pairs learnt, blind and shuffled, and speed of placement."""
+
+from __future__ import annotations
+
+import time
+
+from ebonyhatch.core import default_scheduler
+from ebonyhatch.testing import workloads
+from ebonyhatch.testing.benches import measures, placements, registry
+
+MODES = ("pairs", "blind", "shuffled")
+HARM = 2.0
+"""Factor of each pair of the harmful draw."""
+
+WORKERS = 170
+MANY_WORKERS = 1700
+PLACEMENTS = 20_000
+RATE_TARGET = 10_000.0
+
+
+def draw_harm(
+    deployment: workloads.Deployment, *, seed: int, factor: float, quick: bool
+) -> workloads.Draw:
+    """Draw one crest in which each pair of classes has the same factor."""
+    pairs = {
+        (urgent.name, batch.name): factor
+        for urgent in deployment.urgent
+        for batch in deployment.batch
+    }
+    return workloads.draw(
+        deployment=deployment,
+        seed=seed,
+        crests=1,
+        first_crest_s=60.0 if quick else 120.0,
+        harm=pairs,
+    )
+
+
+def run_mode(draw: workloads.Draw, *, mode: str, seed: int) -> measures.Figures:
+    """Run the default policy with one mode of its model."""
+    policy = default_scheduler.DefaultScheduler(seed=seed, interference_mode=mode)
+    return measures.figures(measures.run_scheduler(policy, draw), draw)
+
+
+def harm_targets(
+    deployment: workloads.Deployment,
+    *,
+    seeds: tuple[int, ...],
+    quick: bool,
+    measured: dict[str, object],
+) -> list[measures.Target]:
+    """Compare the modes on harmful pairs, and their loss where nothing does harm."""
+    ratios: list[float] = []
+    losses: list[float] = []
+    for seed in seeds:
+        for factor in (HARM, 1.0):
+            draw = draw_harm(deployment, seed=seed, factor=factor, quick=quick)
+            found = {}
+            for mode in MODES:
+                began = time.perf_counter()
+                found[mode] = run_mode(draw, mode=mode, seed=seed)
+                entry = found[mode]
+                measured[f"{deployment.name}/{seed}/{factor}/{mode}"] = {
+                    "all_p99_s": entry.all_p99_s,
+                    "crest_p99_s": entry.crest_p99_s,
+                    "refused": entry.refused,
+                    "work_s": entry.work_s,
+                    "redone": entry.redone,
+                }
+                print(
+                    f"{deployment.name} seed {seed} factor {factor} {mode:8}"
+                    f" p99 {entry.all_p99_s:.3f} s crest p99 {entry.crest_p99_s:.3f} s"
+                    f" refused {entry.refused:.4f} batch {entry.work_s:.0f} s"
+                    f" redone {entry.redone:.4f} ({time.perf_counter() - began:.0f} s)",
+                    flush=True,
+                )
+            if factor == HARM:
+                ratios.append(found["pairs"].all_p99_s / found["blind"].all_p99_s)
+            losses.append(1.0 - found["shuffled"].work_s / found["blind"].work_s)
+    return [
+        measures.Target(
+            name=f"{deployment.name}: p99 with harm, pairs / blind",
+            target=0.5,
+            measured=max(ratios),
+        ),
+        measures.Target(
+            name=f"{deployment.name}: batch lost by shuffled samples",
+            target=0.1,
+            measured=max(losses),
+        ),
+    ]
+
+
+def speed_targets(*, quick: bool, measured: dict[str, object]) -> list[measures.Target]:
+    """Measure the speed of placement on one core."""
+    count = PLACEMENTS // 4 if quick else PLACEMENTS
+    few_s = placements.measure(policy="default", workers=WORKERS, placements=count)
+    many_s = placements.measure(policy="default", workers=MANY_WORKERS, placements=count)
+    measured["placement_s"] = {str(WORKERS): few_s, str(MANY_WORKERS): many_s}
+    return [
+        measures.Target(
+            name=f"placements a second, {WORKERS} workers",
+            target=RATE_TARGET,
+            measured=1.0 / few_s,
+            at_most=False,
+        ),
+        measures.Target(
+            name=f"cost a placement, {MANY_WORKERS} / {WORKERS} workers",
+            target=2.0,
+            measured=many_s / few_s,
+        ),
+    ]
+
+
+@registry.bench("decisions")
+def decisions(*, seeds: tuple[int, ...], quick: bool) -> None:
+    """Run all comparisons; `quick` leaves out the second deployment."""
+    measured: dict[str, object] = {}
+    targets = speed_targets(quick=quick, measured=measured)
+    deployments = list(workloads.DEPLOYMENTS.values())
+    for deployment in deployments[:1] if quick else deployments:
+        targets += harm_targets(deployment, seeds=seeds, quick=quick, measured=measured)
+    measures.print_targets(
+        bench="decisions", seeds=seeds, measured=measured, baseline={}, targets=targets
+    )
+
+
+if __name__ == "__main__":
+    registry.main("decisions")
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/placements.py
@@ -0,0 +1,55 @@
+"""Speed of placement: many workers, a long queue, everything that is placed ends at once."""
+
+from __future__ import annotations
+
+import time
+
+from ebonyhatch.core import commands, entities, events, resources, scheduler
+from ebonyhatch.testing import workloads
+
+CAPACITY = resources.Resources(slots=8, connections=64, cores=32.0, memory_gb=125.0)
+DEMAND = resources.Resources(slots=1, connections=1, cores=2.0, memory_gb=4.0)
+TICK_S = 0.1
+QUEUED = 1000
+
+
+def measure(*, policy: str, workers: int, placements: int) -> float:
+    """Processor time of one placement with 1,000 jobs queued throughout, seconds."""
+    built = scheduler.build(name=policy, seed=1)
+    classes = (entities.WorkClass(name="plan", urgency=entities.Urgency.BATCH),)
+    joined = [
+        events.WorkerJoined(worker_id=f"w{number}", failure_domain="a", rack="r", capacity=CAPACITY)
+        for number in range(workers)
+    ]
+    built.tick(now=0.0, events=[events.ClassesChanged(classes=classes, tenants=()), *joined])
+    now = 0.0
+    number = 0
+    waiting = 0
+    placed = 0
+    spent_s = 0.0
+    ended: list[events.Event] = []
+    while placed < placements:
+        now += TICK_S
+        fresh = QUEUED - waiting
+        submitted = [_submitted(number + offset) for offset in range(fresh)]
+        number += fresh
+        waiting += fresh
+        began = time.process_time()
+        decided = built.tick(now=now, events=[*ended, *submitted])
+        spent_s += time.process_time() - began
+        starts = [command for command in decided if isinstance(command, commands.StartTask)]
+        placed += len(starts)
+        waiting -= len(starts)
+        ended = [events.TaskFinished(task_id=start.task_id, run_s=20.0) for start in starts]
+    return spent_s / placed
+
+
+def _submitted(number: int) -> events.JobSubmitted:
+    job = entities.Job(
+        job_id=f"j{number}",
+        work_class="plan",
+        tenant=workloads.TENANTS[number % len(workloads.TENANTS)],
+        demand=DEMAND,
+        expected_run_s=20.0,
+    )
+    return events.JobSubmitted(job=job)
