--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/failover.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/failover.py
@@ -10,7 +10,7 @@
 import statistics
 
 import msgspec
-from ebonyhatch.core import default_scheduler, scheduler
+from ebonyhatch.core import scheduler
 from ebonyhatch.node import frames, messages
 from ebonyhatch.testing import checker, history
 from ebonyhatch.testing.benches import registry
@@ -27,8 +27,6 @@
 JOBS_A_STEP = 2
 JOB_RUN_S = 5.0
 
-assert default_scheduler.DefaultScheduler
-
 
 class Figures(msgspec.Struct, frozen=True, kw_only=True):
     """What one run measured.
@@ -126,7 +124,7 @@
     made = run.engine.counts.copy()
     made.subtract(before)
     share = 1.0 / seconds / ENTRIES
-    return collections.Counter({kind: count * share for kind, count in made.items()})  # type: ignore[misc]
+    return collections.Counter({kind: count * share for kind, count in made.items()})
 
 
 def _send(run: fleet.Fleet, cell: str) -> None:
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/entry.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/entry.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from ebonyhatch.core import commands, entities, rendezvous, scheduler
+from ebonyhatch.core import (
+    commands,
+    default_scheduler,  # noqa: F401  registers the policy
+    entities,
+    rendezvous,
+    scheduler,
+)
 from ebonyhatch.core import configuration as configurations
 from ebonyhatch.node import (
     cell,
--- a/packages/ebonyhatch-testing/tests/test_promises.py
+++ b/packages/ebonyhatch-testing/tests/test_promises.py
@@ -6,14 +6,11 @@
 from typing import Any
 
 import pytest
-from ebonyhatch.core import default_scheduler
 from ebonyhatch.platform import fault_switches, holdings
 from ebonyhatch.testing import checker, history
 from ebonyhatch.testing.histories import fleet
 from pytest_bdd import given, parsers, scenarios, then, when
 
-assert default_scheduler.DefaultScheduler
-
 scenarios("features/promises.feature")
 
 QUIET_S = 70.0
--- a/packages/ebonyhatch-testing/tests/test_protections.py
+++ b/packages/ebonyhatch-testing/tests/test_protections.py
@@ -9,7 +9,7 @@
 
 import msgspec
 import pytest
-from ebonyhatch.core import capacity, commands, default_scheduler, journal_entries
+from ebonyhatch.core import capacity, commands, journal_entries
 from ebonyhatch.node import (
     cell,
     configuration_current,
@@ -26,8 +26,6 @@
 from returns import result
 from twisted.internet import defer
 
-assert default_scheduler.DefaultScheduler
-
 
 def joined(**options: Any) -> fleet.Fleet:
     run = fleet.Fleet(seed=1, **options)
--- a/packages/ebonyhatch-testing/tests/test_runs.py
+++ b/packages/ebonyhatch-testing/tests/test_runs.py
@@ -9,15 +9,12 @@
 
 import hypothesis
 import pytest
-from ebonyhatch.core import default_scheduler
 from ebonyhatch.testing import checker
 from ebonyhatch.testing.histories import runs
 from hypothesis import strategies
 
 HISTORIES = int(os.environ.get("EBONYHATCH_HISTORIES", "12"))
 
-assert default_scheduler.DefaultScheduler
-
 
 @hypothesis.settings(
     derandomize=True,
