--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/failover.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/failover.py
@@ -10,7 +10,7 @@
 import statistics
 
 import msgspec
-from ebonyhatch.core import default_scheduler, scheduler
+from ebonyhatch.core import scheduler
 from ebonyhatch.node import frames, messages
 from ebonyhatch.testing import checker, history
 from ebonyhatch.testing.benches import registry
@@ -27,8 +27,6 @@
 JOBS_A_STEP = 2
 JOB_RUN_S = 5.0
 
-POLICY = default_scheduler.DefaultScheduler
-
 
 class Figures(msgspec.Struct, frozen=True, kw_only=True):
     """What one run measured.
