--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/configuration_fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/configuration_fleet.py
@@ -154,8 +154,7 @@
         def on_change(new: core_configuration.InForce) -> None:
             run.append(new.generation)
             self.seen[index].append(new.generation)
-            if self._in_reach(index, for_s=2 * GOSSIP_S):
-                self._see(index, new.generation)
+            self._see(index, new.generation)
 
         entry = configuration.Configuration(
             store=port, clock=self.clock, seed=len(self.runs), on_change=on_change
@@ -177,19 +176,23 @@
         return outcome
 
     def _see(self, index: int, generation: int) -> None:
+        """Record what is in force, but for an entry that can't know any better."""
+        reachable_s = self.clock.seconds() - self._cut_off_at[index]
+        if reachable_s <= 2 * GOSSIP_S:
+            return
         seen = history.ConfigurationSeen(
-            at=self.clock.seconds(), entry_id=f"entry-{index}", generation=generation
+            at=self.clock.seconds(),
+            entry_id=f"entry-{index}",
+            generation=generation,
+            reachable_s=reachable_s,
         )
         self.history.add(seen)
 
     def _observe(self) -> None:
         for index, generation in enumerate(self.in_force):
-            if generation and self._in_reach(index, for_s=IN_FORCE_S):
+            if generation:
                 self._see(index, generation)
 
-    def _in_reach(self, index: int, *, for_s: float) -> bool:
-        return self.clock.seconds() - self._cut_off_at[index] > for_s
-
     def _note_reach(self) -> None:
         """Note which entries can reach neither the store nor a peer that can."""
         now = self.clock.seconds()
