Gossip proves connections; far peers cost less; silence is an answer that is owed

Gossip now asks for the pong that a separate ping asked for, far peers are told 2 heads a second and pinged every 30 s.

--- a/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
@@ -40,9 +40,6 @@
 from twisted.web import resource
 
 DEFAULT_POLICY = default_scheduler.DefaultScheduler
-SILENCE_S = 3.0
-"""Silence after which a peer's store lease is looked up."""
-
 GAUGES_PERIOD_S = 5.0
 
 
@@ -347,8 +344,10 @@
         self._cells.set_workers()
         own_id = self._settings.entry.id
         others = [entry for entry in self._listed.entries if entry.instance_id != own_id]
-        self._network.set_peers(peers=tuple(_address(entry) for entry in others))
         region = self._settings.entry.region
+        self._network.set_peers(
+            peers=tuple(_address(entry, near=entry.region == region) for entry in others)
+        )
         near = tuple(entry.instance_id for entry in others if entry.region == region)
         far = tuple(entry.instance_id for entry in others if entry.region != region)
         self._gossiper.set_peers(near=near, far=far)
@@ -358,8 +357,7 @@
         logs.write("configuration in force", generation=in_force.generation)
 
     def _is_silent(self, entry_id: str) -> bool:
-        age_s = self._network.last_heard_s(entry_id)
-        return age_s is None or age_s > SILENCE_S
+        return self._network.is_silent(entry_id)
 
     def _cell_gained(self, name: str, epoch: int) -> None:
         self.measures.epoch_changed(change="gained")
@@ -414,8 +412,10 @@
         return int(self._listening[index].getHost().port)
 
 
-def _address(entry: instances.Instance) -> peers.PeerAddress:
-    return peers.PeerAddress(entry_id=entry.instance_id, host=entry.host, port=entry.port)
+def _address(entry: instances.Instance, *, near: bool) -> peers.PeerAddress:
+    return peers.PeerAddress(
+        entry_id=entry.instance_id, host=entry.host, port=entry.port, near=near
+    )
 
 
 def _ring(chosen: settings.Keys | None) -> keys.KeyRing | None:
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/gossip.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/gossip.py
@@ -11,7 +11,7 @@
 from twisted.internet import task
 
 PERIOD_S = 1.0
-FAR_FANOUT = 4
+FAR_FANOUT = 2
 """Far peers told in one period, in drawn order; each is told once in a round."""
 
 Listener = Callable[[str, int], None]
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/peer_link.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/peer_link.py
@@ -17,8 +17,9 @@
 """Most times the silence that a peer that is down is given before the next replacement."""
 
 
-IDLE_FACTOR_FAR = 10
-"""How many times rarer a far peer is pinged while nothing is sent to it."""
+IDLE_FACTOR_NEAR = 1.5
+IDLE_FACTOR_FAR = 30
+"""Time without a word after which a peer is pinged, in times between pings."""
 
 
 class PeerAddress(msgspec.Struct, frozen=True, kw_only=True):
@@ -57,8 +58,10 @@
         "_idle_s",
         "_on_frame",
         "_ping",
+        "_ping_s",
         "_proven",
         "_ring",
+        "_silent_from",
         "_silence_s",
     )
 
@@ -86,8 +89,10 @@
         self._awaiting_since: float | None = None
         self._proven = False
         self._backoff = 1
+        self._silent_from: float | None = None
         ping_s = silence_s / PINGS_IN_SILENCE
-        self._idle_s = ping_s if address.near else IDLE_FACTOR_FAR * ping_s
+        self._ping_s = ping_s
+        self._idle_s = ping_s * (IDLE_FACTOR_NEAR if address.near else IDLE_FACTOR_FAR)
 
     @property
     def address(self) -> PeerAddress:
@@ -99,6 +104,17 @@
         """Whether the connection is new or doesn't owe an answer for the time of silence."""
         return self._owed_s <= self._silence_s
 
+    @property
+    def silent(self) -> bool:
+        """Whether the peer has owed an answer for the time of silence, on any connection."""
+        since = self._silent_from
+        return since is not None and self._clock() - since > self._silence_s
+
+    @property
+    def wants_answer(self) -> bool:
+        """Whether a frame that is sent now should be answered, to prove the connection."""
+        return self._awaiting_since is None and self._unheard_s > self._ping_s / 2
+
     @property
     def _owed_s(self) -> float:
         since = self._awaiting_since
@@ -126,10 +142,17 @@
         """Queue a frame that will be answered; False when nothing was queued."""
         if not self.send(frame):
             return False
-        if self._awaiting_since is None and self._unheard_s > self._silence_s / PINGS_IN_SILENCE:
+        if self.wants_answer:
             self._probe()
         return True
 
+    def note_probe(self) -> None:
+        """Expect a pong to a frame that asked for one."""
+        if self._awaiting_since is None:
+            self._awaiting_since = self._clock()
+        if self._silent_from is None:
+            self._silent_from = self._clock()
+
     def beat(self) -> bool:
         """Ping when one is due, or replace a silent connection; tells whether it was replaced."""
         if self._owed_s > self._backoff * self._silence_s:
@@ -141,8 +164,7 @@
 
     def _probe(self) -> None:
         self.send(self._ping)
-        if self._awaiting_since is None:
-            self._awaiting_since = self._clock()
+        self.note_probe()
 
     def _replace(self) -> None:
         self.close()
@@ -156,12 +178,14 @@
             dealer.secure(pair=self._ring.pair, peer_public=public)
         dealer.connect(host=self._address.host, port=self._address.port)
         self._dealer = dealer
-        self._awaiting_since = self._clock()
+        self._awaiting_since = None
         self._proven = False
+        self.note_probe()
 
     def _received(self, frame: bytes) -> None:
         if self._on_frame(frame):
             self._heard_at = self._clock()
             self._awaiting_since = None
+            self._silent_from = None
             self._proven = True
             self._backoff = 1
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/peers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/peers.py
@@ -20,6 +20,9 @@
 BEATS_IN_SILENCE = 12
 """How often in the time of silence the connections are looked at."""
 
+ASKS_FOR_PONG = b"?"
+"""Correlation of a one-way message that proves the connection by a pong."""
+
 CALLS_LIMIT = 1_024
 QUEUE_LIMIT_BYTES = 8_000_000
 
@@ -179,8 +182,23 @@
     def send(self, *, entry_id: str, message: messages.Message) -> bool:
         """Send a message that has no reply; False when it was dropped."""
         link = self._links.get(entry_id)
-        frame = self._encode(frames.Kind.SEND, b"", message)
-        return link is not None and frame is not None and self._sent(link.send(frame), frame)
+        if link is None:
+            return False
+        asks = link.wants_answer
+        frame = self._encode(frames.Kind.SEND, ASKS_FOR_PONG if asks else b"", message)
+        if frame is None or not self._sent(link.send(frame), frame):
+            return False
+        if asks:
+            link.note_probe()
+        return True
+
+    def is_silent(self, entry_id: str) -> bool:
+        """Tell whether a peer isn't linked, or has owed an answer for the time of silence."""
+        link = self._links.get(entry_id)
+        if link is None:
+            return True
+        heard_s = self.last_heard_s(entry_id)
+        return link.silent and (heard_s is None or heard_s > self._silence_s)
 
     def last_heard_s(self, entry_id: str) -> float | None:
         """Give the seconds since a linked peer was heard, or None if it never was."""
@@ -299,6 +317,9 @@
             self._routes[frame.sender] = route
         if frame.kind == frames.Kind.PING:
             self._answer(route, frame, frames.Kind.PONG)
+        elif frame.kind == frames.Kind.SEND and frame.correlation == ASKS_FOR_PONG:
+            self._answer(route, frame, frames.Kind.PONG)
+            self._dispatch(route, frame)
         elif frame.kind in (frames.Kind.CALL, frames.Kind.SEND):
             self._dispatch(route, frame)
         else:
--- a/packages/ebonyhatch-node/tests/test_gossip.py
+++ b/packages/ebonyhatch-node/tests/test_gossip.py
@@ -40,16 +40,16 @@
 def test_near_peers_each_period_and_far_ones_in_rounds_of_heads():
     far = tuple(f"far-{number}" for number in range(10))
     clock, network, gossiper = make(near=("a", "b"), far=far)
-    for _ in range(3):
+    for _ in range(5):
         clock.advance(gossip.PERIOD_S)
     near_sent = [message for name, message in network.sent if name in "ab"]
     far_sent = [(name, message) for name, message in network.sent if name in far]
-    assert len(near_sent) == 6 and all(message.rooms for message in near_sent)
+    assert len(near_sent) == 10 and all(message.rooms for message in near_sent)
     assert sorted(name for name, _ in far_sent) == sorted(far)
     assert not any(message.rooms for _, message in far_sent)
     gossiper.close()
     clock.advance(9)
-    assert len(network.sent) == 16
+    assert len(network.sent) == 20
 
 
 def test_newest_of_each_peer_with_its_age():
--- a/packages/ebonyhatch-node/tests/test_peers.py
+++ b/packages/ebonyhatch-node/tests/test_peers.py
@@ -195,6 +195,30 @@
         reply = yield call
         assert reply.unwrap().version == 7
 
+    @defer.inlineCallbacks
+    def test_silent_is_who_owes_an_answer(self):
+        one, two = self.network("a"), self.network("b")
+        far = peers.PeerAddress(entry_id="b", host="127.0.0.1", port=two.port, near=False)
+        one.set_peers(peers=(far,))
+        assert one.is_silent("c") and not one.is_silent("b")
+        yield until(lambda: one.last_heard_s("b") is not None)
+        yield until(lambda: one.last_heard_s("b") > 2 * SILENCE_S)
+        assert not one.is_silent("b")
+        two.close()
+        one.send(entry_id="b", message=messages.OwnershipCall(version=1))
+        yield until(lambda: one.is_silent("b"))
+
+    @defer.inlineCallbacks
+    def test_one_way_messages_prove_the_connection(self):
+        one, two = self.pair()
+        seen = []
+        two.handle(messages.OwnershipCall, lambda sender, message: seen.append(sender))
+        yield until(lambda: one.last_heard_s("b") is not None)
+        yield until(lambda: one.last_heard_s("b") > SILENCE_S / 6)
+        assert one.send(entry_id="b", message=messages.OwnershipCall(version=1))
+        assert one._links["b"]._awaiting_since is not None
+        yield until(lambda: seen == ["a"] and one._links["b"]._awaiting_since is None)
+
     @defer.inlineCallbacks
     def test_garbage_and_unknown_versions_are_counted(self):
         one = self.network("a")
--- a/packages/ebonyhatch-node/tests/test_settings.py
+++ b/packages/ebonyhatch-node/tests/test_settings.py
@@ -1,4 +1,5 @@
 import json
+import pathlib
 
 import pytest
 from ebonyhatch.node import keys, settings, settings_schema
@@ -108,6 +109,13 @@
     assert len({leaf.variable for leaf in leaves}) == len(leaves)
 
 
+def test_the_page_names_each_setting():
+    page = (pathlib.Path(__file__).parents[3] / "docs" / "settings.md").read_text()
+    for leaf in settings_schema.leaves():
+        assert f"| `{'.'.join(leaf.path)}` | `{leaf.variable}` |" in page
+        assert leaf.description in page
+
+
 TREES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
     lambda inner: st.lists(inner, max_size=3)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_model.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_model.py
@@ -19,8 +19,11 @@
 KEYED_FRAME_BYTES = 33
 """What CURVE adds to a frame."""
 
+PONGS_OF_GOSSIP = 1.0
+"""Pongs for each gossip to or from a near peer."""
+
 PING_FRAMES = 4.0
-"""Pings and pongs a second of two entries that are near each other."""
+"""Pings and pongs of both directions between two entries, each time that both ping."""
 
 PING_BYTES = 20.0
 ENTRIES_OF_JOB = 4.0
@@ -228,7 +231,7 @@
         near = max(1.0, fleet.near) - 1.0
         far = fleet.entries - 1.0 - near
         heads = 2.0 * min(far, float(gossip.FAR_FANOUT))
-        pings = PING_FRAMES * (near + far / peer_link.IDLE_FACTOR_FAR)
+        pings = 2.0 * near * PONGS_OF_GOSSIP + PING_FRAMES * far / peer_link.IDLE_FACTOR_FAR
         frames = 2.0 * near + heads + pings
         payload_bytes = (
             2.0 * near * self._at("gossip: frame", fleet.cells_of_entry)
