--- a/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
@@ -24,6 +24,9 @@
 PENALTY_LEVELS = (0.05, 0.15, 0.3, 0.6, 1.2, 2.4)
 """Predicted slowdowns that divide workers into levels for urgent work."""
 
+FAILURE_PENALTY = 8.0
+"""Slowdown that is taken to be as bad as a worker that fails all it starts."""
+
 
 class Tables:
     """All rows of one cell with the indexes that the systems need."""
@@ -46,6 +49,14 @@
         "batch_dirty",
         "workers_version",
         "run_times",
+        "retries",
+        "probes",
+        "class_standings",
+        "delayed",
+        "hedges",
+        "lanes_version",
+        "holds",
+        "misfits",
         "tenant_use",
         "short_slots",
         "batch_slots",
@@ -95,6 +106,14 @@
         self.batch_dirty = True
         self.workers_version = 0
         self.run_times = run_times.RunTimes()
+        self.lanes_version = 0
+        self.retries = budgets.RetryBudget()
+        self.probes: dict[str, rows.Worker] = {}
+        self.class_standings: dict[str, rows.Standing] = {}
+        self.hedges: list[tuple[float, str, str]] = []
+        self.delayed: list[tuple[float, str]] = []
+        self.holds: dict[str, rows.Worker] = {}
+        self.misfits: list[rows.Job] = []
         self.tenant_use: dict[str, resources.Resources] = {}
         self.short_slots = 0
         self.batch_slots = 0
@@ -108,6 +127,13 @@
         found = self.classes.get(work_class)
         return found.priority if found is not None else 0
 
+    def class_standing(self, work_class: str) -> rows.Standing:
+        """Counts of failed starts of a class."""
+        standing = self.class_standings.get(work_class)
+        if standing is None:
+            standing = self.class_standings[work_class] = rows.Standing()
+        return standing
+
     def touch(self, worker: rows.Worker) -> None:
         """Bring the indexes and counts up to date after a worker changed."""
         self._count(worker)
@@ -116,14 +142,19 @@
             self.batch_workers.remove(worker)
             return
         self.urgent_workers.put(worker, level=self._urgent_level(worker))
-        self.batch_workers.put(worker, level=int(worker.reserved_for_urgent))
+        if worker.held:
+            self.batch_workers.remove(worker)
+        else:
+            self.batch_workers.put(worker, level=int(worker.reserved_for_urgent))
 
     def _urgent_level(self, worker: rows.Worker) -> int:
         worker.penalty = sum(
             count * self.interference.slowdown(name, load=worker.load)
             for name, count in worker.sharers
         )
-        return bisect.bisect(PENALTY_LEVELS, worker.penalty)
+        standing = worker.standing
+        failing = standing.failures / standing.weight if standing.failures > 0.5 else 0.0
+        return bisect.bisect(PENALTY_LEVELS, worker.penalty + FAILURE_PENALTY * failing)
 
     def counts_for_urgent(self, worker: rows.Worker) -> bool:
         """Tell whether the worker's slots are counted for urgent work."""
@@ -202,12 +233,16 @@
 
     def queue_job(self, row: rows.Job, *, first: bool = False) -> None:
         """Queue a job for placement, in the lane of its expected run time."""
-        expected_s = self.run_times.estimate_s(row.job)
-        short = expected_s <= self.settings.short_run_s
-        row.lane = rows.Lane.SHORT if short else rows.Lane.LONG
+        row.lane = self.lane_of(row)
+        row.queued_at = self.now
         self.batch.push(row, priority=self.priority_of(row.job.work_class), first=first)
         self.batch_dirty = True
 
+    def lane_of(self, row: rows.Job) -> rows.Lane:
+        """The lane of a job's expected run time."""
+        short = self.run_times.estimate_s(row.job) <= self.settings.short_run_s
+        return rows.Lane.SHORT if short else rows.Lane.LONG
+
     def forget_job(self, row: rows.Job) -> None:
         """Drop a job that has no attempt, wherever it waits."""
         self.batch.remove(row, priority=self.priority_of(row.job.work_class))
@@ -215,7 +250,7 @@
         self.jobs.pop(row.job.job_id, None)
 
     def _release(self, worker: rows.Worker, demand: resources.Resources) -> None:
-        if worker.tasks or worker.requests:
+        if worker.tasks or worker.requests or worker.hedged:
             capacity.release(worker, demand)
         else:
             capacity.recount(worker)
