--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity.py
@@ -33,7 +33,7 @@
 def capacity(*, seeds: tuple[int, ...], quick: bool = False) -> None:
     """Measure every slope, print the tables and the closing line."""
     slopes: dict[str, capacity_slopes.Slope] = {}
-    for name, probe in capacity_slopes.probes().items():
+    for name, probe in _ordered_probes():
         for slope in probe(seed=seeds[0], quick=quick):
             slopes[slope.name] = slope
             print(f"{name} | {_shown(slope)}", flush=True)
@@ -44,6 +44,12 @@
     print(json.dumps(_closing(slopes, fleets, seeds)))
 
 
+def _ordered_probes() -> list[tuple[str, capacity_slopes.Probe]]:
+    order = [module.__name__ for module in PROBE_MODULES]
+    probes = capacity_slopes.probes().items()
+    return sorted(probes, key=lambda item: order.index(item[1].__module__))
+
+
 def _fleets(slopes: dict[str, capacity_slopes.Slope]) -> list[capacity_model.Fleet]:
     """Today, the letter with six entries, and the letter with as many as it needs."""
     six = capacity_model.LETTER_SIX
