A cell without room passes its jobs on: offer, accept, forget

Cause: a job whose home cell had no worker, or none large enough, waited for ever or was refused although another cell could run it (seen first in the demo, with two cells and two workers in one of them; the demo has that shape again). Weighed: choosing the cell at submission (a question about the job would not find it); a pointer with the job's cell in the store (a write for each job). Only jobs that never started are passed, once; after a call whose outcome is not known the offer can't be refused any more, also for a successor. Rooms go without field names on the wire, so that the largest worker fits into gossip: the capacity test at 60 entries failed with names and passes without.

--- a/packages/ebonyhatch-core/src/ebonyhatch/core/job_machine.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/job_machine.py
@@ -21,6 +21,8 @@
     FINISHED = "finished"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    OFFERED = "offered"
+    PASSED = "passed"
 
 
 WAITING = frozenset({JobState.QUEUED, JobState.PARKED})
@@ -32,6 +34,9 @@
 ENDED = frozenset({JobState.FINISHED, JobState.FAILED, JobState.CANCELLED})
 """States that a job never leaves."""
 
+MOVING = frozenset({JobState.OFFERED, JobState.PASSED})
+"""States of a job that another cell is asked to take, or has taken."""
+
 
 class JobRow(msgspec.Struct, kw_only=True):
     """One job, as the journal tells it.
@@ -47,6 +52,9 @@
         progress_s: Work kept in that checkpoint, seconds.
         result: Result of a finished job.
         reason: Why it is parked or failed.
+        cell: Cell that it is offered or was passed to.
+        origin: Cell that passed it here and may ask again; empty once that is settled.
+        settled: The cell that it was passed to knows that this is durable.
     """
 
     job: entities.Job
@@ -59,6 +67,9 @@
     progress_s: float = 0.0
     result: bytes = b""
     reason: str = ""
+    cell: str = ""
+    origin: str = ""
+    settled: bool = False
 
     @property
     def task_id(self) -> str:
@@ -99,6 +110,30 @@
     def _cancelled(self) -> None:
         """Not wanted any more."""
 
+    @_machine.state(serialized=JobState.OFFERED)
+    def _offered(self) -> None:
+        """Another cell is asked to take it; it must not start here."""
+
+    @_machine.state(serialized=JobState.PASSED)
+    def _passed(self) -> None:
+        """Another cell has taken it."""
+
+    @_machine.input()
+    def offer(self) -> None:
+        """Ask another cell to take the job."""
+
+    @_machine.input()
+    def withdraw(self) -> None:
+        """Keep the job: the other cell certainly did not take it."""
+
+    @_machine.input()
+    def give(self) -> None:
+        """Note that the other cell has taken it."""
+
+    @_machine.input()
+    def settle(self) -> None:
+        """Note that the other cell knows."""
+
     @_machine.input()
     def intend(self) -> None:
         """Name a new attempt."""
@@ -145,6 +180,10 @@
         _waiting.upon(park, enter=_parked, outputs=[])
         _waiting.upon(fail, enter=_failed, outputs=[])
         _waiting.upon(finish, enter=_finished, outputs=[])
+        _waiting.upon(offer, enter=_offered, outputs=[])
+    _offered.upon(withdraw, enter=_queued, outputs=[])
+    _offered.upon(give, enter=_passed, outputs=[])
+    _passed.upon(settle, enter=_passed, outputs=[])
     for _attempting in (_starting, _running):
         _attempting.upon(start, enter=_running, outputs=[])
         _attempting.upon(checkpoint, enter=_running, outputs=[])
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/journal_entries.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/journal_entries.py
@@ -11,9 +11,10 @@
 
 
 class JobSubmitted(Entry, frozen=True, kw_only=True):
-    """A job was accepted."""
+    """A job was accepted, from a caller or from the cell `origin`."""
 
     job: entities.Job
+    origin: str = ""
 
 
 class AttemptIntended(Entry, frozen=True, kw_only=True):
@@ -102,6 +103,37 @@
     reason: str
 
 
+class JobOffered(Entry, frozen=True, kw_only=True):
+    """Another cell is about to be asked to take the job, which must not start here."""
+
+    job_id: str
+    cell: str
+
+
+class OfferWithdrawn(Entry, frozen=True, kw_only=True):
+    """The other cell certainly did not take the job."""
+
+    job_id: str
+
+
+class JobPassed(Entry, frozen=True, kw_only=True):
+    """The other cell has taken the job."""
+
+    job_id: str
+
+
+class PassSettled(Entry, frozen=True, kw_only=True):
+    """The other cell knows that the pass is durable and asks no more."""
+
+    job_id: str
+
+
+class OriginReleased(Entry, frozen=True, kw_only=True):
+    """The cell that passed the job here will not ask again."""
+
+    job_id: str
+
+
 class KeyIntended(Entry, frozen=True, kw_only=True):
     """A request with an idempotency key is about to be sent.
 
@@ -150,6 +182,11 @@
     | JobFailed
     | JobCancelled
     | JobParked
+    | JobOffered
+    | OfferWithdrawn
+    | JobPassed
+    | PassSettled
+    | OriginReleased
     | KeyIntended
     | KeyAnswered
     | KeyReleased
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/resources.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/resources.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import msgspec
 
 
@@ -52,3 +54,17 @@
 
 
 NONE = Resources()
+
+
+def largest(amounts: Iterable[Resources]) -> Resources:
+    """Give the most of each kind over all amounts."""
+    most = NONE
+    for amount in amounts:
+        most = Resources(
+            slots=max(most.slots, amount.slots),
+            connections=max(most.connections, amount.connections),
+            cores=max(most.cores, amount.cores),
+            memory_gb=max(most.memory_gb, amount.memory_gb),
+            accelerators=max(most.accelerators, amount.accelerators),
+        )
+    return most
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/scheduler.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/scheduler.py
@@ -9,7 +9,7 @@
 from ebonyhatch.core import commands, errors, events, views
 
 
-class Room(msgspec.Struct, frozen=True, kw_only=True):
+class Room(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What a cell could take now; peers choose by it.
 
     Attributes:
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
@@ -20,7 +20,9 @@
     cell_status,
     cell_workers,
     coroutines,
+    elsewhere,
     job_requests,
+    job_transfers,
     journal,
     keyed_driver,
     messages,
@@ -83,6 +85,7 @@
         may_act: Callable[[], bool],
         on_event: Callable[[str, dict[str, Any]], None] = _ignore,
         see: See = _unseen,
+        others: elsewhere.Elsewhere = elsewhere.NOWHERE,
         seed: int,
     ) -> None:
         self._name = name
@@ -157,6 +160,17 @@
             clock=clock,
             reports=self._tasks.reports,
             emit=self._emit,
+            elsewhere=others,
+        )
+        self._transfers = job_transfers.JobTransfers(
+            cell=name,
+            journal_of_cell=self._journal,
+            workers_of_cell=self._workers,
+            clock=clock,
+            group=self._group,
+            emit=self._emit,
+            elsewhere=others,
+            free_slots=lambda: self.room().room.free_slots,
         )
 
     @property
@@ -221,13 +235,26 @@
             return defer.succeed(messages.JobReply(status=503, reason=reason))
         return self._jobs.cancel(job_id)
 
+    def transfer(
+        self, *, call: messages.TransferCall | messages.ReleaseCall
+    ) -> defer.Deferred[messages.TransferReply]:
+        """Take a job that another cell passes on, or its word that the pass is durable."""
+        reason = self._reason_against()
+        if reason:
+            return defer.succeed(messages.TransferReply(done=False, reason=reason))
+        if isinstance(call, messages.TransferCall):
+            return defer.Deferred.fromCoroutine(self._transfers.accept(call))
+        return defer.Deferred.fromCoroutine(self._transfers.release(call))
+
     def room(self) -> messages.CellRoom:
         """Summarize what the cell could take now; requests that no tick has seen count as queued."""
         room = self._scheduler.room(now=self._clock.seconds())
         if self._unseen_requests:
             queued = room.queued_urgent + self._unseen_requests
             room = msgspec.structs.replace(room, queued_urgent=queued)
-        return messages.CellRoom(cell=self._name, epoch=self._epoch, room=room)
+        return messages.CellRoom(
+            cell=self._name, epoch=self._epoch, room=room, largest=self._workers.largest
+        )
 
     def explain(self, *, subject_id: str) -> str:
         """Say why a job or a request waits, or where it is; empty when it is not known."""
@@ -265,6 +292,7 @@
         self._keyed.settle_inherited()
         self._tasks.announce_waiting()
         self._workers.start(reports=self._tasks.reports)
+        self._transfers.start()
         self._tick_later()
         self._on_event("cell.active", {"cell": self._name, "epoch": self._epoch})
         return result.Success(None)
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell_workers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell_workers.py
@@ -5,8 +5,9 @@
 import random
 from collections.abc import Callable
 
+import msgspec
 from ebonyhatch.core import events, resources
-from ebonyhatch.node import backoff, coroutines, task_reports, worker_link
+from ebonyhatch.node import backoff, coroutines, messages, task_reports, worker_link
 from ebonyhatch.platform import instances, timing, workers
 
 
@@ -39,6 +40,7 @@
         self._joined: dict[str, resources.Resources] = {}
         self._leaving: set[str] = set()
         self._largest: list[resources.Resources] = []
+        self._most = messages.Shape()
 
     @property
     def count(self) -> int:
@@ -49,6 +51,11 @@
         """Tell whether any worker seen so far could hold `demand`; true while none was seen."""
         return not self._largest or any(demand.fits(shape) for shape in self._largest)
 
+    @property
+    def largest(self) -> messages.Shape:
+        """The most of each kind that any one worker seen so far holds."""
+        return self._most
+
     def start(self, *, reports: task_reports.TaskReports) -> None:
         """Begin to claim workers and to pass on their reports."""
         self._reports = reports
@@ -109,6 +116,8 @@
         if not any(capacity.fits(shape) for shape in self._largest):
             self._largest = [shape for shape in self._largest if not shape.fits(capacity)]
             self._largest.append(capacity)
+            most = resources.largest(self._largest)
+            self._most = messages.Shape(**msgspec.structs.asdict(most))
 
     def _join(self, link: worker_link.WorkerLink, capacity: resources.Resources) -> None:
         self._joined[link.worker_id] = capacity
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
@@ -27,6 +27,7 @@
     messages,
     metrics,
     observation,
+    other_cells,
     ownership,
     peers,
     placements,
@@ -99,6 +100,7 @@
         self._chooser = self._make_chooser()
         self._router = self._make_router()
         self._gossiper = self._make_gossiper()
+        self._others = self._make_others()
         self._heads = heads.HeadExchange(
             network=self._network,
             gossiper=self._gossiper,
@@ -285,6 +287,16 @@
             seed=self._seed,
         )
 
+    def _make_others(self) -> other_cells.OtherCells:
+        return other_cells.OtherCells(
+            entry_id=self._settings.entry.id,
+            own_cells=self._cells.serving,
+            placements=self._placements,
+            gossiper=self._gossiper,
+            network=self._network,
+            clock=self._reactor,
+        )
+
     def _make_gateway(self) -> gateway.Gateway:
         return gateway.Gateway(
             router=self._router,
@@ -307,6 +319,7 @@
             may_act=self._owned.lease_valid,
             on_event=self._cell_event,
             see=cell_observer.CellObserver(measures=self.measures).see,
+            others=self._others,
             seed=self._seed,
         )
 
@@ -318,6 +331,11 @@
         for kind in (messages.JobSubmitCall, messages.JobShowCall, messages.JobCancelCall):
             self._network.handle(kind, lambda sender, call: self._router.handle_job(call=call))
         self._network.handle(messages.ExplainCall, self._explain)
+        self._network.handle(messages.TransferCall, self._transfer)
+        self._network.handle(messages.ReleaseCall, self._transfer)
+
+    def _transfer(self, sender: str, call: Any) -> defer.Deferred[messages.Message]:
+        return defer.ensureDeferred(self._others.handle(call=call))
 
     def _explain(self, sender: str, message: messages.Message) -> messages.ExplainReply:
         if not isinstance(message, messages.ExplainCall):
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/job_requests.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_requests.py
@@ -5,8 +5,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from ebonyhatch.core import commands, entities, errors, events, job_machine, journal_entries
-from ebonyhatch.node import cell_workers, journal, messages, task_entries, task_reports
+from ebonyhatch.core import (
+    commands,
+    entities,
+    errors,
+    events,
+    job_machine,
+    journal_entries,
+    resources,
+)
+from ebonyhatch.node import cell_workers, elsewhere, journal, messages, task_entries, task_reports
 from ebonyhatch.platform import timing
 from returns import result
 from twisted.internet import defer
@@ -34,6 +42,7 @@
         clock: timing.Clock,
         reports: task_reports.TaskReports,
         emit: task_reports.Emit,
+        elsewhere: elsewhere.Elsewhere,
     ) -> None:
         self._journal = journal_of_cell
         self._jobs = journal_of_cell.state.jobs
@@ -41,14 +50,15 @@
         self._clock = clock
         self._reports = reports
         self._emit = emit
+        self._elsewhere = elsewhere
 
     def submit(self, job: entities.Job) -> ReplyOutcome:
         """Accept a job; one that is known already is shown as it is."""
         row = self._jobs.get(job.job_id)
         if row is not None:
-            return defer.succeed(messages.JobReply(view=view_of(row)))
-        if not self._workers.could_ever_hold(job.demand):
-            reason = "no worker of this cell is large enough for the job's demand"
+            return defer.succeed(_shown(row))
+        if not self._could_ever_hold(job.demand):
+            reason = "no worker that is known is large enough for the job's demand"
             return defer.succeed(messages.JobReply(status=422, reason=reason))
         if self._full():
             return defer.succeed(messages.JobReply(status=503, reason="the cell's queue is full"))
@@ -60,7 +70,7 @@
         row = self._jobs.get(job_id)
         if row is None:
             return messages.JobReply(status=404, reason="no such job")
-        return messages.JobReply(view=view_of(row))
+        return _shown(row)
 
     def explain(self, job_id: str) -> str:
         """Say in a sentence what became of a job; empty when it is not known."""
@@ -75,9 +85,17 @@
         row = self._jobs.get(job_id)
         if row is None or row.state in job_machine.ENDED:
             return defer.succeed(self.show(job_id))
+        if row.state is job_machine.JobState.PASSED:
+            return defer.succeed(_shown(row))
+        if row.state is job_machine.JobState.OFFERED:
+            return defer.succeed(_refusal("job-moving", commands.Outcome.NOT_RUN))
         written = self._journal.append(journal_entries.JobCancelled(job_id=job_id), droppable=True)
         return self._reply(written, lambda: self._cancelled(row))
 
+    def _could_ever_hold(self, demand: resources.Resources) -> bool:
+        here = self._workers.could_ever_hold(demand)
+        return here or self._elsewhere.could_hold(demand=demand)
+
     def _full(self) -> bool:
         held = sum(self._jobs.counts.values())
         return held >= JOBS_LIMIT or self._jobs.payload_bytes >= PAYLOADS_LIMIT_BYTES
@@ -133,6 +151,13 @@
     )
 
 
+def _shown(row: job_machine.JobRow) -> messages.JobReply:
+    """Show a job, or the cell that has taken it."""
+    if row.state is job_machine.JobState.PASSED:
+        return messages.JobReply(moved_to=row.cell, reason="moved")
+    return messages.JobReply(view=view_of(row))
+
+
 def _reply_to_failure(error: errors.EbonyhatchError) -> messages.JobReply:
     if isinstance(error, journal.EntryTooLargeError):
         return messages.JobReply(status=413, reason=str(error))
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/job_table.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_table.py
@@ -12,6 +12,9 @@
 ENDED_KEPT = 2000
 """Ended jobs that a cell remembers; the oldest are forgotten first."""
 
+PASSED_KEPT = 20_000
+"""Jobs passed to other cells that a cell remembers; the oldest are forgotten first."""
+
 RESULTS_KEPT_BYTES = 10_000_000
 """Bytes of results that a cell remembers; the oldest are forgotten first."""
 
@@ -40,6 +43,9 @@
         self._payload_bytes = 0
         self._counts: collections.Counter[str] = collections.Counter()
         self._by_worker: dict[str, dict[str, None]] = {}
+        self._waiting: dict[str, None] = {}
+        self._moving: dict[str, None] = {}
+        self._passed: collections.deque[str] = collections.deque()
 
     @property
     def counts(self) -> dict[str, int]:
@@ -59,6 +65,14 @@
         """All rows, in order of submission."""
         return self._rows.values()
 
+    def waiting(self) -> list[job_machine.JobRow]:
+        """Rows that wait, in the order in which they began to."""
+        return [self._rows[job_id] for job_id in self._waiting]
+
+    def moving(self) -> list[job_machine.JobRow]:
+        """Rows that are offered, or passed and not settled."""
+        return [self._rows[job_id] for job_id in self._moving]
+
     def of_task(self, task_id: str) -> job_machine.JobRow | None:
         """Row whose last attempt is `task_id` and may still run; None for older attempts."""
         row = self._rows.get(task_id.rpartition("/")[0])
@@ -85,6 +99,8 @@
         """
         if isinstance(entry, journal_entries.JobSubmitted):
             return self._submit(entry)
+        if isinstance(entry, journal_entries.OriginReleased):
+            return self._release(entry)
         step, handler = _HANDLERS[type(entry)]
         row = self._rows.get(entry.job_id)  # type: ignore[attr-defined]
         if row is None or not _names_valid_attempt(row, entry):
@@ -105,16 +121,26 @@
             self._index(row)
             if row.state in job_machine.ENDED:
                 self._keep_ended(row)
+            if row.state is job_machine.JobState.PASSED:
+                self._passed.append(row.job.job_id)
 
     def _submit(self, entry: journal_entries.JobSubmitted) -> bool:
         if entry.job.job_id in self._rows:
             return False
-        row = job_machine.JobRow(job=entry.job)
+        row = job_machine.JobRow(job=entry.job, origin=entry.origin)
         self._rows[entry.job.job_id] = row
         self._counts[row.state] += 1
+        self._index(row)
         self._payload_bytes += len(row.job.payload)
         return True
 
+    def _release(self, entry: journal_entries.OriginReleased) -> bool:
+        row = self._rows.get(entry.job_id)
+        if row is None or not row.origin:
+            return False
+        row.origin = ""
+        return True
+
     def _move(self, row: job_machine.JobRow, state: job_machine.JobState) -> None:
         self._counts[row.state] -= 1
         self._counts[state] += 1
@@ -125,12 +151,20 @@
             row.job = msgspec.structs.replace(row.job, payload=b"")
             self._keep_ended(row)
             self._forget()
+        if state is job_machine.JobState.PASSED and row.settled:
+            self._payload_bytes -= len(row.job.payload)
+            row.job = msgspec.structs.replace(row.job, payload=b"")
+            self._passed.append(row.job.job_id)
+            self._forget_passed()
 
     def _keep_ended(self, row: job_machine.JobRow) -> None:
         self._ended.append(row.job.job_id)
         self._result_bytes += len(row.result)
 
     def _index(self, row: job_machine.JobRow) -> None:
+        job_id = row.job.job_id
+        _set(self._waiting, job_id, row.state in job_machine.WAITING)
+        _set(self._moving, job_id, row.state in job_machine.MOVING and not row.settled)
         if row.state in job_machine.ATTEMPTING:
             self._by_worker.setdefault(row.worker_id, {})[row.job.job_id] = None
             return
@@ -140,11 +174,30 @@
             self._by_worker.pop(row.worker_id, None)
 
     def _forget(self) -> None:
-        while len(self._ended) > self._ended_kept or self._result_bytes > RESULTS_KEPT_BYTES:
-            row = self._rows.pop(self._ended.popleft())
+        """Forget the oldest ended jobs; one whose origin may ask again goes to the end."""
+        for _ in range(len(self._ended)):
+            if len(self._ended) <= self._ended_kept and self._result_bytes <= RESULTS_KEPT_BYTES:
+                return
+            job_id = self._ended.popleft()
+            if self._rows[job_id].origin:
+                self._ended.append(job_id)
+                continue
+            row = self._rows.pop(job_id)
             self._counts[row.state] -= 1
             self._result_bytes -= len(row.result)
 
+    def _forget_passed(self) -> None:
+        while len(self._passed) > PASSED_KEPT:
+            row = self._rows.pop(self._passed.popleft())
+            self._counts[row.state] -= 1
+
+
+def _set(members: dict[str, None], job_id: str, present: bool) -> None:
+    if present:
+        members.setdefault(job_id)
+    else:
+        members.pop(job_id, None)
+
 
 def _names_valid_attempt(row: job_machine.JobRow, entry: Any) -> bool:
     if isinstance(entry, journal_entries.AttemptIntended):
@@ -214,3 +267,23 @@
 @applies(journal_entries.JobParked, step="park")
 def _park(row: job_machine.JobRow, entry: journal_entries.JobParked) -> None:
     row.reason = entry.reason
+
+
+@applies(journal_entries.JobOffered, step="offer")
+def _offer(row: job_machine.JobRow, entry: journal_entries.JobOffered) -> None:
+    row.cell = entry.cell
+
+
+@applies(journal_entries.OfferWithdrawn, step="withdraw")
+def _withdraw_offer(row: job_machine.JobRow, entry: journal_entries.OfferWithdrawn) -> None:
+    row.cell = ""
+
+
+@applies(journal_entries.JobPassed, step="give")
+def _pass(row: job_machine.JobRow, entry: journal_entries.JobPassed) -> None:
+    row.reason = ""
+
+
+@applies(journal_entries.PassSettled, step="settle")
+def _settle(row: job_machine.JobRow, entry: journal_entries.PassSettled) -> None:
+    row.settled = True
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_transfers.py
@@ -0,0 +1,182 @@
+"""Passes jobs that a cell has no room for to another cell, without loss or copy.
+
+Offer, accept and forget are each journaled: the offer keeps the job from starting here, the
+other cell accepts a job once by its id, and remembers it until it hears that the pass is
+durable here. Only jobs that were never started are passed, and each at most once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+from ebonyhatch.core import entities, events, job_machine, journal_entries, resources
+from ebonyhatch.node import (
+    cell_workers,
+    coroutines,
+    elsewhere,
+    journal,
+    messages,
+    task_entries,
+    task_reports,
+)
+from ebonyhatch.platform import timing
+from returns import result
+
+PERIOD_S = 1.0
+
+PATIENCE_S = 5.0
+"""Wait of a job in a cell with room for none, before it is offered, seconds."""
+
+OFFERS_LIMIT = 32
+"""Jobs that a cell has on offer at once."""
+
+
+class JobTransfers:
+    """Offers jobs to other cells, and takes those that others offer."""
+
+    def __init__(
+        self,
+        *,
+        cell: str,
+        journal_of_cell: journal.Journal,
+        workers_of_cell: cell_workers.CellWorkers,
+        clock: timing.Clock,
+        group: coroutines.CoroutineGroup,
+        emit: task_reports.Emit,
+        elsewhere: elsewhere.Elsewhere,
+        free_slots: Callable[[], int],
+    ) -> None:
+        self._cell = cell
+        self._journal = journal_of_cell
+        self._jobs = journal_of_cell.state.jobs
+        self._workers = workers_of_cell
+        self._clock = clock
+        self._group = group
+        self._emit = emit
+        self._elsewhere = elsewhere
+        self._free_slots = free_slots
+        self._since: dict[str, float] = {}
+        self._busy: set[str] = set()
+        self._refusable: set[str] = set()
+
+    def start(self) -> None:
+        """Begin to look for jobs to pass; moves that an earlier owner began are ended."""
+        self._group.spawn(self._run())
+
+    async def accept(self, call: messages.TransferCall) -> messages.TransferReply:
+        """Take a job of another cell; one that is known already counts as taken."""
+        job = msgspec.msgpack.decode(call.job, type=entities.Job)
+        if self._jobs.get(job.job_id) is not None:
+            return messages.TransferReply(done=True)
+        if not call.must and not self._has_worker_for(job.demand):
+            return messages.TransferReply(done=False, reason="no worker is large enough")
+        entry = journal_entries.JobSubmitted(job=job, origin=call.origin)
+        written = await self._journal.append(entry, droppable=True)
+        if not isinstance(written, result.Success):
+            certain = not isinstance(written.failure(), journal.LostWriteError)
+            return messages.TransferReply(
+                done=False, certain=certain, reason=str(written.failure())
+            )
+        row = self._jobs.get(job.job_id)
+        if row is not None and row.state is job_machine.JobState.QUEUED and not row.attempts:
+            self._emit(task_entries.submitted(row))
+        return messages.TransferReply(done=True)
+
+    def _has_worker_for(self, demand: resources.Resources) -> bool:
+        return bool(self._workers.count) and self._workers.could_ever_hold(demand)
+
+    async def release(self, call: messages.ReleaseCall) -> messages.TransferReply:
+        """Note that the cell which passed a job here won't ask again."""
+        row = self._jobs.get(call.job_id)
+        if row is None or not row.origin:
+            return messages.TransferReply(done=True)
+        entry = journal_entries.OriginReleased(job_id=call.job_id)
+        written = await self._journal.append(entry, droppable=True)
+        return messages.TransferReply(done=isinstance(written, result.Success))
+
+    async def _run(self) -> None:
+        while True:
+            await self._group.sleep(PERIOD_S)
+            for row in self._jobs.moving():
+                self._go_on(row)
+            self._offer_some()
+
+    def _go_on(self, row: job_machine.JobRow) -> None:
+        job_id = row.job.job_id
+        if job_id in self._busy:
+            return
+        self._busy.add(job_id)
+        offered = row.state is job_machine.JobState.OFFERED
+        self._group.spawn(self._ask(row) if offered else self._settle(row))
+
+    def _offer_some(self) -> None:
+        waiting = self._jobs.waiting()
+        known = {row.job.job_id for row in waiting}
+        self._since = {name: at for name, at in self._since.items() if name in known}
+        left = OFFERS_LIMIT - len(self._jobs.moving())
+        for row in waiting:
+            if left <= 0:
+                return
+            target = self._target_of(row) if self._may(row) else ""
+            if target:
+                left -= 1
+                self._busy.add(row.job.job_id)
+                self._group.spawn(self._offer(row, target))
+
+    def _target_of(self, row: job_machine.JobRow) -> str:
+        return self._elsewhere.target_for(origin=self._cell, demand=row.job.demand)
+
+    def _may(self, row: job_machine.JobRow) -> bool:
+        """Tell whether a job has waited in vain and may go."""
+        since = self._since.setdefault(row.job.job_id, self._clock.seconds())
+        if row.attempts or row.origin or row.job.job_id in self._busy:
+            return False
+        if not self._has_worker_for(row.job.demand):
+            return True
+        waited = self._clock.seconds() - since >= PATIENCE_S
+        return waited and self._free_slots() <= 0
+
+    async def _offer(self, row: job_machine.JobRow, target: str) -> None:
+        job_id = row.job.job_id
+        entry = journal_entries.JobOffered(job_id=job_id, cell=target)
+        written = await self._journal.append(entry, droppable=True)
+        if isinstance(written, result.Success) and row.state is job_machine.JobState.OFFERED:
+            self._refusable.add(job_id)
+            self._emit(events.JobCancelled(job_id=job_id))
+            await self._ask(row)
+        self._busy.discard(job_id)
+
+    async def _ask(self, row: job_machine.JobRow) -> None:
+        """Ask the other cell; only the first call of an offer may be answered by a refusal.
+
+        An earlier call whose outcome is not known may arrive late, also one of an earlier owner.
+        """
+        job_id = row.job.job_id
+        refusable = job_id in self._refusable
+        self._refusable.discard(job_id)
+        call = messages.TransferCall(
+            cell=row.cell,
+            origin=self._cell,
+            job=msgspec.msgpack.encode(row.job),
+            must=not refusable,
+        )
+        reply = await self._elsewhere.call(message=call)
+        if reply.done:
+            await self._journal.append(journal_entries.JobPassed(job_id=job_id))
+            await self._settle(row)
+        elif reply.certain and refusable:
+            await self._journal.append(journal_entries.OfferWithdrawn(job_id=job_id))
+            if row.state is job_machine.JobState.QUEUED:
+                self._since[job_id] = self._clock.seconds()
+                self._emit(task_entries.submitted(row))
+        self._busy.discard(job_id)
+
+    async def _settle(self, row: job_machine.JobRow) -> None:
+        job_id = row.job.job_id
+        if row.state is job_machine.JobState.PASSED:
+            call = messages.ReleaseCall(cell=row.cell, job_id=job_id)
+            reply = await self._elsewhere.call(message=call)
+            if reply.done:
+                await self._journal.append(journal_entries.PassSettled(job_id=job_id))
+        self._busy.discard(job_id)
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/messages.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import msgspec
-from ebonyhatch.core import commands, scheduler
+from ebonyhatch.core import commands, resources, scheduler
 from ebonyhatch.platform import workers
 
 
@@ -11,12 +11,35 @@
     """Base of all messages; the tag is the class name."""
 
 
-class CellRoom(msgspec.Struct, frozen=True, kw_only=True):
-    """The room of one cell under one epoch."""
+class Shape(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """An amount of each kind of capacity, without the names of its fields on the wire."""
+
+    slots: int = 0
+    connections: int = 0
+    cores: float = 0.0
+    memory_gb: float = 0.0
+    accelerators: int = 0
+
+    @property
+    def amount(self) -> resources.Resources:
+        """The same as resources."""
+        return resources.Resources(**msgspec.structs.asdict(self))
+
+
+class CellRoom(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The room of one cell under one epoch.
+
+    Attributes:
+        cell: The cell.
+        epoch: Epoch of its owner.
+        room: Its room.
+        largest: The most of each kind that any one of its workers holds.
+    """
 
     cell: str
     epoch: int
     room: scheduler.Room
+    largest: Shape = Shape()
 
 
 class Gossip(Message, frozen=True, kw_only=True):
@@ -136,6 +159,43 @@
     job_id: str
 
 
+class TransferCall(Message, frozen=True, kw_only=True):
+    """Asks a cell to take a job that has never been started; taken once by job id.
+
+    Attributes:
+        cell: The cell that is asked.
+        origin: The cell that has the job.
+        job: The encoded job.
+        must: It may have been taken by an earlier call, so it can't be refused any more.
+    """
+
+    cell: str
+    origin: str
+    job: bytes
+    must: bool = False
+
+
+class ReleaseCall(Message, frozen=True, kw_only=True):
+    """Tells a cell that a job it took is durably passed and that it won't be asked again."""
+
+    cell: str
+    job_id: str
+
+
+class TransferReply(Message, frozen=True, kw_only=True):
+    """Whether the cell took the job, or knows of the release.
+
+    Attributes:
+        done: It is durable.
+        certain: When not done: it certainly has no effect.
+        reason: Why it was not done.
+    """
+
+    done: bool
+    certain: bool = True
+    reason: str = ""
+
+
 class ExplainCall(Message, frozen=True, kw_only=True):
     """Asks whether a cell of the receiver knows a job, attempt or request."""
 
@@ -157,9 +217,11 @@
         status: HTTP status for the caller.
         outcome: For a refusal: whether the call took effect.
         reason: Why there is no view.
+        moved_to: Cell that has taken the job; the call is to be made there.
     """
 
     view: JobView | None = None
     status: int = 200
     outcome: commands.Outcome = commands.Outcome.NOT_RUN
     reason: str = ""
+    moved_to: str = ""
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/other_cells.py
@@ -0,0 +1,103 @@
+"""The other cells as this entry knows them: its own, and those that peers tell of."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterator, Mapping
+
+from ebonyhatch.core import resources
+from ebonyhatch.node import cell, elsewhere, gossip, messages, peers, routing
+from ebonyhatch.platform import timing
+from returns import result
+
+CALL_TIMEOUT_S = 6.0
+"""Longest wait for a peer's answer about a transfer, seconds; longer than a journal write."""
+
+BELIEVED_S = 4.0
+"""Age at which a peer's summary is not believed any more, seconds."""
+
+DEBIT_S = 2.0
+"""Time for which jobs that were sent to a cell are counted against its room, seconds."""
+
+
+class OtherCells(elsewhere.Elsewhere):
+    """Chooses the cell with most room to spare and asks its owner."""
+
+    def __init__(
+        self,
+        *,
+        entry_id: str,
+        own_cells: Mapping[str, cell.Cell],
+        placements: routing.Placements,
+        gossiper: gossip.Gossiper,
+        network: peers.PeerNetwork,
+        clock: timing.Clock,
+    ) -> None:
+        self._entry_id = entry_id
+        self._own_cells = own_cells
+        self._placements = placements
+        self._gossiper = gossiper
+        self._network = network
+        self._clock = clock
+        self._debits: collections.Counter[str] = collections.Counter()
+        self._debits_until = 0.0
+
+    def could_hold(self, *, demand: resources.Resources) -> bool:
+        """Tell whether a worker of some known cell may be large enough."""
+        return any(demand.fits(known.largest.amount) for known in self._known())
+
+    def target_for(self, *, origin: str, demand: resources.Resources) -> str:
+        """Name the cell with most room to spare that may hold a job."""
+        now = self._clock.seconds()
+        if now >= self._debits_until:
+            self._debits.clear()
+            self._debits_until = now + DEBIT_S
+        spare = {
+            known.cell: self._spare(known)
+            for known in self._known()
+            if known.cell != origin and demand.fits(known.largest.amount)
+        }
+        best = max(spare, key=lambda name: spare[name], default="")
+        if not best or spare[best] < demand.slots:
+            return ""
+        self._debits[best] += demand.slots
+        return best
+
+    async def call(
+        self, *, message: messages.TransferCall | messages.ReleaseCall
+    ) -> messages.TransferReply:
+        """Ask the owner of the cell that a message names."""
+        owner = self._placements.owner_of(name=message.cell)
+        if owner == self._entry_id:
+            return await self.handle(call=message)
+        if not owner:
+            return messages.TransferReply(done=False, reason="no-owner")
+        outcome = await self._network.call(
+            entry_id=owner, message=message, timeout_s=CALL_TIMEOUT_S
+        )
+        match outcome:
+            case result.Success(messages.TransferReply() as reply):
+                return reply
+            case result.Failure(peers.PeerNotSentError()):
+                return messages.TransferReply(done=False, reason="peer-unreachable")
+        return messages.TransferReply(done=False, certain=False, reason="peer-lost")
+
+    async def handle(
+        self, *, call: messages.TransferCall | messages.ReleaseCall
+    ) -> messages.TransferReply:
+        """Carry out a call in a cell of this entry."""
+        owned = self._own_cells.get(call.cell)
+        if owned is None:
+            return messages.TransferReply(done=False, reason="not-owner")
+        return await owned.transfer(call=call)
+
+    def _known(self) -> Iterator[messages.CellRoom]:
+        for owned in self._own_cells.values():
+            yield owned.room()
+        for told in self._gossiper.rooms():
+            if told.age_s <= BELIEVED_S:
+                yield told.cell_room
+
+    def _spare(self, known: messages.CellRoom) -> int:
+        room = known.room
+        return room.free_slots - room.queued_batch - room.queued_urgent - self._debits[known.cell]
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/routing.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/routing.py
@@ -114,15 +114,20 @@
         """Submit a job to its home cell."""
         name = self._home(job.job_id)
         raw = msgspec.msgpack.encode(job)
-        return await self._job_call(messages.JobSubmitCall(cell=name, job=raw))
+        reply = await self._job_call(messages.JobSubmitCall(cell=name, job=raw))
+        if reply.moved_to:
+            return await self._follow(messages.JobShowCall(cell="", job_id=job.job_id), reply)
+        return reply
 
     async def show(self, *, job_id: str) -> messages.JobReply:
         """Read a job's state at its home cell."""
-        return await self._job_call(messages.JobShowCall(cell=self._home(job_id), job_id=job_id))
+        call = messages.JobShowCall(cell=self._home(job_id), job_id=job_id)
+        return await self._follow(call, await self._job_call(call))
 
     async def cancel(self, *, job_id: str) -> messages.JobReply:
         """Cancel a job at its home cell."""
-        return await self._job_call(messages.JobCancelCall(cell=self._home(job_id), job_id=job_id))
+        call = messages.JobCancelCall(cell=self._home(job_id), job_id=job_id)
+        return await self._follow(call, await self._job_call(call))
 
     def handle_job(self, *, call: messages.Message) -> defer.Deferred[messages.JobReply]:
         """Carry out a call about a job in a cell of this entry."""
@@ -174,6 +179,14 @@
                 return _refusal(call, "peer-unreachable")
         return _refusal(call, "peer-lost", commands.Outcome.UNKNOWN)
 
+    async def _follow(
+        self, call: messages.JobShowCall | messages.JobCancelCall, reply: messages.JobReply
+    ) -> messages.JobReply:
+        """Make a call again at the cell that has taken the job; a job moves once at most."""
+        if not reply.moved_to:
+            return reply
+        return await self._job_call(msgspec.structs.replace(call, cell=reply.moved_to))
+
     async def _job_call(
         self, call: messages.JobSubmitCall | messages.JobShowCall | messages.JobCancelCall
     ) -> messages.JobReply:
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/embedded.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/embedded.py
@@ -60,7 +60,6 @@
         ),
         listen=settings.Listen(callers=anywhere, admin=anywhere, peers=anywhere),
         platform=settings.Platform(store=anywhere, instances=anywhere, workers_fenced=True),
-        cells=settings.Cells(per_failure_domain=1),
         access=settings.Access(token_sha256=(processes.TOKEN_SHA256,)),
     )
 
