IPv6 numbers work in every call; twins keep the same header and path rules

Seen failing first: treq takes an IPv6 number for a host name and refuses it, so a store or a worker at one could not be called at all. Those calls go to the agent below treq, and the probe builds its address by the same function.

--- /dev/null
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/addresses.py
@@ -0,0 +1,32 @@
+"""Addresses of HTTP calls: hosts that are IP numbers, and paths below a service."""
+
+from __future__ import annotations
+
+import re
+import urllib.parse
+
+from ebonyhatch.platform import workers
+
+PATH_SAFE = "/?&=%:@!$'()*+,;~-._"
+"""Characters of a path and its query that are passed on as they are."""
+
+DOT_SEGMENT = re.compile(r"(?:\.|%2e){1,2}", re.IGNORECASE)
+"""A path segment that some servers resolve, and so leave the service's own paths."""
+
+
+def base_url(*, host: str, port: int) -> str:
+    """Build the start of an address from an IP number and a port."""
+    return f"http://[{host}]:{port}" if ":" in host else f"http://{host}:{port}"
+
+
+def service_path(request: workers.ServiceRequest) -> str:
+    """Build the path of a forwarded request."""
+    service = urllib.parse.quote(request.service, safe="")
+    path = urllib.parse.quote(request.path.removeprefix("/"), safe=PATH_SAFE)
+    return f"/service/{service}/{path}"
+
+
+def leaves_service(request: workers.ServiceRequest) -> bool:
+    """Tell whether some server could resolve the path to one outside the service."""
+    segments = [request.service, *request.path.partition("?")[0].split("/")]
+    return not request.service or any(DOT_SEGMENT.fullmatch(segment) for segment in segments)
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/connection_pool.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/connection_pool.py
@@ -6,7 +6,7 @@
 import dataclasses
 from typing import Any
 
-from ebonyhatch.platform import body_reader, timing
+from ebonyhatch.platform import addresses, body_reader, timing
 from twisted.internet import defer, endpoints, protocol
 from twisted.web import client
 
@@ -180,7 +180,7 @@
         self._probing.add(connection)
         verdict: defer.Deferred[bool] = defer.Deferred()
         agent = client.Agent(self._reactor, pool=_OneConnection(connection=connection))
-        url = f"http://{key[1].decode('ascii')}:{key[2]}{PROBE_PATH}"
+        url = addresses.base_url(host=key[1].decode("ascii"), port=key[2]) + PROBE_PATH
         answered = agent.request(b"GET", url.encode("ascii"))
         answered.addCallback(body_reader.read, limit_bytes=PROBE_LIMIT_BYTES)
         timer = self._reactor.callLater(PROBE_TIMEOUT_S, connection.drop)
@@ -269,6 +269,6 @@
 
     def endpointForURI(self, uri: Any) -> Any:  # noqa: N802
         """Answer the endpoint of a parsed address."""
-        host = uri.host.decode("ascii").strip("[]")
+        host = uri.host.decode("ascii")
         kind = endpoints.TCP6ClientEndpoint if ":" in host else endpoints.TCP4ClientEndpoint
         return kind(self._reactor, host, uri.port, timeout=self._timeout_s)
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/header_rules.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/header_rules.py
@@ -31,7 +31,6 @@
         "ebonyhatch-epoch",
         "ebonyhatch-not-run",
         "ebonyhatch-newest-epoch",
-        "ebonyhatch-refused",
     }
 )
 """Headers of the protocol itself; nobody else may set them."""
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_calls.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_calls.py
@@ -29,6 +29,10 @@
 """Header that an answer repeats, so that it can be told from any other."""
 
 
+IPV6_START = "://["
+"""Start of an address with an IPv6 number, which treq refuses as a host name."""
+
+
 class CallError(errors.EbonyhatchError):
     """There is no whole answer.
 
@@ -156,7 +160,7 @@
             headers.addRawHeader(name.encode("latin-1"), value.encode("latin-1"))
         headers.setRawHeaders(REQUEST_ID_HEADER, [request_id])
         agent = client.Agent.usingEndpointFactory(self._reactor, self._endpoints, pool=checkout)
-        if call.direct:
+        if call.direct or IPV6_START in call.url:
             producer = iweb.IBodyProducer(call.body) if call.body else None
             return agent.request(
                 call.method.encode("ascii"), call.url.encode("ascii"), headers, producer
@@ -200,11 +204,6 @@
         return passed
 
 
-def base_url(*, host: str, port: int) -> str:
-    """Build the start of an address from an IP number and a port."""
-    return f"http://[{host}]:{port}" if ":" in host else f"http://{host}:{port}"
-
-
 def _header_lines(response: Any, *, dropped: frozenset[str]) -> tuple[tuple[str, str], ...]:
     return tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_instances.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_instances.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from ebonyhatch.platform import answers, http_calls, instances
+from ebonyhatch.platform import addresses, answers, http_calls, instances
 from returns import result
 
 CALL_TIMEOUT_S = 2.0
@@ -18,7 +18,7 @@
         self, *, reactor: Any, host: str, port: int, timeout_s: float = CALL_TIMEOUT_S
     ) -> None:
         self._calls = http_calls.HttpCalls(reactor=reactor)
-        self._base_url = http_calls.base_url(host=host, port=port)
+        self._base_url = addresses.base_url(host=host, port=port)
         self._timeout_s = timeout_s
 
     @property
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_store.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_store.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import msgspec
-from ebonyhatch.platform import answers, http_calls, store, store_messages
+from ebonyhatch.platform import addresses, answers, http_calls, store, store_messages
 from returns import result
 
 CALL_TIMEOUT_S = 2.0
@@ -28,7 +28,7 @@
         self, *, reactor: Any, host: str, port: int, timeout_s: float = CALL_TIMEOUT_S
     ) -> None:
         self._calls = http_calls.HttpCalls(reactor=reactor)
-        self._base_url = http_calls.base_url(host=host, port=port)
+        self._base_url = addresses.base_url(host=host, port=port)
         self._timeout_s = timeout_s
 
     @property
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_workers.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_workers.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-import re
-import urllib.parse
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
-from ebonyhatch.platform import answers, header_rules, http_calls, worker_messages, workers
+from ebonyhatch.platform import (
+    addresses,
+    answers,
+    header_rules,
+    http_calls,
+    worker_messages,
+    workers,
+)
 from returns import result
 from twisted.internet import defer
 
@@ -18,12 +23,6 @@
 NOT_RUN_STATUSES = frozenset({400, 404, 413, 429, 503})
 """Statuses that may say that a call had no effect."""
 
-PATH_SAFE = "/?&=%:@!$'()*+,;~-._"
-"""Characters of a path and its query that are passed on as they are."""
-
-DOT_SEGMENT = re.compile(r"(?:\.|%2e){1,2}", re.IGNORECASE)
-"""A path segment that some servers resolve, and so leave the service's own paths."""
-
 Read = Callable[[bytes], Any]
 
 
@@ -106,14 +105,14 @@
         self, *, address: workers.Address, epoch: int, request: workers.ServiceRequest
     ) -> workers.AnswerOutcome:
         """Send a request to the service on the worker and wait for the whole answer."""
-        if _leaves_service(request):
+        if addresses.leaves_service(request):
             reason = f"{request.service!r}/{request.path!r} has no plain path"
             refused = workers.NotRunError(worker_id=address.worker_id, reason=reason)
             return defer.succeed(result.Failure(refused))
         lines = header_rules.end_to_end(request.headers)
         call = http_calls.Call(
             method=request.method,
-            url=_base_url(address) + _service_path(request),
+            url=_base_url(address) + addresses.service_path(request),
             body=request.body,
             headers=(
                 *((line.name, line.value) for line in lines),
@@ -141,18 +140,7 @@
 
 
 def _base_url(address: workers.Address) -> str:
-    return http_calls.base_url(host=address.host, port=address.port)
-
-
-def _service_path(request: workers.ServiceRequest) -> str:
-    service = urllib.parse.quote(request.service, safe="")
-    path = urllib.parse.quote(request.path.removeprefix("/"), safe=PATH_SAFE)
-    return f"/service/{service}/{path}"
-
-
-def _leaves_service(request: workers.ServiceRequest) -> bool:
-    segments = [request.service, *request.path.partition("?")[0].split("/")]
-    return not request.service or any(DOT_SEGMENT.fullmatch(segment) for segment in segments)
+    return addresses.base_url(host=address.host, port=address.port)
 
 
 def _interpret(
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/memory_workers.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/memory_workers.py
@@ -5,8 +5,17 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 from ebonyhatch.core import resources
-from ebonyhatch.platform import fault_switches, memory_calls, timing, worker_engine, workers
+from ebonyhatch.platform import (
+    addresses,
+    fault_switches,
+    header_rules,
+    memory_calls,
+    timing,
+    worker_engine,
+    workers,
+)
 
 CALL_TIMEOUT_S = 2.0
 """Longest wait for the answer to a control call."""
@@ -131,11 +140,16 @@
         self, *, address: workers.Address, epoch: int, request: workers.ServiceRequest
     ) -> workers.AnswerOutcome:
         """Send a request to the service on the worker and wait for the whole answer."""
-        return self._call(
-            address,
-            lambda engine: engine.serve(epoch=epoch, request=request),
-            timeout_s=request.timeout_s,
-        )
+        lines = header_rules.end_to_end(request.headers)
+        passed = msgspec.structs.replace(request, headers=lines)
+
+        def effect(engine: worker_engine.WorkerEngine) -> Any:
+            if addresses.leaves_service(request):
+                reason = f"{request.path!r} is no plain path"
+                raise workers.NotRunError(worker_id=address.worker_id, reason=reason)
+            return engine.serve(epoch=epoch, request=passed)
+
+        return self._call(address, effect, timeout_s=request.timeout_s)
 
     def _call(
         self,
--- a/packages/ebonyhatch-platform/tests/test_http_calls.py
+++ b/packages/ebonyhatch-platform/tests/test_http_calls.py
@@ -4,7 +4,7 @@
 import itertools
 
 import pytest
-from ebonyhatch.platform import connection_pool, http_calls, http_workers, workers
+from ebonyhatch.platform import addresses, connection_pool, http_calls, http_workers, workers
 from ebonyhatch.testing import reactor_thread, scripted_server
 
 REACTOR = reactor_thread.reactor
@@ -192,3 +192,24 @@
         assert port.calls.pool.dropped == 1
         posts = [request for request in server.requests if request.startswith(b"POST")]
         assert len(posts) == 4
+
+
+def test_ipv6_address_is_called_and_probed(monkeypatch):
+    monkeypatch.setattr(connection_pool, "PROBE_IDLE_S", 0.0)
+    server = scripted_server.ScriptedServer(
+        reactor=REACTOR, script=whole(b"{}"), closes=False, host="::1"
+    )
+    calls = http_calls.HttpCalls(reactor=REACTOR)
+    reactor_thread.run(server.start)
+    url = addresses.base_url(host="::1", port=server.port) + "/x"
+    call = http_calls.Call(method="GET", url=url, timeout_s=2.0)
+    for _ in range(2):
+        assert reactor_thread.run(lambda: calls.call(call)).unwrap().body == b"{}"
+    reactor_thread.run(calls.close)
+    reactor_thread.run(server.close)
+    assert [request.split(b" ")[1] for request in server.requests] == [
+        b"/x",
+        b"/health/live",
+        b"/x",
+    ]
+    assert server.connections == 1
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/adapters.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/adapters.py
@@ -15,7 +15,7 @@
 import msgspec
 import treq
 from ebonyhatch.core import resources
-from ebonyhatch.platform import http_calls, http_store, http_workers, worker_messages, workers
+from ebonyhatch.platform import addresses, http_store, http_workers, worker_messages, workers
 from ebonyhatch.testing import reactor_thread
 from ebonyhatch.testing.benches import measures, registry
 from twisted.internet import defer
@@ -128,8 +128,8 @@
         self._store = http_store.HttpStore(reactor=reactor, host=HOST, port=store_port)
         self._workers = http_workers.HttpWorkers(reactor=reactor)
         self._address = workers.Address(worker_id="w1", host=HOST, port=worker_port)
-        self._store_url = http_calls.base_url(host=HOST, port=store_port)
-        self._worker_url = http_calls.base_url(host=HOST, port=worker_port)
+        self._store_url = addresses.base_url(host=HOST, port=store_port)
+        self._worker_url = addresses.base_url(host=HOST, port=worker_port)
         self._pool = client.HTTPConnectionPool(reactor)
 
     def start(self) -> None:
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/workers_contract.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/workers_contract.py
@@ -209,6 +209,22 @@
         answer = under_test.call("forward", request=request("r1", headers=headers)).unwrap()
         assert (answer.status, answer.body) == (503, b"body of r1")
 
+    def test_path_that_leaves_the_service_is_not_run(self, under_test: WorkersRig) -> None:
+        """A dot segment could reach the worker's own calls."""
+        for path in ("../v1/claim", "a/%2e%2E/b", "./x"):
+            error = under_test.call("forward", request=request("r1", path=path)).failure()
+            assert isinstance(error, workers.NotRunError)
+        assert under_test.engine.request_starts == ()
+
+    def test_headers_of_one_hop_do_not_reach_the_service(self, under_test: WorkersRig) -> None:
+        """What the Connection header names is dropped."""
+        lines = (
+            workers.Header(name="connection", value="x-work-status"),
+            workers.Header(name="X-Work-Status", value="500"),
+        )
+        answer = under_test.call("forward", request=request("r1", headers=lines)).unwrap()
+        assert answer.status == 200
+
     def test_late_answer_is_unknown(self, under_test: WorkersRig) -> None:
         """A request that takes longer than its timeout may have run; it ran once."""
         late = request("r1", work_s=5.0, timeout_s=0.2)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/scripted_server.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/scripted_server.py
@@ -56,8 +56,11 @@
 
     noisy = False
 
-    def __init__(self, *, reactor: Any, script: Script, closes: bool = True) -> None:
+    def __init__(
+        self, *, reactor: Any, script: Script, closes: bool = True, host: str = "127.0.0.1"
+    ) -> None:
         self._reactor = reactor
+        self._host = host
         self._port: Any = None
         self.script = script
         self.closes = closes
@@ -76,7 +79,7 @@
 
     def start(self) -> None:
         """Listen."""
-        self._port = self._reactor.listenTCP(0, self, interface="127.0.0.1")
+        self._port = self._reactor.listenTCP(0, self, interface=self._host)
 
     def close(self) -> Any:
         """Stop listening."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/worker.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/worker.py
@@ -7,7 +7,7 @@
 
 import click
 import klein
-from ebonyhatch.core import resources
+from ebonyhatch.core import errors, resources
 from ebonyhatch.platform import (
     fault_switches,
     http_calls,
@@ -172,12 +172,12 @@
 
     def _serve(self, request: Any, body: bytes) -> Any:
         order = _service_request(request, body)
-        epoch = int(request.getHeader(worker_messages.EPOCH_HEADER) or 0)
         try:
-            serving = self._engine.serve(epoch=epoch, request=order)
-        except workers.WorkerError as error:
+            epoch = _epoch(request)
+            answering = self._engine.serve(epoch=epoch, request=order)
+        except errors.EbonyhatchError as error:
             return _service_refusal(error)
-        return serving.addCallback(_service_reply)
+        return answering.addCallback(_service_reply)
 
     def _answer(self, request: Any, effect: serving.Effect) -> Any:
         return self._server.answer(
@@ -211,12 +211,19 @@
     )
 
 
+def _epoch(request: Any) -> int:
+    text = request.getHeader(worker_messages.EPOCH_HEADER) or "0"
+    if not (text.isascii() and text.isdigit()):
+        raise serving.BadCallError(reason=f"epoch {text!r} is no number")
+    return int(text)
+
+
 def _service_reply(answer: workers.ServiceAnswer) -> serving.Reply:
     headers = tuple((line.name, line.value) for line in answer.headers)
     return serving.Reply(status=answer.status, body=answer.body, headers=headers)
 
 
-def _service_refusal(error: workers.WorkerError) -> serving.Reply:
+def _service_refusal(error: errors.EbonyhatchError) -> serving.Reply:
     if isinstance(error, workers.StaleEpochError):
         headers = ((worker_messages.NEWEST_EPOCH_HEADER, str(error.newest_epoch)),)
         return serving.Reply(status=409, body=b"", headers=headers)
