After a call without an answer, idle connections to its address are probed

Seen failing first: three connections go silent at once; the first call ended as unknown, and so did the second, since its connection had been idle for less than a second. Now the second is probed, dropped with the third, and the call is answered over a new one.

--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/connection_pool.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/connection_pool.py
@@ -96,7 +96,8 @@
     """Idle connections by address, the latest used first; a pool for `twisted.web.client.Agent`.
 
     A connection that does not answer its probe is dropped together with all that have
-    been idle as long, and a new one is opened.
+    been idle as long, and a new one is opened. After a call without an answer, all that
+    are idle are probed before their next use.
     """
 
     persistent = True
@@ -163,6 +164,11 @@
         if len(idles) > IDLE_LIMIT:
             self._discard(idles.popleft())
 
+    def suspect(self, key: Key) -> None:
+        """Have every idle connection to an address probed before its next use."""
+        for idle in self._idle.get(key, ()):
+            idle.since = float("-inf")
+
     def _open(self, key: Key, endpoint: Any) -> defer.Deferred[Any]:
         self._opened += 1
         return endpoint.connect(_ConnectionFactory(pool=self, key=key))
@@ -233,6 +239,7 @@
 
     def __init__(self, *, pool: ConnectionPool) -> None:
         self._pool = pool
+        self._key: Key | None = None
         self._connection: Any = None
 
     @property
@@ -248,8 +255,14 @@
 
     def getConnection(self, key: Key, endpoint: Any) -> defer.Deferred[Any]:  # noqa: N802
         """Answer a connection of the pool, and remember it."""
+        self._key = key
         return self._pool.getConnection(key, endpoint).addCallback(self._remember)
 
+    def suspect(self) -> None:
+        """Have other connections to the same address probed: this one gave no answer."""
+        if self._key is not None:
+            self._pool.suspect(self._key)
+
     def drop(self) -> None:
         """Abort the connection, so that nothing more is read from it."""
         if self._connection is not None:
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_calls.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_calls.py
@@ -194,6 +194,7 @@
         )
 
     def _expire(self, calling: defer.Deferred[Any], checkout: connection_pool.Checkout) -> None:
+        checkout.suspect()
         checkout.drop()
         calling.cancel()
 
--- a/packages/ebonyhatch-platform/tests/test_http_calls.py
+++ b/packages/ebonyhatch-platform/tests/test_http_calls.py
@@ -6,6 +6,7 @@
 import pytest
 from ebonyhatch.platform import addresses, connection_pool, http_calls, http_workers, workers
 from ebonyhatch.testing import reactor_thread, scripted_server
+from twisted.internet import defer
 
 REACTOR = reactor_thread.reactor
 
@@ -213,3 +214,34 @@
         b"/x",
     ]
     assert server.connections == 1
+
+
+def test_timeout_on_one_connection_has_the_others_probed():
+    silent = set()
+
+    def script(number, request):
+        return None if number in silent else scripted_server.answer(request, b"ok")
+
+    with serving(script) as (server, port):
+        address = workers.Address(worker_id="w1", host="127.0.0.1", port=server.port)
+        request = workers.ServiceRequest(
+            request_id="r1",
+            service="s",
+            method="POST",
+            path="p",
+            headers=(),
+            body=b"",
+            timeout_s=0.3,
+        )
+
+        def together():
+            return defer.gatherResults(
+                port.forward(address=address, epoch=1, request=request) for _ in range(3)
+            )
+
+        reactor_thread.run(together)
+        assert server.connections == 3
+        silent.update({1, 2, 3})
+        assert isinstance(forward(server, port).failure(), workers.OutcomeUnknownError)
+        assert forward(server, port).unwrap().body == b"ok"
+        assert port.calls.pool.dropped == 2
