--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/answers.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/answers.py
@@ -12,6 +12,12 @@
 T = TypeVar("T")
 
 
+class Done(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer of a call that took effect and has no value."""
+
+    done: bool
+
+
 class BadAnswerError(ValueError):
     """An answer that can't be understood; never leaves the package."""
 
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/circuit.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/circuit.py
@@ -18,6 +18,9 @@
     def allows(self) -> bool:
         """Tell whether a call may be made now; in the open state it becomes the probe."""
 
+    def is_open(self) -> bool:
+        """Tell whether calls are refused, but for probes."""
+
     def trip(self) -> None:
         """There were too many failures in a row."""
 
@@ -51,10 +54,12 @@
 
 for _state in (_open, _probing):
     _state.upon(_Inputs.trip).loop().returns(None)
+    _state.upon(_Inputs.is_open).loop().returns(True)
 for _state in (_closed, _open):
     _state.upon(_Inputs.recover).loop().returns(None)
     _state.upon(_Inputs.relapse).loop().returns(None)
 _closed.upon(_Inputs.allows).loop().returns(True)
+_closed.upon(_Inputs.is_open).loop().returns(False)
 _probing.upon(_Inputs.allows).loop().returns(False)
 _open.upon(_Inputs.probe).to(_probing).returns(None)
 
@@ -99,12 +104,11 @@
         self._machine = _Machine(_Core(clock=clock, backoff=backoff))
         self._failures_limit = failures_limit
         self._failures = 0
-        self._open = False
 
     @property
     def open(self) -> bool:
         """Whether calls are refused, but for probes."""
-        return self._open
+        return self._machine.is_open()
 
     def allows(self) -> bool:
         """Tell whether a call may be made now."""
@@ -118,10 +122,9 @@
         """Learn how a call ended; late ends of earlier calls change nothing while open."""
         if probe:
             self._end_probe(well)
-        elif not self._open:
+        elif not self.open:
             self._failures = 0 if well else self._failures + 1
             if self._failures >= self._failures_limit:
-                self._open = True
                 self._machine.trip()
 
     def _end_probe(self, well: bool) -> None:
@@ -129,5 +132,4 @@
             self._machine.relapse()
             return
         self._failures = 0
-        self._open = False
         self._machine.recover()
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_store.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_store.py
@@ -153,4 +153,4 @@
 
 
 def _done(body: bytes) -> None:
-    answers.decode(body, store_messages.DoneAnswer)
+    answers.decode(body, answers.Done)
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_workers.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_workers.py
@@ -224,4 +224,4 @@
 
 
 def _done(body: bytes) -> None:
-    answers.decode(body, worker_messages.DoneAnswer)
+    answers.decode(body, answers.Done)
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/store_messages.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/store_messages.py
@@ -56,9 +56,3 @@
     """The call had no effect, status 400; 429 or 503 when overloaded."""
 
     refused: str
-
-
-class DoneAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """Answer without a value, status 200."""
-
-    done: bool
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/worker_messages.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/worker_messages.py
@@ -51,12 +51,6 @@
     share: float
 
 
-class DoneAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """Answer without a value, status 200."""
-
-    done: bool
-
-
 class StaleAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """The epoch is older than the newest seen, status 409."""
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/serving.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/serving.py
@@ -7,14 +7,14 @@
 
 import msgspec
 from ebonyhatch.core import errors
-from ebonyhatch.platform import fault_switches, http_calls
+from ebonyhatch.platform import answers, fault_switches, http_calls
 from ebonyhatch.testing.stand_ins import connections
 from twisted.internet import defer
 from twisted.web import server
 
 Effect = Callable[[bytes], Any]
 
-DONE = {"done": True}
+DONE = answers.Done(done=True)
 """Body of an answer without a value."""
 
 
