Cancelled calls end with a result, and a cancelled probe makes way for the next

Seen failing first, both: a probe whose caller gave up left the circuit refusing every call for good, and a cancelled call of a twin failed its Deferred where the HTTP adapter gives an unknown outcome. The shared suite now has the second.

--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/guarded_store.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/guarded_store.py
@@ -10,6 +10,7 @@
 from ebonyhatch.platform import backoff, call_rate, circuit, store, timing
 from returns import result
 from twisted.internet import defer
+from twisted.python import failure
 
 CALLS_PER_S = 50.0
 """Most calls a second that one entry makes."""
@@ -130,7 +131,7 @@
         probe = self._circuit.open
         if probe:
             self._circuit.probe()
-        return send().addCallback(self._ended, kind, probe)
+        return send().addBoth(self._ended, kind, probe)
 
     def _refuse(self, kind: Kind, key: str, outcome: CallOutcome) -> Any:
         self._observe(kind, outcome)
@@ -148,6 +149,8 @@
 
 
 def _outcome_of(answer: Any) -> CallOutcome:
+    if isinstance(answer, failure.Failure):
+        return CallOutcome.UNKNOWN
     if isinstance(answer, result.Success):
         return CallOutcome.OK
     error = answer.failure()
--- a/packages/ebonyhatch-platform/tests/test_guarded_store.py
+++ b/packages/ebonyhatch-platform/tests/test_guarded_store.py
@@ -108,3 +108,20 @@
     entries.clock.advance(5.0)
     assert _succeeded(one.watch(key="k", after_version=0, wait_s=30.0).result)
     assert one.available
+
+
+def test_cancelled_probe_makes_way_for_the_next():
+    entries = Entries(seed=1)
+    one = entries.guarded[0]
+    entries.fail(down=True)
+    for _ in range(3):
+        one.get(key="k")
+    entries.fail(down=False, silent=True)
+    entries.clock.advance(5.0)
+    probing = one.get(key="k")
+    probing.addErrback(lambda _: None)
+    probing.cancel()
+    entries.fail(silent=False)
+    entries.clock.advance(5.0)
+    assert _succeeded(one.get(key="k").result)
+    assert one.available
--- a/packages/ebonyhatch-platform/tests/test_memory_twins.py
+++ b/packages/ebonyhatch-platform/tests/test_memory_twins.py
@@ -32,6 +32,9 @@
         self.engine = self.port.engine
         self.faults = self.port.faults
 
+    def later(self, seconds, call):
+        self.clock.callLater(seconds, call)
+
 
 class MemoryWorkersRig(_TwinRig, workers_contract.WorkersRig):
     def __init__(self):
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/store_contract.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/store_contract.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -26,6 +27,10 @@
     def set_faults(self, **switches: Any) -> None:
         """Turn these faults on and all others off."""
 
+    @abc.abstractmethod
+    def later(self, seconds: float, call: Callable[[], Any]) -> None:
+        """Call `call` after a while."""
+
     def get(self, key: str = "k") -> store.Stored:
         """Read a key."""
         return self.rig.run(lambda: self.port.get(key=key)).unwrap()
@@ -205,6 +210,17 @@
         under_test.renew(under_test.grant())
         assert dict(under_test.engine.counts) == {"swap": 1, "get": 1, "grant": 1, "renew": 1}
 
+    def test_cancelled_call_is_unknown(self, under_test: StoreRig) -> None:
+        """A call that its caller gives up ends as any other."""
+
+        def watch_and_cancel() -> Any:
+            watching = under_test.port.watch(key="k", after_version=0, wait_s=20.0)
+            under_test.later(0.1, watching.cancel)
+            return watching
+
+        error = under_test.rig.run(watch_and_cancel).failure()
+        assert isinstance(error, store.UnknownError)
+
     def test_close_ends_open_calls(self, under_test: StoreRig) -> None:
         """Every Deferred fires, also when the client is closed."""
 
--- a/packages/ebonyhatch-testing/tests/test_stand_ins.py
+++ b/packages/ebonyhatch-testing/tests/test_stand_ins.py
@@ -65,6 +65,9 @@
         self.port = self.adapter
         self.engine = self.stand_in.engine
 
+    def later(self, seconds, call):
+        REACTOR.callLater(seconds, call)
+
 
 class HttpWorkersRig(_HttpRig, workers_contract.WorkersRig):
     def __init__(self):
