--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_calls.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_calls.py
@@ -84,7 +84,7 @@
 
 
 class HttpCalls:
-    """Makes calls over one pool of connections; Deferreds never fail."""
+    """Makes calls over one pool of connections; Deferreds fail only if their caller cancels."""
 
     def __init__(self, *, reactor: Any) -> None:
         self._reactor = reactor
@@ -124,11 +124,12 @@
         checkout = connection_pool.Checkout(pool=self._pool)
         calling = defer.maybeDeferred(self._issue, call, request_id, checkout)
         calling.addCallback(self._read, request_id, checkout)
+        answered: AnswerOutcome = defer.Deferred(lambda _: self._give_up(calling))
         timer = self._reactor.callLater(call.timeout_s, self._expire, calling, checkout)
         self._open[calling] = checkout
-        calling.addBoth(self._end, calling, timer)
         calling.addCallbacks(result.Success, _to_result, errbackArgs=(checkout,))
-        return calling
+        calling.addCallback(self._deliver, calling, timer, answered)
+        return answered
 
     def call_json(
         self, *, url: str, body: msgspec.Struct, timeout_s: float, direct: bool = False
@@ -198,11 +199,19 @@
         checkout.drop()
         calling.cancel()
 
-    def _end(self, passed: Any, calling: defer.Deferred[Any], timer: Any) -> Any:
-        del self._open[calling]
+    def _give_up(self, calling: defer.Deferred[Any]) -> None:
+        """Abort a call that its caller cancelled; nothing is delivered any more."""
+        checkout = self._open.pop(calling)
+        checkout.drop()
+        calling.cancel()
+
+    def _deliver(
+        self, outcome: Any, calling: defer.Deferred[Any], timer: Any, answered: AnswerOutcome
+    ) -> None:
         if timer.active():
             timer.cancel()
-        return passed
+        if self._open.pop(calling, None) is not None:
+            answered.callback(outcome)
 
 
 def _header_lines(response: Any, *, dropped: frozenset[str]) -> tuple[tuple[str, str], ...]:
