--- a/packages/ebonyhatch-node/tests/test_cell.py
+++ b/packages/ebonyhatch-node/tests/test_cell.py
@@ -4,6 +4,7 @@
 
 import json
 
+import msgspec
 from ebonyhatch.core import (
     commands,
     configuration,
@@ -12,8 +13,9 @@
     resources,
     scheduler,
 )
-from ebonyhatch.node import cell, cell_status, messages
+from ebonyhatch.node import cell, cell_status, journal, messages
 from ebonyhatch.platform import instances, memory_store, memory_workers, workers
+from ebonyhatch.testing.benches import heap_clock
 from returns import result
 from twisted.internet import task
 
@@ -28,8 +30,8 @@
 class Bench:
     """One cell with two workers."""
 
-    def __init__(self, *, fenced=True):
-        self.clock = task.Clock()
+    def __init__(self, *, fenced=True, clock=None):
+        self.clock = clock or task.Clock()
         self.store = memory_store.MemoryStore(clock=self.clock)
         self.workers = memory_workers.MemoryWorkers(clock=self.clock, fenced=fenced)
         for worker_id in ("w1", "w2"):
@@ -303,3 +305,37 @@
     view = opened.show(job_id="j1").view
     assert (view.state, view.attempts) == ("finished", 1)
     assert bench.starts() == ["j1/1"]
+
+
+def test_wave_of_cancellations_costs_few_writes_and_holds_no_request_up():
+    bench = Bench(clock=heap_clock.HeapClock())
+    opened, _ = bench.open()
+    bench.run(1)
+    count = 10_000
+    for number in range(count):
+        opened.submit(job=job(f"j{number}", run_s=1000.0))
+    bench.run(4)
+    before = bench.store.engine.counts["swap"]
+    cancelled = [opened.cancel(job_id=f"j{number}") for number in range(count)]
+    asked = opened.request(call=call("r1"))
+    bench.run(0.3)
+    assert outcome_of(asked).answer is not None
+    bench.run(4)
+    assert all(one.called for one in cancelled)
+    assert opened.status().queued == 0
+    writes_of_wave = count / journal.WRITE_ENTRIES
+    assert bench.store.engine.counts["swap"] - before <= 2 * writes_of_wave
+
+
+def test_submission_is_accepted_once_by_its_id():
+    bench = Bench()
+    opened, _ = bench.open()
+    bench.run(1)
+    for _ in range(2):
+        submitted = opened.submit(job=job("j1"))
+        bench.run(1)
+    assert outcome_of(submitted).view.job_id == "j1"
+    assert sum(opened.status().jobs.values()) == 1
+    large = msgspec.structs.replace(job("j2"), payload=b"x" * journal.ENTRY_BYTES)
+    refused = outcome_of(opened.submit(job=large))
+    assert (refused.status, refused.outcome) == (413, commands.Outcome.NOT_RUN)
