--- a/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/default_scheduler.py
@@ -21,16 +21,21 @@
     batch_placement,
     eviction,
     expire,
+    health,
+    holds,
     ingest,
     job_events,
+    lanes,
     request_events,
     request_placement,
+    requeue,
     reserve,
     sharing,
+    usage,
     worker_events,
 )
 
-HANDLERS = (worker_events, job_events, request_events, sharing)
+HANDLERS = (worker_events, job_events, request_events, usage)
 """Modules that register event handlers."""
 
 PERIOD_S = 0.1
@@ -71,13 +76,18 @@
         periodic = now >= state.period_at - ROUNDING_S
         if periodic:
             state.period_at = now + PERIOD_S
+            health.run(state)
+            requeue.run(state)
             sharing.run(state)
             reserve.run(state)
+            lanes.run(state)
+            holds.run(state)
         admission.run(state)
         request_placement.run(state)
         batch_placement.run(state)
         if periodic:
             eviction.run(state)
+            usage.run(state)
         taken = state.commands
         state.commands = []
         return taken
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/batch_placement.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/batch_placement.py
@@ -12,6 +12,9 @@
 
 LEAST_CHARGE_S = 1.0
 
+HOLD_AFTER_S = 5.0
+"""Wait of the first job of a queue after which a worker is held for it."""
+
 
 def run(state: tables.Tables) -> None:
     """Start queued jobs until nothing more fits."""
@@ -63,10 +66,12 @@
         if worker is not None:
             start(state, row, worker, priority=priority)
             return 0
-        misses += 1
         if _impossible(state, row):
             _park(state, row, priority)
             return 0
+        if not misses and state.now - row.queued_at > HOLD_AFTER_S:
+            state.misfits.append(row)
+        misses += 1
     return max(misses, 1)
 
 
@@ -83,7 +88,7 @@
     lendable = state.reserve.lendable >= row.job.demand.slots
     if not state.harmful and not lendable:
         return None
-    demand = row.job.demand
+    demand = reserved(state, row)
     fallback = None
     for count, worker in enumerate(state.batch_workers.best()):
         if count >= CANDIDATES_LIMIT:
@@ -98,6 +103,25 @@
     return fallback
 
 
+def reserved(state: tables.Tables, row: rows.Job) -> resources.Resources:
+    """What is reserved for a job, within what some worker holds."""
+    demand = state.sizes.reserved(row.job, quantile=state.settings.size_quantile)
+    if demand is not row.job.demand and not any(
+        demand.fits(worker.capacity) for worker in state.workers.values()
+    ):
+        return row.job.demand
+    return demand
+
+
+def allowed(state: tables.Tables, row: rows.Job, worker: rows.Worker) -> bool:
+    """Tell whether the reserve lets a job start on a worker with room for it."""
+    if not _within_quota(state, row):
+        return False
+    if state.counts_for_urgent(worker):
+        return state.reserve.lendable >= row.job.demand.slots
+    return True
+
+
 def start(state: tables.Tables, row: rows.Job, worker: rows.Worker, *, priority: int) -> None:
     """Start the next attempt of a job."""
     state.batch.remove(row, priority=priority)
@@ -112,7 +136,7 @@
         task_id=f"{row.job.job_id}/{row.attempts}",
         job=row,
         worker=worker,
-        demand=row.job.demand,
+        demand=reserved(state, row),
         placed_at=state.now,
         resumed_s=row.progress_s,
         saved_at=state.now,
