--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell_workers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell_workers.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 from ebonyhatch.core import events, resources
-from ebonyhatch.node import backoff, coroutines, task_reports, worker_link
-from ebonyhatch.platform import instances, timing, workers
+from ebonyhatch.node import coroutines, task_reports, worker_link
+from ebonyhatch.platform import backoff, instances, timing, workers
 
 
 class CellWorkers:
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_watch.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_watch.py
@@ -6,13 +6,12 @@
 from typing import Any
 
 from ebonyhatch.node import (
-    backoff,
     configuration_current,
     configuration_errors,
     configuration_head,
     coroutines,
 )
-from ebonyhatch.platform import store, timing
+from ebonyhatch.platform import backoff, store, timing
 from returns import result
 from twisted.internet import defer
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_writes.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_writes.py
@@ -7,13 +7,12 @@
 import msgspec
 from ebonyhatch.core import record_changes, records
 from ebonyhatch.node import (
-    backoff,
     configuration_current,
     configuration_errors,
     configuration_head,
     coroutines,
 )
-from ebonyhatch.platform import store, timing
+from ebonyhatch.platform import backoff, store, timing
 from returns import result
 
 TRIES = 10
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/journal.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/journal.py
@@ -9,7 +9,6 @@
 import msgspec
 from ebonyhatch.core import errors, journal_entries
 from ebonyhatch.node import (
-    backoff,
     cell_state,
     coroutines,
     journal_log,
@@ -17,7 +16,7 @@
     snapshots,
     store_values,
 )
-from ebonyhatch.platform import store, timing
+from ebonyhatch.platform import backoff, store, timing
 from returns import result
 from twisted.internet import defer
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/membership.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/membership.py
@@ -5,8 +5,8 @@
 import random
 from collections.abc import Callable
 
-from ebonyhatch.node import backoff, coroutines, ownership_record
-from ebonyhatch.platform import store, timing
+from ebonyhatch.node import coroutines, ownership_record
+from ebonyhatch.platform import backoff, store, timing
 from returns import result
 
 LEASE_TTL_S = 6.0
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/ownership.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/ownership.py
@@ -8,7 +8,6 @@
 import msgspec
 from ebonyhatch.core import errors, rendezvous
 from ebonyhatch.node import (
-    backoff,
     coroutines,
     held_cells,
     membership,
@@ -17,7 +16,7 @@
     settled_store,
     silent_members,
 )
-from ebonyhatch.platform import store, timing
+from ebonyhatch.platform import backoff, store, timing
 from returns import result
 from twisted.internet import defer
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/settled_store.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/settled_store.py
@@ -5,8 +5,8 @@
 import random
 
 import msgspec
-from ebonyhatch.node import backoff, coroutines
-from ebonyhatch.platform import store
+from ebonyhatch.node import coroutines
+from ebonyhatch.platform import backoff, store
 from returns import result
 
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/silent_members.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/silent_members.py
@@ -6,8 +6,8 @@
 import random
 from collections.abc import Collection
 
-from ebonyhatch.node import backoff, membership, ownership_record
-from ebonyhatch.platform import store, timing
+from ebonyhatch.node import membership, ownership_record
+from ebonyhatch.platform import backoff, store, timing
 from returns import result
 
 PROBE_INTERVAL_S = 0.9
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/worker_link.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/worker_link.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable
 
-from ebonyhatch.node import backoff, coroutines
-from ebonyhatch.platform import instances, timing, workers
+from ebonyhatch.node import coroutines
+from ebonyhatch.platform import backoff, instances, timing, workers
 from returns import result
 from twisted.internet import defer
 
