--- a/packages/ebonyhatch-node/src/ebonyhatch/node/ownership.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/ownership.py
@@ -13,7 +13,7 @@
     membership,
     ownership_plan,
     ownership_record,
-    settled_store,
+    shared_record,
     silent_members,
 )
 from ebonyhatch.platform import backoff, store, timing
@@ -23,9 +23,6 @@
 Member = ownership_record.Member
 Owner = ownership_record.Owner
 
-WATCH_S = 30.0
-"""Longest wait of one watch on the record, seconds."""
-
 ROUND_S = 1.0
 """Time between two rounds of looking after members and cells, seconds."""
 
@@ -38,8 +35,6 @@
 HAND_OVER_TIMEOUT_S = 5.0
 """Longest wait for the store while cells are given away on closing, seconds."""
 
-Change = Callable[[ownership_record.Record], ownership_record.Record]
-
 
 class NotJoinedError(errors.EbonyhatchError):
     """The entry could not join yet."""
@@ -78,8 +73,12 @@
         self._cells_per_domain = cells_per_domain
         self._is_silent = is_silent
         self._group = coroutines.CoroutineGroup(clock=clock)
-        self._calls = settled_store.SettledStore(
-            store_port=store, group=self._group, generator=self._random
+        self._shared = shared_record.SharedRecord(
+            store_port=store,
+            group=self._group,
+            generator=self._random,
+            writer=member.entry_id,
+            on_change=self._follow,
         )
         self._membership = membership.Membership(
             entry_id=member.entry_id,
@@ -93,41 +92,39 @@
             store_port=store, clock=clock, generator=self._random
         )
         self._held = held_cells.HeldCells(on_gain=on_gain, on_loss=on_loss)
-        self._lock = defer.DeferredLock()
-        self._record = ownership_record.Record()
-        self._version = 0
-        self._value = b""
-        self._newest = (0, b"", self._record)
         self._seen_since: dict[tuple[str, str], float] = {}
         self._entered_lease = ""
         self._started: StartOutcome = defer.Deferred()
         self._closing = False
-        self._fault: errors.EbonyhatchError | None = None
 
     @property
     def owners(self) -> Mapping[str, Owner]:
         """Owners by cell, by the newest record that is known from anywhere."""
-        return self._newest[2].cells
+        return self._shared.newest.record.cells
 
     @property
     def members(self) -> Mapping[str, Member]:
         """Entries by id, by the newest record that is known from anywhere."""
-        return self._newest[2].members
+        return self._shared.newest.record.members
 
     @property
     def version(self) -> int:
         """Version of the newest record that is known from anywhere."""
-        return self._newest[0]
+        return self._shared.newest.version
 
     @property
     def record(self) -> bytes:
         """The newest record that is known from anywhere, as the store holds it."""
-        return self._newest[1]
+        return self._shared.newest.value
 
     @property
     def cells_per_domain(self) -> int:
         """Cells of each failure domain that all entries use; 0 before it is known."""
-        return self._newest[2].cells_per_domain
+        return self._shared.newest.record.cells_per_domain
+
+    @property
+    def _record(self) -> ownership_record.Record:
+        return self._shared.stored
 
     @property
     def held(self) -> Mapping[str, int]:
@@ -137,12 +134,12 @@
     @property
     def fault(self) -> errors.EbonyhatchError | None:
         """Why the record can't be read, if so."""
-        return self._fault
+        return self._shared.fault
 
     def start(self) -> StartOutcome:
         """Join; fires once this entry is in the record, or after a while without the store."""
         self._membership.start()
-        self._group.spawn(self._watch())
+        self._shared.start()
         self._group.spawn(self._look_after())
         self._group.spawn(self._give_up_start())
         return self._started
@@ -158,15 +155,9 @@
 
     def offer(self, *, version: int, record: bytes) -> None:
         """Take a record from a peer, if it is newer: for routing, and to stop acting."""
-        if version <= self.version:
-            return
-        try:
-            decoded = ownership_record.decode(record)
-        except errors.EbonyhatchError:
-            return
-        self._newest = (version, record, decoded)
-        self._held.stop_superseded(decoded, entry_id=self._member.entry_id)
-        self._group.spawn(self._refresh(at_least=version))
+        newer = self._shared.offer(version=version, value=record)
+        if newer is not None:
+            self._held.stop_superseded(newer, entry_id=self._member.entry_id)
 
     def _take_lease(self, lease_id: str) -> None:
         if not self._member.incarnation:
@@ -182,9 +173,9 @@
     async def _join(self) -> None:
         """Enter this process and its lease into the record."""
         delays = backoff.Backoff(generator=self._random)
-        await self._refresh()
+        await self._shared.refresh()
         while not self._closing and not self._entered():
-            await self._change(self._with_self)
+            await self._shared.change(self._with_self)
             if not self._entered():
                 await self._group.sleep(delays.next_s())
         if not self._started.called:
@@ -198,39 +189,12 @@
             record = msgspec.structs.replace(record, cells_per_domain=self._cells_per_domain)
         return ownership_record.with_member(record, self._member)
 
-    async def _watch(self) -> None:
-        delays = backoff.Backoff(generator=self._random)
-        while True:
-            outcome = await self._store.watch(
-                key=ownership_record.KEY, after_version=self._version, wait_s=WATCH_S
-            )
-            if isinstance(outcome, result.Success) and self._take(outcome.unwrap()):
-                delays.reset()
-            else:
-                await self._group.sleep(delays.next_s())
-
-    async def _refresh(self, *, at_least: int = 0) -> None:
-        self._take(await self._calls.read(ownership_record.KEY, at_least=at_least))
-
-    def _take(self, stored: store.Stored) -> bool:
-        """Take in what the store holds; tell whether it is newer and can be read."""
-        if stored.version <= self._version:
-            return False
-        try:
-            self._record = ownership_record.decode(stored.value)
-        except errors.EbonyhatchError as error:
-            self._fault = error
-            return False
-        self._fault = None
-        self._version = stored.version
-        self._value = stored.value
-        if stored.version > self.version:
-            self._newest = (stored.version, stored.value, self._record)
+    def _follow(self) -> None:
+        """Act on a newer record from the store."""
         self._note_members()
         if self._entered():
             self._entered_lease = self._member.lease_id
         self._held.follow(self._record, member=self._member)
-        return True
 
     def _note_members(self) -> None:
         now = self._clock.seconds()
@@ -239,39 +203,6 @@
         }
         self._seen_since = {key: self._seen_since.get(key, now) for key in present}
 
-    async def _change(self, change: Change, *, version: int | None = None) -> bool:
-        """Change the record by one compare-and-swap from the version that is known.
-
-        Args:
-            change: Gives the new record.
-            version: Do it only if this is still the version that is known.
-
-        Returns:
-            Whether the change is in the store.
-        """
-        await self._lock.acquire()
-        try:
-            unchanged = version in (None, self._version)
-            if not unchanged or self._fault is not None:
-                return False
-            return await self._swap(change(self._record))
-        finally:
-            self._lock.release()
-
-    async def _swap(self, record: ownership_record.Record) -> bool:
-        nonce = f"{self._member.entry_id}/{self._random.getrandbits(64):016x}"
-        value = ownership_record.encode(msgspec.structs.replace(record, nonce=nonce))
-        settled = await self._calls.swap(
-            ownership_record.KEY, expected_version=self._version, value=value, give_up=True
-        )
-        if isinstance(settled, settled_store.Written):
-            key = ownership_record.KEY
-            self._take(store.Stored(key=key, value=value, version=settled.version))
-            return True
-        if isinstance(settled, settled_store.Overtaken):
-            self._take(settled.stored)
-        return False
-
     async def _look_after(self) -> None:
         """Go round after round; the first one is delayed by chance, so that entries spread."""
         await self._group.sleep(ROUND_S * self._random.random())
@@ -306,7 +237,7 @@
 
     async def _take_over(self, gone: list[str], silent: set[str]) -> None:
         """Give the cells of gone entries to live ones, by one swap."""
-        version = self._version
+        version = self._shared.version
         proved = {name for name in gone if await self._silent.prove_gone(name)}
         if not proved:
             return
@@ -317,7 +248,7 @@
             candidates = self._candidates(silent) or {self._member.entry_id}
             return ownership_plan.assign(struck, cells=cells, candidates=candidates)
 
-        await self._change(change, version=version)
+        await self._shared.change(change, version=version)
 
     async def _assign_free(self, silent: set[str], *, rank: int) -> None:
         """Give cells that are new or nobody's to entries; the first entry does it."""
@@ -330,7 +261,7 @@
         def change(record: ownership_record.Record) -> ownership_record.Record:
             return ownership_plan.assign(record, cells=free, candidates=candidates)
 
-        await self._change(change, version=self._version)
+        await self._shared.change(change, version=self._shared.version)
 
     async def _move_one(self, silent: set[str]) -> None:
         """Hand one cell to the entry that should own it, if that one has been there a while."""
@@ -364,7 +295,7 @@
             return ownership_plan.assign(record, cells=ours, candidates=candidates)
 
         while any(self._owns(self._record, cell) for cell in cells):
-            if await self._change(change):
+            if await self._shared.change(change):
                 return
             await self._group.sleep(delays.next_s())
 
@@ -375,7 +306,7 @@
     async def _close(self) -> None:
         self._closing = True
         if self._entered():
-            self._group.spawn(self._change(self._with_draining))
+            self._group.spawn(self._shared.change(self._with_draining))
         await self._held.release_all()
         leaving: defer.Deferred[None] = defer.Deferred()
         self._group.spawn(self._leave(leaving))
@@ -393,7 +324,7 @@
         """Give everything to the others, strike this entry, end the lease."""
         delays = backoff.Backoff(generator=self._random)
         while self._member.entry_id in self._record.members:
-            if not await self._change(self._without_self):
+            if not await self._shared.change(self._without_self):
                 await self._group.sleep(delays.next_s())
         await self._membership.revoke()
         _fire(left)
--- /dev/null
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/shared_record.py
@@ -0,0 +1,152 @@
+"""The ownership record as this entry knows it: watched, offered by peers, and changed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import msgspec
+from ebonyhatch.core import errors
+from ebonyhatch.node import coroutines, ownership_record, settled_store
+from ebonyhatch.platform import backoff, store
+from returns import result
+from twisted.internet import defer
+
+WATCH_S = 30.0
+"""Longest wait of one watch on the record, seconds."""
+
+Change = Callable[[ownership_record.Record], ownership_record.Record]
+
+
+class Known(msgspec.Struct, frozen=True, kw_only=True):
+    """A record at a version, decoded and as the store holds it."""
+
+    version: int = store.ABSENT
+    value: bytes = b""
+    record: ownership_record.Record = ownership_record.Record()
+
+
+class SharedRecord:
+    """Keeps the newest record that came from the store, and the newest from anywhere."""
+
+    def __init__(
+        self,
+        *,
+        store_port: store.Store,
+        group: coroutines.CoroutineGroup,
+        generator: random.Random,
+        writer: str,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._store = store_port
+        self._group = group
+        self._random = generator
+        self._writer = writer
+        self._on_change = on_change
+        self._calls = settled_store.SettledStore(
+            store_port=store_port, group=group, generator=generator
+        )
+        self._lock = defer.DeferredLock()
+        self._stored = Known()
+        self._newest = Known()
+        self._fault: errors.EbonyhatchError | None = None
+
+    @property
+    def stored(self) -> ownership_record.Record:
+        """The newest record that the store itself gave; the only one to act by."""
+        return self._stored.record
+
+    @property
+    def version(self) -> int:
+        """Version of that record."""
+        return self._stored.version
+
+    @property
+    def newest(self) -> Known:
+        """The newest record that is known from anywhere; for routing."""
+        return self._newest
+
+    @property
+    def fault(self) -> errors.EbonyhatchError | None:
+        """Why the record can't be read, if so."""
+        return self._fault
+
+    def start(self) -> None:
+        """Watch the record from now on."""
+        self._group.spawn(self._watch())
+
+    def offer(self, *, version: int, value: bytes) -> ownership_record.Record | None:
+        """Take a record from a peer; give it back decoded if it is newer."""
+        if version <= self._newest.version:
+            return None
+        try:
+            record = ownership_record.decode(value)
+        except errors.EbonyhatchError:
+            return None
+        self._newest = Known(version=version, value=value, record=record)
+        self._group.spawn(self.refresh(at_least=version))
+        return record
+
+    async def refresh(self, *, at_least: int = store.ABSENT) -> None:
+        """Read the record until the store gives this version or a newer one."""
+        self._take(await self._calls.read(ownership_record.KEY, at_least=at_least))
+
+    async def change(self, change: Change, *, version: int | None = None) -> bool:
+        """Change the record by one compare-and-swap from the version that is known.
+
+        Args:
+            change: Gives the new record.
+            version: Do it only if this is still the version that is known.
+
+        Returns:
+            Whether the change is in the store.
+        """
+        await self._lock.acquire()
+        try:
+            unchanged = version in (None, self._stored.version)
+            if not unchanged or self._fault is not None:
+                return False
+            return await self._swap(change(self._stored.record))
+        finally:
+            self._lock.release()
+
+    async def _swap(self, record: ownership_record.Record) -> bool:
+        nonce = f"{self._writer}/{self._random.getrandbits(64):016x}"
+        value = ownership_record.encode(msgspec.structs.replace(record, nonce=nonce))
+        key = ownership_record.KEY
+        settled = await self._calls.swap(
+            key, expected_version=self._stored.version, value=value, give_up=True
+        )
+        if isinstance(settled, settled_store.Written):
+            self._take(store.Stored(key=key, value=value, version=settled.version))
+            return True
+        if isinstance(settled, settled_store.Overtaken):
+            self._take(settled.stored)
+        return False
+
+    async def _watch(self) -> None:
+        delays = backoff.Backoff(generator=self._random)
+        while True:
+            outcome = await self._store.watch(
+                key=ownership_record.KEY, after_version=self._stored.version, wait_s=WATCH_S
+            )
+            if isinstance(outcome, result.Success) and self._take(outcome.unwrap()):
+                delays.reset()
+            else:
+                await self._group.sleep(delays.next_s())
+
+    def _take(self, stored: store.Stored) -> bool:
+        """Take in what the store holds; tell whether it is newer and can be read."""
+        if stored.version <= self._stored.version:
+            return False
+        try:
+            record = ownership_record.decode(stored.value)
+        except errors.EbonyhatchError as error:
+            self._fault = error
+            return False
+        self._fault = None
+        self._stored = Known(version=stored.version, value=stored.value, record=record)
+        if stored.version > self._newest.version:
+            self._newest = self._stored
+        self._on_change()
+        return True
