--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell_workers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell_workers.py
@@ -7,8 +7,8 @@
 
 import msgspec
 from ebonyhatch.core import events, resources
-from ebonyhatch.node import backoff, coroutines, messages, task_reports, worker_link
-from ebonyhatch.platform import instances, timing, workers
+from ebonyhatch.node import coroutines, messages, task_reports, worker_link
+from ebonyhatch.platform import backoff, instances, timing, workers
 
 
 class CellWorkers:
