--- a/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
@@ -31,11 +31,11 @@
         harm_limit: Predicted slowdown of urgent work above which batch work gives way.
     """
 
-    reserve_spread: float = 1.0
+    reserve_spread: float = 0.5
     reserve_least: float = 0.05
     peak_share: float = 1.0
     surge_margin: float = 1.15
-    hold_s: float = 8.0
+    hold_s: float = 4.0
     eviction_cost_limit_s: float = 12.0
     patience_s: float = 0.25
     eviction_budget: float = 1.0
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/workloads.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/workloads.py
@@ -129,6 +129,7 @@
     crest_factor=3.6,
     caller_s=0.003,
     bursts=3,
+    weights={"patience_s": 0.35},
 )
 
 DEPLOYMENTS = {entry.name: entry for entry in (TSAGAAN_ZUSLAN, NILE_LOOM)}
