--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity.py
@@ -19,12 +19,12 @@
 )
 
 PROBE_MODULES = (
-    capacity_scheduler,
     capacity_metrics,
+    capacity_scheduler,
+    capacity_daemon,
     capacity_cell,
     capacity_entries,
     capacity_peers,
-    capacity_daemon,
 )
 """Modules that register probes; those that weigh memory come first."""
 
@@ -51,9 +51,10 @@
 
 
 def _fleets(slopes: dict[str, capacity_slopes.Slope]) -> list[capacity_model.Fleet]:
-    """Today, the letter with six entries, and the letter with as many as it needs."""
+    """Today, the letter with six entries, and with as many as it needs, one a domain at least."""
     six = capacity_model.LETTER_SIX
     needed = capacity_model.Model(slopes=slopes, fleet=six).entries_needed()
+    needed = max(needed, six.domains)
     grown = msgspec.structs.replace(six, name=f"letter, {needed} entries", entries=needed)
     return [capacity_model.TODAY, six, grown]
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_model.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_model.py
@@ -8,7 +8,7 @@
 import msgspec
 from ebonyhatch.node import cell, gossip, journal, peer_link, worker_link
 from ebonyhatch.platform import store
-from ebonyhatch.testing.benches import capacity_slopes
+from ebonyhatch.testing.benches import capacity_daemon, capacity_slopes
 
 USABLE_SHARE = 0.6
 """Share of a core that an entry's one loop may be busy before waiting grows."""
@@ -29,6 +29,9 @@
 ENTRIES_OF_JOB = 4.0
 """Journal entries of a job that starts once: submitted, intended, started, finished."""
 
+DAEMON_CELLS = 2
+"""Cells of the daemon that the probe under jobs runs."""
+
 CUT_S = 300.0
 CONTROL_CORE_LIMIT = 0.019
 CONTROL_MEMORY_LIMIT_MB = 256.0
@@ -156,6 +159,16 @@
         """Cores of all entries for jobs, at the mean rate of a day."""
         return self._fleet.jobs_day / DAY_S * self._slope("daemon: jobs") / 1e3
 
+    def batch_peak_cores(self) -> float:
+        """Cores of all entries if each start at the peak is of a batch job."""
+        return self._fleet.starts_s * self._slope("daemon: jobs") / 1e3 + self.journal_cores()
+
+    def journal_cores(self) -> float:
+        """Cores of all entries when the journal of each cell is written without a pause."""
+        at_rest_ms = self._at("daemon: at rest", float(capacity_daemon.LOAD_WORKERS))
+        writing_ms = max(0.0, self._at("daemon: jobs", 0.0) - at_rest_ms)
+        return writing_ms / DAEMON_CELLS * self._fleet.cells / 1e3
+
     def tick_cores(self) -> float:
         """Cores of all entries for the ticks of all cells."""
         workers_of_cell = self._fleet.workers / self._fleet.cells
@@ -169,8 +182,9 @@
         return (self._at("daemon: at rest", 0.0) + gossip_ms + ownership_ms) / 1e3
 
     def entries_needed(self) -> int:
-        """Entries that carry all work with their loops busy at most the usable share."""
-        shared = self.request_cores() + self.renewal_cores() + self.job_cores() + self.tick_cores()
+        """Entries whose loops are busy at most the usable share, whatever starts at the peak."""
+        starts = max(self.request_cores() + self.job_cores(), self.batch_peak_cores())
+        shared = starts + self.renewal_cores() + self.tick_cores()
         return math.ceil(shared / (USABLE_SHARE - self.own_cores()))
 
     def change_cores(self) -> float:
@@ -195,7 +209,8 @@
             _row("entry as gateway", "requests, all entries", self.request_cores(), "cores"),
             _row("entry as owner", "renewals, all entries", self.renewal_cores(), "cores"),
             _row("entry as owner", "ticks, all entries", self.tick_cores(), "cores"),
-            _row("entry as owner", "jobs, all entries", self.job_cores(), "cores"),
+            _row("entry as owner", "jobs of a day, all entries", self.job_cores(), "cores"),
+            _row("entry as owner", "each start is batch, all", self.batch_peak_cores(), "cores"),
             _row("entry", "whatever it owns", self.own_cores() * 100, "% of a core"),
             _row("entry", "changes of configuration", self.change_cores() * 100, "% of a core"),
             _row("entry", "control", self.control_core() * 100, "% of a core", limit),
--- a/packages/ebonyhatch-testing/tests/test_capacity.py
+++ b/packages/ebonyhatch-testing/tests/test_capacity.py
@@ -28,7 +28,7 @@
         for name, fixed, per_unit in (
             ("daemon: at rest", 10.0, 1.0),
             ("daemon: gateway and owner", 0.0, 2.0),
-            ("daemon: jobs", 0.0, 3.0),
+            ("daemon: jobs", 14.0, 1.0),
             ("peer call: both sides", 0.0, 0.0),
             ("scheduler: one report", 0.0, 0.0),
             ("scheduler: idle tick", 0.0, 0.0),
@@ -37,10 +37,10 @@
             ("configuration: an entry's time for changes", 0.0, 0.0),
         )
     }
-    fleet = msgspec.structs.replace(capacity_model.LETTER_SIX, jobs_day=0.0)
-    model = capacity_model.Model(slopes=slopes, fleet=fleet)
+    model = capacity_model.Model(slopes=slopes, fleet=capacity_model.LETTER_SIX)
     assert model.renewal_cores() == pytest.approx(3.3)
     assert model.request_cores() == pytest.approx(1.52)
+    assert model.batch_peak_cores() == pytest.approx(0.76)
     assert model.entries_needed() == 9
     assert model.workers_within_control() == 9
 
