--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/batch_placement.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/batch_placement.py
@@ -89,14 +89,18 @@
     if not state.harmful and not lendable:
         return None
     demand = reserved(state, row)
+    fallback = None
     for count, worker in enumerate(state.batch_workers.best()):
         if count >= CANDIDATES_LIMIT:
             break
         if worker.reserved_for_urgent and (harmful or not lendable):
             break
-        if worker.worker_id != row.avoid_worker_id and capacity.fits(worker, demand):
+        if not capacity.fits(worker, demand):
+            continue
+        if worker.worker_id != row.avoid_worker_id:
             return worker
-    return None
+        fallback = worker
+    return fallback
 
 
 def reserved(state: tables.Tables, row: rows.Job) -> resources.Resources:
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_events.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_events.py
@@ -45,9 +45,13 @@
 
 def _answered_by_former(state: tables.Tables, event: events.RequestAnswered) -> None:
     row = state.requests.get(event.request_id)
-    if row is not None and row.state is rows.RequestState.QUEUED:
+    if row is None:
+        return
+    if row.state is rows.RequestState.QUEUED:
         state.urgent.discard()
         retry.forget(state, row)
+    else:
+        row.state = rows.RequestState.WITHDRAWN
 
 
 @ingest.handler(events.RequestNotRun)
--- a/packages/ebonyhatch-core/tests/test_default_scheduler.py
+++ b/packages/ebonyhatch-core/tests/test_default_scheduler.py
@@ -142,3 +142,12 @@
     assert scheduler.room(now=0.0).free_slots == 1
     again = scheduler.tick(now=0.1, events=[events.TaskLost(task_id="j1/3")])
     assert again[0].task_id == "j1/4"
+
+
+def test_failed_start_is_tried_again_on_the_only_worker():
+    scheduler = build()
+    scheduler.tick(now=0.0, events=[submitted("j1")])
+    failed = events.TaskStartFailed(task_id="j1/1", reason="failed")
+    assert scheduler.tick(now=0.05, events=[failed]) == []
+    again = scheduler.tick(now=1.0, events=[])
+    assert again[0].task_id == "j1/2"
