--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
@@ -334,9 +334,10 @@
             self._clock.callLater(0, self._tick)
 
     def _tick_later(self) -> None:
+        """Tick again and again, also after a tick that failed unexpectedly."""
         if self._phase in _TICKING:
-            self._tick()
             self._tick_timer = self._clock.callLater(TICK_S, self._tick_later)
+            self._tick()
 
     def _tick(self) -> None:
         self._woken = False
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import functools
 import json
 import random
 from typing import Any
 
-from ebonyhatch.core import commands, configuration, entities, resources
+from ebonyhatch.core import configuration, entities, resources
 from ebonyhatch.node import messages
 from ebonyhatch.platform import (
     fault_switches,
@@ -18,7 +17,7 @@
     workers,
 )
 from ebonyhatch.testing import checker, history
-from ebonyhatch.testing.histories import entry, observer
+from ebonyhatch.testing.histories import callers, entry, observer
 from returns import result
 from twisted.internet import defer, task
 
@@ -54,9 +53,10 @@
         self.fenced = fenced
         self.seed = seed
         self.entries: dict[str, entry.Entry] = {}
-        self.cuts: set[frozenset[str]] = set()
         self.left: set[str] = set()
-        self.repeat_peers = False
+        self.callers = callers.Callers(
+            clock=self.clock, entries=self.entries, run=self.run, generator=self.random
+        )
         self.engines: memory_workers.Engines = {}
         self._observers: dict[str, observer.WorkerObserver] = {}
         self._listed: dict[str, instances.Instance] = {}
@@ -91,8 +91,8 @@
 
     def mend(self) -> None:
         """End all faults but those of processes."""
-        self.cuts.clear()
-        self.repeat_peers = False
+        self.callers.cuts.clear()
+        self.callers.repeat_messages = False
         for one in self.entries.values():
             self._mend(one)
 
@@ -194,35 +194,25 @@
         """Send a request to an entry; answers its id."""
         one = self.entries[entry_id]
         request_id = self._next("r")
-        body = f"body of {key or request_id}".encode()
-        call = messages.RequestCall(
-            cell=cell or self._cell_for(one, key, idempotent),
-            request=workers.ServiceRequest(
-                request_id=request_id,
-                service="orders",
-                method="POST",
-                path="/",
-                headers=(workers.Header(name="x-work-s", value=str(work_s)),),
-                body=body,
-                timeout_s=timeout_s,
-            ),
-            work_class="quote",
-            tenant="t",
-            idempotent=idempotent,
-            idempotency_key=key,
-        )
-        self.run.add(
-            history.RequestMade(
-                at=self.now,
-                request_id=request_id,
-                entry_id=entry_id,
+        self.callers.send(
+            one,
+            messages.RequestCall(
+                cell=cell or self._cell_for(one, key, idempotent),
+                request=workers.ServiceRequest(
+                    request_id=request_id,
+                    service="orders",
+                    method="POST",
+                    path="/",
+                    headers=(workers.Header(name="x-work-s", value=str(work_s)),),
+                    body=f"body of {key or request_id}".encode(),
+                    timeout_s=timeout_s,
+                ),
+                work_class="quote",
+                tenant="t",
                 idempotent=idempotent,
-                key=key,
-                body=body,
-            )
+                idempotency_key=key,
+            ),
         )
-        one.calls.add(request_id)
-        one.clock.run(lambda: self._route(one, call))
         return request_id
 
     def submit(self, *, run_s: float = 3.0, entry_id: str = "") -> str:
@@ -306,7 +296,7 @@
     def _beat(self) -> None:
         for sender in self.running:
             for taker in self.entries.values():
-                if taker is not sender and not self._cut(sender, taker):
+                if taker is not sender and not self.callers.cut(sender, taker):
                     taker.hear(sender)
 
     def _told_of_configuration(self, outcome: Any) -> None:
@@ -328,67 +318,12 @@
                     )
                 )
 
-    def _cut(self, one: entry.Entry, other: entry.Entry) -> bool:
-        return frozenset((one.entry_id, other.entry_id)) in self.cuts
-
     def _cell_for(self, one: entry.Entry, key: str, idempotent: bool) -> str:
         if key and not idempotent:
             return one.home(key)
         cells = sorted(one.ownership.owners)
         return self.random.choice(cells) if cells else ""
 
-    def _route(self, one: entry.Entry, call: messages.RequestCall) -> None:
-        """Serve a call at its owner, in one step between entries at most."""
-        owner_id = one.owner_of(call.cell)
-        owner = self.entries.get(owner_id)
-        told = functools.partial(self._told, one, call)
-        if owner is one:
-            one.handle(call).addCallback(told)
-        elif owner is None or owner.clock.dead or self._cut(one, owner):
-            told(entry.refusal(call, "peer-unreachable", commands.Outcome.NOT_RUN))
-        else:
-            self._ask_peer(one, owner, call).addCallback(told)
-
-    def _ask_peer(
-        self, one: entry.Entry, owner: entry.Entry, call: messages.RequestCall
-    ) -> defer.Deferred[Any]:
-        reply: defer.Deferred[Any] = defer.Deferred()
-        lost = entry.refusal(call, "peer-lost", commands.Outcome.UNKNOWN)
-
-        def settle(value: messages.RequestReply) -> None:
-            if not reply.called:
-                reply.callback(value)
-
-        def back(value: messages.RequestReply) -> None:
-            if not self._cut(one, owner):
-                one.clock.run(lambda: settle(value))
-
-        def arrive() -> None:
-            owner.handle(call).addCallback(back)
-
-        one.clock.callLater(call.request.timeout_s + entry.REPLY_MARGIN_S, settle, lost)
-        self.clock.callLater(0.002, owner.clock.run, arrive)
-        if self.repeat_peers:
-            self.clock.callLater(self.random.random(), owner.clock.run, arrive)
-        return reply
-
-    def _told(
-        self, one: entry.Entry, call: messages.RequestCall, reply: messages.RequestReply
-    ) -> None:
-        one.calls.discard(call.request.request_id)
-        answer = reply.answer
-        told = history.Told.ANSWERED if answer else history.Told(reply.outcome.value)
-        self.run.add(
-            history.RequestTold(
-                at=self.now,
-                request_id=call.request.request_id,
-                told=told,
-                answered_id=answer.request_id if answer else "",
-                body=answer.body if answer else b"",
-                reason=reply.reason,
-            )
-        )
-
     def _owner_of(self, job_id: str) -> entry.Entry | None:
         for one in self.running:
             name = one.home(job_id)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/steps.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/steps.py
@@ -151,7 +151,7 @@
 @action("cut-peers")
 def _cut_peers(run: fleet.Fleet, pick: int) -> None:
     one, other = _entry(run, pick), _entry(run, pick + 1 + pick // 3 % 2)
-    run.cuts.add(frozenset((one.entry_id, other.entry_id)))
+    run.callers.cuts.add(frozenset((one.entry_id, other.entry_id)))
 
 
 @action("cut-store")
@@ -220,7 +220,7 @@
     one = _entry(run, pick)
     one.to_store.repeat_share = REPEAT_SHARE
     one.to_workers.repeat_share = REPEAT_SHARE
-    run.repeat_peers = True
+    run.callers.repeat_messages = True
 
 
 @action("restart-worker")
--- a/packages/ebonyhatch-testing/tests/test_promises.py
+++ b/packages/ebonyhatch-testing/tests/test_promises.py
@@ -53,7 +53,7 @@
 
 @given("messages that travel late, out of order and twice")
 def unordered_messages(run: fleet.Fleet) -> None:
-    run.repeat_peers = True
+    run.callers.repeat_messages = True
     for one in run.entries.values():
         one.to_workers.jitter_s = 0.5
         one.to_workers.repeat_share = 0.5
