--- a/packages/ebonyhatch-node/src/ebonyhatch/node/admin.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/admin.py
@@ -176,6 +176,9 @@
 
     async def _explain(self, request: server.Request, subject_id: str) -> bytes:
         explanation = await self._view.explain(subject_id=subject_id)
+        job_id, slash, _ = subject_id.partition("/")
+        if explanation is None and slash:
+            explanation = await self._view.explain(subject_id=job_id)
         if explanation is None:
             raise admin_errors.UnknownSubjectError(subject_id=subject_id)
         return admin_answers.write(request=request, answer=explanation)
--- a/packages/ebonyhatch-node/tests/test_admin.py
+++ b/packages/ebonyhatch-node/tests/test_admin.py
@@ -30,7 +30,7 @@
         )
 
     async def explain(self, *, subject_id):
-        if subject_id == "none":
+        if subject_id != "job-1":
             return None
         return admin_view.Explanation(
             subject_id=subject_id, entry_id="entry-a", cell="c-0", text="it waits"
@@ -154,6 +154,11 @@
     assert entry.call("GET", "openapi").json() == document()
 
 
+def test_attempt_is_explained_by_its_job(entry):
+    assert entry.call("GET", "explain/job-1/2").json()["subject_id"] == "job-1"
+    assert entry.call("GET", "explain/job-2/1").status == 404
+
+
 def test_document_and_routes_agree_both_ways():
     routes = {
         (rule.rule.replace("<path:subject_id>", "{subject_id}"), method.lower())
