--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_calls.py
+++ b/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_calls.py
@@ -29,6 +29,10 @@
 """Header that an answer repeats, so that it can be told from any other."""
 
 
+IPV6_START = "://["
+"""Start of an address with an IPv6 number, which treq refuses as a host name."""
+
+
 class CallError(errors.EbonyhatchError):
     """There is no whole answer.
 
@@ -80,7 +84,7 @@
 
 
 class HttpCalls:
-    """Makes calls over one pool of connections; Deferreds never fail."""
+    """Makes calls over one pool of connections; Deferreds fail only if their caller cancels."""
 
     def __init__(self, *, reactor: Any) -> None:
         self._reactor = reactor
@@ -120,11 +124,12 @@
         checkout = connection_pool.Checkout(pool=self._pool)
         calling = defer.maybeDeferred(self._issue, call, request_id, checkout)
         calling.addCallback(self._read, request_id, checkout)
+        answered: AnswerOutcome = defer.Deferred(lambda _: self._give_up(calling))
         timer = self._reactor.callLater(call.timeout_s, self._expire, calling, checkout)
         self._open[calling] = checkout
-        calling.addBoth(self._end, calling, timer)
         calling.addCallbacks(result.Success, _to_result, errbackArgs=(checkout,))
-        return calling
+        calling.addCallback(self._deliver, calling, timer, answered)
+        return answered
 
     def call_json(
         self, *, url: str, body: msgspec.Struct, timeout_s: float, direct: bool = False
@@ -156,7 +161,7 @@
             headers.addRawHeader(name.encode("latin-1"), value.encode("latin-1"))
         headers.setRawHeaders(REQUEST_ID_HEADER, [request_id])
         agent = client.Agent.usingEndpointFactory(self._reactor, self._endpoints, pool=checkout)
-        if call.direct:
+        if call.direct or IPV6_START in call.url:
             producer = iweb.IBodyProducer(call.body) if call.body else None
             return agent.request(
                 call.method.encode("ascii"), call.url.encode("ascii"), headers, producer
@@ -190,19 +195,23 @@
         )
 
     def _expire(self, calling: defer.Deferred[Any], checkout: connection_pool.Checkout) -> None:
+        checkout.suspect()
         checkout.drop()
         calling.cancel()
 
-    def _end(self, passed: Any, calling: defer.Deferred[Any], timer: Any) -> Any:
-        del self._open[calling]
+    def _give_up(self, calling: defer.Deferred[Any]) -> None:
+        """Abort a call that its caller cancelled; nothing is delivered any more."""
+        checkout = self._open.pop(calling)
+        checkout.drop()
+        calling.cancel()
+
+    def _deliver(
+        self, outcome: Any, calling: defer.Deferred[Any], timer: Any, answered: AnswerOutcome
+    ) -> None:
         if timer.active():
             timer.cancel()
-        return passed
-
-
-def base_url(*, host: str, port: int) -> str:
-    """Build the start of an address from an IP number and a port."""
-    return f"http://[{host}]:{port}" if ":" in host else f"http://{host}:{port}"
+        if self._open.pop(calling, None) is not None:
+            answered.callback(outcome)
 
 
 def _header_lines(response: Any, *, dropped: frozenset[str]) -> tuple[tuple[str, str], ...]:
