--- a/packages/ebonyhatch-core/src/ebonyhatch/core/run_times.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/run_times.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 
@@ -44,7 +45,9 @@
 
     def __init__(self) -> None:
         self._version = 0
-        self._classes: dict[tuple[str, str], ClassTimes] = {}
+        self._classes: collections.defaultdict[tuple[str, str], ClassTimes] = (
+            collections.defaultdict(ClassTimes)
+        )
 
     @property
     def version(self) -> int:
@@ -55,7 +58,7 @@
         """Take in the run time of a job."""
         run_s = max(run_s, 0.001)
         for tenant in ("", job.tenant):
-            times = self._classes.setdefault((job.work_class, tenant), ClassTimes())
+            times = self._classes[job.work_class, tenant]
             _add(times, run_s=run_s, declared_s=max(job.expected_run_s, 0.001))
             if times.count >= LEAST_SAMPLES and times.count % LEAST_SAMPLES == 0:
                 self._version += 1
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/sizes.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/sizes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 
 from ebonyhatch.core import entities, resources
@@ -39,11 +40,13 @@
     __slots__ = ("_classes",)
 
     def __init__(self) -> None:
-        self._classes: dict[str, ClassSizes] = {}
+        self._classes: collections.defaultdict[str, ClassSizes] = collections.defaultdict(
+            ClassSizes
+        )
 
     def measured(self, work_class: str, usage: resources.Resources) -> None:
         """Take in the measured use of a task."""
-        sizes = self._classes.setdefault(work_class, ClassSizes())
+        sizes = self._classes[work_class]
         sizes.count += 1
         sizes.measured_cores.record_value(_units(usage.cores))
         sizes.measured_memory.record_value(_units(usage.memory_gb))
