The daemon paces its writes; tests of a whole daemon on a fake clock

Ruled out: retries (none). The test of 40 submissions a second fails with the pacing taken out and passes with it; an idle entry stays within one call a second.

--- a/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
@@ -29,6 +29,7 @@
     observation,
     other_cells,
     ownership,
+    paced_store,
     peers,
     placements,
     route_choice,
@@ -83,12 +84,13 @@
         self._draining = False
         self.measures = metrics.Metrics(label_sets=chosen.limits.metric_label_sets)
         self._health = store_health.StoreHealth(clock=reactor, measures=self.measures)
-        self._store = guarded_store.GuardedStore(
+        guarded = guarded_store.GuardedStore(
             inner=platform.store,
             clock=reactor,
             generator=random.Random(seed),
             observe=self._health.observe,
         )
+        self._store = paced_store.PacedStore(store_port=guarded, clock=reactor)
         self._network = self._make_network()
         self._listed = self._make_instance_view()
         self._cells = self._make_cells()
@@ -122,6 +124,11 @@
         self._gauges = task.LoopingCall(self._set_gauges)
         self._gauges.clock = reactor
 
+    @property
+    def router(self) -> routing.Router:
+        """Routes calls as the gateway does."""
+        return self._router
+
     @property
     def callers_port(self) -> int:
         """Port of the callers' API; 0 before `start`."""
