--- a/packages/ebonyhatch-core/src/ebonyhatch/core/batch_queue.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/batch_queue.py
@@ -42,7 +42,7 @@
     def __init__(self) -> None:
         self._levels: dict[int, Lanes] = {}
         self._sizes = dict.fromkeys(rows.Lane, 0)
-        self._served: dict[tuple[int, str], float] = {}
+        self._served: dict[tuple[int, rows.Lane, str], float] = {}
 
     def __len__(self) -> int:
         return sum(self._sizes.values())
@@ -68,7 +68,7 @@
         tenant = row.job.tenant
         queue = lanes[row.lane].get(tenant)
         if queue is None:
-            self._catch_up(priority, tenant)
+            self._catch_up(priority, row.lane, tenant)
             queue = lanes[row.lane][tenant] = TenantQueue(tenant=tenant)
         (queue.resumed if first else queue.fresh)[row.job.job_id] = row
         self._sizes[row.lane] += 1
@@ -91,22 +91,18 @@
         """Queues of a lane by tenant."""
         return self._levels[priority][lane]
 
-    def served(self, *, priority: int, tenant: str) -> float:
-        """What a tenant was served: slot-seconds over its weight."""
-        return self._served.get((priority, tenant), 0.0)
+    def served(self, *, priority: int, lane: rows.Lane, tenant: str) -> float:
+        """What a tenant was served in a lane: slot-seconds over its weight."""
+        return self._served.get((priority, lane, tenant), 0.0)
 
-    def charge(self, *, priority: int, tenant: str, amount: float) -> None:
-        """Add to what a tenant was served."""
-        key = (priority, tenant)
+    def charge(self, row: rows.Job, *, priority: int, amount: float) -> None:
+        """Add to what the tenant of a job was served in its lane."""
+        key = (priority, row.lane, row.job.tenant)
         self._served[key] = self._served.get(key, 0.0) + amount
 
-    def _catch_up(self, priority: int, tenant: str) -> None:
+    def _catch_up(self, priority: int, lane: rows.Lane, tenant: str) -> None:
         """A tenant that had nothing waiting saves no claim on the past."""
-        lanes = self._levels[priority]
-        if any(tenant in lanes[lane] for lane in rows.Lane):
-            return
-        busy = [
-            self._served.get((priority, other), 0.0) for lane in rows.Lane for other in lanes[lane]
-        ]
-        key = (priority, tenant)
+        others = self._levels[priority][lane]
+        busy = [self._served.get((priority, lane, other), 0.0) for other in others]
+        key = (priority, lane, tenant)
         self._served[key] = max(self._served.get(key, 0.0), min(busy, default=0.0))
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/batch_placement.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/batch_placement.py
@@ -39,7 +39,10 @@
     tenants = dict(waiting)
     left = SCAN_LIMIT
     while tenants and left > 0 and _any_room(state):
-        name = min(tenants, key=lambda tenant: state.batch.served(priority=priority, tenant=tenant))
+        name = min(
+            tenants,
+            key=lambda tenant: state.batch.served(priority=priority, lane=lane, tenant=tenant),
+        )
         misses = _place_first(state, tenants[name], priority, left)
         if misses:
             left -= misses
@@ -129,7 +132,7 @@
     weight = tenant.weight if tenant is not None else 1.0
     expected_s = max(LEAST_CHARGE_S, state.run_times.estimate_s(row.job) - row.progress_s)
     amount = expected_s * row.job.demand.slots / max(weight, 1e-6)
-    state.batch.charge(priority=priority, tenant=row.job.tenant, amount=amount)
+    state.batch.charge(row, priority=priority, amount=amount)
     row.attempts += 1
     row.avoid_worker_id = ""
     task = rows.Task(
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/frontier.py
@@ -0,0 +1,84 @@
+"""Bench of the frontier: tail latency at the crest against batch throughput."""
+
+from __future__ import annotations
+
+import math
+
+from ebonyhatch.core import default_scheduler, settings
+from ebonyhatch.testing import limits, plots, workloads
+from ebonyhatch.testing.benches import crest, measures, registry
+
+SETTINGS = {
+    "no evictions": {"eviction_budget": 0.0},
+    "budget 0.3": {"eviction_budget": 0.3},
+    "patient": {"patience_s": 0.5},
+    "lean": {"reserve_spread": 0.2},
+    "default": {},
+    "wide": {"reserve_spread": 1.5},
+    "wider": {"reserve_spread": 3.0, "surge_margin": 1.3},
+    "hasty": {"patience_s": 0.1, "eviction_cost_limit_s": 30.0},
+}
+"""Settings of the reserve and of evictions, by name."""
+
+Point = tuple[float, float, str]
+
+
+def run_setting(
+    draw: workloads.Draw, *, name: str, limit: limits.Limits, limit_p99_s: float
+) -> Point:
+    """Run one setting; give batch throughput and tail latency over their limits."""
+    defaults = settings.Settings(**SETTINGS[name])
+    policy = default_scheduler.DefaultScheduler(seed=draw.seed, defaults=defaults)
+    entry = measures.figures(measures.run_scheduler(policy, draw), draw)
+    batch = entry.work_s / limit.batch_s
+    tail = entry.crest_p99_s / limit_p99_s
+    print(
+        f"{draw.deployment.name} seed {draw.seed} {name:13} p99/limit {tail:.2f}"
+        f" batch {batch:.3f} refused {entry.refused:.4f} redone {entry.redone:.4f}"
+        f" evictions/1000 {entry.evictions:.0f}",
+        flush=True,
+    )
+    return batch, tail, name
+
+
+def points_of(deployment: workloads.Deployment, *, seed: int, quick: bool) -> list[Point]:
+    """Run all settings on one draw."""
+    draw = crest.draw_crests(deployment, seed=seed, quick=quick)
+    limit = limits.work_out(draw)
+    tails = [
+        limit.latencies[number]
+        for number in measures.settled(draw)
+        if draw.in_crest(draw.arrivals[number].at)
+    ]
+    limit_p99_s = measures.percentile(tails, 0.99)
+    return [run_setting(draw, name=name, limit=limit, limit_p99_s=limit_p99_s) for name in SETTINGS]
+
+
+@registry.bench("frontier")
+def frontier(*, seeds: tuple[int, ...], quick: bool) -> None:
+    """Run all settings on both deployments; the plot is printed as SVG."""
+    series = []
+    measured: dict[str, object] = {}
+    for name, deployment in workloads.DEPLOYMENTS.items():
+        for seed in seeds:
+            points = points_of(deployment, seed=seed, quick=quick)
+            measured[f"{name}/{seed}"] = {
+                label: {"batch": batch, "p99": tail} for batch, tail, label in points
+            }
+            drawn = [point for point in points if math.isfinite(point[1])]
+            series.append((f"{name}, seed {seed}", drawn))
+    print(
+        plots.scatter(
+            title="Urgent p99 at the crest against batch throughput, both over their limits",
+            across="batch throughput over its limit",
+            up="p99 over its limit",
+            series=series,
+        )
+    )
+    measures.print_targets(
+        bench="frontier", seeds=seeds, measured=measured, baseline={}, targets=[]
+    )
+
+
+if __name__ == "__main__":
+    registry.main("frontier")
