A lone worker is never barred, and slowness is judged against peers of now

Ruled out: keys of peers, capacity, leases (status showed 'barred' with 0 reserved). Expected times now only raise the question; the median of the peers answers it. Deployments of tests use CURVE keys from here on.

--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/health.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import statistics
 
 from ebonyhatch.core import rows, tables
 from ebonyhatch.core.systems import retry
@@ -78,8 +79,7 @@
         _probe_failed(state, worker)
         return
     good(state, worker, row.request.work_class)
-    slow = standing.answers >= SLOW_ANSWERS and standing.slowness > SLOW_RATIO
-    if slow and not worker.barred:
+    if not worker.barred and _slow(standing) and _slower_than_peers(state, worker):
         _bar(state, worker)
 
 
@@ -130,9 +130,28 @@
     return own > PEER_RATIO * mean
 
 
+def _slow(standing: rows.Standing) -> bool:
+    return standing.answers >= SLOW_ANSWERS and standing.slowness > SLOW_RATIO
+
+
+def _slower_than_peers(state: tables.Tables, worker: rows.Worker) -> bool:
+    """Compare with the peers of now: a crest slows all of them against what was expected."""
+    peers = [
+        other.standing.slowness
+        for other in state.workers.values()
+        if other is not worker and not other.barred and other.standing.answers >= SLOW_ANSWERS
+    ]
+    if not peers:
+        return False
+    usual = max(1.0, statistics.median(peers))
+    return worker.standing.slowness > SLOW_RATIO * usual
+
+
 def _bar(state: tables.Tables, worker: rows.Worker) -> None:
+    """Bar a worker, unless too many are barred already or it is the only one."""
+    count = len(state.workers)
     barred = sum(other.barred for other in state.workers.values())
-    if barred + 1 > max(1, math.floor(BARRED_SHARE * len(state.workers))):
+    if count == 1 or barred + 1 > max(1, math.floor(BARRED_SHARE * count)):
         return
     worker.barred = True
     worker.probe_after_s = PROBE_FIRST_S
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
@@ -17,6 +17,7 @@
 from typing import IO, Any, TypeVar
 
 import msgspec
+from ebonyhatch.node import keys
 
 HOST = "127.0.0.1"
 POLL_S = 0.05
@@ -73,6 +74,7 @@
         self._worker_ports = {worker_id: free_port() for worker_id in worker_ids}
         self.store_port = free_port()
         self.instances_port = free_port()
+        self._pairs = {entry_id: keys.new_pair() for entry_id in entry_ids}
         self.entries = {
             entry_id: Ports(callers=free_port(), admin=free_port(), peers=free_port())
             for entry_id in entry_ids
@@ -259,6 +261,11 @@
             },
             "cells": {"per_failure_domain": 1},
             "access": {"token_sha256": [TOKEN_SHA256]},
+            "keys": {
+                "public": self._pairs[entry_id].public,
+                "secret": self._pairs[entry_id].secret,
+                "peers": {name: pair.public for name, pair in self._pairs.items()},
+            },
         }
 
 
