Failures of a worker fade with time, and one stuck request is hedged without a ban

Found by the tests of health, seen failing first: a worker that failed once in a lightly loaded cell was ranked last and never used again, and a single request on a silent worker ended as unknown at its deadline.

--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/health.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/health.py
@@ -10,6 +10,9 @@
 MEMORY_EVENTS = 20.0
 """Events over which failure rates are averaged."""
 
+FORGET = 0.993
+"""Share of the failures that still counts after a period without starts."""
+
 LEAST_FAILURES = 3.0
 FAILING_RATE = 0.5
 """Rate of failed starts from which a worker or a class is at fault."""
@@ -92,6 +95,9 @@
 def run(state: tables.Tables) -> None:
     """Look for hangs, and let workers on probation be probed when it is time."""
     for worker in state.workers.values():
+        if worker.standing.failures > 0.01:
+            worker.standing.failures *= FORGET
+            state.touch(worker)
         if worker.requests:
             _look_for_hang(state, worker)
         if worker.barred and state.now >= worker.probe_at and not worker.probing:
@@ -178,10 +184,9 @@
         stuck.append(row)
     if worker.answered_at > since or not stuck:
         return
-    if not worker.barred:
-        if len(stuck) < HANG_REQUESTS:
-            return
+    if len(stuck) >= HANG_REQUESTS and not worker.barred:
         _bar(state, worker)
     _probe_failed(state, worker)
+    _count(worker.standing, failed=1.0)
     for row in stuck:
         retry.hedge(state, row)
