--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_events.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_events.py
@@ -38,6 +38,9 @@
 def _learn(state: tables.Tables, row: rows.Request, event: events.RequestAnswered) -> None:
     state.demand.served(state.now - row.sent_at)
     state.retries.succeed()
+    if row.worker is not None:
+        wait_s = state.now - row.request.arrived_at - state.demand.service_s
+        state.seen.answered(row.worker, now=state.now, wait_s=wait_s)
     health.served(state, row, event.service_s)
     if not event.failed:
         sharing.answered(state, row, event.service_s)
