Eviction looks at tasks only when slots are short

Cause: every period listed all attempts of the cell. The surplus that the reserve works out anyway now tells whether anything is to be taken back.

--- a/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/rows.py
@@ -224,7 +224,8 @@
         held_costly: Slots of them that would cost too much to take back.
         relieved: When slots were taken back for a queue, and how many.
         need: Slots that urgent work needs soon.
-        lendable: Slots that batch work may still take; below 0, what it holds too many.
+        surplus: Slots beyond the need that batch work doesn't hold; below 0, what is short.
+        lendable: Slots that batch work may still take.
         enough_since: When all of the reserve was last needed, seconds.
     """
 
@@ -233,5 +234,6 @@
     held_costly: int = 0
     relieved: list[tuple[float, int]] = dataclasses.field(default_factory=list)
     need: float = 0.0
+    surplus: int = 0
     lendable: int = 0
     enough_since: float = 0.0
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/eviction.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/eviction.py
@@ -32,13 +32,19 @@
     )
     _end_hung_starts(state)
     _clear_reserved(state)
+    if -state.reserve.surplus > TOLERANCE * math.sqrt(state.reserve.need):
+        _take_back(state)
+    _relieve(state)
+
+
+def _take_back(state: tables.Tables) -> None:
+    """Evict what is short, less what is being evicted already."""
     running = _running(state)
     held = sum(task.demand.slots for task in running)
     slots = state.reserve.slots if state.harmful else state.total_slots
     short = int(state.reserve.need - (slots - held))
     if short > TOLERANCE * math.sqrt(state.reserve.need):
         _evict(state, running, slots=short)
-    _relieve(state)
 
 
 def _end_hung_starts(state: tables.Tables) -> None:
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/reserve.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/reserve.py
@@ -140,6 +140,7 @@
     slots = reserve.slots if state.harmful else state.total_slots
     held = sum(worker.batch_slots for worker in usable(state))
     surplus = int(slots - reserve.need) - held
+    reserve.surplus = surplus
     if state.harmful:
         surplus = min(surplus, LENT_LIMIT - held)
     if surplus > 0 and reserve.lendable <= 0:
