--- a/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
@@ -25,10 +25,12 @@
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 
 HTTP_ACCEPTED = 202
+HTTP_NOT_FOUND = 404
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
 RETRY_AFTER_S = 1.0
 
+REMEDY_NOT_FOUND = "check the id; ended jobs are kept for a limited time"
 REMEDIES = {
     commands.Outcome.NOT_RUN: "nothing was run: send it again after Retry-After",
     commands.Outcome.UNKNOWN: "it may have run: look before you send it again",
@@ -199,12 +201,13 @@
     def _job_problem(self, request: server.Request, reply: messages.JobReply) -> bytes:
         self._measures.refused(reason=reply.reason, outcome=reply.outcome)
         unavailable = reply.status == HTTP_UNAVAILABLE
+        not_found = reply.status == HTTP_NOT_FOUND
         return problems.write(
             request=request,
             status=reply.status,
             kind=reply.reason.split(":")[0] or "job",
             detail=reply.reason,
-            remedy=REMEDIES[reply.outcome],
+            remedy=REMEDY_NOT_FOUND if not_found else REMEDIES[reply.outcome],
             outcome=reply.outcome,
             retry_after_s=RETRY_AFTER_S if unavailable else None,
         )
--- a/packages/ebonyhatch-node/tests/test_gateway.py
+++ b/packages/ebonyhatch-node/tests/test_gateway.py
@@ -70,6 +70,7 @@
         self.site = http_server.bounded_site(
             root=self.gateway.app.resource(), body_limit_bytes=LIMIT_BYTES
         )
+        self.site.reactor = task.Clock()
 
     def send(self, head, body=b"", length=None):
         transport = testing.StringTransport()
@@ -160,3 +161,4 @@
     assert problem_of(bench.send(["POST /v1/jobs HTTP/1.1"], b"{"))["outcome"] == "not-run"
     missing = bench.send(["GET /v1/jobs/none HTTP/1.1"])
     assert status_of(missing) == 404 and problem_of(missing)["type"].endswith("unknown-job")
+    assert "check the id" in problem_of(missing)["remedy"]
