A job that was passed to a cell is never passed on

Cause: a cell that had taken a job forgot that once its origin had settled the pass, and could offer the job again, also to the cell that it came from. That one knew the job (as passed) and answered that it had taken it: both cells then named each other, and the job was lost. JobSeen names the cell instead of the entry.

--- a/packages/ebonyhatch-core/src/ebonyhatch/core/job_machine.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/job_machine.py
@@ -54,6 +54,7 @@
         reason: Why it is parked or failed.
         cell: Cell that it is offered or was passed to.
         origin: Cell that passed it here and may ask again; empty once that is settled.
+        guest: It was passed here, and is not passed on.
         settled: The cell that it was passed to knows that this is durable.
     """
 
@@ -69,6 +70,7 @@
     reason: str = ""
     cell: str = ""
     origin: str = ""
+    guest: bool = False
     settled: bool = False
 
     @property
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/job_table.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_table.py
@@ -127,7 +127,7 @@
     def _submit(self, entry: journal_entries.JobSubmitted) -> bool:
         if entry.job.job_id in self._rows:
             return False
-        row = job_machine.JobRow(job=entry.job, origin=entry.origin)
+        row = job_machine.JobRow(job=entry.job, origin=entry.origin, guest=bool(entry.origin))
         self._rows[entry.job.job_id] = row
         self._counts[row.state] += 1
         self._index(row)
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/job_transfers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_transfers.py
@@ -130,7 +130,7 @@
     def _may(self, row: job_machine.JobRow) -> bool:
         """Tell whether a job has waited in vain and may go."""
         since = self._since.setdefault(row.job.job_id, self._clock.seconds())
-        if row.attempts or row.origin or row.job.job_id in self._busy:
+        if row.attempts or row.guest or row.job.job_id in self._busy:
             return False
         if not self._has_worker_for(row.job.demand):
             return True
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/checker.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/checker.py
@@ -203,7 +203,7 @@
     for record in run.of(history.JobSeen):
         last[record.job_id] = record.state
         if record.job_id in accepted and not record.state:
-            yield f"{record.job_id} was accepted and {record.entry_id} doesn't know it"
+            yield f"{record.job_id} was accepted and {record.cell} doesn't know it"
     if run.of(history.RunEnded):
         for job_id in sorted(accepted):
             if last.get(job_id, "") not in ENDED_STATES:
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/callers.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/callers.py
@@ -21,6 +21,7 @@
     """Sends requests to entries and records the outcomes.
 
     Attributes:
+        entries: Entries by id.
         cuts: Pairs of entries that don't hear each other.
         repeat_messages: Messages between entries arrive a second time, up to a second later.
     """
@@ -34,7 +35,7 @@
         generator: random.Random,
     ) -> None:
         self._clock = clock
-        self._entries = entries
+        self.entries = entries
         self._run = run
         self._random = generator
         self.cuts: set[frozenset[str]] = set()
@@ -62,7 +63,7 @@
 
     def _route(self, one: entry.Entry, call: messages.RequestCall) -> None:
         """Serve a call at its owner, in one step between entries at most."""
-        owner = self._entries.get(one.owner_of(call.cell))
+        owner = self.entries.get(one.owner_of(call.cell))
         told = functools.partial(self._told, one, call)
         if owner is one:
             one.handle(call).addCallback(told)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/entry.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/entry.py
@@ -18,6 +18,7 @@
     cell,
     cell_status,
     configuration,
+    elsewhere,
     messages,
     ownership,
     paced_store,
@@ -51,6 +52,7 @@
         domains: tuple[str, ...],
         listed: Callable[[str], tuple[instances.Instance, ...]],
         in_force: configurations.InForce,
+        others: elsewhere.Elsewhere,
     ) -> None:
         self.entry_id = entry_id
         self.clock = node_clock.NodeClock(base=base)
@@ -64,6 +66,7 @@
         self._seed = seed
         self._listed = listed
         self._in_force = in_force
+        self._others = others
         self.workers_port = node_ports.NodeWorkers(inner=self.workers, network=self.to_workers)
         self.store_port = node_ports.NodeStore(inner=self.store, network=self.to_store)
         self._paced = paced_store.PacedStore(store_port=self.store_port, clock=self.clock)
@@ -151,13 +154,12 @@
             return defer.succeed(messages.JobReply(status=503, reason="not-owner"))
         return owned.cancel(job_id=job_id)
 
-    def view(self, job_id: str) -> messages.JobView | None:
-        """State of a job, if this entry acts for its cell under the newest epoch."""
-        owned = self.cells.get(self.home(job_id))
-        if owned is None or owned.status().state != cell_status.CellPhase.ACTIVE:
+    def acting(self, name: str) -> cell.Cell | None:
+        """Cell that this entry acts for, if it does."""
+        owned = self.cells.get(name)
+        if owned is None or owned.status().state is not cell_status.CellPhase.ACTIVE:
             return None
-        reply = owned.show(job_id=job_id)
-        return reply.view or messages.JobView(job_id=job_id, state="")
+        return owned
 
     def _hear(self, other: Entry) -> None:
         self.heard[other.entry_id] = self.clock.seconds()
@@ -181,6 +183,7 @@
             scheduler=decider,
             clock=self.clock,
             may_act=self.ownership.lease_valid,
+            others=self._others,
             seed=self._seed,
         )
         self.cells[name] = opened
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
@@ -17,7 +17,7 @@
     workers,
 )
 from ebonyhatch.testing import checker, history
-from ebonyhatch.testing.histories import callers, entry, observer
+from ebonyhatch.testing.histories import callers, entry, observer, other_cells
 from returns import result
 from twisted.internet import defer, task
 
@@ -126,6 +126,7 @@
             domains=DOMAINS,
             listed=self.listed,
             in_force=IN_FORCE,
+            others=other_cells.OtherCells(entry_id=entry_id, between=self.callers),
         )
         started.heard = dict.fromkeys(self.entries, self.now)
         self.entries[entry_id] = started
@@ -215,9 +216,11 @@
         )
         return request_id
 
-    def submit(self, *, run_s: float = 3.0, entry_id: str = "") -> str:
+    def submit(self, *, run_s: float = 3.0, entry_id: str = "", home: str = "") -> str:
         """Submit a job at the entry that owns its home cell, or at one that believes so."""
         job_id = self._next("j")
+        while home and self.running[0].home(job_id) != home:
+            job_id = self._next("j")
         job = entities.Job(
             job_id=job_id,
             work_class="plan",
@@ -339,22 +342,34 @@
             self._jobs.setdefault(job_id, None)
 
     def _look_at_job(self, job_id: str) -> None:
-        acting = [(one, one.view(job_id)) for one in self.running]
-        views = [(one, view) for one, view in acting if view is not None]
-        if not views:
+        homes = [one.home(job_id) for one in self.running if one.home(job_id)]
+        view = self._view(job_id, homes[0]) if homes else None
+        if view is None or self._jobs[job_id] == (view.state, view.attempts):
             return
-        one, view = max(views, key=lambda pair: pair[0].cells[pair[0].home(job_id)].epoch)
-        if self._jobs[job_id] != (view.state, view.attempts):
-            self._jobs[job_id] = (view.state, view.attempts)
-            self.run.add(
-                history.JobSeen(
-                    at=self.now,
-                    job_id=job_id,
-                    entry_id=one.entry_id,
-                    state=view.state,
-                    attempts=view.attempts,
-                )
+        self._jobs[job_id] = (view.state, view.attempts)
+        self.run.add(
+            history.JobSeen(
+                at=self.now,
+                job_id=job_id,
+                cell=homes[0],
+                state=view.state,
+                attempts=view.attempts,
             )
+        )
+
+    def _view(self, job_id: str, name: str, *, moves: int = 0) -> messages.JobView | None:
+        """State of a job at the newest acting owner of a cell, or of the one it moved to.
+
+        A job moves once at most; one that moved on is nowhere.
+        """
+        acting = [owned for one in self.running if (owned := one.acting(name)) is not None]
+        if not acting:
+            return None
+        newest = max(acting, key=lambda owned: owned.epoch)
+        reply = newest.show(job_id=job_id)
+        if reply.moved_to and not moves:
+            return self._view(job_id, reply.moved_to, moves=1)
+        return reply.view or messages.JobView(job_id=job_id, state="")
 
     def _next(self, prefix: str) -> str:
         self._numbers += 1
--- /dev/null
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/other_cells.py
@@ -0,0 +1,76 @@
+"""The other cells of a run, as the cells of one entry see them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from ebonyhatch.core import resources
+from ebonyhatch.node import cell, cell_status, elsewhere, messages
+from ebonyhatch.testing.histories import callers
+from twisted.internet import defer
+
+CALL_TIMEOUT_S = 6.0
+"""Longest wait for another entry's answer, seconds."""
+
+
+class OtherCells(elsewhere.Elsewhere):
+    """Knows the room of all cells whose owners can be heard, and asks those owners."""
+
+    def __init__(self, *, entry_id: str, between: callers.Callers) -> None:
+        self._entry_id = entry_id
+        self._between = between
+
+    def could_hold(self, *, demand: resources.Resources) -> bool:
+        """Tell whether a worker of some cell may be large enough."""
+        return any(demand.fits(room.largest.amount) for room in self._rooms())
+
+    def target_for(self, *, origin: str, demand: resources.Resources) -> str:
+        """Name the cell with most room to spare."""
+        spare = {
+            room.cell: room.room.free_slots - room.room.queued_batch
+            for room in self._rooms()
+            if room.cell != origin and demand.fits(room.largest.amount)
+        }
+        best = max(spare, key=lambda name: spare[name], default="")
+        return best if best and spare[best] >= demand.slots else ""
+
+    async def call(
+        self, *, message: messages.TransferCall | messages.ReleaseCall
+    ) -> messages.TransferReply:
+        """Ask the owner of the cell that a message names."""
+        one = self._between.entries[self._entry_id]
+        owner = self._between.entries.get(one.owner_of(message.cell))
+        if owner is None or owner.clock.dead or self._between.cut(one, owner):
+            return messages.TransferReply(done=False, reason="peer-unreachable")
+        reply: defer.Deferred[messages.TransferReply] = defer.Deferred()
+        lost = messages.TransferReply(done=False, certain=False, reason="peer-lost")
+
+        def settle(value: messages.TransferReply) -> None:
+            if not reply.called:
+                reply.callback(value)
+
+        def back(value: messages.TransferReply) -> None:
+            if not self._between.cut(one, owner):
+                one.clock.run(lambda: settle(value))
+
+        def arrive() -> None:
+            _handle(owner.cells.get(message.cell), message).addCallback(back)
+
+        one.clock.callLater(CALL_TIMEOUT_S, settle, lost)
+        one.clock.callLater(callers.HOP_S, owner.clock.run, arrive)
+        return await reply
+
+    def _rooms(self) -> Iterator[messages.CellRoom]:
+        one = self._between.entries[self._entry_id]
+        for other in self._between.entries.values():
+            if other.clock.running and not self._between.cut(one, other):
+                for owned in other.cells.values():
+                    if owned.status().state is cell_status.CellPhase.ACTIVE:
+                        yield owned.room()
+
+
+def _handle(owned: cell.Cell | None, message: Any) -> defer.Deferred[messages.TransferReply]:
+    if owned is None:
+        return defer.succeed(messages.TransferReply(done=False, reason="not-owner"))
+    return owned.transfer(call=message)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/steps.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/steps.py
@@ -9,7 +9,7 @@
 Action = Callable[[fleet.Fleet, int], None]
 _ACTIONS: dict[str, Action] = {}
 
-WORK = ("request", "charge", "keyed", "submit", "cancel", "evict", "configure")
+WORK = ("request", "charge", "keyed", "submit", "burst", "cancel", "evict", "configure")
 """Actions that are no faults."""
 
 KEYS = 4
@@ -94,6 +94,13 @@
     run.submit(run_s=0.5 + pick % 8)
 
 
+@action("burst")
+def _burst(run: fleet.Fleet, pick: int) -> None:
+    """More jobs at once than a cell has room for, so that some are passed on."""
+    for number in range(12):
+        run.submit(run_s=4.0 + number % 3)
+
+
 @action("cancel")
 def _cancel(run: fleet.Fleet, pick: int) -> None:
     known = run.job_ids
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/history.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/history.py
@@ -68,7 +68,7 @@
     """The owner of a job's cell showed another state of it than before; empty: no such job."""
 
     job_id: str
-    entry_id: str
+    cell: str
     state: str
     attempts: int
 
