--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 import random
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
@@ -223,10 +224,13 @@
         return self._jobs.submit(job)
 
     def show(self, *, job_id: str) -> messages.JobReply:
-        """Show a job."""
-        if self._phase in (cell_status.CellPhase.ACTIVE, cell_status.CellPhase.CLOSING):
-            return self._jobs.show(job_id)
-        return messages.JobReply(status=503, reason=self._reason_against())
+        """Show a job; an owner without a lease may be an older one, and denies none."""
+        if self._phase not in (cell_status.CellPhase.ACTIVE, cell_status.CellPhase.CLOSING):
+            return messages.JobReply(status=503, reason=self._reason_against())
+        reply = self._jobs.show(job_id)
+        if reply.status == http.HTTPStatus.NOT_FOUND and not self._lease_valid():
+            return messages.JobReply(status=503, reason="lease-lapsed")
+        return reply
 
     def cancel(self, *, job_id: str) -> job_requests.ReplyOutcome:
         """Cancel a job; fires once that is durable."""
--- a/packages/ebonyhatch-node/tests/test_cell.py
+++ b/packages/ebonyhatch-node/tests/test_cell.py
@@ -339,3 +339,13 @@
     large = msgspec.structs.replace(job("j2"), payload=b"x" * journal.ENTRY_BYTES)
     refused = outcome_of(opened.submit(job=large))
     assert (refused.status, refused.outcome) == (413, commands.Outcome.NOT_RUN)
+
+
+def test_owner_without_a_lease_does_not_deny_a_job():
+    bench = Bench()
+    lease = {"valid": True}
+    opened, _ = bench.open(may_act=lambda: lease["valid"])
+    bench.run(1)
+    assert opened.show(job_id="j1").status == 404
+    lease["valid"] = False
+    assert opened.show(job_id="j1").status == 503
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 import json
 import random
 from typing import Any
@@ -61,6 +62,7 @@
         self._observers: dict[str, observer.WorkerObserver] = {}
         self._listed: dict[str, instances.Instance] = {}
         self._jobs: dict[str, tuple[str, int] | None] = {}
+        self._epochs: dict[str, int] = {}
         self._numbers = 0
         self._steps = 0
         for domain in DOMAINS:
@@ -366,7 +368,12 @@
         if not acting:
             return None
         newest = max(acting, key=lambda owned: owned.epoch)
+        self._epochs[name] = max(newest.epoch, self._epochs.get(name, 0))
+        if newest.epoch < self._epochs[name]:
+            return None
         reply = newest.show(job_id=job_id)
+        if reply.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            return None
         if reply.moved_to and not moves:
             return self._view(job_id, reply.moved_to, moves=1)
         return reply.view or messages.JobView(job_id=job_id, state="")
