--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/exit_codes.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/exit_codes.py
@@ -26,6 +26,9 @@
 TIMED_OUT = 7
 """The time given to wait has passed; the job goes on."""
 
+INTERRUPTED = 130
+"""Ended from the keyboard; what was sent may have taken effect."""
+
 TABLE = """\b
 Exit codes:
   0  done
@@ -36,4 +39,5 @@
   5  the entry or its store can't be reached, nothing was changed
   6  it isn't known whether the call took effect
   7  the time given to wait has passed
+  130  interrupted
 """
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/main.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/main.py
@@ -17,6 +17,7 @@
     printing,
     record_commands,
     status_commands,
+    tokens,
 )
 from ebonyhatch.core import errors
 
@@ -67,9 +68,9 @@
     chosen.entry = entry
     chosen.as_json = output == "json"
     if token_file is not None:
-        chosen.token = environment.read_token(token_file)
+        chosen.token = tokens.from_file(token_file)
     else:
-        chosen.token = environment.token_of_variable()
+        chosen.token = tokens.from_variable()
 
 
 main.add_command(record_commands.group)
--- a/packages/ebonyhatch-cli/tests/test_main.py
+++ b/packages/ebonyhatch-cli/tests/test_main.py
@@ -7,7 +7,7 @@
 import sys
 
 from click import testing
-from ebonyhatch.cli import exit_codes, main
+from ebonyhatch.cli import exit_codes, main, tokens
 from ebonyhatch.node import settings_schema
 from ebonyhatch.testing import processes, samples
 
@@ -49,7 +49,7 @@
 
 def test_help_documents_every_exit_code():
     shown = testing.CliRunner().invoke(main.main, ["--help"]).stdout
-    listed = {int(code) for code in re.findall(r"^ +(\d)  ", shown, re.MULTILINE)}
+    listed = {int(code) for code in re.findall(r"^ +(\d+)  ", shown, re.MULTILINE)}
     assert listed == {
         code for name, code in vars(exit_codes).items() if name.isupper() and name != "TABLE"
     }
@@ -64,3 +64,14 @@
 def test_variables_of_the_command_line_are_none_of_the_daemon():
     for name in ("EBONYHATCH_URL", "EBONYHATCH_TOKEN"):
         assert not settings_schema.is_variable(name)
+
+
+def test_token_file_goes_before_the_variable_and_must_hold_one(tmp_path):
+    path = tmp_path / "token"
+    for text in ("", "two words"):
+        path.write_text(text, encoding="utf-8")
+        outcome = testing.CliRunner().invoke(main.main, ["--token-file", str(path), "status"])
+        assert outcome.exit_code == exit_codes.REFUSED
+        assert "keys new" in outcome.stderr
+    path.write_text("from-the-file\n", encoding="utf-8")
+    assert tokens.from_file(path) == "from-the-file"
