Tests of the gateway leave no timers in the reactor

Their site put the 60 s timeouts of its connections into the real reactor, and whichever trial test came next in the same process failed on a dirty reactor (seen in a run of the node's tests with two processes). The site gets a fake clock, as the in-memory exchange has.

--- a/packages/ebonyhatch-node/src/ebonyhatch/node/metrics.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/metrics.py
@@ -177,8 +177,14 @@
         """Write all metrics in the text format of Prometheus."""
         return b"".join(self.slices())
 
-    def render_in_turns(self) -> defer.Deferred[bytes]:
-        """Write all metrics a slice in each turn of the loop, so that none is held up."""
+    def render_in_turns(
+        self, *, cooperator: task.Cooperator | None = None
+    ) -> defer.Deferred[bytes]:
+        """Write all metrics a slice in each turn of the loop, so that none is held up.
+
+        Args:
+            cooperator: Gives the turns; that of the running reactor by default.
+        """
         parts: list[bytes] = []
 
         def turns() -> Iterator[None]:
@@ -186,7 +192,8 @@
                 parts.append(part)
                 yield
 
-        return task.coiterate(turns()).addCallback(lambda _: b"".join(parts))
+        coiterate = task.coiterate if cooperator is None else cooperator.coiterate
+        return coiterate(turns()).addCallback(lambda _: b"".join(parts))
 
     def slices(self) -> Iterator[bytes]:
         """Write all metrics in parts of at most `SLICE_SAMPLES` samples."""
--- a/packages/ebonyhatch-node/tests/test_gateway.py
+++ b/packages/ebonyhatch-node/tests/test_gateway.py
@@ -70,6 +70,7 @@
         self.site = http_server.bounded_site(
             root=self.gateway.app.resource(), body_limit_bytes=LIMIT_BYTES
         )
+        self.site.reactor = task.Clock()
 
     def send(self, head, body=b"", length=None):
         transport = testing.StringTransport()
--- a/packages/ebonyhatch-node/tests/test_metrics.py
+++ b/packages/ebonyhatch-node/tests/test_metrics.py
@@ -1,8 +1,9 @@
+import functools
+
 import prometheus_client
 from ebonyhatch.node import labels, metrics
 from prometheus_client import parser
-from twisted.internet import defer
-from twisted.trial import unittest
+from twisted.internet import task
 
 
 def test_pairs_beyond_the_bound_are_folded():
@@ -27,13 +28,16 @@
     assert text == prometheus_client.generate_latest(counted._registry).decode()
 
 
-class TurnsTest(unittest.TestCase):
-    @defer.inlineCallbacks
-    def test_rendering_in_turns_gives_the_same(self):
-        counted = metrics.Metrics()
-        counted.refused(reason="deadline", outcome="not-run")
-        text = yield counted.render_in_turns()
-        assert text == counted.render()
+def test_rendering_in_turns_gives_the_same():
+    clock = task.Clock()
+    cooperator = task.Cooperator(scheduler=functools.partial(clock.callLater, 0.0))
+    counted = metrics.Metrics()
+    counted.refused(reason="deadline", outcome="not-run")
+    rendered = []
+    counted.render_in_turns(cooperator=cooperator).addCallback(rendered.append)
+    assert not rendered
+    clock.pump([0.0] * 99)
+    assert rendered == [counted.render()]
 
 
 def test_reasons_and_long_values_are_bounded():
