--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity.py
@@ -10,6 +10,7 @@
     capacity_cell,
     capacity_daemon,
     capacity_entries,
+    capacity_instances,
     capacity_metrics,
     capacity_model,
     capacity_peers,
@@ -24,6 +25,7 @@
     capacity_daemon,
     capacity_cell,
     capacity_entries,
+    capacity_instances,
     capacity_peers,
 )
 """Modules that register probes; those that weigh memory come first."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_model.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_model.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 
 import msgspec
-from ebonyhatch.node import cell, gossip, journal, peer_link, worker_link
+from ebonyhatch.node import cell, gossip, instance_view, journal, peer_link, worker_link
 from ebonyhatch.platform import store
 from ebonyhatch.testing.benches import capacity_daemon, capacity_slopes
 
@@ -185,21 +185,27 @@
         """Entries whose loops are busy at most the usable share, whatever starts at the peak."""
         starts = max(self.request_cores() + self.job_cores(), self.batch_peak_cores())
         shared = starts + self.renewal_cores() + self.tick_cores()
-        return math.ceil(shared / (USABLE_SHARE - self.own_cores()))
+        return math.ceil(shared / (USABLE_SHARE - self.own_cores() - self.list_core()))
 
     def change_cores(self) -> float:
         """Cores of one entry for changes of the configuration."""
         change_ms = self._slope("configuration: an entry's time for changes")
         return self._fleet.changes_day / DAY_S * change_ms / 1e3
 
+    def list_core(self) -> float:
+        """Cores of one entry for reading the list of instances."""
+        read_ms = self._at("instance list: read unchanged", float(self._fleet.workers))
+        return read_ms / instance_view.READ_PERIOD_S / 1e3
+
     def control_core(self) -> float:
         """Share of a core that one entry spends on control: all but requests and jobs."""
         shared = self.renewal_cores() + self.tick_cores()
-        return shared / self._fleet.entries + self.own_cores() + self.change_cores()
+        own = self.own_cores() + self.change_cores() + self.list_core()
+        return shared / self._fleet.entries + own
 
     def workers_within_control(self) -> int:
         """Workers that one entry can own within the limit on control."""
-        left = CONTROL_CORE_LIMIT - self.own_cores()
+        left = CONTROL_CORE_LIMIT - self.own_cores() - self.list_core()
         return max(0, int(left / (self.renewal_cores() / self._fleet.workers)))
 
     def processor(self) -> list[Row]:
@@ -212,6 +218,7 @@
             _row("entry as owner", "jobs of a day, all entries", self.job_cores(), "cores"),
             _row("entry as owner", "each start is batch, all", self.batch_peak_cores(), "cores"),
             _row("entry", "whatever it owns", self.own_cores() * 100, "% of a core"),
+            _row("entry", "reading the list of instances", self.list_core() * 100, "% of a core"),
             _row("entry", "changes of configuration", self.change_cores() * 100, "% of a core"),
             _row("entry", "control", self.control_core() * 100, "% of a core", limit),
             _row("entry", "workers within the limit", self.workers_within_control(), "workers"),
@@ -255,7 +262,10 @@
         )
         wire_bytes = payload_bytes + frames * (FRAME_OVERHEAD_BYTES + KEYED_FRAME_BYTES)
         limit = CONTROL_TRAFFIC_LIMIT_KB_S
+        list_kb = self._at("instance list: size", float(fleet.workers))
+        list_kb_s = list_kb / instance_view.READ_PERIOD_S
         return [
+            _row("entry", "the list of instances", list_kb_s, "KB/s", limit),
             _row("entry as peer", "frames both ways", frames, "1/s"),
             _row("entry as peer", "payload both ways", payload_bytes / 1e3, "KB/s"),
             _row("entry as peer", "on the wire", wire_bytes / 1e3, "KB/s", limit),
--- a/packages/ebonyhatch-testing/tests/test_capacity.py
+++ b/packages/ebonyhatch-testing/tests/test_capacity.py
@@ -33,6 +33,7 @@
             ("scheduler: one report", 0.0, 0.0),
             ("scheduler: idle tick", 0.0, 0.0),
             ("gossip, six regions, keys: processor time", 0.0, 0.0),
+            ("instance list: read unchanged", 0.0, 0.0),
             ("entries: ownership and watches", 0.0, 0.0),
             ("configuration: an entry's time for changes", 0.0, 0.0),
         )
@@ -48,6 +49,7 @@
 @pytest.mark.parametrize("entries", [20, 30, 60])
 def test_traffic_of_peers_is_within_the_limit_at_the_size_of_the_letter(entries):
     slopes = {found.name: found for found in capacity_peers.gossip_frame(seed=1, quick=True)}
+    slopes["instance list: size"] = line("instance list: size", 0.0, 0.0)
     fleet = msgspec.structs.replace(capacity_model.LETTER_SIX, entries=entries)
     rows = capacity_model.Model(slopes=slopes, fleet=fleet).traffic()
     assert all(row.met for row in rows), rows
