--- a/packages/ebonyhatch-core/tests/test_default_scheduler.py
+++ b/packages/ebonyhatch-core/tests/test_default_scheduler.py
@@ -157,3 +157,12 @@
     for step in range(1, 400):
         decided += scheduler.tick(now=0.55 + step / 10, events=[])
     assert "StartTask" in kinds(decided)
+
+
+def test_failed_start_is_tried_again_on_the_only_worker():
+    scheduler = build()
+    scheduler.tick(now=0.0, events=[submitted("j1")])
+    failed = events.TaskStartFailed(task_id="j1/1", reason="failed")
+    assert scheduler.tick(now=0.05, events=[failed]) == []
+    again = scheduler.tick(now=1.0, events=[])
+    assert again[0].task_id == "j1/2"
