--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_model.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_model.py
@@ -6,7 +6,15 @@
 from collections.abc import Mapping
 
 import msgspec
-from ebonyhatch.node import cell, gossip, instance_view, journal, peer_link, worker_link
+from ebonyhatch.node import (
+    cell,
+    gossip,
+    instance_view,
+    journal,
+    paced_store,
+    peer_link,
+    worker_link,
+)
 from ebonyhatch.platform import store
 from ebonyhatch.testing.benches import capacity_daemon, capacity_slopes
 
@@ -164,10 +172,16 @@
         return self._fleet.starts_s * self._slope("daemon: jobs") / 1e3 + self.journal_cores()
 
     def journal_cores(self) -> float:
-        """Cores of all entries when the journal of each cell is written without a pause."""
+        """Cores of all entries when the journals are written as often as they may be."""
         at_rest_ms = self._at("daemon: at rest", float(capacity_daemon.LOAD_WORKERS))
         writing_ms = max(0.0, self._at("daemon: jobs", 0.0) - at_rest_ms)
-        return writing_ms / DAEMON_CELLS * self._fleet.cells / 1e3
+        measured_s = min(DAEMON_CELLS / journal.WRITE_INTERVAL_S, paced_store.WRITES_PER_S)
+        return writing_ms / measured_s * self._most_journal_writes() / 1e3
+
+    def _most_journal_writes(self) -> float:
+        """Writes of all journals a second: bounded for each cell, and for each entry."""
+        of_cells = self._fleet.cells / journal.WRITE_INTERVAL_S
+        return min(of_cells, self._fleet.entries * paced_store.WRITES_PER_S)
 
     def tick_cores(self) -> float:
         """Cores of all entries for the ticks of all cells."""
@@ -277,8 +291,9 @@
         entry_reads = self._slope("entries: store reads at rest") * fleet.entries
         entry_writes = self._slope("entries: store writes at rest") * fleet.entries
         job_entries_s = fleet.jobs_day / DAY_S * ENTRIES_OF_JOB
-        quiet = min(job_entries_s, fleet.cells / journal.WRITE_INTERVAL_S)
-        peak = min(fleet.starts_s * ENTRIES_OF_JOB, fleet.cells / journal.WRITE_INTERVAL_S)
+        most = self._most_journal_writes()
+        quiet = min(job_entries_s, most)
+        peak = min(fleet.starts_s * ENTRIES_OF_JOB, most)
         record = self._at("ownership: record", fleet.cells)
         head = self._at("configuration: head", fleet.tenants)
         change = head * fleet.entries * fleet.changes_day / DAY_S
