Tests run the real reactor only while they wait, and leave nothing in it

Cause: a reactor in a background thread and trial's test cases in one process. Trial's test of metrics failed in the full suite when it came to a worker after the stand-ins' tests: their servers' idle timeouts were still due (DirtyReactorAggregateError). Ruled out: keeping them apart by files, since xdist deals tests out as it likes.

--- a/packages/ebonyhatch-platform/tests/test_answers_fuzz.py
+++ b/packages/ebonyhatch-platform/tests/test_answers_fuzz.py
@@ -12,13 +12,13 @@
     store,
     workers,
 )
-from ebonyhatch.testing import reactor_thread, scripted_server
+from ebonyhatch.testing import real_reactor, scripted_server
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns import result
 from twisted import logger
 
-REACTOR = reactor_thread.reactor
+REACTOR = real_reactor.reactor
 SLOTS = {"slots": 8, "connections": 64, "cores": 32.0, "memory_gb": 125.0, "accelerators": 0}
 TASK = {"task_id": "a/1", "job_id": "a", "state": "running", "run_s": 1.0, "usage": SLOTS}
 VALID = {
@@ -83,7 +83,7 @@
 
     def __init__(self):
         self.server = scripted_server.ScriptedServer(reactor=REACTOR, script=lambda *_: b"")
-        reactor_thread.run(self.server.start)
+        real_reactor.run(self.server.start)
         places = {"reactor": REACTOR, "host": "127.0.0.1", "port": self.server.port}
         self.store = http_store.HttpStore(**places)
         self.instances = http_instances.HttpInstances(**places)
@@ -114,15 +114,17 @@
             "checkpoint": lambda: self.workers.checkpoint(task_id="a/1", **self.place),
             "forward": lambda: self.workers.forward(request=request, **self.place),
         }
-        outcome = reactor_thread.run(calls[name])
+        outcome = real_reactor.run(calls[name])
+        real_reactor.turn()
         if isinstance(outcome, result.Failure):
             assert isinstance(outcome.failure(), ERRORS[name])
         return outcome
 
     def close(self):
         for port in (self.store, self.instances, self.workers):
-            reactor_thread.run(port.close)
-        reactor_thread.run(self.server.close)
+            real_reactor.run(port.close)
+        real_reactor.run(self.server.close)
+        real_reactor.clean()
 
 
 @pytest.fixture(scope="module")
--- a/packages/ebonyhatch-platform/tests/test_http_calls.py
+++ b/packages/ebonyhatch-platform/tests/test_http_calls.py
@@ -5,23 +5,24 @@
 
 import pytest
 from ebonyhatch.platform import addresses, connection_pool, http_calls, http_workers, workers
-from ebonyhatch.testing import reactor_thread, scripted_server
+from ebonyhatch.testing import real_reactor, scripted_server
 from twisted.internet import defer
 
-REACTOR = reactor_thread.reactor
+REACTOR = real_reactor.reactor
 
 
 @contextlib.contextmanager
 def serving(script, *, closes=False):
     server = scripted_server.ScriptedServer(reactor=REACTOR, script=script, closes=closes)
     port = http_workers.HttpWorkers(reactor=REACTOR, timeout_s=0.6)
-    reactor_thread.run(server.start)
-    reactor_thread.run(port.start)
+    real_reactor.run(server.start)
+    real_reactor.run(port.start)
     try:
         yield server, port
     finally:
-        reactor_thread.run(port.close)
-        reactor_thread.run(server.close)
+        real_reactor.run(port.close)
+        real_reactor.run(server.close)
+        real_reactor.clean()
 
 
 def forward(server, port, *, request_id="r1", path="q", headers=(), method="POST", body=b"b"):
@@ -35,7 +36,7 @@
         timeout_s=0.6,
     )
     address = workers.Address(worker_id="w1", host="127.0.0.1", port=server.port)
-    return reactor_thread.run(lambda: port.forward(address=address, epoch=1, request=request))
+    return real_reactor.run(lambda: port.forward(address=address, epoch=1, request=request))
 
 
 def whole(body=b"ok", **options):
@@ -84,8 +85,8 @@
             answer = forward(server, port, request_id=f"r{n}").unwrap()
             assert workers.Header(name="Set-Cookie", value="caller=1") in answer.headers
         address = workers.Address(worker_id="w1", host="127.0.0.1", port=server.port)
-        reactor_thread.run(lambda: port.claim(address=address, epoch=1))
-        reactor_thread.run(lambda: port.claim(address=address, epoch=1))
+        real_reactor.run(lambda: port.claim(address=address, epoch=1))
+        real_reactor.run(lambda: port.claim(address=address, epoch=1))
         assert server.connections == 1
         assert not any(b"\r\ncookie:" in request.lower() for request in server.requests)
 
@@ -201,13 +202,14 @@
         reactor=REACTOR, script=whole(b"{}"), closes=False, host="::1"
     )
     calls = http_calls.HttpCalls(reactor=REACTOR)
-    reactor_thread.run(server.start)
+    real_reactor.run(server.start)
     url = addresses.base_url(host="::1", port=server.port) + "/x"
     call = http_calls.Call(method="GET", url=url, timeout_s=2.0)
     for _ in range(2):
-        assert reactor_thread.run(lambda: calls.call(call)).unwrap().body == b"{}"
-    reactor_thread.run(calls.close)
-    reactor_thread.run(server.close)
+        assert real_reactor.run(lambda: calls.call(call)).unwrap().body == b"{}"
+    real_reactor.run(calls.close)
+    real_reactor.run(server.close)
+    real_reactor.clean()
     assert [request.split(b" ")[1] for request in server.requests] == [
         b"/x",
         b"/health/live",
@@ -239,7 +241,7 @@
                 port.forward(address=address, epoch=1, request=request) for _ in range(3)
             )
 
-        reactor_thread.run(together)
+        real_reactor.run(together)
         assert server.connections == 3
         silent.update({1, 2, 3})
         assert isinstance(forward(server, port).failure(), workers.OutcomeUnknownError)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/adapters.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/adapters.py
@@ -16,7 +16,7 @@
 import treq
 from ebonyhatch.core import resources
 from ebonyhatch.platform import addresses, http_store, http_workers, worker_messages, workers
-from ebonyhatch.testing import reactor_thread
+from ebonyhatch.testing import real_reactor
 from ebonyhatch.testing.benches import measures, registry
 from twisted.internet import defer
 from twisted.web import client, http_headers
@@ -79,8 +79,8 @@
 ) -> dict[tuple[str, str], Cost]:
     generator = random.Random(seed)
     adapters = _Adapters(store_port=store_port, worker_port=worker_port)
-    reactor_thread.run(adapters.start)
-    reactor_thread.run(adapters.start_tasks)
+    real_reactor.run(adapters.start)
+    real_reactor.run(adapters.start_tasks)
     contenders = adapters.contenders(generator.randbytes(BODY_BYTES))
     waits: dict[tuple[str, str], list[float]] = {}
     processor: dict[tuple[str, str], float] = {}
@@ -92,7 +92,7 @@
                 continue
             waits.setdefault((one.call, one.way), []).extend(taken)
             processor[one.call, one.way] = processor.get((one.call, one.way), 0.0) + used
-    reactor_thread.run(adapters.close)
+    real_reactor.run(adapters.close)
     return {key: _cost(taken, processor[key]) for key, taken in waits.items()}
 
 
@@ -109,7 +109,7 @@
             waits.append(time.perf_counter() - asked_at)
         return waits, time.thread_time() - began
 
-    return reactor_thread.run(calls)
+    return real_reactor.run(calls)
 
 
 def _cost(waits: list[float], processor_s: float) -> Cost:
@@ -124,7 +124,7 @@
     """The adapters and plain treq, each with its own pool."""
 
     def __init__(self, *, store_port: int, worker_port: int) -> None:
-        reactor = reactor_thread.reactor
+        reactor = real_reactor.reactor
         self._store = http_store.HttpStore(reactor=reactor, host=HOST, port=store_port)
         self._workers = http_workers.HttpWorkers(reactor=reactor)
         self._address = workers.Address(worker_id="w1", host=HOST, port=worker_port)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/rigs.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/rigs.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ebonyhatch.testing import reactor_thread
+from ebonyhatch.testing import real_reactor
 from twisted.internet import defer, task
 
 STEP_S = 0.05
@@ -66,9 +66,9 @@
     """Runs on the real reactor."""
 
     def run(self, call: Callable[[], Any]) -> Any:
-        """Call `call` in the reactor's thread."""
-        return reactor_thread.run(call)
+        """Call `call` with the reactor running."""
+        return real_reactor.run(call)
 
     def pause(self, seconds: float) -> None:
         """Wait."""
-        reactor_thread.run(lambda: task.deferLater(reactor_thread.reactor, seconds))
+        real_reactor.run(lambda: task.deferLater(real_reactor.reactor, seconds))
--- a/packages/ebonyhatch-testing/tests/test_stand_ins.py
+++ b/packages/ebonyhatch-testing/tests/test_stand_ins.py
@@ -16,7 +16,7 @@
     instances,
     store,
 )
-from ebonyhatch.testing import reactor_thread
+from ebonyhatch.testing import real_reactor
 from ebonyhatch.testing.contracts import (
     instances_contract,
     rigs,
@@ -28,7 +28,7 @@
 from ebonyhatch.testing.stand_ins import worker as worker_stand_in
 from twisted.internet import error
 
-REACTOR = reactor_thread.reactor
+REACTOR = real_reactor.reactor
 TIMEOUT_S = 0.5
 
 
@@ -52,6 +52,7 @@
     def close(self):
         self.rig.run(self.adapter.close)
         self.rig.run(self.stand_in.close)
+        real_reactor.clean()
 
 
 class HttpStoreRig(_HttpRig, store_contract.StoreRig):
