--- a/packages/ebonyhatch-core/src/ebonyhatch/core/explanation.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/explanation.py
@@ -20,14 +20,21 @@
     if row.parked:
         return f"{row.job.job_id} is parked: no worker of the cell can hold {row.job.demand}"
     if row.task is not None:
-        task = row.task
-        return f"{task.task_id} is {task.state.value} on {task.worker.worker_id}"
+        return _explain_task(state, row.task)
     return (
         f"{row.job.job_id} waits in the {row.lane.value} lane among {len(state.batch)} jobs"
         f" after {row.attempts} attempts and {row.evictions} evictions"
     )
 
 
+def _explain_task(state: tables.Tables, task: rows.Task) -> str:
+    text = f"{task.task_id} is {task.state.value} on {task.worker.worker_id}"
+    run_s = task.resumed_s + state.now - task.placed_at
+    if run_s > state.run_times.straggler_s(task.job.job.work_class):
+        text += f" and has run for {run_s:.0f} s, longer than nearly all of its class"
+    return text
+
+
 def _explain_request(state: tables.Tables, row: rows.Request) -> str:
     request_id = row.request.request_id
     if row.worker is not None:
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/run_times.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/run_times.py
@@ -55,7 +55,9 @@
         """Take in the run time of a job."""
         run_s = max(run_s, 0.001)
         for tenant in ("", job.tenant):
-            times = self._classes.setdefault((job.work_class, tenant), ClassTimes())
+            times = self._classes.get((job.work_class, tenant))
+            if times is None:
+                times = self._classes[job.work_class, tenant] = ClassTimes()
             _add(times, run_s=run_s, declared_s=max(job.expected_run_s, 0.001))
             if times.count >= LEAST_SAMPLES and times.count % LEAST_SAMPLES == 0:
                 self._version += 1
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/sizes.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/sizes.py
@@ -43,7 +43,9 @@
 
     def measured(self, work_class: str, usage: resources.Resources) -> None:
         """Take in the measured use of a task."""
-        sizes = self._classes.setdefault(work_class, ClassSizes())
+        sizes = self._classes.get(work_class)
+        if sizes is None:
+            sizes = self._classes[work_class] = ClassSizes()
         sizes.count += 1
         sizes.measured_cores.record_value(_units(usage.cores))
         sizes.measured_memory.record_value(_units(usage.memory_gb))
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/batch_placement.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/batch_placement.py
@@ -69,8 +69,7 @@
         if worker is not None:
             start(state, row, worker, priority=priority)
             return 0
-        if _impossible(state, row):
-            _park(state, row, priority)
+        if park_if_impossible(state, row):
             return 0
         if not misses and state.now - row.queued_at > HOLD_AFTER_S:
             state.misfits.append(row)
@@ -154,18 +153,28 @@
     state.commands.append(command)
 
 
-def _impossible(state: tables.Tables, row: rows.Job) -> bool:
-    """Tell whether no worker could ever hold a job; worked out once for each set of workers."""
-    if row.judged_at == state.workers_version:
+def park_if_impossible(state: tables.Tables, row: rows.Job) -> bool:
+    """Park a waiting job that no worker could hold; tell whether it was parked."""
+    if not _impossible(state, row):
         return False
-    row.judged_at = state.workers_version
-    live = [worker for worker in state.workers.values() if not worker.leaving]
-    return bool(live) and not any(row.job.demand.fits(worker.capacity) for worker in live)
-
-
-def _park(state: tables.Tables, row: rows.Job, priority: int) -> None:
-    state.batch.remove(row, priority=priority)
+    state.batch.remove(row, priority=state.priority_of(row.job.work_class))
     row.parked = True
     state.parked[row.job.job_id] = row
     command = commands.ParkJob(job_id=row.job.job_id, reason="no-worker-can-hold-it")
     state.commands.append(command)
+    return True
+
+
+def _impossible(state: tables.Tables, row: rows.Job) -> bool:
+    """Worked out once for each set of workers."""
+    if row.judged_at == state.workers_version:
+        return False
+    row.judged_at = state.workers_version
+    any_live = False
+    for worker in state.workers.values():
+        if worker.leaving:
+            continue
+        any_live = True
+        if row.job.demand.fits(worker.capacity):
+            return False
+    return any_live
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/job_events.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/job_events.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ebonyhatch.core import commands, events, rows, tables
-from ebonyhatch.core.systems import health, ingest, requeue, worker_events
+from ebonyhatch.core.systems import batch_placement, health, ingest, requeue, worker_events
 
 
 @ingest.handler(events.JobSubmitted)
@@ -19,6 +19,7 @@
     )
     state.jobs[event.job.job_id] = row
     state.queue_job(row)
+    batch_placement.park_if_impossible(state, row)
 
 
 @ingest.handler(events.JobCancelled)
--- a/packages/ebonyhatch-core/tests/test_default_scheduler.py
+++ b/packages/ebonyhatch-core/tests/test_default_scheduler.py
@@ -151,3 +151,15 @@
     assert scheduler.tick(now=0.05, events=[failed]) == []
     again = scheduler.tick(now=1.0, events=[])
     assert again[0].task_id == "j1/2"
+
+
+def test_explain_tells_where_things_are():
+    scheduler = build()
+    huge = resources.Resources(slots=3, connections=1)
+    due = [submitted(f"j{number}") for number in range(3)]
+    scheduler.tick(now=0.0, events=[*due, submitted("huge", huge), arrived("r1")])
+    assert "sent to w0" in scheduler.explain(subject_id="r1")
+    assert "on w0" in scheduler.explain(subject_id="j0")
+    assert "waits in the short lane" in scheduler.explain(subject_id="j1")
+    assert "parked" in scheduler.explain(subject_id="huge")
+    assert "not known" in scheduler.explain(subject_id="other")
