--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_events.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_events.py
@@ -38,9 +38,6 @@
 def _learn(state: tables.Tables, row: rows.Request, event: events.RequestAnswered) -> None:
     state.demand.served(state.now - row.sent_at)
     state.retries.succeed()
-    if row.worker is not None:
-        wait_s = state.now - row.request.arrived_at - state.demand.service_s
-        state.seen.answered(row.worker, now=state.now, wait_s=wait_s)
     health.served(state, row, event.service_s)
     if not event.failed:
         sharing.answered(state, row, event.service_s)
@@ -76,8 +73,10 @@
     if row is None:
         retry.release_former(state, event.request_id, event.worker_id)
         return
-    if row.worker is not None:
+    if row.worker is not None and state.now < row.request.deadline_at:
         health.bad(state, row.worker, row.request.work_class)
+    elif row.worker is not None:
+        health.timed_out(state, row)
     retry.lost(state, row)
 
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_placement.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/request_placement.py
@@ -35,7 +35,7 @@
         if probed is not None:
             return probed
     fallback = None
-    for count, worker in enumerate(state.rank(state.seen, state.urgent_workers)):
+    for count, worker in enumerate(state.urgent_workers.best()):
         if count >= CANDIDATES_LIMIT:
             break
         if not capacity.fits(worker, row.demand):
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/tables.py
@@ -13,7 +13,6 @@
     drains,
     entities,
     interference,
-    ranks,
     resources,
     rows,
     run_times,
@@ -57,8 +56,6 @@
         "class_standings",
         "delayed",
         "hedges",
-        "rank",
-        "seen",
         "lanes_version",
         "holds",
         "misfits",
@@ -116,8 +113,6 @@
         self.retries = budgets.RetryBudget()
         self.probes: dict[str, rows.Worker] = {}
         self.class_standings: dict[str, rows.Standing] = {}
-        self.rank = ranks.find("penalty")
-        self.seen = ranks.Observations(seed=1)
         self.hedges: list[tuple[float, str, str]] = []
         self.delayed: list[tuple[float, str]] = []
         self.holds: dict[str, rows.Worker] = {}
@@ -222,7 +217,6 @@
         """Enter the reservation of a request that is sent."""
         row.worker = worker
         row.sharers = worker.sharers
-        self.seen.sent(worker, now=self.now)
         worker.requests[row.request.request_id] = row
         self.sent += 1
         capacity.reserve(worker, row.demand)
