--- a/packages/ebonyhatch-core/src/ebonyhatch/core/budgets.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/budgets.py
@@ -27,11 +27,11 @@
         if limit > 0:
             self._refilled_at = now
 
-    def take(self) -> bool:
-        """Spend one token, if there is one."""
-        if self._tokens < 1.0:
+    def take(self, *, amount: float = 1.0) -> bool:
+        """Spend tokens, if there are enough."""
+        if self._tokens < amount:
             return False
-        self._tokens -= 1.0
+        self._tokens -= amount
         return True
 
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/expire.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/expire.py
@@ -29,7 +29,7 @@
 def _expire(state: tables.Tables, row: rows.Request) -> None:
     if row.worker is not None:
         state.demand.served(state.now - row.sent_at)
-        health.bad(state, row.worker, row.request.work_class)
+        health.timed_out(state, row)
     if row.state is rows.RequestState.QUEUED:
         state.urgent.discard()
     retry.refuse(state, row, outcome=retry.truth(row), reason="deadline")
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/health.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/health.py
@@ -86,6 +86,16 @@
         _bar(state, worker)
 
 
+def timed_out(state: tables.Tables, row: rows.Request) -> None:
+    """Count a request that its worker kept past the deadline.
+
+    A worker that answered others meanwhile is only slow, or got the request late.
+    """
+    worker = row.worker
+    if worker is not None and worker.answered_at < row.sent_at:
+        bad(state, worker, row.request.work_class)
+
+
 def at_fault(state: tables.Tables, work_class: str) -> bool:
     """Tell whether a class fails on most workers where it is tried."""
     standing = state.class_standing(work_class)
--- a/packages/ebonyhatch-core/tests/test_health.py
+++ b/packages/ebonyhatch-core/tests/test_health.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhatch.core import default_scheduler, entities, events, resources
+from ebonyhatch.core import default_scheduler, entities, events, resources, rows
 from ebonyhatch.core.systems import health
 
 CAPACITY = resources.Resources(slots=4, connections=8, cores=8.0, memory_gb=8.0)
@@ -96,6 +96,18 @@
     assert cell.refused == 0
 
 
+def test_deadlines_missed_under_overload_bar_no_worker():
+    cell = Cell()
+    cell.run(50)
+    for worker in cell.scheduler.tables.workers.values():
+        row = rows.Request(request=None, worker=worker, sent_at=cell.now - 0.5)
+        worker.answered_at = cell.now
+        for _ in range(5):
+            health.timed_out(cell.scheduler.tables, row)
+        assert not worker.barred
+        assert worker.standing.failures == 0.0
+
+
 def test_worker_that_must_be_used_is_barred_when_it_fails():
     cell = Cell()
     cell.bad.add("w0")
