--- a/packages/ebonyhatch-core/src/ebonyhatch/core/eviction_costs.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/eviction_costs.py
@@ -7,10 +7,6 @@
 CHECKPOINT_COST_S = 2.0
 """Slot time that saving the work takes, about."""
 
-FULL_TOKEN_S = 10.0
-"""Unsaved work from which an eviction takes a whole token from the budget."""
-
-LEAST_TOKEN = 0.1
 WEIGHT_NAME = "eviction_cost"
 
 
@@ -43,12 +39,6 @@
     return unsaved * _weight(state, task)
 
 
-def tokens(state: tables.Tables, task: rows.Task) -> float:
-    """What an eviction takes from the budget: little for one that has hardly run."""
-    share = unsaved_s(task, now=state.now) / FULL_TOKEN_S
-    return min(1.0, max(LEAST_TOKEN, share))
-
-
 def _weight(state: tables.Tables, task: rows.Task) -> float:
     work_class = state.classes.get(task.job.job.work_class)
     weight = work_class.weights.get(WEIGHT_NAME, 1.0) if work_class is not None else 1.0
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/systems/eviction.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/systems/eviction.py
@@ -71,16 +71,12 @@
     limit_s = state.settings.eviction_cost_limit_s
     costs = [(eviction_costs.with_checkpoint(state, task), task) for task in tasks]
     for cost_s, task in sorted(costs, key=lambda entry: entry[0]):
-        if slots <= 0 or cost_s > limit_s or not _spend(state, task):
+        if slots <= 0 or cost_s > limit_s or not state.budget.take():
             return
         slots -= task.demand.slots
         evict_task(state, task, checkpoint=True)
 
 
-def _spend(state: tables.Tables, task: rows.Task) -> bool:
-    return state.budget.take(amount=eviction_costs.tokens(state, task))
-
-
 def _relieve(state: tables.Tables) -> None:
     """Stop tasks unsaved when urgent work waits too long for checkpoints."""
     head = state.urgent.head()
@@ -98,7 +94,7 @@
         return
     state.reserve.relieved.append((state.now, slots))
     for task in sorted(tasks, key=lambda entry: eviction_costs.at_once(state, entry)):
-        if slots <= 0 or not _spend(state, task):
+        if slots <= 0 or not state.budget.take():
             return
         slots -= task.demand.slots
         evict_task(state, task, checkpoint=False)
@@ -123,7 +119,7 @@
 
 def _ease(state: tables.Tables, task: rows.Task) -> None:
     cheap = eviction_costs.unsaved_s(task, now=state.now) < CHEAP_S
-    if (cheap or eviction_costs.savable(state, task)) and _spend(state, task):
+    if (cheap or eviction_costs.savable(state, task)) and state.budget.take():
         evict_task(state, task, checkpoint=True)
     elif task.share > THROTTLED:
         throttle(state, task, share=THROTTLED)
