--- a/packages/ebonyhatch-testing/tests/test_job_passing.py
+++ b/packages/ebonyhatch-testing/tests/test_job_passing.py
@@ -6,7 +6,6 @@
 from ebonyhatch.testing import checker, history
 from ebonyhatch.testing.histories import fleet
 
-
 JOBS = 40
 
 
