Cells are grouped by the number that the ownership record holds; handlers of peers apart

Cause: each entry grouped workers by its own setting, so that entries whose settings differ would have claimed one worker for two cells. The setting now only proposes the number to the first entry; until it is known there are no cells. The daemon was the largest module: what it does with peers' messages has one of its own.

--- a/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
@@ -30,6 +30,7 @@
     other_cells,
     ownership,
     paced_store,
+    peer_handlers,
     peers,
     placements,
     route_choice,
@@ -121,6 +122,14 @@
             draining=lambda: self._draining,
             warnings=self._warnings,
         )
+        peer_handlers.register(
+            network=self._network,
+            gossiper=self._gossiper,
+            chooser=self._chooser,
+            router=self._router,
+            others=self._others,
+            view=self._view,
+        )
         self._gauges = task.LoopingCall(self._set_gauges)
         self._gauges.clock = reactor
 
@@ -150,11 +159,11 @@
         self._platform.workers.start()
         self._platform.instances.start()
         self._network.start()
-        self._handle_messages()
         await self._listed.start()
         self._gossiper.start()
         await self._configured.start()
         await self._owned.start()
+        await self._listed.refresh()
         self._gauges.start(GAUGES_PERIOD_S)
         self._listen(self._settings.listen.callers, self._gateway.app.resource())
         self._listen(self._settings.listen.admin, self._admin_root())
@@ -226,7 +235,7 @@
         return instance_view.InstanceView(
             port=self._platform.instances,
             clock=self._reactor,
-            cells_per_domain=self._settings.cells.per_failure_domain,
+            cells_per_domain=lambda: self._owned.cells_per_domain,
             on_change=self._instances_changed,
         )
 
@@ -330,32 +339,6 @@
             seed=self._seed,
         )
 
-    def _handle_messages(self) -> None:
-        self._network.handle(messages.Gossip, self._heard)
-        self._network.handle(
-            messages.RequestCall, lambda sender, call: self._router.handle_request(call=call)
-        )
-        for kind in (messages.JobSubmitCall, messages.JobShowCall, messages.JobCancelCall):
-            self._network.handle(kind, lambda sender, call: self._router.handle_job(call=call))
-        self._network.handle(messages.ExplainCall, self._explain)
-        self._network.handle(messages.TransferCall, self._transfer)
-        self._network.handle(messages.ReleaseCall, self._transfer)
-
-    def _transfer(self, sender: str, call: Any) -> defer.Deferred[messages.Message]:
-        return defer.ensureDeferred(self._others.handle(call=call))
-
-    def _explain(self, sender: str, message: messages.Message) -> messages.ExplainReply:
-        if not isinstance(message, messages.ExplainCall):
-            return messages.ExplainReply()
-        return self._view.explain_here(subject_id=message.subject_id)
-
-    def _heard(self, sender: str, message: messages.Message) -> None:
-        if not isinstance(message, messages.Gossip):
-            return
-        self._gossiper.hear(sender, message)
-        for room in () if message.draining else message.rooms:
-            self._chooser.learn(entry_id=sender, room=room)
-
     def _gossip(self) -> messages.Gossip:
         return messages.Gossip(
             entry_id=self._settings.entry.id,
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/instance_view.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/instance_view.py
@@ -24,13 +24,14 @@
         *,
         port: instances.Instances,
         clock: timing.Clock,
-        cells_per_domain: int,
+        cells_per_domain: Callable[[], int],
         on_change: Callable[[], None],
     ) -> None:
         self._port = port
         self._cells_per_domain = cells_per_domain
         self._on_change = on_change
         self._listed: tuple[instances.Instance, ...] = ()
+        self._grouped_by = 0
         self._by_cell: dict[str, tuple[instances.Instance, ...]] = {}
         self._loop = task.LoopingCall(lambda: defer.Deferred.fromCoroutine(self.refresh()))
         self._loop.clock = clock  # type: ignore[assignment]
@@ -77,20 +78,25 @@
                 self.failures += 1
 
     def _keep(self, listed: tuple[instances.Instance, ...]) -> None:
-        if listed == self._listed:
+        cells_per_domain = self._cells_per_domain()
+        if listed == self._listed and cells_per_domain == self._grouped_by:
             return
         self._listed = listed
-        self._by_cell = self._grouped()
+        self._grouped_by = cells_per_domain
+        self._by_cell = self._grouped(cells_per_domain)
         self._on_change()
 
     def _workers(self) -> tuple[instances.Instance, ...]:
         return tuple(item for item in self._listed if item.role is instances.Role.WORKER)
 
-    def _grouped(self) -> dict[str, tuple[instances.Instance, ...]]:
+    def _grouped(self, cells_per_domain: int) -> dict[str, tuple[instances.Instance, ...]]:
+        """Group the workers; none while the number of cells isn't known."""
         grouped: dict[str, tuple[instances.Instance, ...]] = {}
+        if not cells_per_domain:
+            return grouped
         for worker in self._workers():
             name = rendezvous.cell_of_worker(
-                worker.failure_domain, worker.instance_id, self._cells_per_domain
+                worker.failure_domain, worker.instance_id, cells_per_domain
             )
             grouped[name] = (*grouped.get(name, ()), worker)
         return grouped
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_instances.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_instances.py
@@ -61,7 +61,10 @@
     for size in QUICK_SIZES if quick else SIZES:
         port = EncodedInstances(encoded=encoded_list(size))
         view = instance_view.InstanceView(
-            port=port, clock=heap_clock.HeapClock(), cells_per_domain=2, on_change=lambda: None
+            port=port,
+            clock=heap_clock.HeapClock(),
+            cells_per_domain=lambda: 2,
+            on_change=lambda: None,
         )
         refresh = functools.partial(_refresh, view)
         refresh()
