--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/crest.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/crest.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 import time
 
 from ebonyhatch.core import default_scheduler
@@ -87,13 +86,13 @@
 
     p99_ratios = [run.policies["default"].crest_p99_s / run.limit_p99_s for run in runs]
     base_ratios = [
-        _ratio(mine.crest_p99_s, theirs.crest_p99_s)
+        measures.ratio(mine.crest_p99_s, theirs.crest_p99_s)
         for mine, theirs in zip(ours, base, strict=True)
     ]
     refused = [run.policies["default"].refused for run in runs]
     batch = [run.policies["default"].work_s / run.limit_batch_s for run in runs]
     waits = [
-        _ratio(mine.short_wait_p99_s, theirs.short_wait_p99_s)
+        measures.ratio(mine.short_wait_p99_s, theirs.short_wait_p99_s)
         for mine, theirs in zip(ours, base, strict=True)
     ]
     return [
@@ -124,12 +123,6 @@
     ]
 
 
-def _ratio(mine: float, theirs: float) -> float:
-    if math.isinf(mine):
-        return math.inf
-    return mine / theirs if theirs else math.inf
-
-
 @registry.bench("crest")
 def crest(*, seeds: tuple[int, ...], quick: bool) -> None:
     """Run both deployments over all seeds."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/decisions.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/decisions.py
@@ -75,7 +75,7 @@
                     flush=True,
                 )
             if factor == HARM:
-                ratios.append(found["pairs"].all_p99_s / found["blind"].all_p99_s)
+                ratios.append(measures.ratio(found["pairs"].all_p99_s, found["blind"].all_p99_s))
             losses.append(1.0 - found["shuffled"].work_s / found["blind"].work_s)
     return [
         measures.Target(
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/measures.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/measures.py
@@ -180,3 +180,10 @@
     if isinstance(value, float) and not math.isfinite(value):
         return str(value)
     return value
+
+
+def ratio(mine: float, theirs: float) -> float:
+    """Divide two figures; one without end stays so, also over another."""
+    if math.isinf(mine):
+        return math.inf
+    return mine / theirs if theirs else math.inf
