--- a/packages/ebonyhatch-core/src/ebonyhatch/core/table_views.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/table_views.py
@@ -13,6 +13,7 @@
         parked=tuple(_parked(row) for row in state.parked.values()),
         reserve_slots=state.reserve.slots,
         crest=state.demand.surging(now=state.now),
+        retries_left=state.retries.tokens,
         slowdowns=_slowdowns(state),
     )
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/views.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/views.py
@@ -57,6 +57,7 @@
         parked: Parked jobs.
         reserve_slots: Slots that are kept for urgent work.
         crest: Whether demand is surging.
+        retries_left: Second tries of requests that may be made now.
         slowdowns: Batch classes that were seen.
     """
 
@@ -65,4 +66,5 @@
     parked: tuple[ParkedView, ...] = ()
     reserve_slots: int = 0
     crest: bool = False
+    retries_left: float = 0.0
     slowdowns: tuple[SlowdownView, ...] = ()
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/gauges.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/gauges.py
@@ -29,6 +29,7 @@
     measures.set_reserve(
         slots=sum(view.reserve_slots for view in shown), crest=any(view.crest for view in shown)
     )
+    measures.set_retry_budget(tries=sum(view.retries_left for view in shown))
     _set_workers(measures, shown)
     _set_queues(measures, shown)
     _set_slowdowns(measures, shown)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/demo.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/demo.py
@@ -16,6 +16,7 @@
 POLL_S = 0.25
 LIMIT_S = 60.0
 HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
 ENDED = ("finished", "failed", "cancelled", "unrunnable")
 
 
@@ -93,9 +94,9 @@
 
 async def _run_job(reactor: Any, entry: embedded.EmbeddedEntry) -> dict[str, Any]:
     body = {"class": "cutting", "job_id": JOB_ID, "payload": {"run_s": JOB_RUN_S}}
-    reply = await _fetch("POST", entry.caller_url("/v1/jobs"), msgspec.json.encode(body))
-    _say(f"batch job submitted: {reply.status}")
     limit = reactor.seconds() + LIMIT_S
+    reply = await _submit(reactor, entry, body, limit)
+    _say(f"batch job submitted: {reply.status}")
     last_state = ""
     while True:
         reply = await _fetch("GET", entry.caller_url(f"/v1/jobs/{JOB_ID}"))
@@ -109,6 +110,17 @@
         await task.deferLater(reactor, POLL_S)
 
 
+async def _submit(
+    reactor: Any, entry: embedded.EmbeddedEntry, body: dict[str, Any], limit: float
+) -> Reply:
+    """Submit until the job is durable; a 503 was not run and may be sent again."""
+    while True:
+        reply = await _fetch("POST", entry.caller_url("/v1/jobs"), msgspec.json.encode(body))
+        if reply.status != HTTP_UNAVAILABLE or reactor.seconds() > limit:
+            return reply
+        await task.deferLater(reactor, POLL_S)
+
+
 async def _fetch(
     method: str, url: str, body: bytes = b"", headers: dict[str | bytes, str | bytes] | None = None
 ) -> Reply:
