--- a/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/settings.py
@@ -23,7 +23,6 @@
         eviction_budget: Evictions allowed at once, as a share of all slots.
         eviction_refill_s: Time in which a spent budget comes back, seconds.
         checkpoint_spacing_s: Least work between two checkpoints of a task, seconds.
-        standby_share: Share of all slots whose tasks are kept cheap to evict.
         short_run_s: Jobs that are expected to run longer wait in the long lane, seconds.
         short_share: Most of the batch slots that the short lane takes first.
         size_quantile: Quantile of the measured use of a class that is reserved at least.
@@ -41,7 +40,6 @@
     eviction_budget: float = 1.0
     eviction_refill_s: float = 120.0
     checkpoint_spacing_s: float = 30.0
-    standby_share: float = 0.0
     short_run_s: float = 60.0
     short_share: float = 0.8
     size_quantile: float = 0.75
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/peer_handlers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/peer_handlers.py
@@ -35,11 +35,11 @@
         for room in () if gossiped.draining else gossiped.rooms:
             chooser.learn(entry_id=sender, room=room)
 
-    def served(sender: str, call: Any) -> defer.Deferred[messages.Message]:
-        return defer.ensureDeferred(_as_message(router.handle_request(call=call)))
+    def served(sender: str, call: Any) -> defer.Deferred[Any]:
+        return router.handle_request(call=call)
 
-    def about_job(sender: str, call: Any) -> defer.Deferred[messages.Message]:
-        return defer.ensureDeferred(_as_message(router.handle_job(call=call)))
+    def about_job(sender: str, call: Any) -> defer.Deferred[Any]:
+        return router.handle_job(call=call)
 
     def transferred(sender: str, call: Any) -> defer.Deferred[messages.Message]:
         return defer.ensureDeferred(others.handle(call=call))
@@ -54,7 +54,3 @@
         network.handle(kind, about_job)
     for taken in TRANSFER_CALLS:
         network.handle(taken, transferred)
-
-
-async def _as_message(reply: defer.Deferred[Any]) -> messages.Message:
-    return await reply
