--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-SOURCES := $(wildcard packages/*/src)
+SOURCES := $(wildcard packages/*/src) platform/src
 TESTS := $(wildcard packages/*/tests)
 STAMP := $(VENV)/installed
 
@@ -18,16 +18,16 @@
 	$(BIN)/python -m ebonyhatch.testing.demo
 
 check: $(STAMP)
-	$(BIN)/black --check --quiet packages
-	$(BIN)/ruff check --quiet packages
+	$(BIN)/black --check --quiet packages platform
+	$(BIN)/ruff check --quiet packages platform
 	$(BIN)/mypy $(SOURCES)
 
 test: check
 	$(BIN)/python -m pytest -n 4
 
 format: $(STAMP)
-	$(BIN)/black --quiet packages
-	$(BIN)/ruff check --fix --quiet packages
+	$(BIN)/black --quiet packages platform
+	$(BIN)/ruff check --fix --quiet packages platform
 
 clean:
 	rm -rf $(VENV)
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/bench_commands.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/bench_commands.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import click
+
 from ebonyhatch.cli import cli_errors, options
 
 PACKAGE = "ebonyhatch.testing.benches"
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/environment.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/environment.py
@@ -7,8 +7,9 @@
 from typing import Any
 
 import treq
+
 from ebonyhatch.cli import cli_errors, entry_client, loop, pooled_http
-from ebonyhatch.platform import timing
+from ebonyhatch.ports import timing
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/job_commands.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/job_commands.py
@@ -10,6 +10,7 @@
 
 import click
 import msgspec
+
 from ebonyhatch.cli import (
     cli_errors,
     environment,
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/jobs_client.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/jobs_client.py
@@ -6,10 +6,11 @@
 from typing import Any
 
 import msgspec
-from ebonyhatch.cli import cli_errors, entry_client, exit_codes, job_states, options, views
-from ebonyhatch.platform import timing
 from twisted.internet import task
 
+from ebonyhatch.cli import cli_errors, entry_client, exit_codes, job_states, options, views
+from ebonyhatch.ports import timing
+
 PATH = "/v1/jobs"
 
 SUBMIT_TRIES = 4
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/key_commands.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/key_commands.py
@@ -8,6 +8,7 @@
 import click
 import msgspec
 import zmq
+
 from ebonyhatch.cli import options, printing
 
 TOKEN_BYTES = 32
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/main.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/main.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import click
+
 from ebonyhatch.cli import (
     bench_commands,
     environment,
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/record_commands.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/record_commands.py
@@ -9,6 +9,8 @@
 
 import click
 import msgspec
+from returns import result
+
 from ebonyhatch.cli import (
     cli_errors,
     environment,
@@ -21,7 +23,6 @@
     views,
 )
 from ebonyhatch.core import record_changes, records
-from returns import result
 
 
 @click.group(
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/records_client.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/records_client.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from ebonyhatch.cli import cli_errors, entry_client, exit_codes, views
-from ebonyhatch.platform import timing
 from twisted.internet import task
 
+from ebonyhatch.cli import cli_errors, entry_client, exit_codes, views
+from ebonyhatch.ports import timing
+
 PATH = "/v1/admin/records"
 
 TRIES = 5
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/views.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/views.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+
 from ebonyhatch.core import record_changes, record_faults, resources
 
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/job_machine.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/job_machine.py
@@ -8,6 +8,7 @@
 
 import automat
 import msgspec
+
 from ebonyhatch.core import entities
 
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_changes.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_changes.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+
 from ebonyhatch.core import record_set
 
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/records.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/records.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 import msgspec
+from returns import result
+
 from ebonyhatch.core import (
     configuration,
     entities,
@@ -15,7 +17,6 @@
     record_set,
     record_validation,
 )
-from returns import result
 
 Capacity = record_validation.Capacity
 Fault = record_faults.Fault
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/run_times.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/run_times.py
@@ -6,9 +6,10 @@
 import dataclasses
 import math
 
-from ebonyhatch.core import entities
 from hdrh import histogram
 
+from ebonyhatch.core import entities
+
 LEAST_SAMPLES = 20
 """Finished jobs of a class before its estimates count."""
 
--- a/packages/ebonyhatch-core/tests/test_health_slowness.py
+++ b/packages/ebonyhatch-core/tests/test_health_slowness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+
 from ebonyhatch.core import default_scheduler, entities, events, resources
 
 SLOTS = 16
--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of steps on one fleet of targets: scheduling, ownership and recovery."""
--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
@@ -0,0 +1,106 @@
+"""The configuration in force: from the operators' key, or from a peer that heard it first."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+
+from returns import result
+
+from ebonyhatch.fleet import decision_log, queues, store
+from ebonyhatch.node import coroutines
+
+WATCH_S = 1.5
+"""Longest wait of one watch, seconds; bounds how long a silent connection hides a version."""
+
+RETRY_S = 0.15
+"""Wait after a call to the store that was not done, seconds."""
+
+
+class Codec(abc.ABC):
+    """Where operators write the configuration, and how it is read."""
+
+    @property
+    @abc.abstractmethod
+    def key(self) -> str:
+        """Its key in the store."""
+
+    @abc.abstractmethod
+    def decode(self, value: bytes) -> queues.Configuration | None:
+        """Read a version; None, after a log line, where it can't be read."""
+
+
+class ConfigurationSource:
+    """Follows the operators' key; a version only ever replaces an older one."""
+
+    def __init__(
+        self,
+        *,
+        store_port: store.Store,
+        codec: Codec,
+        group: coroutines.CoroutineGroup,
+        on_change: Callable[[queues.Configuration, bytes], None],
+    ) -> None:
+        self._store = store_port
+        self._codec = codec
+        self._group = group
+        self._on_change = on_change
+        self._current: queues.Configuration | None = None
+        self._value = b""
+
+    @property
+    def current(self) -> queues.Configuration | None:
+        """The configuration in force; None before the first."""
+        return self._current
+
+    @property
+    def value(self) -> bytes:
+        """The configuration in force as the operators wrote it."""
+        return self._value
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._group.spawn(self._follow())
+
+    def take(self, value: bytes, *, source: str) -> None:
+        """Take in a version from the store or from a peer, unless it is older."""
+        decoded = self._codec.decode(value)
+        if decoded is None:
+            return
+        if self._current is not None and decoded.version <= self._current.version:
+            return
+        decision_log.write(
+            "configuration.in_force",
+            version=decoded.version,
+            before=0 if self._current is None else self._current.version,
+            queues=len(decoded.queues),
+            source=source,
+        )
+        self._current = decoded
+        self._value = value
+        self._on_change(decoded, value)
+
+    async def _follow(self) -> None:
+        while True:
+            read = await self._store.list(prefix=self._codec.key)
+            if isinstance(read, result.Failure):
+                await self._group.sleep(RETRY_S)
+                continue
+            for item in read.unwrap().items:
+                self._take_item(item)
+            await self._watch(read.unwrap().as_of)
+
+    async def _watch(self, as_of: int) -> None:
+        while True:
+            watched = await self._store.watch(prefix=self._codec.key, after=as_of, wait_s=WATCH_S)
+            if isinstance(watched, result.Failure):
+                await self._group.sleep(RETRY_S)
+                return
+            as_of = watched.unwrap().as_of
+            for change in watched.unwrap().changes:
+                if change.item is not None:
+                    self._take_item(change.item)
+
+    def _take_item(self, item: store.Item) -> None:
+        if item.key == self._codec.key:
+            self.take(item.value, source=f"store revision {item.revision}")
--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/__init__.py
@@ -0,0 +1,7 @@
+"""Constraints on where a task may run: a registry of predicates and scorers, one module each."""
+
+from __future__ import annotations
+
+from ebonyhatch.fleet.constraints import harm, label, rack, registry, room, spread, usable
+
+__all__ = ["harm", "label", "rack", "registry", "room", "spread", "usable"]
--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/harm.py
@@ -0,0 +1,47 @@
+"""Fillers go where they leave serving tasks within their limits."""
+
+from __future__ import annotations
+
+from ebonyhatch.fleet import pacing, rows, tails
+from ebonyhatch.fleet.constraints import registry
+
+HARM_SCORE = 0.3
+"""Score that a filler's cost in margin takes, for each serving task beside it."""
+
+SAME_IMAGE_SCORE = 1.0
+"""Score of a target whose serving tasks all run the step's image: what harms one image harms all
+of its tasks, so that fillers that don't can go there."""
+
+PACKING_SCORE = 0.5
+"""Score of a full target for a serving task: targets without any are left for other work."""
+
+
+@registry.predicate("harm")
+def is_harmless(step: rows.StepRow, row: rows.TargetRow, context: registry.Context) -> bool:
+    """Tell whether one more filler would leave all serving tasks within their limits."""
+    if not step.step.filler:
+        return True
+    fillers = tails.filler_runs(row)
+    for run in tails.serving_runs(row):
+        cost = context.tails.extra_cost(run, step)
+        if cost < pacing.FREE_COST:
+            continue
+        if context.tails.margin(run, fillers) - cost < pacing.WANTED_MARGIN:
+            return False
+    return True
+
+
+@registry.scorer("harm")
+def harm_score(step: rows.StepRow, row: rows.TargetRow, context: registry.Context) -> float:
+    """Prefer targets where a filler costs least, and for serving tasks those of their image."""
+    wanted = step.step
+    if wanted.filler:
+        cost = sum(context.tails.extra_cost(run, step) for run in tails.serving_runs(row))
+        return -HARM_SCORE * cost
+    if not wanted.tail_limit_s:
+        return 0.0
+    beside = tails.serving_runs(row)
+    same = sum(1 for run in beside if run.task.step.step.image == wanted.image)
+    share = (2 * same - len(beside)) / len(beside) if beside else 0.0
+    used = 1 - row.free_cpu / (row.target.cpu_millis or 1)
+    return SAME_IMAGE_SCORE * share + PACKING_SCORE * used
--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/usable.py
@@ -0,0 +1,24 @@
+"""Targets that take new work at all."""
+
+from __future__ import annotations
+
+from ebonyhatch.fleet import rows
+from ebonyhatch.fleet.constraints import registry
+
+
+@registry.predicate("usable")
+def is_usable(step: rows.StepRow, row: rows.TargetRow, context: registry.Context) -> bool:
+    """Tell whether a target is listed, answers, stays and is trusted."""
+    return (
+        row.confirmed
+        and row.reachable
+        and row.listed
+        and not row.target.draining
+        and row.barred_until <= context.now
+    )
+
+
+@registry.predicate("pool")
+def is_in_pool(step: rows.StepRow, row: rows.TargetRow, context: registry.Context) -> bool:
+    """Tell whether a target belongs to the queue's pool."""
+    return row.target.pool == step.job.queue.pool
--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decision_log.py
@@ -0,0 +1,137 @@
+"""The log of decisions: JSON lines that are bounded in rate and never block the loop."""
+
+from __future__ import annotations
+
+import collections
+import os
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import eliot
+import msgspec
+
+from ebonyhatch.fleet import rows
+
+LINES_PER_S = 400.0
+"""Lines a second that are written in the long run; a busy owner makes about half of it."""
+
+BURST_LINES = 1_600.0
+"""Lines that may be written at once after a quiet time."""
+
+BUFFER_LIMIT_BYTES = 1_000_000
+"""Bytes that wait for a reader of the output; more are dropped and counted."""
+
+_ENCODER = msgspec.json.Encoder()
+
+
+class DecisionLog:
+    """An eliot destination that writes to a descriptor without blocking."""
+
+    def __init__(
+        self, *, descriptor: int, clock: Callable[[], float], common: Mapping[str, Any]
+    ) -> None:
+        self._descriptor = descriptor
+        self._clock = clock
+        self._common = dict(common)
+        self._buffer: collections.deque[bytes] = collections.deque()
+        self._buffered = 0
+        self._allowance = BURST_LINES
+        self._allowed_at = 0.0
+        self._dropped = 0
+
+    @property
+    def dropped(self) -> int:
+        """Lines that were dropped since the last one that was written."""
+        return self._dropped
+
+    def start(self) -> None:
+        """Receive messages."""
+        os.set_blocking(self._descriptor, False)
+        self._allowed_at = self._clock()
+        eliot.add_destinations(self._receive)
+
+    def close(self) -> None:
+        """Receive nothing more; what is buffered is written as far as possible."""
+        eliot.remove_destination(self._receive)
+        self._flush()
+
+    def _receive(self, message: dict[str, Any]) -> None:
+        if not self._may_write():
+            self._dropped += 1
+            return
+        line = {
+            name: value
+            for name, value in message.items()
+            if name not in ("task_uuid", "task_level") and value not in ("", None)
+        }
+        line.update(self._common)
+        if self._dropped:
+            line["lines_dropped"] = self._dropped
+            self._dropped = 0
+        encoded = _ENCODER.encode(_plain(line)) + b"\n"
+        if self._buffered + len(encoded) > BUFFER_LIMIT_BYTES:
+            self._dropped += 1
+            return
+        self._buffer.append(encoded)
+        self._buffered += len(encoded)
+        self._flush()
+
+    def _may_write(self) -> bool:
+        now = self._clock()
+        passed = max(0.0, now - self._allowed_at)
+        self._allowed_at = now
+        self._allowance = min(BURST_LINES, self._allowance + passed * LINES_PER_S)
+        if self._allowance < 1.0:
+            return False
+        self._allowance -= 1.0
+        return True
+
+    def _flush(self) -> None:
+        while self._buffer:
+            try:
+                written = os.write(self._descriptor, self._buffer[0])
+            except BlockingIOError:
+                return
+            except OSError:
+                # The reader is gone, and there is nowhere else to report it.
+                self._buffer.clear()
+                self._buffered = 0
+                return
+            self._buffered -= written
+            if written < len(self._buffer[0]):
+                self._buffer[0] = self._buffer[0][written:]
+                return
+            self._buffer.popleft()
+
+
+def write(event: str, **fields: Any) -> None:
+    """Log an event that is no decision on a run."""
+    eliot.log_message(message_type=event, **fields)
+
+
+def decide(event: str, run: rows.RunRow | None, **fields: Any) -> None:
+    """Log a decision, with what identifies the run that it is about."""
+    if run is not None:
+        job = run.task.step.job
+        fields.setdefault("key", run.key)
+        fields.setdefault("target", run.target.target_id)
+        fields["queue"] = job.queue.name
+        fields["priority"] = job.queue.priority
+    key = fields.pop("key", None)
+    if key is not None:
+        fields["task"] = key.task
+        fields["run"] = key.run
+        fields["job_id"] = key.task.partition(".")[0]
+    eliot.log_message(message_type=event, **fields)
+
+
+def _plain(value: Any) -> Any:
+    try:
+        msgspec.json.encode(value)
+    except TypeError:
+        return {str(name): _simple(item) for name, item in value.items()}
+    return value
+
+
+def _simple(value: Any) -> Any:
+    return value if isinstance(value, str | int | float | bool) else str(value)
--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -0,0 +1,330 @@
+"""What callers ask of any entry: submit, show, cancel and count jobs."""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Callable
+
+import msgspec
+from returns import result
+from twisted.internet import defer
+
+from ebonyhatch.fleet import (
+    admission,
+    clocks,
+    decision_log,
+    jobs,
+    keys,
+    messages,
+    ownership,
+    progress,
+    queues,
+    rows,
+    store,
+)
+from ebonyhatch.fleet import owner as owner_module
+from ebonyhatch.node import coroutines, peers
+
+OWNER_CALL_S = 0.4
+"""Longest wait for the owner's answer, seconds; the store is asked after it."""
+
+RELAY_CALL_S = 1.0
+"""Longest wait for a peer that makes a job durable, seconds."""
+
+RETRY_S = 0.08
+"""Wait between two tries to settle a write with a lost answer, seconds."""
+
+STORE_RETRY_AFTER_S = 1.0
+"""When a caller should come back after a refusal by the store, seconds; outages last seconds."""
+
+
+class Verdict(enum.StrEnum):
+    """What became of a call."""
+
+    DONE = "done"
+    NOT_DONE = "not-done"
+    OVERLOADED = "overloaded"
+    UNKNOWN = "unknown"
+    NO_SUCH_JOB = "no-such-job"
+
+
+class Answer(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to a caller.
+
+    Attributes:
+        verdict: What became of the call.
+        state: State of the job, where it was asked for.
+        count: Number of jobs, where it was asked for.
+        retry_after_s: When to come back after a refusal, seconds.
+        reason: Why it was refused.
+    """
+
+    verdict: Verdict
+    state: str = ""
+    count: int = 0
+    retry_after_s: float = 0.0
+    reason: str = ""
+
+
+class Entry:
+    """Serves callers: writes submissions itself, and asks the owner for everything else."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        store_port: store.Store,
+        network: peers.PeerNetwork,
+        members: ownership.Ownership,
+        all_clocks: clocks.Clocks,
+        local_owner: Callable[[], owner_module.Owner | None],
+        load: admission.Load,
+        seed: int,
+    ) -> None:
+        self._name = name
+        self._store = store_port
+        self._network = network
+        self._members = members
+        self._clocks = all_clocks
+        self._local_owner = local_owner
+        self._load = load
+        self._random = random.Random(seed)
+        self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
+
+    def start(self) -> None:
+        """Answer peers."""
+        self._network.handle(messages.ShowCall, self._on_show)
+        self._network.handle(messages.PendingCall, self._on_pending)
+        self._network.handle(messages.CancelCall, self._on_cancel)
+        self._network.handle(messages.SubmitCall, self._on_submit)
+
+    def close(self) -> None:
+        """Stop."""
+        self._group.close()
+
+    async def submit(self, job: jobs.Job, *, queue: queues.Queue, until: float) -> Answer:
+        """Accept a job once it is durable, or say that it never runs.
+
+        Args:
+            job: The job, checked.
+            queue: Its queue.
+            until: Steady time by which the caller has to be answered, seconds.
+        """
+        refusal = self._load.refusal(queue=queue, job=job, now=self._clocks.now())
+        if refusal is not None and not await self._is_known(job.job_id):
+            retry_after_s = refusal.retry_after_s * self._random.uniform(1.0, 1.5)
+            self._log_submit(job, Verdict.OVERLOADED, refusal.reason)
+            return Answer(
+                verdict=Verdict.OVERLOADED, retry_after_s=retry_after_s, reason=refusal.reason
+            )
+        verdict, reason = await self._make_durable(job, until=until)
+        self._log_submit(job, verdict, reason)
+        return Answer(verdict=verdict, retry_after_s=STORE_RETRY_AFTER_S, reason=reason)
+
+    async def show(self, job_id: str) -> Answer:
+        """Tell a job's state."""
+        state = await self._owner_state(job_id)
+        if state:
+            return Answer(verdict=Verdict.DONE, state=state)
+        return await self._stored_state(job_id)
+
+    async def cancel(self, job_id: str) -> Answer:
+        """Cancel a job; done once that is durable."""
+        reply = await self._ask_owner(messages.CancelCall(job_id=job_id), RELAY_CALL_S)
+        if isinstance(reply, messages.CancelAnswer) and reply.acting and reply.durable:
+            return Answer(verdict=Verdict.DONE)
+        return await self._cancel_in_store(job_id)
+
+    async def pending(self, queue: str) -> Answer:
+        """Count the jobs of a queue that have not begun."""
+        reply = await self._ask_owner(messages.PendingCall(queue=queue), OWNER_CALL_S)
+        if isinstance(reply, messages.PendingAnswer) and reply.acting:
+            return Answer(verdict=Verdict.DONE, count=reply.count)
+        return Answer(
+            verdict=Verdict.NOT_DONE,
+            retry_after_s=STORE_RETRY_AFTER_S,
+            reason="the owner can't be asked",
+        )
+
+    async def _is_known(self, job_id: str) -> bool:
+        """Tell whether an overloaded queue's job was accepted before."""
+        return bool(await self._owner_state(job_id))
+
+    async def _make_durable(self, job: jobs.Job, *, until: float) -> tuple[Verdict, str]:
+        record = progress.encode_job(job)
+        verdict, reason = await self._create(job.job_id, record, until=until)
+        if verdict != Verdict.NOT_DONE:
+            return verdict, reason
+        relayed = await self._relay(job.job_id, record)
+        if relayed in (Verdict.DONE, Verdict.UNKNOWN):
+            return relayed, "by a peer"
+        if await self._owner_state(job.job_id):
+            return Verdict.DONE, "known to the owner"
+        return verdict, reason
+
+    async def _create(self, job_id: str, record: bytes, *, until: float) -> tuple[Verdict, str]:
+        """Create the job's record; one that is there already stays as it is."""
+        key = keys.job(job_id)
+        condition = store.Condition(key=key, revision=store.ABSENT)
+        put = store.Put(key=key, value=record)
+        uncertain = ""
+        while True:
+            outcome = await self._store.commit(conditions=(condition,), puts=(put,))
+            if isinstance(outcome, result.Success):
+                return Verdict.DONE, "created"
+            error = outcome.failure()
+            if isinstance(error, store.ConflictError):
+                return Verdict.DONE, "was there"
+            if not isinstance(error, store.UnknownOutcomeError) and not uncertain:
+                return Verdict.NOT_DONE, str(error)
+            # An earlier try may still take effect, so that a refusal settles nothing.
+            uncertain = str(error)
+            if self._clocks.now() + RETRY_S >= until:
+                return Verdict.UNKNOWN, uncertain
+            await self._group.sleep(RETRY_S)
+
+    async def _relay(self, job_id: str, record: bytes) -> Verdict:
+        """Have a peer create the record; the owner first."""
+        owner = self._members.owner
+        names = [name for name in self._members.entries if name != self._name]
+        self._random.shuffle(names)
+        if owner is not None and owner.name in names:
+            names.remove(owner.name)
+            names.insert(0, owner.name)
+        call = messages.SubmitCall(job_id=job_id, record=record)
+        for name in names[:2]:
+            outcome = await self._network.call(entry_id=name, message=call, timeout_s=RELAY_CALL_S)
+            if isinstance(outcome, result.Failure):
+                if isinstance(outcome.failure(), peers.PeerNotSentError):
+                    continue
+                return Verdict.UNKNOWN
+            reply = outcome.unwrap()
+            verdict = Verdict(reply.verdict) if isinstance(reply, messages.SubmitAnswer) else None
+            if verdict in (Verdict.DONE, Verdict.UNKNOWN):
+                return verdict
+        return Verdict.NOT_DONE
+
+    async def _owner_state(self, job_id: str) -> str:
+        reply = await self._ask_owner(messages.ShowCall(job_id=job_id), OWNER_CALL_S)
+        if isinstance(reply, messages.ShowAnswer) and reply.acting:
+            return reply.state
+        return ""
+
+    async def _ask_owner(self, message: object, timeout_s: float) -> object | None:
+        """Ask the owner, who may be this entry; None without an answer."""
+        local = self._local_owner()
+        if local is not None:
+            return await self._answer_locally(message)
+        owner = self._members.owner
+        if owner is None or owner.name == self._name:
+            return None
+        outcome = await self._network.call(
+            entry_id=owner.name, message=message, timeout_s=timeout_s  # type: ignore[arg-type]
+        )
+        if isinstance(outcome, result.Failure):
+            decision_log.write("owner.unheard", owner=owner.name, reason=str(outcome.failure()))
+            return None
+        return outcome.unwrap()
+
+    async def _answer_locally(self, message: object) -> object | None:
+        if isinstance(message, messages.ShowCall):
+            return self._on_show(self._name, message)
+        if isinstance(message, messages.PendingCall):
+            return self._on_pending(self._name, message)
+        if isinstance(message, messages.CancelCall):
+            return await self._on_cancel(self._name, message)
+        return None
+
+    async def _stored_state(self, job_id: str) -> Answer:
+        """Read a job's state from the store, where the owner can't be asked or doesn't know it."""
+        done = await self._store.get(key=keys.progress(job_id))
+        known = await self._store.get(key=keys.job(job_id))
+        if isinstance(known, result.Failure) or isinstance(done, result.Failure):
+            return Answer(
+                verdict=Verdict.NOT_DONE,
+                retry_after_s=STORE_RETRY_AFTER_S,
+                reason="neither the owner nor the store can be asked",
+            )
+        if known.unwrap() is None:
+            return Answer(verdict=Verdict.NO_SUCH_JOB)
+        item = done.unwrap()
+        if item is None:
+            return Answer(verdict=Verdict.DONE, state=rows.JobState.QUEUED)
+        return Answer(verdict=Verdict.DONE, state=progress.decode(item.value).state)
+
+    async def _cancel_in_store(self, job_id: str) -> Answer:
+        known = await self._store.get(key=keys.job(job_id))
+        if isinstance(known, result.Failure):
+            return Answer(
+                verdict=Verdict.NOT_DONE,
+                retry_after_s=STORE_RETRY_AFTER_S,
+                reason=str(known.failure()),
+            )
+        if known.unwrap() is None:
+            return Answer(verdict=Verdict.NO_SUCH_JOB)
+        put = store.Put(key=keys.cancel(job_id), value=b"{}")
+        written = await self._store.commit(puts=(put,))
+        if isinstance(written, result.Success):
+            decision_log.write("cancel.stored", job_id=job_id)
+            return Answer(verdict=Verdict.DONE)
+        unknown = isinstance(written.failure(), store.UnknownOutcomeError)
+        return Answer(
+            verdict=Verdict.UNKNOWN if unknown else Verdict.NOT_DONE,
+            retry_after_s=STORE_RETRY_AFTER_S,
+            reason=str(written.failure()),
+        )
+
+    def _on_show(self, sender: str, call: messages.ShowCall) -> messages.ShowAnswer:
+        local = self._local_owner()
+        if local is None or not local.recovered:
+            return messages.ShowAnswer(acting=False)
+        row = local.job(call.job_id)
+        return messages.ShowAnswer(acting=True, state="" if row is None else row.shown)
+
+    def _on_pending(self, sender: str, call: messages.PendingCall) -> messages.PendingAnswer:
+        local = self._local_owner()
+        if local is None or not local.recovered:
+            return messages.PendingAnswer(acting=False)
+        return messages.PendingAnswer(acting=True, count=local.pending(call.queue))
+
+    def _on_cancel(
+        self, sender: str, call: messages.CancelCall
+    ) -> defer.Deferred[messages.CancelAnswer]:
+        return defer.Deferred.fromCoroutine(self._cancel_here(call.job_id))
+
+    async def _cancel_here(self, job_id: str) -> messages.CancelAnswer:
+        local = self._local_owner()
+        if local is None or not local.recovered:
+            return messages.CancelAnswer(acting=False)
+        if local.job(job_id) is None:
+            return messages.CancelAnswer(acting=True)
+        try:
+            await local.cancel(job_id)
+        except defer.CancelledError:
+            return messages.CancelAnswer(acting=False)
+        return messages.CancelAnswer(acting=True, known=True, durable=True)
+
+    def _on_submit(
+        self, sender: str, call: messages.SubmitCall
+    ) -> defer.Deferred[messages.SubmitAnswer]:
+        return defer.Deferred.fromCoroutine(self._submit_for(sender, call))
+
+    async def _submit_for(self, sender: str, call: messages.SubmitCall) -> messages.SubmitAnswer:
+        verdict, reason = await self._create(
+            call.job_id, call.record, until=self._clocks.now() + RELAY_CALL_S / 2
+        )
+        decision_log.write(
+            "submit.relayed", job_id=call.job_id, sender=sender, verdict=verdict, reason=reason
+        )
+        return messages.SubmitAnswer(verdict=verdict)
+
+    def _log_submit(self, job: jobs.Job, verdict: Verdict, reason: str) -> None:
+        decision_log.write(
+            "job.submitted",
+            job_id=job.job_id,
+            queue=job.queue,
+            verdict=verdict,
+            reason=reason,
+            load_age_s=self._load.age_s(now=self._clocks.now()),
+        )
--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/jobs.py
@@ -0,0 +1,144 @@
+"""Jobs: steps of like tasks, with dependencies between the steps."""
+
+from __future__ import annotations
+
+import re
+
+import msgspec
+
+from ebonyhatch.core import errors
+
+JOB_ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
+"""Form of a job's id."""
+
+SPEC_LIMIT_BYTES = 4_000
+"""Longest specification of a job, bytes; the callers' documented limit."""
+
+TASKS_LIMIT = 20_000
+"""Most tasks of one job; keeps the job's record within one value of the store."""
+
+
+class InvalidJobError(errors.EbonyhatchError):
+    """A submitted job contradicts itself; nothing of it is kept."""
+
+    def __init__(self, *, problem: str) -> None:
+        super().__init__(problem=problem, remedy="correct the job and submit it again")
+
+
+class Step(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Tasks alike.
+
+    Attributes:
+        count: Number of tasks.
+        cpu_millis: Processor time that a task asks for, thousandths of a core.
+        memory_mb: Memory that a task asks for, megabytes.
+        accelerators: Accelerators that a task asks for.
+        estimate_s: Rough estimate of a task's run time, seconds; 0 for none.
+        after: Earlier steps whose tasks have to be done first.
+        checkpoints: Tasks save their progress while they run.
+        gang: Tasks work only while all of them run, and end together.
+        same_rack: A gang that is slower when it is spread over racks.
+        label: Label that a target must have; empty for any.
+        data_rack: Rack of the tasks' data; empty for none.
+        max_per_target: Most tasks of the step on one target; 0 for no limit.
+        speculative: Copies of a task may run side by side.
+        long_running: Tasks run until the job is cancelled.
+        image: What the tasks run.
+        tail_limit_s: Bound of the response times of a serving task, seconds; 0 for none.
+        filler: Processor time comes from what the other tasks leave over.
+        disruption_budget: Tasks that may be away at once by the scheduler's orders; 0 for none.
+    """
+
+    count: int
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    estimate_s: float = 0.0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ""
+    data_rack: str = ""
+    max_per_target: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    tail_limit_s: float = 0.0
+    filler: bool = False
+    disruption_budget: int = 0
+
+
+class Job(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """A job as it was accepted.
+
+    Attributes:
+        job_id: Id that the caller chose.
+        queue: Queue that it was submitted to.
+        spec: Opaque text that each task gets.
+        steps: Its steps.
+        accepted_at: Time of day of the submission, seconds since 1970.
+        occurrences: How often the steps run by time; 0 for once and at once.
+        first_at: Time of day of the first occurrence, seconds since 1970.
+        interval_s: Time between two occurrences, seconds.
+    """
+
+    job_id: str
+    queue: str
+    spec: str
+    steps: tuple[Step, ...]
+    accepted_at: float = 0.0
+    occurrences: int = 0
+    first_at: float = 0.0
+    interval_s: float = 0.0
+
+    @property
+    def timed(self) -> bool:
+        """Whether it runs by time."""
+        return self.occurrences > 0
+
+    @property
+    def long_running(self) -> bool:
+        """Whether some of its tasks run until it is cancelled."""
+        return any(step.long_running for step in self.steps)
+
+
+def check(job: Job) -> None:
+    """Check what a caller submitted.
+
+    Raises:
+        InvalidJobError: With the first contradiction.
+    """
+    if JOB_ID.fullmatch(job.job_id) is None:
+        raise InvalidJobError(problem=f"{job.job_id!r} isn't 16 hexadecimal digits")
+    if len(job.spec.encode()) > SPEC_LIMIT_BYTES:
+        raise InvalidJobError(problem=f"the specification is over {SPEC_LIMIT_BYTES} bytes")
+    if not job.steps:
+        raise InvalidJobError(problem="the job has no steps")
+    if job.occurrences < 0 or (job.occurrences > 1 and job.interval_s <= 0):
+        raise InvalidJobError(problem="occurrences need a number and an interval above 0")
+    for index, step in enumerate(job.steps):
+        _check_step(index, step)
+    if sum(step.count for step in job.steps) > TASKS_LIMIT:
+        raise InvalidJobError(problem=f"the job has over {TASKS_LIMIT} tasks")
+
+
+def _check_step(index: int, step: Step) -> None:
+    if step.count < 1:
+        raise InvalidJobError(problem=f"step {index} needs a count of at least 1")
+    amounts = (
+        step.cpu_millis,
+        step.memory_mb,
+        step.accelerators,
+        step.estimate_s,
+        step.max_per_target,
+        step.tail_limit_s,
+        step.disruption_budget,
+    )
+    if any(amount < 0 for amount in amounts):
+        raise InvalidJobError(problem=f"step {index} has a negative amount")
+    for earlier in step.after:
+        if not 0 <= earlier < index:
+            raise InvalidJobError(problem=f"step {index} can't come after step {earlier}")
+    if step.gang and step.speculative:
+        raise InvalidJobError(problem=f"step {index} can't be a gang with speculative copies")
--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -0,0 +1,175 @@
+"""The owner's journal: progress of jobs, written in groups, each write fenced by the last one."""
+
+from __future__ import annotations
+
+import itertools
+import os
+from collections.abc import Callable
+
+import msgspec
+from returns import result
+
+from ebonyhatch.core import errors
+from ebonyhatch.fleet import (
+    clocks,
+    decision_log,
+    keys,
+    ownership,
+    progress,
+    rows,
+    store,
+)
+from ebonyhatch.node import coroutines
+
+GATHER_S = 0.1
+"""Time for which changes gather before they are written, seconds: ten writes a second at most,
+and ends are acknowledged far within the second that they may stay listed."""
+
+RETRY_S = 0.1
+"""Wait after a write that was not done, seconds; grows to `RETRY_LIMIT_S`."""
+
+RETRY_LIMIT_S = 0.5
+
+ROWS_LIMIT = store.TRANSACTION_LIMIT - 2
+"""Jobs in one write; the head takes a condition and a value."""
+
+VALUE_LIMIT_BYTES = 900_000
+"""Largest value of a job's progress; the store holds a megabyte."""
+
+
+class SupersededError(errors.EbonyhatchError):
+    """Another entry has written since: this one isn't the owner any more."""
+
+    def __init__(self, *, term: int) -> None:
+        super().__init__(
+            problem=f"the journal is not at the last write of term {term} any more",
+            remedy="stop acting as the owner",
+        )
+        self.term = term
+
+
+class Journal:
+    """Writes the progress of changed jobs; one write is under way at a time.
+
+    A write replaces the head under the revision that the last one gave it. So a write whose
+    answer was lost can't take effect after a later one, and none of an older owner can.
+    """
+
+    def __init__(
+        self,
+        *,
+        store_port: store.Store,
+        all_clocks: clocks.Clocks,
+        term: int,
+        head_revision: int,
+        take_changed: Callable[[], list[rows.JobRow]],
+        on_durable: Callable[[list[tuple[rows.JobRow, rows.JobState]]], None],
+        on_superseded: Callable[[str], None],
+    ) -> None:
+        self._store = store_port
+        self._term = term
+        self._revision = head_revision
+        self._take_changed = take_changed
+        self._on_durable = on_durable
+        self._on_superseded = on_superseded
+        self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
+        self._numbers = itertools.count(1)
+        self._begun = 0
+        self._finished = 0
+        self._wanted = False
+        self._urgent = False
+        self._writing = False
+        self._closed = False
+
+    @property
+    def ticket(self) -> int:
+        """Number of the round that will hold what changes now."""
+        return self._begun + 1
+
+    @property
+    def durable(self) -> int:
+        """Number of the last round that is durable."""
+        return self._finished
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits to be written."""
+        return not (self._wanted or self._writing)
+
+    def close(self) -> None:
+        """Write nothing more."""
+        self._closed = True
+        self._group.close()
+
+    def want(self, *, urgent: bool = False) -> None:
+        """Ask for a round; an urgent one doesn't gather."""
+        if self._closed:
+            return
+        self._urgent = self._urgent or urgent
+        if self._wanted:
+            if urgent and not self._writing:
+                self._group.spawn(self._run())
+            return
+        self._wanted = True
+        if not self._writing:
+            self._group.spawn(self._run())
+
+    async def _run(self) -> None:
+        if not self._urgent:
+            await self._group.sleep(GATHER_S)
+        if self._writing or not self._wanted:
+            return
+        self._writing = True
+        try:
+            while self._wanted and not self._closed:
+                await self._round()
+        finally:
+            self._writing = False
+
+    async def _round(self) -> None:
+        self._wanted = self._urgent = False
+        self._begun += 1
+        number = self._begun
+        changed = self._take_changed()
+        states = [(row, row.state) for row in changed]
+        for start in range(0, len(changed), ROWS_LIMIT):
+            if not await self._write(changed[start : start + ROWS_LIMIT]):
+                return
+        self._finished = number
+        self._on_durable(states)
+
+    async def _write(self, batch: list[rows.JobRow]) -> bool:
+        """Write until it is durable or this entry is superseded."""
+        head = ownership.Head(
+            term=self._term, number=next(self._numbers), nonce=os.urandom(8).hex()
+        )
+        puts = [store.Put(key=keys.HEAD, value=msgspec.json.encode(head))]
+        puts += [
+            store.Put(key=keys.progress(row.job.job_id), value=progress.encode(row))
+            for row in batch
+        ]
+        wait_s = RETRY_S
+        while not self._closed:
+            condition = store.Condition(key=keys.HEAD, revision=self._revision)
+            outcome = await self._store.commit(conditions=(condition,), puts=tuple(puts))
+            if isinstance(outcome, result.Success):
+                self._revision = outcome.unwrap()
+                return True
+            error = outcome.failure()
+            if isinstance(error, store.ConflictError):
+                return self._settle(error, head)
+            decision_log.write("journal.retry", number=head.number, reason=str(error))
+            await self._group.sleep(wait_s)
+            wait_s = min(2 * wait_s, RETRY_LIMIT_S)
+        return False
+
+    def _settle(self, error: store.ConflictError, head: ownership.Head) -> bool:
+        """Tell whether a lost answer was a success; else somebody else has written."""
+        value = msgspec.json.encode(head)
+        for item in error.items:
+            if item.key == keys.HEAD and item.value == value:
+                self._revision = item.revision
+                return True
+        self._closed = True
+        self._on_superseded(str(SupersededError(term=self._term)))
+        return False
--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -0,0 +1,444 @@
+"""One term of the owner: recovery, sessions with all targets, the scheduler and its journal."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+from returns import result
+from twisted.internet import defer
+
+from ebonyhatch.fleet import (
+    clocks,
+    commands,
+    decision_log,
+    journal,
+    keys,
+    progress,
+    queues,
+    rows,
+    scheduler,
+    store,
+    target_list,
+    target_session,
+    targets,
+)
+from ebonyhatch.node import coroutines
+
+WATCH_S = 3.0
+"""Longest wait of one watch, seconds."""
+
+RETRY_S = 0.15
+"""Wait after a call to the store that was not done, seconds."""
+
+TICK_GAP_S = 0.008
+"""Least time between two ticks, seconds: what arrives together is decided together."""
+
+IDLE_TICK_S = 0.25
+"""Longest time between two ticks, seconds: bounds how late a hung run is seen."""
+
+SUSPENDED_S = 0.5
+"""Gap between two ticks from which this process counts as suspended meanwhile, seconds."""
+
+
+class Owner:
+    """Acts for one term, from `start` until `close`."""
+
+    def __init__(
+        self,
+        *,
+        term: int,
+        head_revision: int,
+        store_port: store.Store,
+        targets_port: targets.Targets,
+        registry: target_list.Registry,
+        all_clocks: clocks.Clocks,
+        lease_s: float,
+        keep_ended_s: float,
+        lease_valid: Callable[[], bool],
+        store_reachable: Callable[[], bool],
+        on_superseded: Callable[[str], None],
+    ) -> None:
+        self._term = term
+        self._store = store_port
+        self._port = targets_port
+        self._clocks = all_clocks
+        self._lease_s = lease_s
+        self._keep_ended_s = keep_ended_s
+        self._lease_valid = lease_valid
+        self._store_reachable = store_reachable
+        self._on_superseded = on_superseded
+        self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
+        self._scheduler = scheduler.Scheduler(decide=decision_log.decide)
+        self._scheduler.begin_term(term)
+        self._configuration = queues.Configuration(version=0)
+        self._sessions: dict[str, target_session.TargetSession] = {}
+        self._targets = target_list.TargetList(
+            store_port=store_port,
+            registry=registry,
+            group=self._group,
+            on_change=self._targets_changed,
+            now=all_clocks.now,
+        )
+        self._journal = journal.Journal(
+            store_port=store_port,
+            all_clocks=all_clocks,
+            term=term,
+            head_revision=head_revision,
+            take_changed=self._scheduler.take_changed,
+            on_durable=self._durable,
+            on_superseded=on_superseded,
+        )
+        self._recovered = False
+        self._closed = False
+        self._wake_at: float | None = None
+        self._timer: object = None
+        self._ticked_at = all_clocks.now()
+        self._ticked_awake = all_clocks.awake_and_suspended()
+        self._distrust = False
+        self._waiters: dict[str, list[defer.Deferred[None]]] = {}
+
+    @property
+    def term(self) -> int:
+        """Its term, which is the fencing token."""
+        return self._term
+
+    @property
+    def recovered(self) -> bool:
+        """Whether all jobs are known."""
+        return self._recovered
+
+    @property
+    def scheduler(self) -> scheduler.Scheduler:
+        """Its scheduler."""
+        return self._scheduler
+
+    def start(self, *, configuration: queues.Configuration) -> None:
+        """Recover, then act."""
+        self._configuration = configuration
+        self._scheduler.configure(configuration)
+        self._targets.start()
+        self._group.spawn(self._follow_intake())
+        self._group.spawn(self._settle())
+
+    def close(self) -> None:
+        """Stop acting; what was promised to nobody is dropped."""
+        self._closed = True
+        self._group.close()
+        self._journal.close()
+        for session in self._sessions.values():
+            session.close()
+        for waiters in self._waiters.values():
+            for waiter in waiters:
+                if not waiter.called:
+                    waiter.cancel()
+
+    async def flush(self, *, limit_s: float) -> None:
+        """Wait until nothing waits to be written, or for `limit_s` seconds."""
+        until = self._clocks.now() + limit_s
+        self._journal.want(urgent=True)
+        while not self._journal.idle and self._clocks.now() < until:
+            await self._group.sleep(0.01)
+
+    def set_configuration(self, configuration: queues.Configuration) -> None:
+        """Take in the configuration in force."""
+        self._configuration = configuration
+        self._scheduler.configure(configuration)
+        self._wake()
+
+    def job(self, job_id: str) -> rows.JobRow | None:
+        """Find a job."""
+        return self._scheduler.tables.jobs.get(job_id)
+
+    def pending(self, queue: str) -> int:
+        """Count the jobs of a queue of which no task has started."""
+        return sum(
+            1
+            for row in self._scheduler.tables.jobs.values()
+            if row.job.queue == queue and not row.begun and not row.ended
+        )
+
+    def waits_s(self) -> dict[str, float]:
+        """Give, by queue, how long a job that is submitted now would wait, seconds."""
+        return {}
+
+    def cancel(self, job_id: str) -> defer.Deferred[None]:
+        """Cancel a job; fires once that is durable. Fails by cancellation when the term ends."""
+        row = self.job(job_id)
+        if row is None or row.shown in rows.ENDED_STATES:
+            return defer.succeed(None)
+        self._scheduler.cancel(job_id, now=self._clocks.now())
+        waiter: defer.Deferred[None] = defer.Deferred()
+        self._waiters.setdefault(job_id, []).append(waiter)
+        self._journal.want(urgent=True)
+        self._wake()
+        return waiter
+
+    async def _follow_intake(self) -> None:
+        """Read all jobs, then follow submissions and cancellations."""
+        while True:
+            as_of = await self._read_all()
+            if as_of:
+                await self._watch_intake(as_of)
+            await self._group.sleep(RETRY_S)
+
+    async def _read_all(self) -> int:
+        intake = await self._store.list(prefix=keys.INTAKE)
+        if isinstance(intake, result.Failure):
+            decision_log.write("recovery.retry", reason=str(intake.failure()))
+            return 0
+        done: dict[str, bytes] = {}
+        if not self._recovered:
+            known = await self._store.list(prefix=keys.PROGRESS)
+            if isinstance(known, result.Failure):
+                decision_log.write("recovery.retry", reason=str(known.failure()))
+                return 0
+            for item in known.unwrap().items:
+                done[item.key.removeprefix(keys.PROGRESS)] = item.value
+        listing = intake.unwrap()
+        inherited = not self._recovered
+        for item in listing.items:
+            if item.key.startswith(keys.JOBS):
+                self._take_job(item, done, inherited=inherited)
+        for item in listing.items:
+            if item.key.startswith(keys.CANCELS):
+                self._take_cancel(item.key)
+        if not self._recovered:
+            self._recovered = True
+            decision_log.write(
+                "recovery.done", term=self._term, jobs=len(listing.items), progress=len(done)
+            )
+        self._wake()
+        return listing.as_of
+
+    async def _watch_intake(self, as_of: int) -> None:
+        while True:
+            watched = await self._store.watch(prefix=keys.INTAKE, after=as_of, wait_s=WATCH_S)
+            if isinstance(watched, result.Failure):
+                return
+            changes = watched.unwrap()
+            as_of = changes.as_of
+            for change in changes.changes:
+                if change.item is None:
+                    continue
+                if change.key.startswith(keys.JOBS):
+                    self._take_job(change.item, {}, inherited=False)
+                else:
+                    self._take_cancel(change.key)
+            if changes.changes:
+                self._wake()
+
+    def _take_job(self, item: store.Item, done: dict[str, bytes], *, inherited: bool) -> None:
+        job_id = item.key.removeprefix(keys.JOBS)
+        if self.job(job_id) is not None:
+            return
+        try:
+            name = progress.decode_job(item.value).queue
+            queue = self._configuration.queue(name) or scheduler.unknown_queue(name)
+            row = scheduler.restored(
+                value=item.value, durable=done.get(job_id), queue=queue, inherited=inherited
+            )
+        except msgspec.DecodeError as error:
+            decision_log.write("record.unreadable", key=item.key, reason=str(error))
+            return
+        decision_log.write(
+            "job.known",
+            job_id=job_id,
+            queue=name,
+            revision=item.revision,
+            state=row.state,
+            inherited=inherited,
+            steps=len(row.job.steps),
+            tasks=sum(step.count for step in row.job.steps),
+        )
+        self._scheduler.add_job(row, now=self._clocks.now(), wall=self._clocks.wall())
+
+    def _take_cancel(self, key: str) -> None:
+        self._scheduler.cancel(key.removeprefix(keys.CANCELS), now=self._clocks.now())
+        self._journal.want(urgent=True)
+
+    async def _settle(self) -> None:
+        """Place inherited work once no run of a former owner can be unknown any more."""
+        while not (self._recovered and self._targets.known):
+            await self._group.sleep(0.02)
+        until = self._clocks.awake_and_suspended() + (
+            self._lease_s * target_session.CLOCK_SLOWNESS + target_session.LAPSE_MARGIN_S
+        )
+        while self._unheard() and self._clocks.awake_and_suspended() < until:
+            await self._group.sleep(0.02)
+        decision_log.write("recovery.settled", term=self._term, unheard=len(self._unheard()))
+        self._scheduler.settled = True
+        self._wake()
+
+    def _unheard(self) -> list[str]:
+        return [
+            row.target_id
+            for row in self._scheduler.tables.targets.values()
+            if not row.confirmed and row.listed
+        ]
+
+    def _targets_changed(self, listed: dict[str, targets.Target]) -> None:
+        now = self._clocks.now()
+        for target in listed.values():
+            row = self._scheduler.set_target(target, now=now)
+            if target.target_id not in self._sessions:
+                self._open_session(row)
+        for target_id, session in list(self._sessions.items()):
+            if target_id not in listed:
+                session.row.listed = False
+                self._drop_if_empty(session)
+        self._wake()
+
+    def _open_session(self, row: rows.TargetRow) -> None:
+        session = target_session.TargetSession(
+            row=row,
+            port=self._port,
+            fence=self._term,
+            lease_s=self._lease_s,
+            all_clocks=self._clocks,
+            on_account=self._account,
+            on_silent=self._silent,
+            on_fenced=self._on_superseded,
+            durable=lambda: self._journal.durable,
+            ticket=lambda: self._journal.ticket,
+        )
+        self._sessions[row.target_id] = session
+        session.start()
+
+    def _drop_if_empty(self, session: target_session.TargetSession) -> None:
+        row = session.row
+        if row.listed or row.runs:
+            return
+        session.close()
+        self._sessions.pop(row.target_id, None)
+        self._scheduler.remove_target(row)
+
+    def _account(self, session: target_session.TargetSession, account: targets.Account) -> bool:
+        """Take in an account, once all jobs are known; before, their runs would be stopped."""
+        if not self._recovered:
+            return False
+        session.row.confirmed = True
+        self._scheduler.take_account(session.row, account, now=self._clocks.now())
+        if account.ended:
+            self._journal.want(urgent=self._has_ended_jobs())
+        self._wake()
+        return True
+
+    def _has_ended_jobs(self) -> bool:
+        return self._scheduler.has_ended_changes()
+
+    def _silent(self, session: target_session.TargetSession, why: str) -> None:
+        row = session.row
+        if why != "lease-lapsed" or row.runs:
+            decision_log.write(
+                "target.runs_lost", target=row.target_id, why=why, runs=len(row.runs)
+            )
+        row.confirmed = False
+        self._scheduler.lose_target(row, why=why, now=self._clocks.now())
+        self._drop_if_empty(session)
+        self._wake()
+
+    def _durable(self, states: list[tuple[rows.JobRow, rows.JobState]]) -> None:
+        for row, state in states:
+            if state in rows.ENDED_STATES:
+                row.shown = state
+                row.ended_at = row.ended_at or self._clocks.wall()
+                decision_log.write("job.shown", job_id=row.job.job_id, state=state)
+            for waiter in self._waiters.pop(row.job.job_id, []):
+                waiter.callback(None)
+
+    def _wake(self) -> None:
+        """Tick soon; what arrives meanwhile goes into the same tick."""
+        self._wake_in(max(0.0, self._ticked_at + TICK_GAP_S - self._clocks.now()))
+
+    def _wake_in(self, delay_s: float) -> None:
+        if self._closed:
+            return
+        due_at = self._clocks.now() + delay_s
+        if self._wake_at is not None and self._wake_at <= due_at:
+            return
+        if self._timer is not None and self._timer.active():  # type: ignore[attr-defined]
+            self._timer.cancel()  # type: ignore[attr-defined]
+        self._wake_at = due_at
+        self._timer = self._clocks.loop.callLater(delay_s, self._tick)
+
+    def _tick(self) -> None:
+        self._wake_at = None
+        if self._closed:
+            return
+        now, wall = self._clocks.now(), self._clocks.wall()
+        awake = self._clocks.awake_and_suspended()
+        if (awake - self._ticked_awake) - (now - self._ticked_at) > SUSPENDED_S:
+            # Another entry may have taken over while this machine was suspended.
+            self._distrust = True
+            decision_log.write("owner.was_suspended", gap_s=round(awake - self._ticked_awake, 2))
+        self._ticked_at, self._ticked_awake = now, awake
+        if self._lease_valid():
+            self._distrust = False
+        self._scheduler.may_place = self._recovered and self._may_start()
+        for command in self._scheduler.tick(now=now, wall=wall):
+            self._carry_out(command)
+        due_s = self._scheduler.next_wake_s(now=now, wall=wall)
+        self._wake_in(IDLE_TICK_S if due_s is None else min(IDLE_TICK_S, max(due_s, TICK_GAP_S)))
+        if self._scheduler.has_changes():
+            self._journal.want(urgent=self._has_ended_jobs())
+
+    def _may_start(self) -> bool:
+        """Tell whether new runs may be ordered.
+
+        While the store answers nobody, nobody can take over, and targets refuse the orders of
+        an owner that somebody has replaced. After a suspension only a renewed lease will do.
+        """
+        return self._lease_valid() or (not self._store_reachable() and not self._distrust)
+
+    def _carry_out(self, command: commands.Command) -> None:
+        if isinstance(command, commands.StartRun):
+            self._group.spawn(self._start_run(command))
+        elif isinstance(command, commands.StopRun):
+            self._group.spawn(self._stop_run(command))
+        else:
+            self._group.spawn(self._pace_run(command))
+
+    async def _start_run(self, command: commands.StartRun) -> None:
+        run = command.run
+        session = self._sessions.get(run.target.target_id)
+        if session is None:
+            self._scheduler.accounts.refused(run, reason="no-session", now=self._clocks.now())
+            return
+        run.order_deadline_s = session.start_deadline_s()
+        outcome = await session.start_run(command)
+        now = self._clocks.now()
+        if isinstance(outcome, result.Success):
+            self._scheduler.accounts.started(run, clock_s=outcome.unwrap(), now=now)
+            return
+        error = outcome.failure()
+        if isinstance(error, targets.UnknownOutcomeError):
+            self._scheduler.accounts.uncertain(run, reason=error.reason)
+        else:
+            reason = error.reason if isinstance(error, targets.RefusedError) else "not-sent"
+            self._scheduler.accounts.refused(run, reason=reason, now=now)
+        self._wake()
+
+    async def _stop_run(self, command: commands.StopRun) -> None:
+        session = self._sessions.get(command.target.target_id)
+        if session is None:
+            return
+        outcome = await session.stop_run(command.key)
+        if isinstance(outcome, result.Failure):
+            decision_log.decide(
+                "run.stop_failed",
+                None,
+                key=command.key,
+                target=command.target.target_id,
+                reason=str(outcome.failure()),
+            )
+
+    async def _pace_run(self, command: commands.PaceRun) -> None:
+        session = self._sessions.get(command.run.target.target_id)
+        if session is None:
+            return
+        outcome = await session.pace_run(command.run.key, command.percent)
+        if isinstance(outcome, result.Failure):
+            # Set to what is surely wrong, so that the next review sets it again.
+            command.run.pace = 100
+            decision_log.decide("run.pace_failed", command.run, reason=str(outcome.failure()))
--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -0,0 +1,348 @@
+"""Who is the owner: one entry at a time, by a key under its lease, with a term that grows."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+from returns import result
+
+from ebonyhatch.fleet import clocks, decision_log, keys, store
+from ebonyhatch.node import coroutines
+
+LEASE_TTL_S = 1.5
+"""Time of an entry's lease, seconds: a killed owner is replaced after it; see docs/design."""
+
+RENEW_S = 0.4
+"""Time between renewals, seconds: three may be lost before the lease ends."""
+
+LEASE_MARGIN_S = 0.1
+"""Time before its end from which a lease doesn't count any more, seconds."""
+
+WATCH_S = 3.0
+"""Longest wait of one watch, seconds; a connection that went silent is found after it."""
+
+RETRY_S = 0.15
+"""Wait after a call that was not done, seconds."""
+
+T = TypeVar("T")
+
+TURN_S = 0.12
+"""Time by which each candidate waits longer than the one before it, seconds."""
+
+
+class OwnerRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Value of the owner's key."""
+
+    name: str
+    incarnation: str
+    term: int
+
+
+class EntryRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Value of an entry's key: where its peers reach it."""
+
+    name: str
+    incarnation: str
+    host: str
+    port: int
+
+
+class Head(msgspec.Struct, frozen=True, kw_only=True):
+    """Value of the head: the term of the last writer and the number of its write."""
+
+    term: int
+    number: int
+    nonce: str
+
+
+class Ownership:
+    """Keeps this entry's lease, follows who is the owner, and takes over when nobody is."""
+
+    def __init__(
+        self,
+        *,
+        entry: EntryRecord,
+        store_port: store.Store,
+        all_clocks: clocks.Clocks,
+        on_gained: Callable[[Head, int], None],
+        on_lost: Callable[[str], None],
+        on_entries: Callable[[tuple[EntryRecord, ...]], None],
+    ) -> None:
+        self._entry = entry
+        self._store = store_port
+        self._clocks = all_clocks
+        self._on_gained = on_gained
+        self._on_lost = on_lost
+        self._on_entries = on_entries
+        self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
+        self._lease = 0
+        self._valid_until = 0.0
+        self._entries: dict[str, EntryRecord] = {}
+        self._owner: OwnerRecord | None = None
+        self._known = False
+        self._leaving = False
+        self._term = 0
+        self._renewed_ok = False
+
+    @property
+    def owner(self) -> OwnerRecord | None:
+        """The owner, as last heard."""
+        return self._owner
+
+    @property
+    def entries(self) -> dict[str, EntryRecord]:
+        """Entries, as last heard."""
+        return self._entries
+
+    @property
+    def known(self) -> bool:
+        """Whether the membership was read at least once."""
+        return self._known
+
+    @property
+    def is_owner(self) -> bool:
+        """Whether this entry acts as the owner."""
+        return self._term > 0
+
+    @property
+    def lease(self) -> int:
+        """The lease in force; 0 for none."""
+        return self._lease
+
+    @property
+    def lease_valid(self) -> bool:
+        """Whether the lease certainly lasts."""
+        return self._clocks.awake_and_suspended() < self._valid_until
+
+    @property
+    def store_reachable(self) -> bool:
+        """Whether the last renewal was answered."""
+        return self._renewed_ok
+
+    def start(self) -> None:
+        """Take part."""
+        self._group.spawn(self._keep_lease())
+        self._group.spawn(self._follow())
+
+    def close(self) -> None:
+        """Stop taking part."""
+        self._group.close()
+
+    def give_up(self, reason: str) -> None:
+        """Stop acting as the owner: somebody else is."""
+        if self._term:
+            decision_log.write("owner.lost", term=self._term, reason=reason)
+            self._term = 0
+            self._on_lost(reason)
+
+    async def leave(self) -> None:
+        """Give the lease back, so that another entry takes over at once."""
+        self._leaving = True
+        if self._lease:
+            await self._store.end(lease=self._lease)
+        self._lease = 0
+
+    def resign(self) -> None:
+        """Take no ownership from now on."""
+        self._leaving = True
+
+    async def _keep_lease(self) -> None:
+        while not self._leaving:
+            await self._renew()
+            await self._group.sleep(RENEW_S if self._renewed_ok else RETRY_S)
+
+    async def _renew(self) -> None:
+        sent_at = self._clocks.awake_and_suspended()
+        if not self._lease:
+            granted = await self._store.grant(ttl_s=LEASE_TTL_S)
+            if isinstance(granted, result.Success):
+                self._lease = granted.unwrap().lease
+                self._valid_until = sent_at + granted.unwrap().ttl_s - LEASE_MARGIN_S
+                await self._register()
+            self._note_renewal(granted)
+            return
+        kept = await self._store.keep(lease=self._lease)
+        if isinstance(kept, result.Success):
+            self._valid_until = sent_at + kept.unwrap() - LEASE_MARGIN_S
+        elif isinstance(kept.failure(), store.NoLeaseError):
+            decision_log.write("lease.ended", lease=self._lease, owner=self.is_owner)
+            self._lease = 0
+            self._valid_until = 0.0
+        self._note_renewal(kept)
+
+    def _note_renewal(self, outcome: result.Result[object, store.StoreError]) -> None:
+        reached = isinstance(outcome, result.Success)
+        if reached != self._renewed_ok:
+            reason = "" if reached else str(outcome.failure())
+            event = "dependency.back" if reached else "dependency.lost"
+            decision_log.write(event, dependency="store", reason=reason)
+        self._renewed_ok = reached
+
+    async def _register(self) -> None:
+        """Write the entry's key, and the owner's key where this entry acts as the owner."""
+        value = msgspec.json.encode(self._entry)
+        key = keys.entry(self._entry.name)
+        puts = (store.Put(key=key, value=value, lease=self._lease),)
+        await self._store.commit(puts=puts)
+        if self._term:
+            await self._claim_again()
+
+    async def _claim_again(self) -> None:
+        """Write the owner's key anew after its lease ended, unless another one is there."""
+        put = store.Put(key=keys.OWNER, value=self._owner_value(self._term), lease=self._lease)
+        absent = store.Condition(key=keys.OWNER, revision=store.ABSENT)
+        claimed = await self._store.commit(conditions=(absent,), puts=(put,))
+        if isinstance(claimed, result.Failure) and isinstance(
+            claimed.failure(), store.ConflictError
+        ):
+            self._check_rival(claimed.failure().items)
+
+    def _check_rival(self, items: tuple[store.Item, ...]) -> None:
+        for item in items:
+            record = _decode_owner(item.value) if item.key == keys.OWNER else None
+            if record is not None and record.incarnation != self._entry.incarnation:
+                self.give_up("another entry is the owner")
+
+    async def _follow(self) -> None:
+        """List the membership, then watch it; list again after any fault."""
+        while True:
+            listed = await self._store.list(prefix=keys.MEMBERSHIP)
+            if isinstance(listed, result.Failure):
+                await self._group.sleep(RETRY_S)
+                continue
+            listing = listed.unwrap()
+            self._take_listing(listing)
+            await self._watch(listing.as_of)
+
+    async def _watch(self, as_of: int) -> None:
+        while True:
+            if self._owner is None and self._lease_usable():
+                if self._term:
+                    await self._claim_again()
+                elif not await self._try_takeover():
+                    return
+            watched = await self._store.watch(
+                prefix=keys.MEMBERSHIP, after=as_of, wait_s=WATCH_S if self._lease else RETRY_S
+            )
+            if isinstance(watched, result.Failure):
+                await self._group.sleep(RETRY_S)
+                return
+            changes = watched.unwrap()
+            as_of = changes.as_of
+            for change in changes.changes:
+                self._take_item(change.key, change.item)
+            if changes.changes:
+                self._announce()
+
+    async def _try_takeover(self) -> bool:
+        """Take over in turn; False asks for a new listing."""
+        await self._group.sleep(TURN_S * self._turn())
+        if not self._lease_usable():
+            return False
+        read = await self._store.get(key=keys.HEAD)
+        if isinstance(read, result.Failure):
+            return False
+        item = read.unwrap()
+        last = _decode_head(item.value) if item is not None else None
+        term = 1 if last is None else last.term + 1
+        head = Head(term=term, number=0, nonce=self._entry.incarnation)
+        conditions = (
+            store.Condition(key=keys.OWNER, revision=store.ABSENT),
+            store.Condition(
+                key=keys.HEAD, revision=store.ABSENT if item is None else item.revision
+            ),
+        )
+        puts = (
+            store.Put(key=keys.OWNER, value=self._owner_value(term), lease=self._lease),
+            store.Put(key=keys.HEAD, value=msgspec.json.encode(head)),
+        )
+        taken = await self._store.commit(conditions=conditions, puts=puts)
+        if isinstance(taken, result.Failure):
+            decision_log.write("owner.takeover_failed", term=term, reason=str(taken.failure()))
+            await self._group.sleep(RETRY_S)
+            return False
+        self._owner = _decode_owner(self._owner_value(term))
+        self._gain(head, taken.unwrap())
+        return True
+
+    def _gain(self, head: Head, revision: int) -> None:
+        if self._term:
+            self._on_lost("a new term begins")
+        self._term = head.term
+        decision_log.write("owner.gained", term=head.term, head_revision=revision)
+        self._on_gained(head, revision)
+
+    def _turn(self) -> int:
+        """Give this entry's place among the candidates, different for each term."""
+        names = sorted({*self._entries, self._entry.name}, key=_shuffled)
+        return names.index(self._entry.name)
+
+    def _lease_usable(self) -> bool:
+        return bool(self._lease) and self.lease_valid and not self._leaving
+
+    def _take_listing(self, listing: store.Listing) -> None:
+        self._entries.clear()
+        self._owner = None
+        for item in listing.items:
+            self._take_item(item.key, item)
+        self._known = True
+        self._announce()
+
+    def _take_item(self, key: str, item: store.Item | None) -> None:
+        if key == keys.OWNER:
+            self._take_owner(None if item is None else _decode_owner(item.value))
+        elif key.startswith(keys.ENTRIES):
+            name = key.removeprefix(keys.ENTRIES)
+            record = None if item is None else _decode_entry(item.value)
+            if record is None:
+                self._entries.pop(name, None)
+            else:
+                self._entries[name] = record
+
+    def _take_owner(self, record: OwnerRecord | None) -> None:
+        if record != self._owner:
+            decision_log.write(
+                "owner.seen",
+                owner="none" if record is None else record.name,
+                term=0 if record is None else record.term,
+            )
+        self._owner = record
+        if record is None or not self._term:
+            return
+        if record.incarnation != self._entry.incarnation:
+            self.give_up(f"{record.name} is the owner of term {record.term}")
+
+    def _announce(self) -> None:
+        self._on_entries(tuple(self._entries.values()))
+
+    def _owner_value(self, term: int) -> bytes:
+        return msgspec.json.encode(
+            OwnerRecord(name=self._entry.name, incarnation=self._entry.incarnation, term=term)
+        )
+
+
+def _shuffled(name: str) -> bytes:
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
+
+
+def _decode_owner(value: bytes) -> OwnerRecord | None:
+    return _decode(value, OwnerRecord)
+
+
+def _decode_entry(value: bytes) -> EntryRecord | None:
+    return _decode(value, EntryRecord)
+
+
+def _decode_head(value: bytes) -> Head | None:
+    return _decode(value, Head)
+
+
+def _decode(value: bytes, kind: type[T]) -> T | None:
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except msgspec.DecodeError as error:
+        decision_log.write("record.unreadable", kind=kind.__name__, reason=str(error))
+        return None
--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
@@ -0,0 +1,150 @@
+"""What is durable of a job's progress, and how rows are built from it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ebonyhatch.fleet import jobs, queues, rows
+
+
+class StepProgress(msgspec.Struct, kw_only=True, omit_defaults=True):
+    """Progress of a step; keys are indexes of tasks.
+
+    Attributes:
+        done: Tasks that are done.
+        failures: Numbers of the runs that failed, where there are any.
+        checkpoints: Last checkpoint of tasks that are not done.
+        runs: Highest run number used, where it is known.
+    """
+
+    done: list[int] = []
+    failures: dict[int, list[int]] = {}
+    checkpoints: dict[int, str] = {}
+    runs: dict[int, int] = {}
+
+
+class JobProgress(msgspec.Struct, kw_only=True, omit_defaults=True):
+    """Progress of a job.
+
+    Attributes:
+        state: Its state.
+        begun: A task of it has started.
+        ended_at: Time of day of its end, seconds since 1970.
+        reason: Why it failed.
+        finished: Occurrences that are done.
+        next_occurrence: Next occurrence to release.
+        occurrences: Progress of the steps of each occurrence under way.
+    """
+
+    state: rows.JobState = rows.JobState.QUEUED
+    begun: bool = False
+    ended_at: float = 0.0
+    reason: str = ""
+    finished: list[int] = []
+    next_occurrence: int = 0
+    occurrences: dict[int, list[StepProgress]] = {}
+
+
+_ENCODER = msgspec.json.Encoder()
+_PROGRESS = msgspec.json.Decoder(JobProgress)
+_JOB = msgspec.json.Decoder(jobs.Job)
+
+
+def encode_job(job: jobs.Job) -> bytes:
+    """Encode an accepted job."""
+    return _ENCODER.encode(job)
+
+
+def decode_job(value: bytes) -> jobs.Job:
+    """Decode an accepted job; raises `msgspec.DecodeError`."""
+    return _JOB.decode(value)
+
+
+def encode(row: rows.JobRow) -> bytes:
+    """Encode a job's progress."""
+    progress = JobProgress(
+        state=row.state,
+        begun=row.begun,
+        ended_at=row.ended_at,
+        reason=row.reason,
+        finished=sorted(row.finished),
+        next_occurrence=row.next_occurrence,
+    )
+    if not row.ended:
+        progress.occurrences = {
+            number: [_step_progress(step) for step in steps]
+            for number, steps in row.occurrences.items()
+        }
+    return _ENCODER.encode(progress)
+
+
+def decode(value: bytes) -> JobProgress:
+    """Decode a job's progress; raises `msgspec.DecodeError`."""
+    return _PROGRESS.decode(value)
+
+
+def restore(*, job: jobs.Job, queue: queues.Queue, progress: JobProgress | None) -> rows.JobRow:
+    """Build a job's row from what is durable."""
+    row = rows.JobRow(job=job, queue=queue)
+    if progress is None:
+        return row
+    row.state = row.shown = progress.state
+    row.begun = progress.begun
+    row.cancelled = progress.state == rows.JobState.CANCELLED
+    row.ended_at = progress.ended_at
+    row.reason = progress.reason
+    row.finished = set(progress.finished)
+    row.next_occurrence = progress.next_occurrence
+    if not row.ended:
+        for number, steps in progress.occurrences.items():
+            row.occurrences[number] = new_steps(row, number)
+            for step, done in zip(row.occurrences[number], steps, strict=False):
+                _restore_step(step, done)
+    return row
+
+
+def new_steps(row: rows.JobRow, occurrence: int) -> list[rows.StepRow]:
+    """Make the rows of one occurrence."""
+    steps = []
+    for index, step in enumerate(row.job.steps):
+        made = rows.StepRow(job=row, occurrence=occurrence, index=index, step=step, left=step.count)
+        made.expected_s = step.estimate_s
+        made.tasks = [
+            rows.TaskRow(
+                step=made,
+                index=number,
+                name=rows.task_name(
+                    job_id=row.job.job_id, occurrence=occurrence, step=index, index=number
+                ),
+            )
+            for number in range(step.count)
+        ]
+        steps.append(made)
+    return steps
+
+
+def _step_progress(step: rows.StepRow) -> StepProgress:
+    progress = StepProgress(done=[], failures={}, checkpoints={}, runs={})
+    for task in step.tasks:
+        if task.state == rows.TaskState.DONE:
+            progress.done.append(task.index)
+            continue
+        if task.failed_runs:
+            progress.failures[task.index] = sorted(task.failed_runs)
+        if task.checkpoint:
+            progress.checkpoints[task.index] = task.checkpoint
+        if task.last_run:
+            progress.runs[task.index] = task.last_run
+    return progress
+
+
+def _restore_step(step: rows.StepRow, progress: StepProgress) -> None:
+    for index in progress.done:
+        step.tasks[index].state = rows.TaskState.DONE
+        step.left -= 1
+    for index, failures in progress.failures.items():
+        step.tasks[index].failed_runs = set(failures)
+    for index, checkpoint in progress.checkpoints.items():
+        step.tasks[index].checkpoint = checkpoint
+    for index, run in progress.runs.items():
+        step.tasks[index].last_run = run
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
@@ -8,6 +8,9 @@
 from typing import Any, Protocol
 
 import msgspec
+from returns import result
+from twisted.internet import defer
+
 from ebonyhatch.core import (
     commands,
     configuration,
@@ -32,9 +35,7 @@
     task_driver,
     worker_link,
 )
-from ebonyhatch.platform import instances, store, timing, workers
-from returns import result
-from twisted.internet import defer
+from ebonyhatch.ports import instances, store, timing, workers
 
 TICK_S = 0.1
 """Longest time between two ticks of the scheduler, seconds."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell_workers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell_workers.py
@@ -6,9 +6,10 @@
 from collections.abc import Callable
 
 import msgspec
+
 from ebonyhatch.core import events, resources
 from ebonyhatch.node import coroutines, messages, task_reports, worker_link
-from ebonyhatch.platform import backoff, instances, timing, workers
+from ebonyhatch.ports import backoff, instances, timing, workers
 
 
 class CellWorkers:
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration.py
@@ -6,6 +6,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from returns import result
+from twisted.internet import defer
+
 from ebonyhatch.core import configuration, record_faults, records
 from ebonyhatch.node import (
     configuration_current,
@@ -15,9 +18,7 @@
     configuration_writes,
     coroutines,
 )
-from ebonyhatch.platform import store, timing
-from returns import result
-from twisted.internet import defer
+from ebonyhatch.ports import store, timing
 
 PEERS_SETTLE_S = 2.0
 """How long a fresh entry waits for peers before it puts what it has read in force."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_current.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_current.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 
 import eliot
+from returns import result
+
 from ebonyhatch.core import configuration, record_faults, records
 from ebonyhatch.node import configuration_errors, configuration_head, logs
-from ebonyhatch.platform import timing
-from returns import result
+from ebonyhatch.ports import timing
 
 OnChange = Callable[[configuration.InForce], None]
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_head.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_head.py
@@ -6,10 +6,11 @@
 from typing import Annotated
 
 import msgspec
+from returns import result
+
 from ebonyhatch.core import record_changes
 from ebonyhatch.node import configuration_errors
-from ebonyhatch.platform import store
-from returns import result
+from ebonyhatch.ports import store
 
 KEY = "configuration/head"
 """The one key of the configuration."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_watch.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_watch.py
@@ -5,15 +5,16 @@
 import random
 from typing import Any
 
+from returns import result
+from twisted.internet import defer
+
 from ebonyhatch.node import (
     configuration_current,
     configuration_errors,
     configuration_head,
     coroutines,
 )
-from ebonyhatch.platform import backoff, store, timing
-from returns import result
-from twisted.internet import defer
+from ebonyhatch.ports import backoff, store, timing
 
 WATCH_WAIT_S = 30.0
 """How long the store may hold a watch."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_writes.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_writes.py
@@ -5,6 +5,8 @@
 import random
 
 import msgspec
+from returns import result
+
 from ebonyhatch.core import record_changes, records
 from ebonyhatch.node import (
     configuration_current,
@@ -12,8 +14,7 @@
     configuration_head,
     coroutines,
 )
-from ebonyhatch.platform import backoff, store, timing
-from returns import result
+from ebonyhatch.ports import backoff, store, timing
 
 TRIES = 10
 """Most rounds of read and compare-and-swap of one write."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
@@ -6,6 +6,9 @@
 from typing import Any
 
 import msgspec
+from twisted.internet import defer, task
+from twisted.web import resource
+
 from ebonyhatch.core import configuration as configurations
 from ebonyhatch.core import default_scheduler, errors, scheduler
 from ebonyhatch.node import (
@@ -38,9 +41,7 @@
     settings,
     store_health,
 )
-from ebonyhatch.platform import guarded_store, instances, store, workers
-from twisted.internet import defer, task
-from twisted.web import resource
+from ebonyhatch.ports import guarded_store, instances, store, workers
 
 DEFAULT_POLICY = default_scheduler.DefaultScheduler
 GAUGES_PERIOD_S = 5.0
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/daemon_view.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/daemon_view.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable, Iterable
 
+from returns import result
+
 from ebonyhatch.core import views
 from ebonyhatch.node import (
     admin_view,
@@ -15,8 +17,7 @@
     peers,
     store_health,
 )
-from ebonyhatch.platform import instances
-from returns import result
+from ebonyhatch.ports import instances
 
 EXPLAIN_TIMEOUT_S = 2.0
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
@@ -6,6 +6,10 @@
 
 import klein
 import msgspec
+from returns import result
+from twisted.internet import defer
+from twisted.web import server
+
 from ebonyhatch.core import commands, configuration, entities
 from ebonyhatch.node import (
     caller_errors,
@@ -17,10 +21,7 @@
     routing,
     service_calls,
 )
-from ebonyhatch.platform import header_rules, timing, workers
-from returns import result
-from twisted.internet import defer
-from twisted.web import server
+from ebonyhatch.ports import header_rules, timing, workers
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/gossip.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/gossip.py
@@ -7,9 +7,10 @@
 from typing import Any, Protocol
 
 import msgspec
-from ebonyhatch.node import messages
 from twisted.internet import task
 
+from ebonyhatch.node import messages
+
 PERIOD_S = 1.0
 FAR_FANOUT = 2
 """Far peers told in one period, in drawn order; each is told once in a round."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/held_cells.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/held_cells.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Callable, Mapping
 
-from ebonyhatch.node import ownership_record
 from twisted.internet import defer
 
+from ebonyhatch.node import ownership_record
+
 
 class HeldCells:
     """Calls `on_gain` and `on_loss` in order: a cell is gained only after its loss is done."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/instance_view.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/instance_view.py
@@ -4,11 +4,12 @@
 
 from collections.abc import Callable
 
-from ebonyhatch.core import rendezvous
-from ebonyhatch.platform import instances, timing
 from returns import result
 from twisted.internet import defer, task
 
+from ebonyhatch.core import rendezvous
+from ebonyhatch.ports import instances, timing
+
 READ_PERIOD_S = 1.0
 
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/job_requests.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_requests.py
@@ -5,6 +5,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from returns import result
+from twisted.internet import defer
+
 from ebonyhatch.core import (
     commands,
     entities,
@@ -15,9 +18,7 @@
     resources,
 )
 from ebonyhatch.node import cell_workers, elsewhere, journal, messages, task_entries, task_reports
-from ebonyhatch.platform import timing
-from returns import result
-from twisted.internet import defer
+from ebonyhatch.ports import timing
 
 JOBS_LIMIT = 50_000
 """Jobs that a cell holds."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/job_transfers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_transfers.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 
 import msgspec
+from returns import result
+
 from ebonyhatch.core import entities, events, job_machine, journal_entries, resources
 from ebonyhatch.node import (
     cell_workers,
@@ -20,8 +22,7 @@
     task_entries,
     task_reports,
 )
-from ebonyhatch.platform import timing
-from returns import result
+from ebonyhatch.ports import timing
 
 PERIOD_S = 1.0
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/journal.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/journal.py
@@ -7,6 +7,9 @@
 from collections.abc import Callable
 
 import msgspec
+from returns import result
+from twisted.internet import defer
+
 from ebonyhatch.core import errors, journal_entries
 from ebonyhatch.node import (
     cell_state,
@@ -16,9 +19,7 @@
     snapshots,
     store_values,
 )
-from ebonyhatch.platform import backoff, store, timing
-from returns import result
-from twisted.internet import defer
+from ebonyhatch.ports import backoff, store, timing
 
 WRITE_INTERVAL_S = 0.1
 """Least time between two writes of one cell, seconds."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/journal_log.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/journal_log.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import msgspec
+
 from ebonyhatch.core import journal_entries
 from ebonyhatch.node import settled_store, snapshots, store_values
-from ebonyhatch.platform import store
+from ebonyhatch.ports import store
 
 RING_SLOTS = 512
 """Slots of a cell's ring; a slot is written again after so many writes."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/keyed_requests.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/keyed_requests.py
@@ -7,9 +7,10 @@
 import hashlib
 
 import msgspec
+
 from ebonyhatch.core import journal_entries
 from ebonyhatch.node import messages
-from ebonyhatch.platform import workers
+from ebonyhatch.ports import workers
 
 KEYS_KEPT = 5000
 """Keys that a cell remembers; the oldest that have ended are forgotten first."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/logs.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/logs.py
@@ -9,6 +9,7 @@
 
 import eliot
 import msgspec
+
 from ebonyhatch.core import errors
 
 SECRET_FIELDS = frozenset(
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/membership.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/membership.py
@@ -5,10 +5,11 @@
 import random
 from collections.abc import Callable
 
-from ebonyhatch.node import coroutines, ownership_record
-from ebonyhatch.platform import backoff, store, timing
 from returns import result
 
+from ebonyhatch.node import coroutines, ownership_record
+from ebonyhatch.ports import backoff, store, timing
+
 LEASE_TTL_S = 6.0
 """Time that the lease runs without a renewal, seconds."""
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/messages.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/messages.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import msgspec
+
 from ebonyhatch.core import commands, resources, scheduler
-from ebonyhatch.platform import workers
+from ebonyhatch.ports import workers
 
 
 class Message(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/ownership.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/ownership.py
@@ -6,6 +6,9 @@
 from collections.abc import Callable, Mapping
 
 import msgspec
+from returns import result
+from twisted.internet import defer
+
 from ebonyhatch.core import errors, rendezvous
 from ebonyhatch.node import (
     coroutines,
@@ -16,9 +19,7 @@
     shared_record,
     silent_members,
 )
-from ebonyhatch.platform import backoff, store, timing
-from returns import result
-from twisted.internet import defer
+from ebonyhatch.ports import backoff, store, timing
 
 Member = ownership_record.Member
 Owner = ownership_record.Owner
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/problems.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/problems.py
@@ -7,9 +7,10 @@
 from http import HTTPStatus
 
 import msgspec
-from ebonyhatch.core import commands, record_faults
 from twisted.web import server
 
+from ebonyhatch.core import commands, record_faults
+
 CONTENT_TYPE = "application/problem+json"
 
 TYPE_PREFIX = "urn:ebonyhatch:problem:"
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/request_driver.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/request_driver.py
@@ -8,12 +8,13 @@
 from collections.abc import Callable
 
 import msgspec
-from ebonyhatch.core import commands, entities, events
-from ebonyhatch.node import coroutines, messages, worker_link
-from ebonyhatch.platform import timing, workers
 from returns import result
 from twisted.internet import defer
 
+from ebonyhatch.core import commands, entities, events
+from ebonyhatch.node import coroutines, messages, worker_link
+from ebonyhatch.ports import timing, workers
+
 DEADLINE_GRACE_S = 0.25
 """Time past its deadline after which a request is ended without the scheduler, seconds."""
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/route_choice.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/route_choice.py
@@ -7,7 +7,7 @@
 
 from ebonyhatch.core import scheduler
 from ebonyhatch.node import cell, forwarding, messages, routing
-from ebonyhatch.platform import timing
+from ebonyhatch.ports import timing
 
 
 class RouteChoice(routing.Chooser):
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/settled_store.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/settled_store.py
@@ -5,10 +5,11 @@
 import random
 
 import msgspec
-from ebonyhatch.node import coroutines
-from ebonyhatch.platform import backoff, store
 from returns import result
 
+from ebonyhatch.node import coroutines
+from ebonyhatch.ports import backoff, store
+
 
 class Written(msgspec.Struct, frozen=True, kw_only=True):
     """The value is in the store, written by this call."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/snapshots.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/snapshots.py
@@ -5,9 +5,10 @@
 import zlib
 
 import msgspec
+
 from ebonyhatch.core import errors
 from ebonyhatch.node import settled_store, store_values
-from ebonyhatch.platform import store
+from ebonyhatch.ports import store
 
 PART_BYTES = 900_000
 """Size of a part, under the store's limit with its frame."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/store_health.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/store_health.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ebonyhatch.node import metrics
-from ebonyhatch.platform import guarded_store, timing
+from ebonyhatch.ports import guarded_store, timing
 
 ANSWERED = frozenset(
     {
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/store_values.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/store_values.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 import msgspec
+
 from ebonyhatch.core import errors
 
 FORMAT_VERSION = 1
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/task_entries.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/task_entries.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import msgspec
+
 from ebonyhatch.core import events, job_machine, journal_entries
-from ebonyhatch.platform import workers
+from ebonyhatch.ports import workers
 
 FAILURES_LIMIT = 5
 """Failed attempts after which a job is given up."""
--- a/packages/ebonyhatch-node/tests/test_configuration.py
+++ b/packages/ebonyhatch-node/tests/test_configuration.py
@@ -1,15 +1,16 @@
 import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+from returns import result
+
 from ebonyhatch.node import (
     configuration,
     configuration_current,
     configuration_errors,
     configuration_head,
 )
-from ebonyhatch.platform import fault_switches
+from ebonyhatch.ports import fault_switches
 from ebonyhatch.testing import checker, configuration_fleet
-from hypothesis import Phase, given, settings
-from hypothesis import strategies as st
-from returns import result
 
 
 @pytest.fixture
--- a/packages/ebonyhatch-node/tests/test_configuration_writes.py
+++ b/packages/ebonyhatch-node/tests/test_configuration_writes.py
@@ -1,4 +1,6 @@
 import pytest
+from returns import result
+
 from ebonyhatch.core import commands
 from ebonyhatch.node import (
     configuration,
@@ -7,7 +9,6 @@
     configuration_writes,
 )
 from ebonyhatch.testing import configuration_fleet
-from returns import result
 
 
 @pytest.fixture
--- a/packages/ebonyhatch-node/tests/test_gateway.py
+++ b/packages/ebonyhatch-node/tests/test_gateway.py
@@ -4,10 +4,11 @@
 
 import json
 
+from twisted.internet import defer, task, testing
+
 from ebonyhatch.core import commands, configuration, entities
 from ebonyhatch.node import gateway, http_server, messages, metrics
-from ebonyhatch.platform import workers
-from twisted.internet import defer, task, testing
+from ebonyhatch.ports import workers
 
 IN_FORCE = configuration.InForce(
     generation=1,
--- a/packages/ebonyhatch-node/tests/test_instance_view.py
+++ b/packages/ebonyhatch-node/tests/test_instance_view.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from ebonyhatch.node import instance_view
-from ebonyhatch.platform import instances, memory_instances
 from twisted.internet import task
 
+from ebonyhatch.node import instance_view
+from ebonyhatch.ports import instances, memory_instances
+
 
 def worker(number, state=instances.InstanceState.LIVE):
     return instances.Instance(
--- a/packages/ebonyhatch-node/tests/test_job_transfers.py
+++ b/packages/ebonyhatch-node/tests/test_job_transfers.py
@@ -5,6 +5,8 @@
 import json
 
 import pytest
+from twisted.internet import task
+
 from ebonyhatch.core import (
     configuration,
     default_scheduler,
@@ -14,8 +16,7 @@
     scheduler,
 )
 from ebonyhatch.node import cell, elsewhere, messages
-from ebonyhatch.platform import instances, memory_store, memory_workers
-from twisted.internet import task
+from ebonyhatch.ports import instances, memory_store, memory_workers
 
 POLICY = default_scheduler.DefaultScheduler
 
--- a/packages/ebonyhatch-node/tests/test_journal.py
+++ b/packages/ebonyhatch-node/tests/test_journal.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import pytest
-from ebonyhatch.core import entities, journal_entries, resources
-from ebonyhatch.node import journal, journal_log, snapshots, store_values
-from ebonyhatch.platform import memory_store, store_engine
 from returns import result
 from twisted.internet import defer, task
 
+from ebonyhatch.core import entities, journal_entries, resources
+from ebonyhatch.node import journal, journal_log, snapshots, store_values
+from ebonyhatch.ports import memory_store, store_engine
+
 
 class Bench:
     """Owners of one cell's journal over one store engine."""
--- a/packages/ebonyhatch-node/tests/test_logs.py
+++ b/packages/ebonyhatch-node/tests/test_logs.py
@@ -2,6 +2,7 @@
 import json
 
 import pytest
+
 from ebonyhatch.node import logs
 
 
--- a/packages/ebonyhatch-node/tests/test_main.py
+++ b/packages/ebonyhatch-node/tests/test_main.py
@@ -7,9 +7,10 @@
 
 import pytest
 from click import testing
-from ebonyhatch.node import main
 from twisted.internet import defer, task
 
+from ebonyhatch.node import main
+
 EXAMPLE = pathlib.Path(__file__).parents[3] / "examples" / "entry-a.json"
 
 
--- a/packages/ebonyhatch-node/tests/test_operating_page.py
+++ b/packages/ebonyhatch-node/tests/test_operating_page.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import pytest
+
 from ebonyhatch.core import record_schema, records
 from ebonyhatch.node import metrics, settings, settings_schema
 
--- a/packages/ebonyhatch-node/tests/test_ownership.py
+++ b/packages/ebonyhatch-node/tests/test_ownership.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from ebonyhatch.node import ownership
-from ebonyhatch.platform import memory_store, store_engine
 from returns import result
 from twisted.internet import defer, task
 
+from ebonyhatch.node import ownership
+from ebonyhatch.ports import memory_store, store_engine
+
 DOMAINS = ("a", "b", "c")
 
 
--- a/packages/ebonyhatch-node/tests/test_service_calls.py
+++ b/packages/ebonyhatch-node/tests/test_service_calls.py
@@ -4,12 +4,13 @@
 
 import hypothesis
 import pytest
-from ebonyhatch.core import configuration, entities
-from ebonyhatch.node import caller_errors, service_calls
-from ebonyhatch.platform import workers
 from hypothesis import strategies
 from returns import result
 
+from ebonyhatch.core import configuration, entities
+from ebonyhatch.node import caller_errors, service_calls
+from ebonyhatch.ports import workers
+
 IN_FORCE = configuration.InForce(
     generation=1,
     services=(
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/addresses.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/addresses.py
@@ -5,7 +5,7 @@
 import re
 import urllib.parse
 
-from ebonyhatch.platform import workers
+from ebonyhatch.ports import workers
 
 PATH_SAFE = "/?&=%:@!$'()*+,;~-._"
 """Characters of a path and its query that are passed on as they are."""
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/behaviour.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/behaviour.py
@@ -5,7 +5,8 @@
 from typing import Annotated
 
 import msgspec
-from ebonyhatch.platform import workers
+
+from ebonyhatch.ports import workers
 
 WORK_SECONDS_HEADER = "x-work-s"
 """Request header: time for which the request holds its slot, seconds."""
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/call_rate.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/call_rate.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhatch.platform import timing
+from ebonyhatch.ports import timing
 
 PRIORITY_SHARE = 0.25
 """Share of the limit that only calls of priority may use."""
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/circuit.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/circuit.py
@@ -5,8 +5,9 @@
 from typing import Protocol
 
 import automat
-from ebonyhatch.platform import backoff as backoff_module
-from ebonyhatch.platform import timing
+
+from ebonyhatch.ports import backoff as backoff_module
+from ebonyhatch.ports import timing
 
 FAILURES_LIMIT = 3
 """Failures in a row that open the circuit."""
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/header_rules.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/header_rules.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from ebonyhatch.platform import workers
+from ebonyhatch.ports import workers
 
 HOP_BY_HOP = frozenset(
     {
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_instances.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/http_instances.py
@@ -4,9 +4,10 @@
 
 from typing import Any
 
-from ebonyhatch.platform import addresses, answers, http_calls, instances
 from returns import result
 
+from ebonyhatch.ports import addresses, answers, http_calls, instances
+
 CALL_TIMEOUT_S = 2.0
 """Longest wait for an answer."""
 
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_store.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/http_store.py
@@ -6,9 +6,10 @@
 from typing import Any
 
 import msgspec
-from ebonyhatch.platform import addresses, answers, http_calls, store, store_messages
 from returns import result
 
+from ebonyhatch.ports import addresses, answers, http_calls, store, store_messages
+
 CALL_TIMEOUT_S = 2.0
 """Longest wait for an answer; a watch waits for its own time besides."""
 
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/http_workers.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/http_workers.py
@@ -6,7 +6,10 @@
 from typing import Any
 
 import msgspec
-from ebonyhatch.platform import (
+from returns import result
+from twisted.internet import defer
+
+from ebonyhatch.ports import (
     addresses,
     answers,
     header_rules,
@@ -14,8 +17,6 @@
     worker_messages,
     workers,
 )
-from returns import result
-from twisted.internet import defer
 
 CALL_TIMEOUT_S = 2.0
 """Longest wait for the answer to a control call."""
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/instance_directory.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/instance_directory.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import msgspec
-from ebonyhatch.platform import instances, timing
+
+from ebonyhatch.ports import instances, timing
 
 HISTORY_LENGTH = 256
 """Past lists that are kept."""
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/memory_instances.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/memory_instances.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhatch.platform import fault_switches, instance_directory, instances, memory_calls, timing
+from ebonyhatch.ports import fault_switches, instance_directory, instances, memory_calls, timing
 
 CALL_TIMEOUT_S = 2.0
 """Longest wait for an answer."""
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/memory_store.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/memory_store.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ebonyhatch.platform import fault_switches, memory_calls, store, store_engine, timing
+from ebonyhatch.ports import fault_switches, memory_calls, store, store_engine, timing
 
 CALL_TIMEOUT_S = 2.0
 """Longest wait for an answer."""
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/memory_workers.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/memory_workers.py
@@ -6,8 +6,9 @@
 from typing import Any
 
 import msgspec
+
 from ebonyhatch.core import resources
-from ebonyhatch.platform import (
+from ebonyhatch.ports import (
     addresses,
     fault_switches,
     header_rules,
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/store.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/store.py
@@ -5,10 +5,11 @@
 import abc
 
 import msgspec
-from ebonyhatch.core import errors
 from returns import result
 from twisted.internet import defer
 
+from ebonyhatch.core import errors
+
 ABSENT = 0
 """Version of a key that holds nothing."""
 
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/store_engine.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/store_engine.py
@@ -7,9 +7,10 @@
 import itertools
 import math
 
-from ebonyhatch.platform import store, timing
 from twisted.internet import defer
 
+from ebonyhatch.ports import store, timing
+
 HISTORY_LENGTH = 64
 """Past values kept for each key, for stale reads."""
 
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/task_run.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/task_run.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from ebonyhatch.core import resources
-from ebonyhatch.platform import behaviour, timing, workers
+from ebonyhatch.ports import behaviour, timing, workers
 
 LEASE_RAN_OUT = "the lease ran out"
 """Reason of an attempt that was ended because nobody renewed its lease."""
--- a/packages/ebonyhatch-platform/src/ebonyhatch/platform/worker_messages.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/worker_messages.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import msgspec
-from ebonyhatch.platform import workers
+
+from ebonyhatch.ports import workers
 
 EPOCH_HEADER = "Ebonyhatch-Epoch"
 """Header of a forwarded request: epoch of the worker's cell."""
--- a/packages/ebonyhatch-platform/tests/test_backoff.py
+++ b/packages/ebonyhatch-ports/tests/test_backoff.py
@@ -1,6 +1,6 @@
 import random
 
-from ebonyhatch.platform import backoff
+from ebonyhatch.ports import backoff
 
 
 def test_delays_are_jittered_below_a_doubling_bound():
--- a/packages/ebonyhatch-platform/tests/test_memory_twins.py
+++ b/packages/ebonyhatch-ports/tests/test_memory_twins.py
@@ -1,15 +1,16 @@
 """The contracts, against the twins in memory on a fake clock."""
 
 import pytest
-from ebonyhatch.platform import fault_switches, memory_instances, memory_store, memory_workers
-from ebonyhatch.platform import workers as workers_port
+from twisted.internet import task
+
+from ebonyhatch.ports import fault_switches, memory_instances, memory_store, memory_workers
+from ebonyhatch.ports import workers as workers_port
 from ebonyhatch.testing.contracts import (
     instances_contract,
     rigs,
     store_contract,
     workers_contract,
 )
-from twisted.internet import task
 
 TIMEOUT_S = 0.5
 
--- a/packages/ebonyhatch-platform/tests/test_worker_engine.py
+++ b/packages/ebonyhatch-ports/tests/test_worker_engine.py
@@ -1,8 +1,9 @@
 import pytest
-from ebonyhatch.core import resources
-from ebonyhatch.platform import worker_engine, workers
 from twisted.internet import task
 
+from ebonyhatch.core import resources
+from ebonyhatch.ports import worker_engine, workers
+
 CAPACITY = resources.Resources(slots=2, connections=4, cores=1.0, memory_gb=4.0)
 
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import msgspec
+
 from ebonyhatch.testing.benches import (
     capacity_cell,
     capacity_daemon,
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_cell.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_cell.py
@@ -7,7 +7,7 @@
 
 from ebonyhatch.core import configuration, default_scheduler, entities, resources
 from ebonyhatch.node import cell, messages
-from ebonyhatch.platform import instances, memory_workers, workers
+from ebonyhatch.ports import instances, memory_workers, workers
 from ebonyhatch.testing.benches import capacity_slopes, counting_store, heap_clock
 
 WORKER_SIZES = (21, 42, 83)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_instances.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_instances.py
@@ -5,12 +5,13 @@
 import functools
 
 import msgspec
-from ebonyhatch.node import instance_view
-from ebonyhatch.platform import answers, instances
-from ebonyhatch.testing.benches import capacity_slopes, heap_clock
 from returns import result
 from twisted.internet import defer
 
+from ebonyhatch.node import instance_view
+from ebonyhatch.ports import answers, instances
+from ebonyhatch.testing.benches import capacity_slopes, heap_clock
+
 SIZES = (330, 1_100, 3_300)
 QUICK_SIZES = (20, 40, 80)
 DOMAINS = 20
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_model.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_model.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 
 import msgspec
+
 from ebonyhatch.node import (
     cell,
     gossip,
@@ -15,7 +16,7 @@
     peer_link,
     worker_link,
 )
-from ebonyhatch.platform import store
+from ebonyhatch.ports import store
 from ebonyhatch.testing.benches import capacity_daemon, capacity_slopes
 
 USABLE_SHARE = 0.6
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/counting_store.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/counting_store.py
@@ -5,7 +5,7 @@
 import collections
 from typing import Any
 
-from ebonyhatch.platform import memory_store, store
+from ebonyhatch.ports import memory_store, store
 
 
 class CountingStore(memory_store.MemoryStore):
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/gateway.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/gateway.py
@@ -14,6 +14,7 @@
 
 import click
 import msgspec
+
 from ebonyhatch.testing import processes, samples
 from ebonyhatch.testing.benches import registry
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/instances_contract.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/instances_contract.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 import pytest
-from ebonyhatch.platform import instance_directory, instances
+
+from ebonyhatch.ports import instance_directory, instances
 from ebonyhatch.testing.contracts import rigs
 
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/store_contract.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/store_contract.py
@@ -7,11 +7,12 @@
 from typing import Any
 
 import pytest
-from ebonyhatch.platform import store, store_engine
-from ebonyhatch.testing.contracts import rigs
 from returns import result
 from twisted.internet import defer
 
+from ebonyhatch.ports import store, store_engine
+from ebonyhatch.testing.contracts import rigs
+
 TTL_S = 0.3
 """Lease time used by the contract."""
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/demo.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/demo.py
@@ -8,9 +8,10 @@
 import click
 import msgspec
 import treq
-from ebonyhatch.testing import embedded, processes, samples
 from twisted.internet import defer, task
 
+from ebonyhatch.testing import embedded, processes, samples
+
 JOB_ID = "cutting-plan-1"
 JOB_RUN_S = 2.0
 POLL_S = 0.25
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/embedded.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/embedded.py
@@ -6,7 +6,7 @@
 
 from ebonyhatch.core import resources
 from ebonyhatch.node import daemon, settings
-from ebonyhatch.platform import instances, memory_instances, memory_store, memory_workers
+from ebonyhatch.ports import instances, memory_instances, memory_store, memory_workers
 from ebonyhatch.testing import processes
 
 HOST = "127.0.0.1"
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
@@ -7,9 +7,12 @@
 import random
 from typing import Any
 
+from returns import result
+from twisted.internet import defer, task
+
 from ebonyhatch.core import configuration, entities, resources
 from ebonyhatch.node import messages
-from ebonyhatch.platform import (
+from ebonyhatch.ports import (
     fault_switches,
     instances,
     memory_workers,
@@ -19,8 +22,6 @@
 )
 from ebonyhatch.testing import checker, history
 from ebonyhatch.testing.histories import callers, entry, observer, other_cells
-from returns import result
-from twisted.internet import defer, task
 
 STEP_S = 0.05
 """Time between two looks at workers and owners, seconds."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/observer.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/observer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ebonyhatch.core import resources
-from ebonyhatch.platform import worker_engine, workers
+from ebonyhatch.ports import worker_engine, workers
 from ebonyhatch.testing import history
 
 KEPT_STATES = (workers.TaskState.FINISHED,)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/history.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/history.py
@@ -5,6 +5,7 @@
 import enum
 
 import msgspec
+
 from ebonyhatch.core import resources
 
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/worker.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/worker.py
@@ -7,8 +7,9 @@
 
 import click
 import klein
+
 from ebonyhatch.core import errors, resources
-from ebonyhatch.platform import (
+from ebonyhatch.ports import (
     fault_switches,
     http_calls,
     worker_engine,
--- a/packages/ebonyhatch-testing/tests/test_capacity.py
+++ b/packages/ebonyhatch-testing/tests/test_capacity.py
@@ -2,6 +2,7 @@
 
 import msgspec
 import pytest
+
 from ebonyhatch.testing.benches import (
     capacity_entries,
     capacity_model,
--- a/packages/ebonyhatch-testing/tests/test_examples.py
+++ b/packages/ebonyhatch-testing/tests/test_examples.py
@@ -7,9 +7,10 @@
 import json5
 import msgspec
 import pytest
+
 from ebonyhatch.core import records
 from ebonyhatch.node import settings
-from ebonyhatch.platform import instances
+from ebonyhatch.ports import instances
 from ebonyhatch.testing import samples
 
 EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
--- a/packages/ebonyhatch-testing/tests/test_job_passing.py
+++ b/packages/ebonyhatch-testing/tests/test_job_passing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+
 from ebonyhatch.testing import checker, history
 from ebonyhatch.testing.histories import fleet
 
--- a/packages/ebonyhatch-testing/tests/test_outages.py
+++ b/packages/ebonyhatch-testing/tests/test_outages.py
@@ -5,6 +5,7 @@
 import collections
 
 import pytest
+
 from ebonyhatch.testing import checker, history
 from ebonyhatch.testing.histories import fleet
 
--- a/packages/ebonyhatch-testing/tests/test_process_failures.py
+++ b/packages/ebonyhatch-testing/tests/test_process_failures.py
@@ -7,6 +7,7 @@
 from concurrent import futures
 
 import pytest
+
 from ebonyhatch.testing import processes, samples
 
 
--- a/packages/ebonyhatch-testing/tests/test_protections.py
+++ b/packages/ebonyhatch-testing/tests/test_protections.py
@@ -9,6 +9,9 @@
 
 import msgspec
 import pytest
+from returns import result
+from twisted.internet import defer
+
 from ebonyhatch.core import capacity, commands, journal_entries
 from ebonyhatch.node import (
     cell,
@@ -20,11 +23,9 @@
     task_reports,
     worker_link,
 )
-from ebonyhatch.platform import fault_switches, holdings, worker_engine
+from ebonyhatch.ports import fault_switches, holdings, worker_engine
 from ebonyhatch.testing import checker
 from ebonyhatch.testing.histories import entry, fleet
-from returns import result
-from twisted.internet import defer
 
 
 def joined(**options: Any) -> fleet.Fleet:
--- a/packages/ebonyhatch-testing/tests/test_stand_ins.py
+++ b/packages/ebonyhatch-testing/tests/test_stand_ins.py
@@ -7,7 +7,9 @@
 
 import pytest
 import treq
-from ebonyhatch.platform import (
+from twisted.internet import error
+
+from ebonyhatch.ports import (
     connection_pool,
     fault_switches,
     http_instances,
@@ -26,7 +28,6 @@
 from ebonyhatch.testing.stand_ins import instances as instances_stand_in
 from ebonyhatch.testing.stand_ins import store as store_stand_in
 from ebonyhatch.testing.stand_ins import worker as worker_stand_in
-from twisted.internet import error
 
 REACTOR = real_reactor.reactor
 TIMEOUT_S = 0.5
