Twins of store, targets and peers in memory; a whole fleet on a fake clock in tests

Found by them: a target that answers no order drew every task again and again (t0 late by 3 s: the job never ended). Unanswered starts now count as evidence, and a task avoids the target where its order was lost.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/accounts.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/accounts.py
@@ -63,11 +63,12 @@
             self._ends.blame(run.target, standing.FAILED_START_WEIGHT, why=reason, now=now)
         self._ends.not_started(run, now=now)
 
-    def uncertain(self, run: rows.RunRow, *, reason: str) -> None:
+    def uncertain(self, run: rows.RunRow, *, reason: str, now: float) -> None:
         """Note that nobody can tell whether a start takes effect."""
         if run.state == rows.RunState.ORDERED:
             run.state = rows.RunState.UNCERTAIN
             self._decide("run.uncertain", run, reason=reason)
+            self._ends.blame(run.target, standing.UNANSWERED_WEIGHT, why="no-answer", now=now)
 
     def _begun(self, run: rows.RunRow) -> None:
         job = run.task.step.job
@@ -139,6 +140,7 @@
         if run.state == rows.RunState.ORDERED or not (known or never):
             return
         self._decide("run.missing", run, clock_s=clock_s, seen_s=run.seen_s)
+        run.task.avoid = run.target.target_id
         self._ends.not_started(run, now=now)
 
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/clocks.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/clocks.py
@@ -7,6 +7,9 @@
 
 from ebonyhatch.ports import timing
 
+EPOCH_S = 1_700_000_000.0
+"""Time of day at which a test's clock begins, seconds since 1970."""
+
 
 class Clocks:
     """The clocks of one process.
@@ -34,3 +37,25 @@
     def wall(self) -> float:
         """Tell the time of day, seconds since 1970."""
         return time.time()
+
+
+class MemoryClocks(Clocks):
+    """Clocks of one process in a test, over a shared `twisted.internet.task.Clock`.
+
+    Attributes:
+        suspended_s: Time for which the process was suspended, which its steady clock misses.
+        wall_offset_s: By how much its time of day is wrong.
+    """
+
+    def __init__(self, *, clock: Any) -> None:
+        super().__init__(reactor=clock)
+        self.suspended_s = 0.0
+        self.wall_offset_s = 0.0
+
+    def awake_and_suspended(self) -> float:
+        """Tell the steady time with suspensions counted, seconds."""
+        return self.now() + self.suspended_s
+
+    def wall(self) -> float:
+        """Tell the time of day, seconds since 1970."""
+        return EPOCH_S + self.now() + self.wall_offset_s
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-from typing import Any
 
 import msgspec
 
@@ -12,14 +11,15 @@
     clocks,
     configuration_source,
     entry,
+    memory_peers,
     messages,
-    owner,
     ownership,
     queues,
     store,
     target_list,
     targets,
 )
+from ebonyhatch.fleet import owner as owner_module
 from ebonyhatch.node import coroutines, peers
 
 NOTICE_S = 0.25
@@ -29,6 +29,10 @@
 """Longest wait for the last write of an owner that leaves, seconds."""
 
 
+Network = peers.PeerNetwork | memory_peers.MemoryPeers
+"""Messages between entries: over sockets, or in memory."""
+
+
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
     """What an entry has to know.
 
@@ -53,8 +57,9 @@
     def __init__(
         self,
         *,
-        reactor: Any,
+        all_clocks: clocks.Clocks,
         settings: Settings,
+        network: Network,
         store_port: store.Store,
         targets_port: targets.Targets,
         registry: target_list.Registry,
@@ -64,19 +69,12 @@
         self._store = store_port
         self._targets = targets_port
         self._registry = registry
-        self._clocks = clocks.Clocks(reactor=reactor)
-        self._group = coroutines.CoroutineGroup(clock=reactor)
+        self._clocks = all_clocks
+        self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
+        self._network = network
         self._load = admission.Load()
-        self._owner: owner.Owner | None = None
+        self._owner: owner_module.Owner | None = None
         self._closing = False
-        self._network = peers.PeerNetwork(
-            reactor=reactor,
-            entry_id=settings.name,
-            host=settings.host,
-            port=settings.port,
-            keys=None,
-            on_bytes=lambda direction, count: None,
-        )
         self._members = ownership.Ownership(
             entry=ownership.EntryRecord(
                 name=settings.name,
@@ -117,6 +115,11 @@
         """The configuration in force; None before the first."""
         return self._configuration.current
 
+    @property
+    def owner(self) -> owner_module.Owner | None:
+        """The owner, where this entry acts as it."""
+        return self._owner
+
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
@@ -158,7 +161,7 @@
         self._network.close()
 
     def _gained(self, head: ownership.Head, revision: int) -> None:
-        self._owner = owner.Owner(
+        self._owner = owner_module.Owner(
             term=head.term,
             head_revision=revision,
             store_port=self._store,
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -413,7 +413,7 @@
             return
         error = outcome.failure()
         if isinstance(error, targets.UnknownOutcomeError):
-            self._scheduler.accounts.uncertain(run, reason=error.reason)
+            self._scheduler.accounts.uncertain(run, reason=error.reason, now=now)
         else:
             reason = error.reason if isinstance(error, targets.RefusedError) else "not-sent"
             self._scheduler.accounts.refused(run, reason=reason, now=now)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/standing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/standing.py
@@ -10,6 +10,9 @@
 DONE_CREDIT = 0.5
 """Evidence that a run which was done takes back."""
 
+UNANSWERED_WEIGHT = 0.5
+"""Evidence of a start without an answer: a lost answer alone says little about the target."""
+
 HUNG_WEIGHT = 2.0
 """Evidence of a run that stood still."""
 
--- /dev/null
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -0,0 +1,271 @@
+from __future__ import annotations
+
+import world as world_module
+
+from ebonyhatch.fleet import entry, jobs, queues, targets
+
+TWO_STEPS = (
+    jobs.Step(count=3, cpu_millis=1000, estimate_s=0.5),
+    jobs.Step(count=2, cpu_millis=1000, estimate_s=0.5, after=(0,)),
+)
+
+
+def _ready() -> world_module.World:
+    world = world_module.World()
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    return world
+
+
+def test_a_job_of_two_steps_is_completed_once():
+    world = _ready()
+    job = world.job(*TWO_STEPS)
+    assert world.submit(job).verdict == entry.Verdict.DONE
+    took_s = world.run_until(lambda: world.state(job.job_id) == "completed")
+    assert took_s < 1.6
+    assert len(world.starts(job.job_id)) == 5
+    for name in world.members:
+        assert world.show(job.job_id, at=name).state == "completed"
+    world_module.check_all(world)
+
+
+def test_the_same_id_again_is_the_same_job():
+    world = _ready()
+    job = world.job(*TWO_STEPS)
+    for name in world.members:
+        assert world.submit(job, at=name).verdict == entry.Verdict.DONE
+    world.run(3.0)
+    assert len(world.starts(job.job_id)) == 5
+
+
+def test_a_job_that_nobody_submitted_is_not_known():
+    world = _ready()
+    assert world.show("f" * 16).verdict == entry.Verdict.NO_SUCH_JOB
+    assert world.cancel("f" * 16).verdict == entry.Verdict.NO_SUCH_JOB
+
+
+def test_a_cancelled_job_is_stopped_everywhere():
+    world = _ready()
+    job = world.job(*TWO_STEPS, work_s=30.0)
+    world.submit(job)
+    world.run(0.5)
+    assert world.cancel(job.job_id, at="e2").verdict == entry.Verdict.DONE
+    assert world.show(job.job_id, at="e1").state == "cancelled"
+    world.run(0.5)
+    assert not any(engine.runs for engine in world.engines.values())
+    before = len(world.starts(job.job_id))
+    world.run(3.0)
+    assert len(world.starts(job.job_id)) == before
+
+
+def test_a_killed_owner_is_replaced_and_its_runs_go_on():
+    world = _ready()
+    job = world.job(*TWO_STEPS, work_s=4.0)
+    world.submit(job)
+    world.run(1.0)
+    first = world.owner
+    world.kill(first.name)
+    later = world.job(*TWO_STEPS)
+    survivor = next(iter(world.members))
+    assert world.submit(later, at=survivor).verdict == entry.Verdict.DONE
+    took_s = world.run_until(lambda: world.starts(later.job_id))
+    assert took_s < 3.0
+    world.run_until(lambda: world.state(job.job_id) == "completed")
+    assert len(world.starts(job.job_id)) == 5
+    world_module.check_all(world)
+
+
+def test_all_entries_killed_at_once_lose_nothing():
+    world = _ready()
+    accepted = [world.job(*TWO_STEPS, work_s=1.0) for _ in range(4)]
+    for job in accepted:
+        assert world.submit(job).verdict == entry.Verdict.DONE
+    world.run(0.7)
+    for name in list(world.members):
+        world.kill(name)
+    world.run(2.0)
+    for number in range(3):
+        world.start(f"f{number}")
+    world.run_until(
+        lambda: all(world.state(job.job_id) == "completed" for job in accepted), limit_s=25.0
+    )
+    world_module.check_all(world)
+
+
+def test_an_owner_that_is_cut_off_stops_others_from_running_twice():
+    world = _ready()
+    job = world.job(*TWO_STEPS, work_s=3.0)
+    world.submit(job)
+    world.run(0.5)
+    cut = world.owner
+    cut.store.faults.silent = True
+    world.network.cut.add(cut.name)
+    world.run(6.0)
+    assert world.owner.name != cut.name
+    cut.store.faults.silent = False
+    world.network.cut.clear()
+    world.run_until(lambda: world.state(job.job_id) == "completed")
+    assert sum(member.node.owner is not None for member in world.members.values()) == 1
+    world_module.check_all(world)
+
+
+def test_running_work_goes_on_while_the_store_is_down():
+    world = _ready()
+    job = world.job(*TWO_STEPS, work_s=2.0)
+    world.submit(job)
+    world.run(0.5)
+    for member in world.members.values():
+        member.store.faults.refuse = True
+    world.run(4.5)
+    assert world.submit(world.job(*TWO_STEPS)).verdict == entry.Verdict.NOT_DONE
+    for member in world.members.values():
+        member.store.faults.refuse = False
+    world.run_until(lambda: world.state(job.job_id) == "completed")
+    assert len(world.starts(job.job_id)) == 5
+    world_module.check_all(world)
+
+
+def test_a_submission_whose_answer_is_lost_is_accepted_once_it_is_there():
+    world = _ready()
+    job = world.job(*TWO_STEPS)
+    world.members["e0"].store.faults.lose_answers = True
+    pending = world.members["e0"].node.entry.submit(
+        job, queue=world_module.QUEUE, until=world.clock.seconds() + 2.5
+    )
+    world.clock.callLater(0.95, setattr, world.members["e0"].store.faults, "lose_answers", False)
+    assert world.wait(pending).verdict == entry.Verdict.DONE
+
+
+def test_an_entry_that_the_store_refuses_hands_submissions_to_a_peer():
+    world = _ready()
+    world.run(1.0)
+    refused = next(name for name in world.members if name != world.owner.name)
+    world.members[refused].store.faults.refuse = True
+    job = world.job(*TWO_STEPS)
+    assert world.submit(job, at=refused).verdict == entry.Verdict.DONE
+    world.run_until(lambda: world.state(job.job_id) == "completed")
+
+
+def test_a_crashed_target_that_is_reborn_gives_its_runs_back_at_once():
+    world = _ready()
+    job = world.job(jobs.Step(count=4, cpu_millis=4000, estimate_s=2.0), work_s=2.0)
+    world.submit(job)
+    world.run(0.5)
+    world.engines["t0"].faults.down = True
+    world.run(0.5)
+    world.reborn("t0")
+    world.engines["t0"].faults.down = False
+    world.run_until(lambda: world.state(job.job_id) == "completed", limit_s=6.0)
+    world_module.check_all(world)
+
+
+def test_runs_of_a_target_that_is_cut_off_wait_for_its_lease():
+    world = _ready()
+    job = world.job(jobs.Step(count=4, cpu_millis=3000, estimate_s=5.0), work_s=5.0)
+    world.submit(job)
+    world.run(0.5)
+    world.engines["t1"].faults.cut = True
+    world.run_until(lambda: world.state(job.job_id) == "completed", limit_s=20.0)
+    world.engines["t1"].faults.cut = False
+    world.run(3.0)
+    world_module.check_never_twice(world)
+
+
+def test_orders_that_are_carried_out_late_start_nothing_twice():
+    world = _ready()
+    world.engines["t0"].faults.late_s = 3.0
+    job = world.job(jobs.Step(count=4, cpu_millis=3000, estimate_s=1.0), work_s=1.0)
+    world.submit(job)
+    world.run_until(lambda: world.state(job.job_id) == "completed", limit_s=20.0)
+    world.run(5.0)
+    world_module.check_all(world)
+
+
+def test_a_job_that_always_fails_ends_as_failed_after_its_attempts():
+    world = _ready()
+    for engine in world.engines.values():
+        engine.faults.fail_runs = True
+    job = world.job(jobs.Step(count=1, cpu_millis=1000, estimate_s=1.0), work_s=1.0)
+    world.submit(job)
+    world.run_until(lambda: world.state(job.job_id) == "failed")
+    assert len(world.starts(job.job_id)) == 3
+
+
+def test_a_target_that_fails_everything_is_barred():
+    world = _ready()
+    world.engines["t0"].faults.fail_runs = True
+    accepted = [world.job(work_s=0.3) for _ in range(12)]
+    for job in accepted:
+        world.submit(job)
+    world.run_until(lambda: all(world.state(job.job_id) == "completed" for job in accepted))
+    failed = sum(kind == targets.EndKind.FAILED for _, _, kind in world.engines["t0"].ended)
+    assert failed <= 8
+
+
+def test_a_version_is_in_force_everywhere_and_never_goes_back():
+    world = _ready()
+    newer = queues.Configuration(version=9, queues=(), pools=())
+    world.configure(newer)
+    world.run(0.3)
+    assert all(member.node.configuration.version == 9 for member in world.members.values())
+    world.configure(queues.Configuration(version=4, queues=(world_module.QUEUE,), pools=()))
+    world.run(2.0)
+    assert all(member.node.configuration.version == 9 for member in world.members.values())
+
+
+def test_an_entry_that_the_store_refuses_hears_a_version_from_a_peer():
+    world = _ready()
+    world.run(1.0)
+    world.members["e1"].store.faults.refuse = True
+    world.configure(queues.Configuration(version=9, queues=(), pools=()))
+    world.run(1.0)
+    assert world.members["e1"].node.configuration.version == 9
+
+
+def test_a_planned_stop_hands_ownership_over_at_once():
+    world = _ready()
+    job = world.job(*TWO_STEPS, work_s=2.0)
+    world.submit(job)
+    world.run(0.5)
+    leaving = world.owner
+    world.wait(leaving.node.hand_over())
+    took_s = world.run_until(lambda: world.owner is not None and world.owner is not leaving)
+    assert took_s < 0.6
+    world.kill(leaving.name)
+    world.run_until(lambda: world.state(job.job_id) == "completed")
+    assert len(world.starts(job.job_id)) == 5
+    world_module.check_all(world)
+
+
+def test_a_suspended_owner_starts_nothing_before_it_has_renewed_its_lease():
+    world = world_module.World(entries=1)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    first = world.job(jobs.Step(count=4, cpu_millis=4000, estimate_s=2.0), work_s=2.0)
+    second = world.job(*TWO_STEPS)
+    world.submit(first)
+    world.run_until(lambda: len(world.starts(first.job_id)) == 4)
+    world.submit(second)
+    world.run(1.0)
+    owner = world.owner
+    owner.store.faults.silent = True
+    owner.clocks.suspended_s += 4.0
+    world.run(3.0)
+    assert not any(engine.runs for engine in world.engines.values())
+    assert world.starts(second.job_id) == []
+    owner.store.faults.silent = False
+    world.run_until(lambda: world.state(second.job_id) == "completed")
+
+
+def test_long_running_tasks_are_restarted_however_they_end():
+    world = _ready()
+    job = world.job(
+        jobs.Step(count=2, cpu_millis=1000, long_running=True, disruption_budget=1), work_s=-1.0
+    )
+    world.submit(job)
+    world.run(1.0)
+    victim = next(engine for engine in world.engines.values() if engine.runs)
+    victim.faults.down = True
+    world.run(0.2)
+    world.reborn(victim.target.target_id)
+    victim.faults.down = False
+    world.run(2.0)
+    assert sum(len(engine.runs) for engine in world.engines.values()) == 2
--- /dev/null
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -0,0 +1,278 @@
+"""A whole fleet in memory on a fake clock: entries, store, targets and callers, with checkers."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+
+import msgspec
+from twisted.internet import defer, task
+
+from ebonyhatch.fleet import (
+    clocks,
+    configuration_source,
+    entry,
+    jobs,
+    memory_peers,
+    memory_store,
+    memory_targets,
+    node,
+    queues,
+    store,
+    target_list,
+    targets,
+)
+
+STEP_S = 0.005
+CONFIGURATION_KEY = "operators/configuration"
+TARGETS_PREFIX = "targets/"
+LEASE_S = 6.0
+POOL = "pool"
+QUEUE = queues.Queue(
+    name="plans",
+    host="h",
+    prefix="/p/",
+    pool=POOL,
+    priority=1,
+    max_attempts=3,
+    stretch=2,
+    slack_s=1,
+)
+
+
+class Codec(configuration_source.Codec):
+    """Configurations as plain JSON."""
+
+    @property
+    def key(self) -> str:
+        return CONFIGURATION_KEY
+
+    def decode(self, value: bytes) -> queues.Configuration | None:
+        return msgspec.json.decode(value, type=queues.Configuration)
+
+
+class Registry(target_list.Registry):
+    """Targets as plain JSON."""
+
+    @property
+    def prefix(self) -> str:
+        return TARGETS_PREFIX
+
+    def decode(self, item: store.Item) -> targets.Target | None:
+        return msgspec.json.decode(item.value, type=targets.Target)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Member:
+    """One running entry."""
+
+    name: str
+    node: node.Node
+    clocks: clocks.MemoryClocks
+    store: memory_store.MemoryStore
+    targets: memory_targets.MemoryTargets
+
+
+class World:
+    """Everything, on one clock."""
+
+    def __init__(self, *, entries: int = 3, target_count: int = 4) -> None:
+        self.clock = task.Clock()
+        self.store = memory_store.StoreEngine(clock=self.clock)
+        self.network = memory_peers.MemoryNetwork(clock=self.clock)
+        self.work: dict[str, float] = {}
+        self.engines: dict[str, memory_targets.TargetEngine] = {}
+        self.members: dict[str, Member] = {}
+        self.accepted: dict[str, jobs.Job] = {}
+        self._ids = itertools.count(1)
+        for number in range(target_count):
+            self.add_target(f"t{number}", rack=f"r{number % 2}")
+        self.configure(queues.Configuration(version=1, queues=(QUEUE,), pools=(POOL_ROW,)))
+        for number in range(entries):
+            self.start(f"e{number}")
+
+    def configure(self, configuration: queues.Configuration) -> None:
+        value = msgspec.json.encode(configuration)
+        self.store.commit((), (store.Put(key=CONFIGURATION_KEY, value=value),), ())
+
+    def add_target(self, target_id: str, *, rack: str = "", cpu_millis: int = 4000) -> None:
+        target = targets.Target(
+            target_id=target_id,
+            address=f"{target_id}:1",
+            pool=POOL,
+            failure_domain="a",
+            born=1,
+            rack=rack,
+            cpu_millis=cpu_millis,
+            memory_mb=4000,
+        )
+        self.engines[target_id] = memory_targets.TargetEngine(
+            clock=self.clock, target=target, work_s=self._work_s
+        )
+        self.register(target)
+
+    def register(self, target: targets.Target) -> None:
+        value = msgspec.json.encode(target)
+        self.store.commit((), (store.Put(key=TARGETS_PREFIX + target.target_id, value=value),), ())
+
+    def reborn(self, target_id: str) -> None:
+        engine = self.engines[target_id]
+        engine.reborn()
+        self.register(engine.target)
+
+    def unregister(self, target_id: str) -> None:
+        self.store.commit((), (), (TARGETS_PREFIX + target_id,))
+
+    def start(self, name: str) -> Member:
+        clock = clocks.MemoryClocks(clock=self.clock)
+        way = memory_store.MemoryStore(engine=self.store)
+        port = memory_targets.MemoryTargets(clock=self.clock, engines=self.engines)
+        made = node.Node(
+            all_clocks=clock,
+            network=memory_peers.MemoryPeers(network=self.network, entry_id=name),
+            settings=node.Settings(name=name, host=name, port=1, lease_s=LEASE_S, keep_ended_s=120),
+            store_port=way,
+            targets_port=port,
+            registry=Registry(),
+            codec=Codec(),
+        )
+        member = Member(name=name, node=made, clocks=clock, store=way, targets=port)
+        self.members[name] = member
+        made.start()
+        return member
+
+    def kill(self, name: str) -> None:
+        self.members.pop(name).node.close()
+
+    @property
+    def owner(self) -> Member | None:
+        for member in self.members.values():
+            if member.node.owner is not None:
+                return member
+        return None
+
+    def run(self, seconds: float) -> None:
+        """Let time pass; the targets work in small steps, as their accounts would show."""
+        until = self.clock.seconds() + seconds
+        while self.clock.seconds() < until - 1e-9:
+            self.clock.advance(STEP_S)
+            for engine in self.engines.values():
+                engine.advance()
+
+    def run_until(self, condition, limit_s: float = 20.0) -> float:
+        """Let time pass until a condition holds; gives the time that it took."""
+        began = self.clock.seconds()
+        while not condition():
+            assert self.clock.seconds() - began < limit_s, "the condition never held"
+            self.run(STEP_S)
+        return self.clock.seconds() - began
+
+    def wait(self, coroutine, limit_s: float = 5.0):
+        """Run a coroutine to its end."""
+        outcome: list = []
+        pending = defer.Deferred.fromCoroutine(coroutine)
+        pending.addBoth(outcome.append)
+        self.run_until(lambda: outcome, limit_s)
+        if hasattr(outcome[0], "raiseException"):
+            outcome[0].raiseException()
+        return outcome[0]
+
+    def job(self, *steps: jobs.Step, work_s: float = 0.5, queue: str = "plans") -> jobs.Job:
+        job_id = f"{next(self._ids):016x}"
+        self.work[job_id] = work_s
+        return jobs.Job(
+            job_id=job_id,
+            queue=queue,
+            spec="text",
+            steps=steps or (jobs.Step(count=2, cpu_millis=1000, estimate_s=work_s),),
+            accepted_at=clocks.EPOCH_S + self.clock.seconds(),
+        )
+
+    def submit(self, job: jobs.Job, *, at: str = "") -> entry.Answer:
+        name = at or next(iter(self.members))
+        answer = self.wait(
+            self.members[name].node.entry.submit(job, queue=QUEUE, until=self.clock.seconds() + 2.5)
+        )
+        if answer.verdict == entry.Verdict.DONE:
+            self.accepted[job.job_id] = job
+        return answer
+
+    def show(self, job_id: str, *, at: str = "") -> entry.Answer:
+        name = at or next(iter(self.members))
+        return self.wait(self.members[name].node.entry.show(job_id))
+
+    def cancel(self, job_id: str, *, at: str = "") -> entry.Answer:
+        name = at or next(iter(self.members))
+        return self.wait(self.members[name].node.entry.cancel(job_id))
+
+    def state(self, job_id: str) -> str:
+        owner = self.owner
+        row = None if owner is None else owner.node.owner.job(job_id)
+        return "" if row is None else str(row.shown)
+
+    def starts(self, job_id: str) -> list[tuple[float, str, int, str]]:
+        """Give all starts of a job's tasks: time, task, run and target."""
+        return sorted(
+            (at, key.task, key.run, target_id)
+            for engine in self.engines.values()
+            for at, key, target_id in engine.started
+            if key.task.startswith(job_id)
+        )
+
+    def _work_s(self, task_name: str) -> float:
+        return self.work.get(task_name.partition(".")[0], 0.5)
+
+
+POOL_ROW = queues.Pool(name=POOL, guarded=True)
+
+
+def check_never_twice(world: World) -> None:
+    """No two runs of a task at a time, and no start after an acknowledged end as done."""
+    spans: dict[str, list[tuple[float, float, str]]] = {}
+    done: dict[str, float] = {}
+    for engine in world.engines.values():
+        acknowledged = {key for _, key in engine.acknowledged}
+        ends = {key: (at, kind) for at, key, kind in engine.ended}
+        for at, key, target_id in engine.started:
+            end = ends.get(key, (world.clock.seconds() + 1, None))
+            spans.setdefault(key.task, []).append((at, end[0], target_id))
+            if end[1] == targets.EndKind.DONE and key in acknowledged:
+                done[key.task] = min(done.get(key.task, end[0]), end[0])
+    for name, runs in spans.items():
+        runs.sort()
+        for (_, end, first), (begin, _, second) in itertools.pairwise(runs):
+            assert begin >= end, f"{name} ran on {first} and {second} at once"
+        if name in done:
+            assert max(run[0] for run in runs) <= done[name], f"{name} started after it was done"
+
+
+def check_order(world: World) -> None:
+    """No start before all tasks of the steps before are done."""
+    for job in world.accepted.values():
+        ended: dict[str, float] = {}
+        for engine in world.engines.values():
+            for at, key, kind in engine.ended:
+                if kind == targets.EndKind.DONE:
+                    ended[key.task] = min(at, ended.get(key.task, at))
+        for at, name, _, _ in world.starts(job.job_id):
+            step = job.steps[int(name.split(".")[2])]
+            for earlier in step.after:
+                for index in range(job.steps[earlier].count):
+                    before = f"{job.job_id}.0.{earlier}.{index}"
+                    assert ended.get(before, at + 1) <= at, f"{name} started before {before}"
+
+
+def check_rising_runs(world: World) -> None:
+    """Run numbers of a task rise over time, whoever orders them."""
+    for job_id in world.accepted:
+        highest: dict[str, int] = {}
+        for _, name, run, _ in world.starts(job_id):
+            assert run > highest.get(name, 0), f"run {run} of {name} does not rise"
+            highest[name] = run
+
+
+def check_all(world: World) -> None:
+    """Check everything that always holds."""
+    check_never_twice(world)
+    check_order(world)
+    check_rising_runs(world)
