Room kept for short work; fillers avoid harm in placing and move when they are paced down

Cause: long-running tasks filled the whole pool and short urgent work waited up to 9 s for room (p90 1.1 s, traced by run.order); fillers sat at a pace near 0 beside tasks that they disturb.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/harm.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/harm.py
@@ -5,7 +5,7 @@
 from ebonyhatch.fleet import pacing, rows, tails
 from ebonyhatch.fleet.constraints import registry
 
-HARM_SCORE = 0.3
+HARM_SCORE = 1.5
 """Score that a filler's cost in margin takes, for each serving task beside it."""
 
 SAME_IMAGE_SCORE = 1.0
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/pacing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/pacing.py
@@ -27,6 +27,20 @@
 """Time after which a filler's pace may change again, seconds: a reading covers half a second."""
 
 
+CLOSE_MARGIN = 2.0
+"""Margin below which a target's readings are asked for more often."""
+
+MOVE_AFTER_S = 1.0
+"""Time at a pace of at most `MOVE_PACE` after which a filler is stopped to be placed elsewhere,
+seconds: it is longer than a restart from a checkpoint takes."""
+
+MOVE_PACE = 25
+"""Percent at or below which a filler does better elsewhere."""
+
+MOVE_LOSS_PERCENT = 20
+"""Progress up to which a filler without checkpoints may be stopped, percent."""
+
+
 class Pacing:
     """Keeps the margins of serving tasks, target by target, after each account."""
 
@@ -36,7 +50,9 @@
         model: tails.TailModel,
         emit: Callable[[commands.Command], None],
         decide: Decide,
+        stop: Callable[..., None],
     ) -> None:
+        self._stop = stop
         self._model = model
         self._emit = emit
         self._decide = decide
@@ -47,6 +63,7 @@
         fillers = [run for run in tails.filler_runs(row) if run.state == rows.RunState.RUNNING]
         for run in serving:
             self._model.learn(run, fillers)
+        row.close_watch = bool(fillers) and any(_seen_margin(run) < CLOSE_MARGIN for run in serving)
         if not fillers:
             return
         wanted = {run.key: float(run.pace) for run in fillers}
@@ -57,6 +74,8 @@
             if pace >= filler.pace:
                 pace = self._raised(filler, serving, fillers)
             self._set(filler, pace, now=now)
+            if self._is_stuck(filler, now=now):
+                self._stop(filler, reason="paced-down", now=now)
 
     def _spare(
         self, run: rows.RunRow, fillers: list[rows.RunRow], wanted: dict[targets.RunKey, float]
@@ -92,6 +111,11 @@
                 return filler.pace
         return filler.pace + step
 
+    def _is_stuck(self, filler: rows.RunRow, *, now: float) -> bool:
+        if filler.pace > MOVE_PACE or now - filler.low_since < MOVE_AFTER_S:
+            return False
+        return filler.task.step.step.checkpoints or filler.percent <= MOVE_LOSS_PERCENT
+
     def _set(self, filler: rows.RunRow, pace: float, *, now: float) -> None:
         percent = int(pace) if pace >= LEAST_PACE else 0
         if percent == filler.pace:
@@ -99,6 +123,8 @@
         if percent > filler.pace and now - filler.paced_at < PACE_AGAIN_S:
             return
         self._decide("run.pace", filler, before=filler.pace, percent=percent)
+        if filler.pace > MOVE_PACE >= percent:
+            filler.low_since = now
         filler.pace = percent
         filler.paced_at = now
         self._emit(commands.PaceRun(run=filler, percent=percent))
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placing.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable
 
-from ebonyhatch.fleet import commands, ordering, rows, tables, tails, targets
+from ebonyhatch.fleet import commands, ordering, reserve, rows, tables, tails, targets
 from ebonyhatch.fleet.constraints import registry
 
 Decide = Callable[..., None]
@@ -21,10 +21,12 @@
         *,
         all_tables: tables.Tables,
         model: tails.TailModel,
+        kept: reserve.Reserve,
         emit: Callable[[commands.Command], None],
         decide: Decide,
     ) -> None:
         self._model = model
+        self._reserve = kept
         self._tables = all_tables
         self._emit = emit
         self._decide = decide
@@ -82,6 +84,9 @@
             if task.retry_at > now:
                 later.append(task)
                 continue
+            if not self._reserve.allows(step):
+                later.append(task)
+                break
             row = self._tables.targets[_best(scores, task)]
             self.order(task, row, run=self.next_run([task]), now=now)
             if registry.failed(step, row, context):
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -59,6 +59,7 @@
         confirmed: Its account was read in this life, under the owner's fence.
         reachable: The last call to it was answered.
         heard_at: When its last account arrived, seconds.
+        close_watch: Its readings are asked for more often.
         listed: The store still lists it.
         standing: Decayed score of failures; see `standing`.
         barred_until: No placement before this time, seconds.
@@ -74,6 +75,7 @@
     confirmed: bool = False
     reachable: bool = True
     heard_at: float = 0.0
+    close_watch: bool = False
     listed: bool = True
     standing: float = 0.0
     barred_until: float = 0.0
@@ -102,6 +104,7 @@
             thousandths of a core.
         pace: Share of its speed that it was told to work at, percent.
         paced_at: When that changed last, seconds.
+        low_since: Since when its pace is low, seconds.
         progressed_at: When its progress changed last, seconds.
         stop_reason: Why it was told to stop; empty for not told.
         stopped_at: When it was told to stop last, seconds.
@@ -119,6 +122,7 @@
     reading: float | None = None
     pace: int = 100
     paced_at: float = 0.0
+    low_since: float = 0.0
     progressed_at: float = 0.0
     stop_reason: str = ""
     stopped_at: float = 0.0
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -14,6 +14,7 @@
     placing,
     progress,
     queues,
+    reserve,
     rows,
     run_times,
     standing,
@@ -54,9 +55,16 @@
             all_tables=self._tables, ends=self._ends, emit=self._commands.append, decide=decide
         )
         model = tails.TailModel()
-        self._pacing = pacing.Pacing(model=model, emit=self._commands.append, decide=decide)
+        self._pacing = pacing.Pacing(
+            model=model, emit=self._commands.append, decide=decide, stop=self._ends.stop
+        )
+        self._reserve = reserve.Reserve(all_tables=self._tables)
         self._placing = placing.Placing(
-            all_tables=self._tables, model=model, emit=self._commands.append, decide=decide
+            all_tables=self._tables,
+            model=model,
+            kept=self._reserve,
+            emit=self._commands.append,
+            decide=decide,
         )
         self._configuration = queues.Configuration(version=0)
         self._now = 0.0
@@ -155,6 +163,7 @@
             if job.job.timed and not job.ended:
                 self._released(job)
         self._stop_hung(now)
+        self._reserve.observe(elapsed_s=elapsed_s)
         if self.may_place:
             self._placing.place(now=now, wall=wall, settled=self.settled)
         decided = list(self._commands)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -14,6 +14,9 @@
 HOLD_WAIT_S = 1.0
 """Longest wait of a target for an end, seconds; readings are renewed as often."""
 
+CLOSE_WAIT_S = 0.4
+"""The same while a serving task there is near its limit, seconds: a reading covers half a second."""
+
 PAUSE_S = 0.025
 """Pause between two accounts, seconds: ends that come close together are read at once."""
 
@@ -88,6 +91,10 @@
         """Estimate of the target's clock, seconds."""
         return self._clock_s + self._clocks.now() - self._clock_at
 
+    @property
+    def _wait_s(self) -> float:
+        return CLOSE_WAIT_S if self._row.close_watch else HOLD_WAIT_S
+
     @property
     def _lapse_s(self) -> float:
         return self._lease_s * CLOCK_SLOWNESS + LAPSE_MARGIN_S
@@ -164,7 +171,7 @@
             retry_s = RETRY_S
             first = not self._clock_s
             taken = self._take(outcome.unwrap(), sent_at=sent_at, extended=bool(deadline_s))
-            wait_s = HOLD_WAIT_S if taken and not first else 0.0
+            wait_s = self._wait_s if taken and not first else 0.0
             if not (taken and first):
                 await self._group.sleep(PAUSE_S)
 
