An end of a job that was cancelled before it was placed raises no error

Ruled out: the target list (all targets were heard at the takeover). Besides, an unexpected error in one account no longer ends a session.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import traceback
 from collections.abc import Callable
 
 import msgspec
@@ -170,7 +171,16 @@
                 continue
             retry_s = RETRY_S
             first = not self._clock_s
-            taken = self._take(outcome.unwrap(), sent_at=sent_at, extended=bool(deadline_s))
+            try:
+                taken = self._take(outcome.unwrap(), sent_at=sent_at, extended=bool(deadline_s))
+            except Exception:
+                # A fault in one decision must not let the runs' lease lapse.
+                decision_log.write(
+                    "target.account_failed",
+                    target=self._row.target_id,
+                    reason=traceback.format_exc(),
+                )
+                taken = False
             wait_s = self._wait_s if taken and not first else 0.0
             if not (taken and first):
                 await self._group.sleep(PAUSE_S)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -65,8 +65,9 @@
         if ended.key.run >= task.last_run and ended.checkpoint:
             task.checkpoint = ended.checkpoint
         task.last_run = max(task.last_run, ended.key.run)
-        if not job.ended:
-            self.note_changed(job)
+        if job.ended:
+            return
+        self.note_changed(job)
         if ended.kind == targets.EndKind.DONE:
             self._done(task, run, now=now)
         elif ended.kind == targets.EndKind.FAILED:
--- /dev/null
+++ b/packages/ebonyhatch-fleet/tests/test_scheduler.py
@@ -0,0 +1,148 @@
+from __future__ import annotations
+
+import pytest
+from ebonyhatch.fleet import jobs, queues, rows, scheduler, targets
+
+QUEUE = queues.Queue(name="q", host="h", prefix="/q/", pool="p", priority=1, max_attempts=3)
+JOB_ID = "0" * 15 + "1"
+
+
+def _scheduler(*, target_count: int = 1, cpu_millis: int = 4000) -> scheduler.Scheduler:
+    made = scheduler.Scheduler(decide=lambda *args, **fields: None)
+    made.settled = made.may_place = True
+    for number in range(target_count):
+        target = targets.Target(
+            target_id=f"t{number}",
+            address=f"t{number}:1",
+            pool="p",
+            failure_domain="a",
+            born=1,
+            cpu_millis=cpu_millis,
+            memory_mb=1000,
+        )
+        made.set_target(target, now=0.0).confirmed = True
+    return made
+
+
+def _add(made: scheduler.Scheduler, *steps: jobs.Step, job_id: str = JOB_ID) -> rows.JobRow:
+    job = jobs.Job(job_id=job_id, queue="q", spec="", steps=steps)
+    row = rows.JobRow(job=job, queue=QUEUE)
+    made.add_job(row, now=0.0, wall=0.0)
+    return row
+
+
+def _account(*, clock_s: float = 1.0, ended=(), running=()) -> targets.Account:
+    return targets.Account(clock_s=clock_s, born=1, ended=ended, running=running)
+
+
+def _done(number: int, task: str, run: int = 1) -> targets.Ended:
+    return targets.Ended(
+        number=number, key=targets.RunKey(task=task, run=run), kind=targets.EndKind.DONE
+    )
+
+
+def test_an_end_of_a_job_that_was_cancelled_before_it_was_placed_changes_nothing():
+    made = _scheduler()
+    row = _add(made, jobs.Step(count=2, cpu_millis=1000))
+    made.cancel(JOB_ID, now=0.0)
+    target = made.tables.targets["t0"]
+    made.take_account(target, _account(ended=(_done(1, f"{JOB_ID}.0.0.0"),)), now=1.0)
+    assert row.state == rows.JobState.CANCELLED
+    assert made.tick(now=1.0, wall=1.0) == []
+
+
+@pytest.mark.parametrize("count", [1, 3])
+def test_an_end_that_a_former_owner_did_not_take_in_counts(count):
+    made = _scheduler()
+    row = _add(made, jobs.Step(count=count, cpu_millis=1000))
+    target = made.tables.targets["t0"]
+    ends = tuple(_done(n + 1, f"{JOB_ID}.0.0.{n}") for n in range(count))
+    made.take_account(target, _account(ended=ends), now=1.0)
+    assert row.state == rows.JobState.COMPLETED
+    assert made.tick(now=1.0, wall=1.0) == []
+
+
+def test_a_run_of_a_former_owner_is_adopted_and_holds_its_room():
+    made = _scheduler()
+    _add(made, jobs.Step(count=1, cpu_millis=3000))
+    target = made.tables.targets["t0"]
+    key = targets.RunKey(task=f"{JOB_ID}.0.0.0", run=1001)
+    made.take_account(target, _account(running=(targets.Running(key=key),)), now=1.0)
+    assert made.tick(now=1.0, wall=1.0) == []
+    assert target.free_cpu == 1000
+    assert key in target.runs
+
+
+def test_a_run_that_nobody_wants_is_stopped():
+    made = _scheduler()
+    key = targets.RunKey(task=f"{JOB_ID}.0.0.0", run=1)
+    made.take_account(
+        made.tables.targets["t0"], _account(running=(targets.Running(key=key),)), now=1.0
+    )
+    (command,) = made.tick(now=1.0, wall=1.0)
+    assert command.key == key and command.reason == "not-wanted"
+
+
+def test_room_is_never_exceeded():
+    made = _scheduler(target_count=2, cpu_millis=2500)
+    _add(made, jobs.Step(count=9, cpu_millis=1000))
+    assert len(made.tick(now=0.0, wall=0.0)) == 4
+    assert all(row.free_cpu >= 0 for row in made.tables.targets.values())
+
+
+def test_a_failed_end_counts_once_however_often_it_is_listed():
+    made = _scheduler(target_count=3)
+    row = _add(made, jobs.Step(count=1, cpu_millis=1000))
+    (command,) = made.tick(now=0.0, wall=0.0)
+    ended = targets.Ended(number=1, key=command.run.key, kind=targets.EndKind.FAILED)
+    for _ in range(3):
+        made.take_account(command.run.target, _account(ended=(ended,)), now=0.1)
+    assert row.occurrences[0][0].tasks[0].failed_runs == {1}
+    assert row.state != rows.JobState.FAILED
+
+
+def test_run_numbers_of_a_later_term_are_above_those_of_an_earlier_one():
+    made = _scheduler()
+    made.begin_term(3)
+    _add(made, jobs.Step(count=1, cpu_millis=1000))
+    (command,) = made.tick(now=0.0, wall=0.0)
+    assert command.run.key.run == 2 * scheduler.RUNS_A_TERM + 1
+
+
+def test_a_gang_is_placed_whole_or_not_at_all():
+    made = _scheduler(target_count=2, cpu_millis=2000)
+    _add(made, jobs.Step(count=5, cpu_millis=1000, gang=True))
+    assert made.tick(now=0.0, wall=0.0) == []
+    made.set_target(
+        targets.Target(
+            target_id="t9",
+            address="t9:1",
+            pool="p",
+            failure_domain="a",
+            born=1,
+            cpu_millis=2000,
+            memory_mb=1000,
+        ),
+        now=0.0,
+    ).confirmed = True
+    assert len(made.tick(now=0.1, wall=0.1)) == 5
+
+
+def test_timed_occurrences_start_at_their_time():
+    made = _scheduler()
+    job = jobs.Job(
+        job_id=JOB_ID,
+        queue="q",
+        spec="",
+        steps=(jobs.Step(count=1, cpu_millis=1000),),
+        occurrences=2,
+        first_at=5.0,
+        interval_s=3.0,
+    )
+    made.add_job(rows.JobRow(job=job, queue=QUEUE), now=0.0, wall=0.0)
+    assert made.tick(now=4.9, wall=4.9) == []
+    assert made.next_wake_s(now=4.9, wall=4.9) == pytest.approx(0.1)
+    assert len(made.tick(now=5.0, wall=5.0)) == 1
+    assert [command.run.task.name for command in made.tick(now=8.0, wall=8.0)] == [
+        f"{JOB_ID}.1.0.0"
+    ]
