Fillers: caution in placing, and the costliest is paced down first

Cause: of the time in which serving tasks were over their limit, most fell on targets with three fillers or more, whose predicted costs summed to less than what was seen; and all fillers of a target were lowered alike though one did most of the harm (traced from printed readings). Ruled out: want of processor time (fillers get 0.86 of their demand whatever the room).

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/harm.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/harm.py
@@ -8,6 +8,9 @@
 HARM_SCORE = 1.5
 """Score that a filler's cost in margin takes, for each serving task beside it."""
 
+CAUTION = 1.4
+"""Times the predicted cost that has to fit: costs of several fillers add up more than linearly."""
+
 SAME_IMAGE_SCORE = 1.0
 """Score of a target whose serving tasks all run the step's image: what harms one image harms all
 of its tasks, so that fillers that don't can go there."""
@@ -24,9 +27,11 @@
     fillers = tails.filler_runs(row)
     for run in tails.serving_runs(row):
         cost = context.tails.extra_cost(run, step)
-        if cost < pacing.FREE_COST:
+        before = sum(context.tails.cost(run, filler) for filler in fillers)
+        if cost + before < pacing.FREE_COST:
             continue
-        if context.tails.margin(run, fillers) - cost < pacing.WANTED_MARGIN:
+        own = context.tails.own_margin(run.task.step.job.job.job_id)
+        if own - CAUTION * (before + cost) < pacing.WANTED_MARGIN:
             return False
     return True
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/pacing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/pacing.py
@@ -86,14 +86,19 @@
         if margin >= LEAST_MARGIN:
             return
         costs = {filler.key: self._model.cost(run, filler) for filler in fillers}
-        total = sum(costs.values())
         lacking = WANTED_MARGIN - margin
-        for filler in fillers:
-            # Where nothing is known to harm, all are lowered alike.
-            share = min(1.0, lacking / total) if total > 0 else 0.5
-            if total > 0 and costs[filler.key] < FREE_COST:
-                continue
+        if sum(costs.values()) < FREE_COST:
+            # Nothing is known to do it, so that all are lowered alike.
+            for filler in fillers:
+                wanted[filler.key] = min(wanted[filler.key], filler.pace / 2)
+            return
+        for filler in sorted(fillers, key=lambda filler: -costs[filler.key]):
+            cost = costs[filler.key]
+            if lacking <= 0 or cost <= 0:
+                return
+            share = min(1.0, lacking / cost)
             wanted[filler.key] = min(wanted[filler.key], filler.pace * (1 - share))
+            lacking -= share * cost
 
     def _raised(
         self, filler: rows.RunRow, serving: list[rows.RunRow], fillers: list[rows.RunRow]
