--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placing.py
@@ -84,9 +84,9 @@
             if task.retry_at > now:
                 later.append(task)
                 continue
-            if not self._reserve.allows(step):
+            if not self._reserve.allows(task):
                 later.append(task)
-                break
+                continue
             row = self._tables.targets[_best(scores, task)]
             self.order(task, row, run=self.next_run([task]), now=now)
             if registry.failed(step, row, context):
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
@@ -13,6 +13,9 @@
 PEAK_FACTOR = 1.3
 """Times the recent peak of short work that is kept; waves grow by about half within seconds."""
 
+MOST_SHARE = 0.2
+"""Most of a pool that is kept, however high the peak was."""
+
 PEAK_HALF_LIFE_S = 30.0
 """Time in which a past peak counts half, seconds."""
 
@@ -44,9 +47,13 @@
             peak = self._peaks.setdefault(pool, _Peak())
             peak.cpu = max(peak.cpu * fading, demand.get(pool, 0))
 
-    def allows(self, step: rows.StepRow) -> bool:
-        """Tell whether one more task of a step leaves enough room."""
-        if not step.step.long_running:
+    def allows(self, task: rows.TaskRow) -> bool:
+        """Tell whether a task leaves enough room.
+
+        One that ran before is never kept waiting: it is missing where it is needed.
+        """
+        step = task.step
+        if not step.step.long_running or task.last_run:
             return True
         pool = step.job.queue.pool
         members = [row for row in self._tables.targets.values() if row.target.pool == pool]
@@ -58,7 +65,8 @@
             if _is_short(run.task.step)
         )
         peak = self._peaks.get(pool)
-        kept = max(LEAST_SHARE * total, PEAK_FACTOR * (0.0 if peak is None else peak.cpu))
+        wanted = PEAK_FACTOR * (0.0 if peak is None else peak.cpu)
+        kept = min(MOST_SHARE * total, max(LEAST_SHARE * total, wanted))
         free = sum(row.free_cpu for row in members) + short
         return free - step.step.cpu_millis >= kept
 
--- a/packages/ebonyhatch-fleet/tests/test_scheduler.py
+++ b/packages/ebonyhatch-fleet/tests/test_scheduler.py
@@ -147,3 +147,28 @@
     assert [command.run.task.name for command in made.tick(now=8.0, wall=8.0)] == [
         f"{JOB_ID}.1.0.0"
     ]
+
+
+def _lasting(count: int) -> jobs.Step:
+    return jobs.Step(count=count, cpu_millis=1000, long_running=True, disruption_budget=1)
+
+
+def test_long_running_tasks_leave_room_for_short_work():
+    made = _scheduler(target_count=4, cpu_millis=5000)
+    _add(made, _lasting(20))
+    assert len(made.tick(now=0.0, wall=0.0)) == 18
+    _add(made, jobs.Step(count=2, cpu_millis=1000), job_id="0" * 15 + "2")
+    assert len(made.tick(now=0.1, wall=0.1)) == 2
+
+
+def test_a_long_running_task_that_ended_is_restarted_whatever_room_is_kept():
+    made = _scheduler(target_count=4, cpu_millis=5000)
+    _add(made, _lasting(18))
+    started = made.tick(now=0.0, wall=0.0)
+    _add(made, jobs.Step(count=2, cpu_millis=1000), job_id="0" * 15 + "2")
+    made.tick(now=0.1, wall=0.1)
+    lost = started[0].run
+    made.lose_target(lost.target, why="lease-lapsed", now=0.2)
+    lost.target.confirmed = True
+    names = {command.run.task.name for command in made.tick(now=0.3, wall=0.3)}
+    assert lost.task.name in names
