Whole targets are kept for short work; lost orders are settled within 0.6 s

Retry-After of an outage was always 1 s, so that callers used up their four tries within one of 4 s: it now grows with the outage. Ruled out: want of room in sum.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/__init__.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/__init__.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from ebonyhatch.fleet.constraints import harm, label, rack, registry, room, spread, usable
+from ebonyhatch.fleet.constraints import harm, kept, label, rack, registry, room, spread, usable
 
-__all__ = ["harm", "label", "rack", "registry", "room", "spread", "usable"]
+__all__ = ["harm", "kept", "label", "rack", "registry", "room", "spread", "usable"]
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/registry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/registry.py
@@ -10,10 +10,17 @@
 
 
 class Context(msgspec.Struct, frozen=True, kw_only=True):
-    """What is known beyond the rows; `now` is the steady time, seconds."""
+    """What is known beyond the rows.
+
+    Attributes:
+        now: The steady time, seconds.
+        tails: How fillers disturb serving tasks.
+        kept: Tells which targets are kept free of long-running work.
+    """
 
     now: float
     tails: tails.TailModel
+    kept: Callable[[rows.TargetRow], bool]
 
 
 Predicate = Callable[[rows.StepRow, rows.TargetRow, Context], bool]
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -36,8 +36,15 @@
 RETRY_S = 0.08
 """Wait between two tries to settle a write with a lost answer, seconds."""
 
-STORE_RETRY_AFTER_S = 1.0
-"""When a caller should come back after a refusal by the store, seconds; outages last seconds."""
+LEAST_RETRY_AFTER_S = 1.0
+"""Shortest Retry-After, seconds; the header holds whole seconds."""
+
+MOST_RETRY_AFTER_S = 4.0
+"""Longest Retry-After for an outage, seconds: callers try a few times only, and none should be
+away long after the end of an outage."""
+
+SPREAD = 0.5
+"""Share by which a Retry-After is lengthened at random, so that callers don't return together."""
 
 
 class Verdict(enum.StrEnum):
@@ -91,6 +98,7 @@
         self._local_owner = local_owner
         self._load = load
         self._random = random.Random(seed)
+        self._failing_since: float | None = None
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
 
     def start(self) -> None:
@@ -114,14 +122,14 @@
         """
         refusal = self._load.refusal(queue=queue, job=job, now=self._clocks.now())
         if refusal is not None and not await self._is_known(job.job_id):
-            retry_after_s = refusal.retry_after_s * self._random.uniform(1.0, 1.5)
+            retry_after_s = self._spread(refusal.retry_after_s)
             self._log_submit(job, Verdict.OVERLOADED, refusal.reason)
             return Answer(
                 verdict=Verdict.OVERLOADED, retry_after_s=retry_after_s, reason=refusal.reason
             )
         verdict, reason = await self._make_durable(job, until=until)
         self._log_submit(job, verdict, reason)
-        return Answer(verdict=verdict, retry_after_s=STORE_RETRY_AFTER_S, reason=reason)
+        return Answer(verdict=verdict, retry_after_s=self._outage_retry_after_s(), reason=reason)
 
     async def show(self, job_id: str) -> Answer:
         """Tell a job's state."""
@@ -144,10 +152,20 @@
             return Answer(verdict=Verdict.DONE, count=reply.count)
         return Answer(
             verdict=Verdict.NOT_DONE,
-            retry_after_s=STORE_RETRY_AFTER_S,
+            retry_after_s=self._outage_retry_after_s(),
             reason="the owner can't be asked",
         )
 
+    def _outage_retry_after_s(self) -> float:
+        """Guess when an outage is over: one that lasts for some time lasts as long again."""
+        lasted_s = 0.0
+        if self._failing_since is not None:
+            lasted_s = self._clocks.now() - self._failing_since
+        return self._spread(min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, lasted_s)))
+
+    def _spread(self, seconds: float) -> float:
+        return seconds * self._random.uniform(1.0, 1.0 + SPREAD)
+
     async def _is_known(self, job_id: str) -> bool:
         """Tell whether an overloaded queue's job was accepted before."""
         return bool(await self._owner_state(job_id))
@@ -173,10 +191,14 @@
         while True:
             outcome = await self._store.commit(conditions=(condition,), puts=(put,))
             if isinstance(outcome, result.Success):
+                self._failing_since = None
                 return Verdict.DONE, "created"
             error = outcome.failure()
             if isinstance(error, store.ConflictError):
+                self._failing_since = None
                 return Verdict.DONE, "was there"
+            if self._failing_since is None:
+                self._failing_since = self._clocks.now()
             if not isinstance(error, store.UnknownOutcomeError) and not uncertain:
                 return Verdict.NOT_DONE, str(error)
             # An earlier try may still take effect, so that a refusal settles nothing.
@@ -244,7 +266,7 @@
         if isinstance(known, result.Failure) or isinstance(done, result.Failure):
             return Answer(
                 verdict=Verdict.NOT_DONE,
-                retry_after_s=STORE_RETRY_AFTER_S,
+                retry_after_s=self._outage_retry_after_s(),
                 reason="neither the owner nor the store can be asked",
             )
         if known.unwrap() is None:
@@ -259,7 +281,7 @@
         if isinstance(known, result.Failure):
             return Answer(
                 verdict=Verdict.NOT_DONE,
-                retry_after_s=STORE_RETRY_AFTER_S,
+                retry_after_s=self._outage_retry_after_s(),
                 reason=str(known.failure()),
             )
         if known.unwrap() is None:
@@ -272,7 +294,7 @@
         unknown = isinstance(written.failure(), store.UnknownOutcomeError)
         return Answer(
             verdict=Verdict.UNKNOWN if unknown else Verdict.NOT_DONE,
-            retry_after_s=STORE_RETRY_AFTER_S,
+            retry_after_s=self._outage_retry_after_s(),
             reason=str(written.failure()),
         )
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
@@ -15,7 +15,7 @@
 ORDER_LATENCY_S = 0.002
 """Time that a call takes, seconds."""
 
-SILENCE_S = 0.8
+SILENCE_S = 0.4
 """Time until a call without an answer is given up, seconds."""
 
 POLL_S = 0.01
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -37,6 +37,9 @@
 IDLE_TICK_S = 0.25
 """Longest time between two ticks, seconds: bounds how late a hung run is seen."""
 
+SETTLE_MARGIN_S = 0.03
+"""Time after a start's deadline at which its target is asked whether it took effect, seconds."""
+
 SUSPENDED_S = 0.5
 """Gap between two ticks from which this process counts as suspended meanwhile, seconds."""
 
@@ -414,6 +417,8 @@
         error = outcome.failure()
         if isinstance(error, targets.UnknownOutcomeError):
             self._scheduler.accounts.uncertain(run, reason=error.reason, now=now)
+            left_s = max(0.0, run.order_deadline_s - session.target_now_s)
+            session.look_soon(left_s + SETTLE_MARGIN_S)
         else:
             reason = error.reason if isinstance(error, targets.RefusedError) else "not-sent"
             self._scheduler.accounts.refused(run, reason=reason, now=now)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placing.py
@@ -37,7 +37,8 @@
         steps = [step for step in self._tables.waiting.values() if self._may_place(step, settled)]
         steps.sort(key=lambda step: ordering.key(step, wall=wall))
         unplaced = []
-        context = registry.Context(now=now, tails=self._model)
+        self._reserve.begin_pass()
+        context = registry.Context(now=now, tails=self._model, kept=self._reserve.keeps)
         for step in steps:
             if step.step.gang:
                 self._place_gang(step, context)
@@ -84,10 +85,10 @@
             if task.retry_at > now:
                 later.append(task)
                 continue
-            if not self._reserve.allows(task):
+            row = self._tables.targets[_best(scores, task)]
+            if not self._reserve.allows(task, row):
                 later.append(task)
                 continue
-            row = self._tables.targets[_best(scores, task)]
             self.order(task, row, run=self.next_run([task]), now=now)
             if registry.failed(step, row, context):
                 del scores[row.target_id]
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 from ebonyhatch.fleet import rows, tables
 
 LEAST_SHARE = 0.08
@@ -20,19 +18,13 @@
 """Time in which a past peak counts half, seconds."""
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Peak:
-    """Peak of the processor time that short work asked for, thousandths of a core."""
-
-    cpu: float = 0.0
-
-
 class Reserve:
     """Follows the demand of short work by pool. Answers waves of short work on a full fleet."""
 
     def __init__(self, *, all_tables: tables.Tables) -> None:
         self._tables = all_tables
-        self._peaks: dict[str, _Peak] = {}
+        self._peaks: dict[str, float] = {}
+        self._kept: set[str] = set()
 
     def observe(self, *, elapsed_s: float) -> None:
         """Take in the present demand."""
@@ -44,31 +36,40 @@
             _add(demand, step, len(step.waiting))
         fading = 0.5 ** (elapsed_s / PEAK_HALF_LIFE_S)
         for pool in {*self._peaks, *demand}:
-            peak = self._peaks.setdefault(pool, _Peak())
-            peak.cpu = max(peak.cpu * fading, demand.get(pool, 0))
+            faded = self._peaks.get(pool, 0.0) * fading
+            self._peaks[pool] = max(faded, float(demand.get(pool, 0)))
 
-    def allows(self, task: rows.TaskRow) -> bool:
-        """Tell whether a task leaves enough room.
+    def begin_pass(self) -> None:
+        """Choose the targets that are kept: those with the least long-running work.
 
-        One that ran before is never kept waiting: it is missing where it is needed.
+        Whole targets are kept, since room that is spread in pieces holds no wide or large task.
         """
-        step = task.step
-        if not step.step.long_running or task.last_run:
-            return True
-        pool = step.job.queue.pool
-        members = [row for row in self._tables.targets.values() if row.target.pool == pool]
-        total = sum(row.target.cpu_millis for row in members)
-        short = sum(
-            run.task.step.step.cpu_millis
-            for row in members
-            for run in row.runs.values()
-            if _is_short(run.task.step)
-        )
-        peak = self._peaks.get(pool)
-        wanted = PEAK_FACTOR * (0.0 if peak is None else peak.cpu)
-        kept = min(MOST_SHARE * total, max(LEAST_SHARE * total, wanted))
-        free = sum(row.free_cpu for row in members) + short
-        return free - step.step.cpu_millis >= kept
+        self._kept.clear()
+        pools: dict[str, list[rows.TargetRow]] = {}
+        for row in self._tables.targets.values():
+            if row.listed and not row.target.draining:
+                pools.setdefault(row.target.pool, []).append(row)
+        for pool, members in pools.items():
+            total = sum(row.target.cpu_millis for row in members)
+            wanted = PEAK_FACTOR * self._peaks.get(pool, 0.0)
+            left = min(MOST_SHARE * total, max(LEAST_SHARE * total, wanted))
+            for row in sorted(members, key=lambda row: (row.lasting_cpu, row.target_id)):
+                if left <= 0:
+                    break
+                self._kept.add(row.target_id)
+                left -= row.target.cpu_millis
+
+    def keeps(self, row: rows.TargetRow) -> bool:
+        """Tell whether a target is kept free of long-running work."""
+        return row.target_id in self._kept
+
+    def allows(self, task: rows.TaskRow, row: rows.TargetRow) -> bool:
+        """Tell whether a task may go to a target.
+
+        A long-running task that ran before is never kept waiting: it is missing where it is
+        needed.
+        """
+        return not task.step.step.long_running or bool(task.last_run) or not self.keeps(row)
 
 
 def _is_short(step: rows.StepRow) -> bool:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -55,6 +55,7 @@
         free_accelerators: Accelerators that are not reserved.
         filler_cpu: Processor time that fillers ask for, thousandths of a core.
         serving_cpu: Processor time that serving tasks reserve, thousandths of a core.
+        lasting_cpu: Processor time that long-running tasks reserve, thousandths of a core.
         runs: Runs that hold a reservation.
         confirmed: Its account was read in this life, under the owner's fence.
         reachable: The last call to it was answered.
@@ -71,6 +72,7 @@
     free_accelerators: int = 0
     filler_cpu: int = 0
     serving_cpu: int = 0
+    lasting_cpu: int = 0
     runs: dict[targets.RunKey, RunRow] = dataclasses.field(default_factory=dict)
     confirmed: bool = False
     reachable: bool = True
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
@@ -77,6 +77,8 @@
         row.filler_cpu += sign * wanted.cpu_millis
     else:
         row.free_cpu -= sign * wanted.cpu_millis
+    if wanted.long_running:
+        row.lasting_cpu += sign * wanted.cpu_millis
     if wanted.long_running and wanted.tail_limit_s:
         row.serving_cpu += sign * wanted.cpu_millis
     row.free_memory -= sign * wanted.memory_mb
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -21,13 +21,18 @@
 PAUSE_S = 0.025
 """Pause between two accounts, seconds: ends that come close together are read at once."""
 
-RETRY_S = 0.1
-"""Wait after an account that failed, seconds; grows to `RETRY_LIMIT_S`."""
+RETRY_S = 0.03
+"""Wait after an account that failed, seconds; doubles up to `RETRY_LIMIT_S`."""
 
 RETRY_LIMIT_S = 0.5
 
-START_VALID_S = 1.5
-"""Time within which a start has to arrive, seconds; after it a lost order is settled."""
+START_VALID_S = 0.6
+"""Time within which a start has to arrive, seconds: many times the links' delay. After it a lost
+order is refused where it arrives, so that its task can go elsewhere."""
+
+FAILURES_UNREACHABLE = 2
+"""Accounts in a row without an answer after which a target gets nothing new; one alone may be an
+answer that was lost."""
 
 CLOCK_SLOWNESS = 1.02
 """How much slower a target's clock may run, by the targets' contract."""
@@ -71,6 +76,7 @@
         self._pending: collections.deque[tuple[int, int]] = collections.deque()
         self._lapses_at = self._clocks.awake_and_suspended() + self._lapse_s
         self._failures = 0
+        self._looks = 0
 
     @property
     def row(self) -> rows.TargetRow:
@@ -118,6 +124,27 @@
         """Time on the target's clock until which a start that is sent now is valid."""
         return self.target_now_s + START_VALID_S
 
+    def look_soon(self, delay_s: float) -> None:
+        """Read the account after a time, beside the one that is waited for."""
+        self._group.spawn(self._look(delay_s))
+
+    async def _look(self, delay_s: float) -> None:
+        await self._group.sleep(delay_s)
+        if not self._clock_s:
+            return
+        sent_at = self._clocks.awake_and_suspended()
+        self._looks += 1
+        outcome = await self._port.hold(
+            target=self._row.target,
+            fence=self._fence,
+            acknowledged=self._acknowledged,
+            deadline_s=self.target_now_s + self._lease_s,
+            wait_s=0.0,
+        )
+        self._looks -= 1
+        if isinstance(outcome, result.Success) and not self._is_overtaken(outcome.unwrap()):
+            self._take_safely(outcome.unwrap(), sent_at=sent_at, extended=True)
+
     async def start_run(
         self, order: commands.StartRun
     ) -> result.Result[float, targets.TargetError]:
@@ -171,24 +198,37 @@
                 continue
             retry_s = RETRY_S
             first = not self._clock_s
-            try:
-                taken = self._take(outcome.unwrap(), sent_at=sent_at, extended=bool(deadline_s))
-            except Exception:
-                # A fault in one decision must not let the runs' lease lapse.
-                decision_log.write(
-                    "target.account_failed",
-                    target=self._row.target_id,
-                    reason=traceback.format_exc(),
-                )
-                taken = False
+            account = outcome.unwrap()
+            if self._is_overtaken(account):
+                continue
+            taken = self._take_safely(account, sent_at=sent_at, extended=bool(deadline_s))
             wait_s = self._wait_s if taken and not first else 0.0
             if not (taken and first):
                 await self._group.sleep(PAUSE_S)
 
+    def _is_overtaken(self, account: targets.Account) -> bool:
+        """Tell whether an account is older than one that was taken in."""
+        born, known = account.born, self._row.target.born
+        if born and known:
+            return born < known or (born == known and account.clock_s < self._clock_s)
+        return self._looks > 0 and account.clock_s < self._clock_s
+
+    def _take_safely(self, account: targets.Account, *, sent_at: float, extended: bool) -> bool:
+        """Take in an account; a fault in one decision must not let the runs' lease lapse."""
+        try:
+            return self._take(account, sent_at=sent_at, extended=extended)
+        except Exception:
+            decision_log.write(
+                "target.account_failed",
+                target=self._row.target_id,
+                reason=traceback.format_exc(),
+            )
+            return False
+
     def _take(self, account: targets.Account, *, sent_at: float, extended: bool) -> bool:
         """Take in an account; False while its runs can't be judged yet."""
         if account.clock_s < self._clock_s or (
-            account.born and self._row.target.born and account.born != self._row.target.born
+            account.born and account.born > self._row.target.born > 0
         ):
             self._on_silent(self, "new-life")
             self.new_life()
@@ -198,8 +238,8 @@
         self._clock_s = account.clock_s
         self._clock_at = self._clocks.now()
         if extended:
-            self._lapses_at = sent_at + self._lapse_s
-        if self._failures:
+            self._lapses_at = max(self._lapses_at, sent_at + self._lapse_s)
+        if self._failures >= FAILURES_UNREACHABLE:
             decision_log.write("target.back", target=self._row.target_id, failures=self._failures)
         self._failures = 0
         fresh = tuple(ended for ended in account.ended if ended.number > self._processed)
@@ -221,9 +261,10 @@
                 return
             if error.reason == targets.RefusalReason.OTHER_LIFE:
                 self._on_silent(self, "other-life")
-        if self._failures == 1:
+        if self._failures == FAILURES_UNREACHABLE:
             decision_log.write("target.lost", target=self._row.target_id, reason=str(error))
-        self._row.reachable = False
+        if self._failures >= FAILURES_UNREACHABLE:
+            self._row.reachable = False
         if self.lapsed:
             self._on_silent(self, "lease-lapsed")
 
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -269,3 +269,14 @@
     victim.faults.down = False
     world.run(2.0)
     assert sum(len(engine.runs) for engine in world.engines.values()) == 2
+
+
+def test_a_start_whose_order_is_lost_goes_elsewhere_within_a_second():
+    world = _ready()
+    world.engines["t0"].faults.late_s = 3.0
+    job = world.job(jobs.Step(count=4, cpu_millis=3000, estimate_s=1.0), work_s=1.0)
+    world.submit(job)
+    world.run_until(lambda: len(world.starts(job.job_id)) == 3)
+    world.engines["t0"].faults.late_s = 0.0
+    took_s = world.run_until(lambda: len(world.starts(job.job_id)) == 4)
+    assert took_s < 1.0
