The lease of a target counts as extended from the sending of an order on

Now nothing is extended while accounts fail, and the end is counted from the sending. Ruled out: slow clocks (the lapse came 0.1 s after the second start, far more than 2% of the rest). Test red first.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
@@ -29,6 +29,7 @@
     Attributes:
         down: It runs nothing and answers nothing.
         cut: It runs on and answers nothing.
+        mute: Everything is carried out, and nothing is answered.
         late_s: Orders get no answer and are carried out so much later, seconds; 0 for not.
         lose_answers: Orders are carried out and not answered.
         fail_runs: Every run that starts fails after `fail_after_s`.
@@ -38,6 +39,7 @@
 
     down: bool = False
     cut: bool = False
+    mute: bool = False
     late_s: float = 0.0
     lose_answers: bool = False
     fail_runs: bool = False
@@ -240,7 +242,7 @@
         while not engine.ends and self._clock.seconds() < until:
             await self._sleep(POLL_S)
             engine.advance()
-            if engine.faults.down or engine.faults.cut or self.cut:
+            if engine.faults.down or engine.faults.cut or engine.faults.mute or self.cut:
                 await self._sleep(SILENCE_S)
                 return result.Failure(_unknown(target))
         return result.Success(engine.account())
@@ -262,7 +264,7 @@
             await self._sleep(SILENCE_S)
             return result.Failure(_unknown(target))
         reason = carry_out(engine)
-        if engine.faults.lose_answers and late:
+        if engine.faults.mute or (engine.faults.lose_answers and late):
             await self._sleep(SILENCE_S)
             return result.Failure(_unknown(target))
         if reason is not None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -132,18 +132,17 @@
         await self._group.sleep(delay_s)
         if not self._clock_s:
             return
-        sent_at = self._clocks.awake_and_suspended()
         self._looks += 1
         outcome = await self._port.hold(
             target=self._row.target,
             fence=self._fence,
             acknowledged=self._acknowledged,
-            deadline_s=self.target_now_s + self._lease_s,
+            deadline_s=self._extend(),
             wait_s=0.0,
         )
         self._looks -= 1
         if isinstance(outcome, result.Success) and not self._is_overtaken(outcome.unwrap()):
-            self._take_safely(outcome.unwrap(), sent_at=sent_at, extended=True)
+            self._take_safely(outcome.unwrap())
 
     async def start_run(
         self, order: commands.StartRun
@@ -181,8 +180,7 @@
         retry_s = RETRY_S
         while True:
             self._forget_durable()
-            sent_at = self._clocks.awake_and_suspended()
-            deadline_s = self.target_now_s + self._lease_s if self._clock_s else 0.0
+            deadline_s = self._extend()
             outcome = await self._port.hold(
                 target=self._row.target,
                 fence=self._fence,
@@ -201,11 +199,23 @@
             account = outcome.unwrap()
             if self._is_overtaken(account):
                 continue
-            taken = self._take_safely(account, sent_at=sent_at, extended=bool(deadline_s))
+            taken = self._take_safely(account)
             wait_s = self._wait_s if taken and not first else 0.0
             if not (taken and first):
                 await self._group.sleep(PAUSE_S)
 
+    def _extend(self) -> float:
+        """Give the end of the lease that the next account asks for, on the target's clock.
+
+        The lease counts as extended from the sending on, since an order without an answer may
+        have arrived. While accounts fail nothing is extended: the lease of a target whose answers
+        are lost would never end.
+        """
+        if not self._clock_s or self._failures:
+            return 0.0
+        self._lapses_at = self._clocks.awake_and_suspended() + self._lapse_s
+        return self.target_now_s + self._lease_s
+
     def _is_overtaken(self, account: targets.Account) -> bool:
         """Tell whether an account is older than one that was taken in."""
         born, known = account.born, self._row.target.born
@@ -213,10 +223,10 @@
             return born < known or (born == known and account.clock_s < self._clock_s)
         return self._looks > 0 and account.clock_s < self._clock_s
 
-    def _take_safely(self, account: targets.Account, *, sent_at: float, extended: bool) -> bool:
+    def _take_safely(self, account: targets.Account) -> bool:
         """Take in an account; a fault in one decision must not let the runs' lease lapse."""
         try:
-            return self._take(account, sent_at=sent_at, extended=extended)
+            return self._take(account)
         except Exception:
             decision_log.write(
                 "target.account_failed",
@@ -225,7 +235,7 @@
             )
             return False
 
-    def _take(self, account: targets.Account, *, sent_at: float, extended: bool) -> bool:
+    def _take(self, account: targets.Account) -> bool:
         """Take in an account; False while its runs can't be judged yet."""
         if account.clock_s < self._clock_s or (
             account.born and account.born > self._row.target.born > 0
@@ -237,8 +247,6 @@
                 self._row.target = _reborn(self._row.target, account.born)
         self._clock_s = account.clock_s
         self._clock_at = self._clocks.now()
-        if extended:
-            self._lapses_at = max(self._lapses_at, sent_at + self._lapse_s)
         if self._failures >= FAILURES_UNREACHABLE:
             decision_log.write("target.back", target=self._row.target_id, failures=self._failures)
         self._failures = 0
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -280,3 +280,14 @@
     world.engines["t0"].faults.late_s = 0.0
     took_s = world.run_until(lambda: len(world.starts(job.job_id)) == 4)
     assert took_s < 1.0
+
+
+def test_runs_of_a_target_whose_answers_are_cut_off_are_not_started_elsewhere_too_soon():
+    world = _ready()
+    job = world.job(jobs.Step(count=4, cpu_millis=1500, estimate_s=12.0), work_s=12.0)
+    world.submit(job)
+    world.run(0.5)
+    world.engines["t1"].faults.mute = True
+    world.run_until(lambda: len(world.starts(job.job_id)) == 5, limit_s=12.0)
+    world.run(1.0)
+    world_module.check_never_twice(world)
