--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/harm.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/harm.py
@@ -8,7 +8,7 @@
 HARM_SCORE = 1.5
 """Score that a filler's cost in margin takes, for each serving task beside it."""
 
-CAUTION = 1.4
+CAUTION = 1.2
 """Times the predicted cost that has to fit: costs of several fillers add up more than linearly."""
 
 SAME_IMAGE_SCORE = 1.0
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -30,11 +30,8 @@
 
 RETRY_LIMIT_S = 0.5
 
-ROWS_LIMIT = store.TRANSACTION_LIMIT - 2
-"""Jobs in one write; the head takes a condition and a value."""
-
-VALUE_LIMIT_BYTES = 900_000
-"""Largest value of a job's progress; the store holds a megabyte."""
+ROWS_LIMIT = store.TRANSACTION_LIMIT - 3
+"""Jobs in one write; the head takes a condition and a value, and what was learnt another."""
 
 
 class SupersededError(errors.EbonyhatchError):
@@ -63,6 +60,7 @@
         term: int,
         head_revision: int,
         take_changed: Callable[[], list[rows.JobRow]],
+        take_learnt: Callable[[], bytes | None],
         on_durable: Callable[[list[tuple[rows.JobRow, rows.JobState]]], None],
         on_superseded: Callable[[str], None],
     ) -> None:
@@ -70,6 +68,7 @@
         self._term = term
         self._revision = head_revision
         self._take_changed = take_changed
+        self._take_learnt = take_learnt
         self._on_durable = on_durable
         self._on_superseded = on_superseded
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
@@ -148,6 +147,9 @@
             store.Put(key=keys.progress(row.job.job_id), value=progress.encode(row))
             for row in batch
         ]
+        learnt = self._take_learnt()
+        if learnt is not None:
+            puts.append(store.Put(key=keys.LEARNT, value=learnt))
         wait_s = RETRY_S
         while not self._closed:
             condition = store.Condition(key=keys.HEAD, revision=self._revision)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/keys.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/keys.py
@@ -19,6 +19,9 @@
 OWNER = MEMBERSHIP + "owner"
 ENTRIES = MEMBERSHIP + "entry/"
 
+LEARNT = ROOT + "learnt"
+"""What the owner's scheduler has learnt, for the next owner."""
+
 HEAD = ROOT + "head"
 """Term and number of the owner's last write; each write replaces it under its revision."""
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -14,6 +14,7 @@
     decision_log,
     journal,
     keys,
+    learnt,
     progress,
     queues,
     rows,
@@ -89,6 +90,7 @@
             term=term,
             head_revision=head_revision,
             take_changed=self._scheduler.take_changed,
+            take_learnt=self._take_learnt,
             on_durable=self._durable,
             on_superseded=on_superseded,
         )
@@ -99,6 +101,7 @@
         self._ticked_at = all_clocks.now()
         self._ticked_awake = all_clocks.awake_and_suspended()
         self._distrust = False
+        self._learnt_at = all_clocks.now()
         self._waiters: dict[str, list[defer.Deferred[None]]] = {}
 
     @property
@@ -198,6 +201,9 @@
                 return 0
             for item in known.unwrap().items:
                 done[item.key.removeprefix(keys.PROGRESS)] = item.value
+            before = await self._store.get(key=keys.LEARNT)
+            if isinstance(before, result.Success) and before.unwrap() is not None:
+                self._scheduler.restore_learnt(before.unwrap().value)
         listing = intake.unwrap()
         inherited = not self._recovered
         for item in listing.items:
@@ -256,6 +262,14 @@
         )
         self._scheduler.add_job(row, now=self._clocks.now(), wall=self._clocks.wall())
 
+    def _take_learnt(self) -> bytes | None:
+        """Give what was learnt, from time to time."""
+        now = self._clocks.now()
+        if now - self._learnt_at < learnt.SAVE_S:
+            return None
+        self._learnt_at = now
+        return self._scheduler.learnt()
+
     def _take_cancel(self, key: str) -> None:
         self._scheduler.cancel(key.removeprefix(keys.CANCELS), now=self._clocks.now())
         self._journal.want(urgent=True)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/run_times.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/run_times.py
@@ -49,12 +49,36 @@
     errors: _Spread = dataclasses.field(default_factory=_Spread)
 
 
+Row = tuple[str, str, float, float, float, float, float, float]
+"""Queue, image, then weight, mean and variance of run times and of estimate errors."""
+
+
 class RunTimes:
     """Blends a caller's estimate with the history of its kind, each by how sure it is."""
 
     def __init__(self) -> None:
         self._kinds: dict[tuple[str, str], _Kind] = {}
 
+    def rows(self) -> tuple[Row, ...]:
+        """Give everything that was learnt."""
+        return tuple(
+            (
+                queue,
+                image,
+                *(kind.runs.weight, kind.runs.mean, kind.runs.variance),
+                *(kind.errors.weight, kind.errors.mean, kind.errors.variance),
+            )
+            for (queue, image), kind in self._kinds.items()
+        )
+
+    def restore(self, learnt: tuple[Row, ...]) -> None:
+        """Begin with what was learnt before."""
+        for queue, image, *figures in learnt:
+            self._kinds[(queue, image)] = _Kind(
+                runs=_Spread(weight=figures[0], mean=figures[1], variance=figures[2]),
+                errors=_Spread(weight=figures[3], mean=figures[4], variance=figures[5]),
+            )
+
     def learn(self, *, queue: str, image: str, estimate_s: float, run_s: float) -> None:
         """Take in the run time of a task that was done, seconds."""
         for key in {(queue, image), (queue, "")}:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -9,6 +9,7 @@
     accounts,
     commands,
     graph,
+    learnt,
     ordering,
     pacing,
     placing,
@@ -54,7 +55,7 @@
         self._accounts = accounts.Accounts(
             all_tables=self._tables, ends=self._ends, emit=self._commands.append, decide=decide
         )
-        model = tails.TailModel()
+        model = self._model = tails.TailModel()
         self._pacing = pacing.Pacing(
             model=model, emit=self._commands.append, decide=decide, stop=self._ends.stop
         )
@@ -141,6 +142,14 @@
         self._ends.changed.clear()
         return changed
 
+    def learnt(self) -> bytes:
+        """Encode what was learnt, for the next owner."""
+        return learnt.encode(model=self._model, times=self._times)
+
+    def restore_learnt(self, value: bytes) -> None:
+        """Begin with what an earlier owner learnt."""
+        learnt.restore(value, model=self._model, times=self._times)
+
     def has_changes(self) -> bool:
         """Tell whether the progress of some job changed since it was last taken."""
         return bool(self._ends.changed)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tails.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tails.py
@@ -69,6 +69,16 @@
         own = self._own.get(job_id)
         return START_MARGIN if own is None else own.level
 
+    def harms(self) -> tuple[tuple[str, str, float], ...]:
+        """Give the harms: serving image, filler image, harm."""
+        return tuple(
+            (serving, filler, round(harm, 2)) for (serving, filler), harm in self._harms.items()
+        )
+
+    def restore(self, harms: tuple[tuple[str, str, float], ...]) -> None:
+        """Begin with harms that were learnt before."""
+        self._harms.update({(serving, filler): harm for serving, filler, harm in harms})
+
     def forget(self, job_id: str) -> None:
         """Forget a job that has ended."""
         self._own.pop(job_id, None)
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -291,3 +291,17 @@
     world.run_until(lambda: len(world.starts(job.job_id)) == 5, limit_s=12.0)
     world.run(1.0)
     world_module.check_never_twice(world)
+
+
+def test_the_next_owner_begins_with_what_the_last_one_learnt():
+    world = _ready()
+    accepted = [world.job(work_s=0.4) for _ in range(6)]
+    for job in accepted:
+        world.submit(job)
+        world.run(1.0)
+    first = world.owner
+    learnt = first.node.owner.scheduler.learnt()
+    assert b"plans" in learnt
+    world.kill(first.name)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    assert b"plans" in world.owner.node.owner.scheduler.learnt()
