A new owner knows the targets of the last one; after an outage the owner comes back first

The new owner heard all of the few that were listed, settled, and started what ran on the others. The owner now writes which targets it holds; the next one contacts those that are missing at once. An entry whose own lease has ended leaves the ownership to the owner for 0.5 s. Ruled out: fences and run numbers (both rose). Test red first.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -30,8 +30,11 @@
 
 RETRY_LIMIT_S = 0.5
 
-ROWS_LIMIT = store.TRANSACTION_LIMIT - 3
-"""Jobs in one write; the head takes a condition and a value, and what was learnt another."""
+EXTRAS_LIMIT = 2
+"""Values besides the jobs in one write: what was learnt, and the targets."""
+
+ROWS_LIMIT = store.TRANSACTION_LIMIT - 2 - EXTRAS_LIMIT
+"""Jobs in one write; the head takes a condition and a value."""
 
 
 class SupersededError(errors.EbonyhatchError):
@@ -60,7 +63,7 @@
         term: int,
         head_revision: int,
         take_changed: Callable[[], list[rows.JobRow]],
-        take_learnt: Callable[[], bytes | None],
+        take_extras: Callable[[], list[store.Put]],
         on_durable: Callable[[list[tuple[rows.JobRow, rows.JobState]]], None],
         on_superseded: Callable[[str], None],
     ) -> None:
@@ -68,7 +71,7 @@
         self._term = term
         self._revision = head_revision
         self._take_changed = take_changed
-        self._take_learnt = take_learnt
+        self._take_extras = take_extras
         self._on_durable = on_durable
         self._on_superseded = on_superseded
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
@@ -131,13 +134,15 @@
         number = self._begun
         changed = self._take_changed()
         states = [(row, row.state) for row in changed]
-        for start in range(0, len(changed), ROWS_LIMIT):
-            if not await self._write(changed[start : start + ROWS_LIMIT]):
+        extras = self._take_extras()
+        for start in range(0, max(len(changed), 1 if extras else 0), ROWS_LIMIT):
+            if not await self._write(changed[start : start + ROWS_LIMIT], extras):
                 return
+            extras = []
         self._finished = number
         self._on_durable(states)
 
-    async def _write(self, batch: list[rows.JobRow]) -> bool:
+    async def _write(self, batch: list[rows.JobRow], extras: list[store.Put]) -> bool:
         """Write until it is durable or this entry is superseded."""
         head = ownership.Head(
             term=self._term, number=next(self._numbers), nonce=os.urandom(8).hex()
@@ -147,9 +152,7 @@
             store.Put(key=keys.progress(row.job.job_id), value=progress.encode(row))
             for row in batch
         ]
-        learnt = self._take_learnt()
-        if learnt is not None:
-            puts.append(store.Put(key=keys.LEARNT, value=learnt))
+        puts += extras
         wait_s = RETRY_S
         while not self._closed:
             condition = store.Condition(key=keys.HEAD, revision=self._revision)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/keys.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/keys.py
@@ -22,6 +22,9 @@
 LEARNT = ROOT + "learnt"
 """What the owner's scheduler has learnt, for the next owner."""
 
+TARGETS = ROOT + "targets"
+"""Targets that the owner holds sessions with: the list is empty for seconds after an outage."""
+
 HEAD = ROOT + "head"
 """Term and number of the owner's last write; each write replaces it under its revision."""
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -90,7 +90,7 @@
             term=term,
             head_revision=head_revision,
             take_changed=self._scheduler.take_changed,
-            take_learnt=self._take_learnt,
+            take_extras=self._take_extras,
             on_durable=self._durable,
             on_superseded=on_superseded,
         )
@@ -102,6 +102,7 @@
         self._ticked_awake = all_clocks.awake_and_suspended()
         self._distrust = False
         self._learnt_at = all_clocks.now()
+        self._targets_written: dict[str, targets.Target] = {}
         self._waiters: dict[str, list[defer.Deferred[None]]] = {}
 
     @property
@@ -201,9 +202,8 @@
                 return 0
             for item in known.unwrap().items:
                 done[item.key.removeprefix(keys.PROGRESS)] = item.value
-            before = await self._store.get(key=keys.LEARNT)
-            if isinstance(before, result.Success) and before.unwrap() is not None:
-                self._scheduler.restore_learnt(before.unwrap().value)
+            if not await self._read_extras():
+                return 0
         listing = intake.unwrap()
         inherited = not self._recovered
         for item in listing.items:
@@ -220,6 +220,22 @@
         self._wake()
         return listing.as_of
 
+    async def _read_extras(self) -> bool:
+        """Read which targets the last owner knew, and what it had learnt."""
+        known = await self._store.get(key=keys.TARGETS)
+        before = await self._store.get(key=keys.LEARNT)
+        for outcome in (known, before):
+            if isinstance(outcome, result.Failure):
+                decision_log.write("recovery.retry", reason=str(outcome.failure()))
+                return False
+        item = known.unwrap()
+        if item is not None:
+            self._targets.expect(msgspec.json.decode(item.value, type=dict[str, targets.Target]))
+        learnt_item = before.unwrap()
+        if learnt_item is not None:
+            self._scheduler.restore_learnt(learnt_item.value)
+        return True
+
     async def _watch_intake(self, as_of: int) -> None:
         while True:
             watched = await self._store.watch(prefix=keys.INTAKE, after=as_of, wait_s=WATCH_S)
@@ -262,13 +278,21 @@
         )
         self._scheduler.add_job(row, now=self._clocks.now(), wall=self._clocks.wall())
 
-    def _take_learnt(self) -> bytes | None:
-        """Give what was learnt, from time to time."""
+    def _take_extras(self) -> list[store.Put]:
+        """Give what is written besides the jobs: the targets when they change, and what was learnt."""
+        extras = []
+        if self._targets_written != self._known_targets():
+            self._targets_written = self._known_targets()
+            value = msgspec.json.encode(self._targets_written)
+            extras.append(store.Put(key=keys.TARGETS, value=value))
         now = self._clocks.now()
-        if now - self._learnt_at < learnt.SAVE_S:
-            return None
-        self._learnt_at = now
-        return self._scheduler.learnt()
+        if now - self._learnt_at >= learnt.SAVE_S:
+            self._learnt_at = now
+            extras.append(store.Put(key=keys.LEARNT, value=self._scheduler.learnt()))
+        return extras
+
+    def _known_targets(self) -> dict[str, targets.Target]:
+        return {name: session.row.target for name, session in self._sessions.items()}
 
     def _take_cancel(self, key: str) -> None:
         self._scheduler.cancel(key.removeprefix(keys.CANCELS), now=self._clocks.now())
@@ -289,9 +313,9 @@
 
     def _unheard(self) -> list[str]:
         return [
-            row.target_id
-            for row in self._scheduler.tables.targets.values()
-            if not row.confirmed and row.listed
+            name
+            for name, session in self._sessions.items()
+            if not session.row.confirmed and not session.lapsed
         ]
 
     def _targets_changed(self, listed: dict[str, targets.Target]) -> None:
@@ -304,6 +328,7 @@
             if target_id not in listed:
                 session.row.listed = False
                 self._drop_if_empty(session)
+        self._journal.want()
         self._wake()
 
     def _open_session(self, row: rows.TargetRow) -> None:
@@ -324,7 +349,7 @@
 
     def _drop_if_empty(self, session: target_session.TargetSession) -> None:
         row = session.row
-        if row.listed or row.runs:
+        if row.listed or row.runs or not (row.confirmed or session.lapsed):
             return
         session.close()
         self._sessions.pop(row.target_id, None)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -29,6 +29,10 @@
 
 T = TypeVar("T")
 
+RETURN_S = 0.5
+"""Time after the end of this entry's own lease for which it leaves an ownership to the owner,
+seconds: longer than a renewal takes to be tried again."""
+
 TURN_S = 0.12
 """Time by which each candidate waits longer than the one before it, seconds."""
 
@@ -79,6 +83,7 @@
         self._on_entries = on_entries
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
         self._lease = 0
+        self._relet_at = float("-inf")
         self._valid_until = 0.0
         self._entries: dict[str, EntryRecord] = {}
         self._owner: OwnerRecord | None = None
@@ -171,6 +176,7 @@
             decision_log.write("lease.ended", lease=self._lease, owner=self.is_owner)
             self._lease = 0
             self._valid_until = 0.0
+            self._relet_at = self._clocks.now()
         self._note_renewal(kept)
 
     def _note_renewal(self, outcome: result.Result[object, store.StoreError]) -> None:
@@ -239,6 +245,10 @@
 
     async def _try_takeover(self) -> bool:
         """Take over in turn; False asks for a new listing."""
+        if self._clocks.now() - self._relet_at < RETURN_S:
+            # Everybody's leases may have ended in an outage: the owner comes back first.
+            await self._group.sleep(RETURN_S)
+            return False
         await self._group.sleep(TURN_S * self._turn())
         if not self._lease_usable():
             return False
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -125,6 +125,7 @@
 
     def take_account(self, row: rows.TargetRow, account: targets.Account, *, now: float) -> None:
         """Take in a target's account."""
+        self._model.at(now)
         self._accounts.take(row, account, now=now)
         self._pacing.review(row, now=now)
 
@@ -148,6 +149,7 @@
 
     def restore_learnt(self, value: bytes) -> None:
         """Begin with what an earlier owner learnt."""
+        self._model.at(self._now)
         learnt.restore(value, model=self._model, times=self._times)
 
     def has_changes(self) -> bool:
@@ -172,6 +174,7 @@
             if job.job.timed and not job.ended:
                 self._released(job)
         self._stop_hung(now)
+        self._model.at(now)
         self._reserve.observe(elapsed_s=elapsed_s)
         if self.may_place:
             self._placing.place(now=now, wall=wall, settled=self.settled)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tails.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tails.py
@@ -36,6 +36,10 @@
 START_MARGIN = 2.5
 """Own margin of a job that was not read yet."""
 
+DOUBT_HALF_LIFE_S = 6.0
+"""Time after which half of what a harm exceeds the prior by is forgotten while the pair isn't seen,
+seconds: harms change within seconds, and a pair that is kept apart teaches nothing."""
+
 NOISE_SHARES = 0.01
 """Regularization, shares of a target squared: fillers that use little teach little."""
 
@@ -59,10 +63,21 @@
     def __init__(self) -> None:
         self._own: dict[str, OwnMargin] = {}
         self._harms: dict[tuple[str, str], float] = {}
+        self._seen_at: dict[tuple[str, str], float] = {}
+        self._now = 0.0
+
+    def at(self, now: float) -> None:
+        """Let time pass until `now`, seconds."""
+        self._now = now
 
     def harm(self, *, serving: str, filler: str) -> float:
         """Give the harm of a filler image on a serving image."""
-        return self._harms.get((serving, filler), PRIOR_HARM)
+        pair = (serving, filler)
+        harm = self._harms.get(pair, PRIOR_HARM)
+        if harm <= PRIOR_HARM:
+            return harm
+        age_s = max(0.0, self._now - self._seen_at.get(pair, self._now))
+        return float(PRIOR_HARM + (harm - PRIOR_HARM) * 0.5 ** (age_s / DOUBT_HALF_LIFE_S))
 
     def own_margin(self, job_id: str) -> float:
         """Give a serving job's margin without fillers."""
@@ -72,12 +87,15 @@
     def harms(self) -> tuple[tuple[str, str, float], ...]:
         """Give the harms: serving image, filler image, harm."""
         return tuple(
-            (serving, filler, round(harm, 2)) for (serving, filler), harm in self._harms.items()
+            (serving, filler, round(self.harm(serving=serving, filler=filler), 2))
+            for serving, filler in self._harms
         )
 
     def restore(self, harms: tuple[tuple[str, str, float], ...]) -> None:
         """Begin with harms that were learnt before."""
-        self._harms.update({(serving, filler): harm for serving, filler, harm in harms})
+        for serving, filler, harm in harms:
+            self._harms[(serving, filler)] = harm
+            self._seen_at[(serving, filler)] = self._now
 
     def forget(self, job_id: str) -> None:
         """Forget a job that has ended."""
@@ -104,6 +122,7 @@
             step_size = HARM_RATE * error * share / (squares + NOISE_SHARES)
             harm = self.harm(serving=image, filler=name) - step_size
             self._harms[(image, name)] = min(MOST_HARM, max(0.0, harm))
+            self._seen_at[(image, name)] = self._now
 
     def cost(self, run: rows.RunRow, filler: rows.RunRow) -> float:
         """Give the margin that a filler at its pace takes from a serving run beside it."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
@@ -51,6 +51,7 @@
         self._on_change = on_change
         self._now = now
         self._listed: dict[str, targets.Target] = {}
+        self._expected: dict[str, targets.Target] = {}
         self._known = False
         self._failed = False
 
@@ -63,6 +64,18 @@
         """Begin to follow."""
         self._group.spawn(self._follow())
 
+    def expect(self, before: dict[str, targets.Target]) -> None:
+        """Take in the targets that the last owner knew; those that aren't listed may come back."""
+        missing = {name: before[name] for name in before if name not in self._listed}
+        if missing and self._known:
+            self._keep_for_a_while(missing)
+            self._on_change(dict(self._listed))
+        self._expected = {} if self._known else dict(before)
+
+    def _keep_for_a_while(self, missing: dict[str, targets.Target]) -> None:
+        self._listed.update(missing)
+        self._group.spawn(self._forget_later(missing))
+
     async def _follow(self) -> None:
         while True:
             listed = await self._store.list(prefix=self._registry.prefix)
@@ -71,14 +84,14 @@
                 await self._group.sleep(RETRY_S)
                 continue
             listing = listed.unwrap()
-            kept = dict(self._listed) if self._failed else {}
+            kept = {**self._expected, **(self._listed if self._failed else {})}
+            self._expected = {}
             self._listed = {}
             for item in listing.items:
                 self._take(item.key, item)
             missing = {name: kept[name] for name in kept if name not in self._listed}
             if missing:
-                self._group.spawn(self._forget_later(missing))
-            self._listed.update(missing)
+                self._keep_for_a_while(missing)
             self._failed = False
             self._known = True
             self._on_change(dict(self._listed))
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -305,3 +305,43 @@
     world.kill(first.name)
     world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
     assert b"plans" in world.owner.node.owner.scheduler.learnt()
+
+
+def _outage_in_which_all_leases_end(world: world_module.World, seconds: float) -> None:
+    for member in world.members.values():
+        member.store.faults.refuse = True
+    for lease in list(world.store.leases):
+        world.store.end(lease)
+    for target_id in world.engines:
+        world.unregister(target_id)
+    world.run(seconds)
+    for member in world.members.values():
+        member.store.faults.refuse = False
+
+
+def test_runs_on_targets_that_are_missing_after_an_outage_are_not_started_again():
+    world = _ready()
+    job = world.job(jobs.Step(count=4, cpu_millis=1000, estimate_s=6.0), work_s=6.0)
+    world.submit(job)
+    world.run(1.0)
+    first = world.owner
+    _outage_in_which_all_leases_end(world, 1.0)
+    world.kill(first.name)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.register(world.engines["t0"].target)
+    world.run(1.5)
+    for engine in world.engines.values():
+        world.register(engine.target)
+    world.run_until(lambda: world.state(job.job_id) == "completed", limit_s=12.0)
+    assert len(world.starts(job.job_id)) == 4
+    world_module.check_all(world)
+
+
+def test_an_owner_stays_the_owner_over_an_outage_in_which_all_leases_end():
+    world = _ready()
+    world.run(1.0)
+    first = world.owner
+    _outage_in_which_all_leases_end(world, 3.0)
+    world.run(3.0)
+    assert world.owner is first
+    assert first.node.owner.term == 1
