--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Callable
 
 import msgspec
@@ -418,13 +419,21 @@
         if self._lease_valid():
             self._distrust = False
         self._scheduler.may_place = self._recovered and self._may_start()
-        for command in self._scheduler.tick(now=now, wall=wall):
+        for command in self._decide(now=now, wall=wall):
             self._carry_out(command)
         due_s = self._scheduler.next_wake_s(now=now, wall=wall)
         self._wake_in(IDLE_TICK_S if due_s is None else min(IDLE_TICK_S, max(due_s, TICK_GAP_S)))
         if self._scheduler.has_changes():
             self._journal.want(urgent=self._has_ended_jobs())
 
+    def _decide(self, *, now: float, wall: float) -> list[commands.Command]:
+        """Tick the scheduler; a fault in one decision must not end the ticking."""
+        try:
+            return self._scheduler.tick(now=now, wall=wall)
+        except Exception:
+            decision_log.write("tick.failed", reason=traceback.format_exc())
+            return []
+
     def _may_start(self) -> bool:
         """Tell whether new runs may be ordered.
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placing.py
@@ -34,6 +34,7 @@
 
     def place(self, *, now: float, wall: float, settled: bool) -> list[rows.StepRow]:
         """Place what has room; gives the steps that are left without, in their order."""
+        self._tables.drop_settled()
         steps = [step for step in self._tables.waiting.values() if self._may_place(step, settled)]
         steps.sort(key=lambda step: ordering.key(step, wall=wall))
         unplaced = []
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
@@ -18,6 +18,11 @@
         if step.waiting:
             self.waiting[id(step)] = step
 
+    def drop_settled(self) -> None:
+        """Drop steps whose tasks wait no more, such as those that ended without being placed."""
+        for key in [key for key, step in self.waiting.items() if not step.waiting]:
+            del self.waiting[key]
+
     def forget_waiting(self, row: rows.JobRow) -> None:
         """Drop the waiting tasks of a job."""
         for steps in row.occurrences.values():
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tails.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tails.py
@@ -36,7 +36,7 @@
 START_MARGIN = 2.5
 """Own margin of a job that was not read yet."""
 
-DOUBT_HALF_LIFE_S = 6.0
+DOUBT_HALF_LIFE_S = 30.0
 """Time after which half of what a harm exceeds the prior by is forgotten while the pair isn't seen,
 seconds: harms change within seconds, and a pair that is kept apart teaches nothing."""
 
