--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -230,6 +230,8 @@
                     await self._claim_again()
                 elif not await self._try_takeover():
                     return
+            if self._owns_unknowingly() and not await self._take_up():
+                return
             watched = await self._store.watch(
                 prefix=keys.MEMBERSHIP, after=as_of, wait_s=WATCH_S if self._lease else RETRY_S
             )
@@ -278,6 +280,34 @@
         self._gain(head, taken.unwrap())
         return True
 
+    def _owns_unknowingly(self) -> bool:
+        """Tell whether the owner's key is this entry's, though it doesn't act as the owner."""
+        owner = self._owner
+        mine = owner is not None and owner.incarnation == self._entry.incarnation
+        return mine and not self._term and not self._leaving
+
+    async def _take_up(self) -> bool:
+        """Act for a takeover whose answer was lost; False asks for a new listing.
+
+        While the key is there nobody else can take over, so that nobody would act.
+        """
+        read = await self._store.get(key=keys.HEAD)
+        if isinstance(read, result.Failure):
+            await self._group.sleep(RETRY_S)
+            return False
+        item = read.unwrap()
+        head = None if item is None else _decode_head(item.value)
+        owner = self._owner
+        if item is None or head is None or owner is None or head.term != owner.term:
+            decision_log.write("owner.key_without_head", term=0 if owner is None else owner.term)
+            if self._lease:
+                await self._store.end(lease=self._lease)
+            await self._group.sleep(RETRY_S)
+            return False
+        decision_log.write("owner.taken_up", term=head.term, head_revision=item.revision)
+        self._gain(head, item.revision)
+        return True
+
     def _gain(self, head: Head, revision: int) -> None:
         if self._term:
             self._on_lost("a new term begins")
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -345,3 +345,20 @@
     world.run(3.0)
     assert world.owner is first
     assert first.node.owner.term == 1
+
+
+def test_a_takeover_whose_answer_is_lost_and_that_comes_late_makes_an_owner_that_acts():
+    world = _ready()
+    world.run(1.0)
+    world.kill(world.owner.name)
+    for member in world.members.values():
+        member.store.faults.lose_answers = True
+        member.store.faults.late_s = 2.0
+    world.run_until(lambda: "ebonyhatch/members/owner" not in world.store.items)
+    world.run_until(lambda: "ebonyhatch/members/owner" in world.store.items)
+    for member in world.members.values():
+        member.store.faults.lose_answers = False
+    world.run_until(lambda: world.owner is not None, limit_s=3.0)
+    job = world.job(*TWO_STEPS)
+    world.submit(job)
+    world.run_until(lambda: world.state(job.job_id) == "completed", limit_s=5.0)
