A takeover waits only for targets on which the last owner may have started something

The record now says which targets take no runs and what may still run there; nothing is placed on a target before the record says that it takes runs.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/usable.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/usable.py
@@ -11,6 +11,7 @@
     """Tell whether a target is listed, answers, stays and is trusted."""
     return (
         row.confirmed
+        and row.announced
         and row.reachable
         and row.listed
         and not row.target.draining
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -15,6 +15,7 @@
     decision_log,
     journal,
     keys,
+    known_targets,
     learnt,
     progress,
     queues,
@@ -103,7 +104,9 @@
         self._ticked_awake = all_clocks.awake_and_suspended()
         self._distrust = False
         self._learnt_at = all_clocks.now()
-        self._targets_written: dict[str, targets.Target] = {}
+        self._targets_written: known_targets.Known = {}
+        self._targets_before: known_targets.Known = {}
+        self._compared_at = 0.0
         self._waiters: dict[str, list[defer.Deferred[None]]] = {}
 
     @property
@@ -231,7 +234,10 @@
                 return False
         item = known.unwrap()
         if item is not None:
-            self._targets.expect(msgspec.json.decode(item.value, type=dict[str, targets.Target]))
+            self._targets_before = known_targets.decode(item.value)
+            self._targets.expect(
+                {name: known.target for name, known in self._targets_before.items()}
+            )
         learnt_item = before.unwrap()
         if learnt_item is not None:
             self._scheduler.restore_learnt(learnt_item.value)
@@ -282,18 +288,23 @@
     def _take_extras(self) -> list[store.Put]:
         """Give what is written besides the jobs: the targets when they change, and what was learnt."""
         extras = []
-        if self._targets_written != self._known_targets():
-            self._targets_written = self._known_targets()
-            value = msgspec.json.encode(self._targets_written)
-            extras.append(store.Put(key=keys.TARGETS, value=value))
+        known = self._known_targets()
+        if self._targets_written != known:
+            self._targets_written = known
+            extras.append(store.Put(key=keys.TARGETS, value=known_targets.encode(known)))
+            for name, session in self._sessions.items():
+                # Nothing may go to a target that the record is about to say takes no runs.
+                session.row.announced = session.row.announced and known[name].takes_runs
         now = self._clocks.now()
         if now - self._learnt_at >= learnt.SAVE_S:
             self._learnt_at = now
             extras.append(store.Put(key=keys.LEARNT, value=self._scheduler.learnt()))
         return extras
 
-    def _known_targets(self) -> dict[str, targets.Target]:
-        return {name: session.row.target for name, session in self._sessions.items()}
+    def _known_targets(self) -> known_targets.Known:
+        return {
+            name: known_targets.describe(session.row) for name, session in self._sessions.items()
+        }
 
     def _take_cancel(self, key: str) -> None:
         self._scheduler.cancel(key.removeprefix(keys.CANCELS), now=self._clocks.now())
@@ -307,7 +318,12 @@
             self._lease_s * target_session.CLOCK_SLOWNESS + target_session.LAPSE_MARGIN_S
         )
         while self._unheard() and self._clocks.awake_and_suspended() < until:
+            self._scheduler.blocked = self._blocked()
+            if not self._unheard_open():
+                self._scheduler.settled = True
+                self._wake()
             await self._group.sleep(0.02)
+        self._scheduler.blocked = frozenset()
         decision_log.write("recovery.settled", term=self._term, unheard=len(self._unheard()))
         self._scheduler.settled = True
         self._wake()
@@ -319,6 +335,18 @@
             if not session.row.confirmed and not session.lapsed
         ]
 
+    def _unheard_open(self) -> list[str]:
+        """Name the targets not heard yet on which the last owner may have started anything."""
+        before = self._targets_before
+        return [name for name in self._unheard() if name not in before or before[name].takes_runs]
+
+    def _blocked(self) -> frozenset[str]:
+        """Name the tasks that may still run on targets that took no new runs and aren't heard."""
+        before = self._targets_before
+        return frozenset(
+            task for name in self._unheard() if name in before for task in before[name].tasks
+        )
+
     def _targets_changed(self, listed: dict[str, targets.Target]) -> None:
         now = self._clocks.now()
         for target in listed.values():
@@ -382,6 +410,9 @@
         self._wake()
 
     def _durable(self, states: list[tuple[rows.JobRow, rows.JobState]]) -> None:
+        for name, known in self._targets_written.items():
+            if known.takes_runs and name in self._sessions:
+                self._sessions[name].row.announced = True
         for row, state in states:
             if state in rows.ENDED_STATES:
                 row.shown = state
@@ -423,6 +454,10 @@
             self._carry_out(command)
         due_s = self._scheduler.next_wake_s(now=now, wall=wall)
         self._wake_in(IDLE_TICK_S if due_s is None else min(IDLE_TICK_S, max(due_s, TICK_GAP_S)))
+        if now - self._compared_at > IDLE_TICK_S:
+            self._compared_at = now
+            if self._known_targets() != self._targets_written:
+                self._journal.want()
         if self._scheduler.has_changes():
             self._journal.want(urgent=self._has_ended_jobs())
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placing.py
@@ -31,9 +31,20 @@
         self._emit = emit
         self._decide = decide
         self.run_base = 0
-
-    def place(self, *, now: float, wall: float, settled: bool) -> list[rows.StepRow]:
-        """Place what has room; gives the steps that are left without, in their order."""
+        self._blocked: frozenset[str] = frozenset()
+
+    def place(
+        self, *, now: float, wall: float, settled: bool, blocked: frozenset[str]
+    ) -> list[rows.StepRow]:
+        """Place what has room; gives the steps that are left without, in their order.
+
+        Args:
+            now: The steady time, seconds.
+            wall: Time of day, seconds since 1970.
+            settled: Runs of a former owner are known, but for those of `blocked`.
+            blocked: Tasks that may still run on a target that wasn't heard.
+        """
+        self._blocked = blocked
         self._tables.drop_settled()
         steps = [step for step in self._tables.waiting.values() if self._may_place(step, settled)]
         steps.sort(key=lambda step: ordering.key(step, wall=wall))
@@ -83,7 +94,7 @@
         later = []
         while step.waiting and scores:
             task = step.waiting.popleft()
-            if task.retry_at > now:
+            if task.retry_at > now or task.name in self._blocked:
                 later.append(task)
                 continue
             row = self._tables.targets[_best(scores, task)]
@@ -101,7 +112,11 @@
         """Place all members or none, since members wait for each other."""
         now = context.now
         members = [task for task in step.tasks if task.state != rows.TaskState.DONE]
-        waiting = [task for task in members if not task.runs and task.retry_at <= now]
+        waiting = [
+            task
+            for task in members
+            if not task.runs and task.retry_at <= now and task.name not in self._blocked
+        ]
         if len(waiting) < len(members):
             return
         chosen = self._gang_rows(step, len(members), context)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -58,6 +58,7 @@
         lasting_cpu: Processor time that long-running tasks reserve, thousandths of a core.
         runs: Runs that hold a reservation.
         confirmed: Its account was read in this life, under the owner's fence.
+        announced: The owner's durable record says that it may take runs.
         reachable: The last call to it was answered.
         heard_at: When its last account arrived, seconds.
         close_watch: Its readings are asked for more often.
@@ -75,6 +76,7 @@
     lasting_cpu: int = 0
     runs: dict[targets.RunKey, RunRow] = dataclasses.field(default_factory=dict)
     confirmed: bool = False
+    announced: bool = False
     reachable: bool = True
     heard_at: float = 0.0
     close_watch: bool = False
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -71,6 +71,7 @@
         self._now = 0.0
         self._wall = 0.0
         self.settled = False
+        self.blocked: frozenset[str] = frozenset()
         self.may_place = False
 
     @property
@@ -177,7 +178,7 @@
         self._model.at(now)
         self._reserve.observe(elapsed_s=elapsed_s)
         if self.may_place:
-            self._placing.place(now=now, wall=wall, settled=self.settled)
+            self._placing.place(now=now, wall=wall, settled=self.settled, blocked=self.blocked)
         decided = list(self._commands)
         self._commands.clear()
         return decided
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -362,3 +362,22 @@
     job = world.job(*TWO_STEPS)
     world.submit(job)
     world.run_until(lambda: world.state(job.job_id) == "completed", limit_s=5.0)
+
+
+def test_a_takeover_doesnt_wait_for_a_target_that_was_closed_before():
+    world = _ready()
+    job = world.job(jobs.Step(count=4, cpu_millis=2500, estimate_s=9.0), work_s=9.0)
+    world.submit(job)
+    world.run(1.0)
+    world.engines["t0"].faults.cut = True
+    world.run(2.0)
+    later = world.job(*TWO_STEPS, work_s=2.0)
+    world.submit(later)
+    world.run(0.5)
+    world.kill(world.owner.name)
+    before = len(world.starts(later.job_id))
+    took_s = world.run_until(lambda: len(world.starts(later.job_id)) > before, limit_s=8.0)
+    assert took_s < 3.0
+    world.run_until(lambda: world.state(later.job_id) == "completed", limit_s=8.0)
+    world.run_until(lambda: world.state(job.job_id) == "completed", limit_s=25.0)
+    world_module.check_all(world)
--- a/packages/ebonyhatch-fleet/tests/test_scheduler.py
+++ b/packages/ebonyhatch-fleet/tests/test_scheduler.py
@@ -8,6 +8,10 @@
 JOB_ID = "0" * 15 + "1"
 
 
+def _usable(row: rows.TargetRow) -> None:
+    row.confirmed = row.announced = True
+
+
 def _scheduler(*, target_count: int = 1, cpu_millis: int = 4000) -> scheduler.Scheduler:
     made = scheduler.Scheduler(decide=lambda *args, **fields: None)
     made.settled = made.may_place = True
@@ -21,7 +25,7 @@
             cpu_millis=cpu_millis,
             memory_mb=1000,
         )
-        made.set_target(target, now=0.0).confirmed = True
+        _usable(made.set_target(target, now=0.0))
     return made
 
 
@@ -114,7 +118,7 @@
     made = _scheduler(target_count=2, cpu_millis=2000)
     _add(made, jobs.Step(count=5, cpu_millis=1000, gang=True))
     assert made.tick(now=0.0, wall=0.0) == []
-    made.set_target(
+    joined = made.set_target(
         targets.Target(
             target_id="t9",
             address="t9:1",
@@ -125,7 +129,8 @@
             memory_mb=1000,
         ),
         now=0.0,
-    ).confirmed = True
+    )
+    _usable(joined)
     assert len(made.tick(now=0.1, wall=0.1)) == 5
 
 
