--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 
 test: check
 	$(BIN)/python -m pytest -n 4
+	$(BIN)/python -m pytest -c platform/pytest.ini platform/tests
 
 format: $(STAMP)
 	$(BIN)/black --quiet packages platform
--- /dev/null
+++ b/packages/ebonyhatch-fleet/tests/test_histories.py
@@ -0,0 +1,244 @@
+"""Drawn histories: jobs and faults in any order, checked by what must always hold."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import hypothesis
+import hypothesis.strategies as st
+import world as world_module
+
+from ebonyhatch.fleet import entry, jobs
+
+EXAMPLES = 20
+"""Histories of one run; many more are drawn by hand with --hypothesis-seed."""
+
+CALM_S = 30.0
+"""Time after the last fault within which every accepted job has to be done, seconds."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Event:
+    """Something that happens, then a time that passes."""
+
+    kind: str
+    which: int
+    wait_s: float
+
+
+KINDS = (
+    "submit",
+    "submit",
+    "submit",
+    "cancel",
+    "kill_owner",
+    "kill_other",
+    "kill_all",
+    "hand_over",
+    "cut_owner",
+    "suspend_owner",
+    "refuse_one",
+    "refuse_all",
+    "silence_all",
+    "lose_answers",
+    "lose_answers_late",
+    "end_leases",
+    "compact",
+    "target_down",
+    "target_reborn",
+    "target_cut",
+    "target_mute",
+    "target_late",
+    "target_unlisted",
+    "heal",
+)
+
+EVENTS = st.lists(
+    st.builds(
+        Event,
+        kind=st.sampled_from(KINDS),
+        which=st.integers(min_value=0, max_value=7),
+        wait_s=st.sampled_from((0.02, 0.2, 0.7, 1.6, 3.0)),
+    ),
+    min_size=4,
+    max_size=18,
+)
+
+STEPS = (
+    (jobs.Step(count=2, cpu_millis=1000, estimate_s=0.4),),
+    (
+        jobs.Step(count=3, cpu_millis=700, estimate_s=0.4),
+        jobs.Step(count=2, cpu_millis=1000, estimate_s=0.4, after=(0,)),
+    ),
+    (jobs.Step(count=3, cpu_millis=1500, estimate_s=2.0, checkpoints=True),),
+)
+WORK_S = (0.3, 0.5, 2.0)
+
+
+class History:
+    """Plays events on a world."""
+
+    def __init__(self) -> None:
+        self.world = world_module.World()
+        self.cancelled: set[str] = set()
+        self._starts = 0
+        self.world.run(1.0)
+
+    def play(self, event: Event) -> None:
+        getattr(self, "_" + event.kind)(event)
+        self.world.run(event.wait_s)
+
+    def heal(self) -> None:
+        self._heal(None)
+
+    def _member(self, event: Event) -> world_module.Member | None:
+        names = sorted(self.world.members)
+        return self.world.members[names[event.which % len(names)]] if names else None
+
+    def _engine(self, event: Event):
+        return self.world.engines[f"t{event.which % len(self.world.engines)}"]
+
+    def _start_one(self) -> None:
+        self._starts += 1
+        self.world.start(f"n{self._starts}")
+
+    def _submit(self, event: Event) -> None:
+        member = self._member(event)
+        kind = event.which % len(STEPS)
+        if member is not None:
+            self.world.submit(self.world.job(*STEPS[kind], work_s=WORK_S[kind]), at=member.name)
+
+    def _cancel(self, event: Event) -> None:
+        member = self._member(event)
+        known = sorted(self.world.accepted)
+        if member is None or not known:
+            return
+        job_id = known[event.which % len(known)]
+        if self.world.cancel(job_id, at=member.name).verdict != entry.Verdict.NO_SUCH_JOB:
+            self.cancelled.add(job_id)
+
+    def _kill(self, member: world_module.Member | None) -> None:
+        if member is not None:
+            self.world.kill(member.name)
+            self._start_one()
+
+    def _kill_owner(self, event: Event) -> None:
+        self._kill(self.world.owner)
+
+    def _kill_other(self, event: Event) -> None:
+        self._kill(self._member(event))
+
+    def _kill_all(self, event: Event) -> None:
+        for name in list(self.world.members):
+            self.world.kill(name)
+        self.world.run(0.5)
+        for _ in range(3):
+            self._start_one()
+
+    def _hand_over(self, event: Event) -> None:
+        owner = self.world.owner
+        if owner is not None:
+            self.world.wait(owner.node.hand_over(), limit_s=10.0)
+            self._kill(owner)
+
+    def _cut_owner(self, event: Event) -> None:
+        owner = self.world.owner
+        if owner is not None:
+            owner.store.faults.silent = True
+            self.world.network.cut.add(owner.name)
+
+    def _suspend_owner(self, event: Event) -> None:
+        owner = self.world.owner
+        if owner is not None:
+            owner.clocks.suspended_s += 3.0
+
+    def _refuse_one(self, event: Event) -> None:
+        member = self._member(event)
+        if member is not None:
+            member.store.faults.refuse = True
+
+    def _each(self, **fields: object) -> None:
+        for member in self.world.members.values():
+            for name, value in fields.items():
+                setattr(member.store.faults, name, value)
+
+    def _refuse_all(self, event: Event) -> None:
+        self._each(refuse=True)
+
+    def _silence_all(self, event: Event) -> None:
+        self._each(silent=True)
+
+    def _lose_answers(self, event: Event) -> None:
+        self._each(lose_answers=True)
+
+    def _lose_answers_late(self, event: Event) -> None:
+        self._each(lose_answers=True, late_s=2.0)
+
+    def _end_leases(self, event: Event) -> None:
+        for lease in list(self.world.store.leases):
+            self.world.store.end(lease)
+
+    def _compact(self, event: Event) -> None:
+        self.world.store.compact()
+
+    def _target_down(self, event: Event) -> None:
+        self._engine(event).faults.down = True
+
+    def _target_reborn(self, event: Event) -> None:
+        engine = self._engine(event)
+        self.world.reborn(engine.target.target_id)
+        engine.faults.down = False
+
+    def _target_cut(self, event: Event) -> None:
+        self._engine(event).faults.cut = True
+
+    def _target_mute(self, event: Event) -> None:
+        self._engine(event).faults.mute = True
+
+    def _target_late(self, event: Event) -> None:
+        self._engine(event).faults.late_s = 3.0
+
+    def _target_unlisted(self, event: Event) -> None:
+        self.world.unregister(self._engine(event).target.target_id)
+
+    def _heal(self, event: Event | None) -> None:
+        self._each(refuse=False, silent=False, lose_answers=False, late_s=0.0)
+        self.world.network.cut.clear()
+        for target_id, engine in self.world.engines.items():
+            if engine.faults.down:
+                self.world.reborn(target_id)
+            engine.faults.down = engine.faults.cut = engine.faults.mute = False
+            engine.faults.late_s = 0.0
+            if world_module.TARGETS_PREFIX + target_id not in self.world.store.items:
+                self.world.register(engine.target)
+
+
+def check(events: list[Event]) -> None:
+    """Play a history and check it while it runs and after a calm time."""
+    history = History()
+    world = history.world
+    for event in events:
+        history.play(event)
+        world_module.check_all(world)
+    history.heal()
+
+    def settled() -> bool:
+        return all(world.state(job_id) in ("completed", "cancelled") for job_id in world.accepted)
+
+    world.run_until(settled, limit_s=CALM_S)
+    for job_id in world.accepted:
+        if job_id not in history.cancelled:
+            assert world.state(job_id) == "completed"
+    world.run(2.0)
+    world_module.check_all(world)
+
+
+@hypothesis.settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+@hypothesis.given(EVENTS)
+def test_what_always_holds_holds_in_drawn_histories(events):
+    check(events)
