--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -60,7 +60,6 @@
         registry: target_list.Registry,
         all_clocks: clocks.Clocks,
         lease_s: float,
-        keep_ended_s: float,
         lease_valid: Callable[[], bool],
         store_reachable: Callable[[], bool],
         on_superseded: Callable[[str], None],
@@ -70,7 +69,6 @@
         self._port = targets_port
         self._clocks = all_clocks
         self._lease_s = lease_s
-        self._keep_ended_s = keep_ended_s
         self._lease_valid = lease_valid
         self._store_reachable = store_reachable
         self._on_superseded = on_superseded
@@ -84,7 +82,6 @@
             registry=registry,
             group=self._group,
             on_change=self._targets_changed,
-            now=all_clocks.now,
         )
         self._journal = journal.Journal(
             store_port=store_port,
@@ -170,7 +167,10 @@
         )
 
     def waits_s(self) -> dict[str, float]:
-        """Give, by queue, how long a job that is submitted now would wait, seconds."""
+        """Give, by queue, how long a job that is submitted now would wait, seconds.
+
+        None is worked out yet, so that no entry refuses for load; see docs/design/platform.md.
+        """
         return {}
 
     def cancel(self, job_id: str) -> defer.Deferred[None]:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
@@ -90,7 +90,6 @@
         return row
     row.state = row.shown = progress.state
     row.begun = progress.begun
-    row.cancelled = progress.state == rows.JobState.CANCELLED
     row.ended_at = progress.ended_at
     row.reason = progress.reason
     row.finished = set(progress.finished)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -145,7 +145,6 @@
         last_run: Highest number used so far.
         failed_runs: Numbers of the runs that ended as failed.
         checkpoint: Last checkpoint; empty for none.
-        saved_share: Share of the work that the checkpoint holds, 0 to 1.
         retry_at: No start before this time, seconds.
         avoid: Target where its last run failed; empty for none.
         waiting_since: When it became ready, seconds.
@@ -160,7 +159,6 @@
     last_run: int = 0
     failed_runs: set[int] = dataclasses.field(default_factory=set)
     checkpoint: str = ""
-    saved_share: float = 0.0
     retry_at: float = 0.0
     avoid: str = ""
     waiting_since: float = 0.0
@@ -213,7 +211,6 @@
         occurrences: Steps of each occurrence under way, by number.
         finished: Occurrences whose steps are all done.
         next_occurrence: Number of the next occurrence to release.
-        cancelled: It was cancelled.
         ended_at: Time of day of its end, seconds since 1970.
         inherited: It may have runs that a former owner ordered on targets not heard yet.
         reason: Why it failed.
@@ -227,7 +224,6 @@
     occurrences: dict[int, list[StepRow]] = dataclasses.field(default_factory=dict)
     finished: set[int] = dataclasses.field(default_factory=set)
     next_occurrence: int = 0
-    cancelled: bool = False
     ended_at: float = 0.0
     inherited: bool = False
     reason: str = ""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 from ebonyhatch.fleet import (
     accounts,
@@ -110,7 +109,6 @@
         if row is None or row.ended:
             return
         row.state = rows.JobState.CANCELLED
-        row.cancelled = True
         self._decide("job.cancelled", None, job_id=job_id)
         self._ends.note_changed(row)
         self._ends.stop_all(row, reason="cancelled", now=now)
@@ -260,13 +258,3 @@
 def unknown_queue(name: str) -> queues.Queue:
     """Stand in for a queue that the configuration in force doesn't have any more."""
     return queues.Queue(name=name, host="", prefix="", pool="")
-
-
-def summary(row: rows.JobRow) -> dict[str, Any]:
-    """Summarize a job for operators."""
-    return {
-        "job_id": row.job.job_id,
-        "state": row.shown,
-        "queue": row.queue.name,
-        "occurrences": len(row.occurrences),
-    }
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
@@ -43,13 +43,11 @@
         registry: Registry,
         group: coroutines.CoroutineGroup,
         on_change: Callable[[dict[str, targets.Target]], None],
-        now: Callable[[], float],
     ) -> None:
         self._store = store_port
         self._registry = registry
         self._group = group
         self._on_change = on_change
-        self._now = now
         self._listed: dict[str, targets.Target] = {}
         self._expected: dict[str, targets.Target] = {}
         self._known = False
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -83,11 +83,6 @@
         """The target."""
         return self._row
 
-    @property
-    def lapses_at(self) -> float:
-        """When every run there has lost its lease, on the clock that counts suspensions."""
-        return self._lapses_at
-
     @property
     def lapsed(self) -> bool:
         """Whether every run there has lost its lease."""
--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -130,7 +130,7 @@
         made = node.Node(
             all_clocks=clock,
             network=memory_peers.MemoryPeers(network=self.network, entry_id=name),
-            settings=node.Settings(name=name, host=name, port=1, lease_s=LEASE_S, keep_ended_s=120),
+            settings=node.Settings(name=name, host=name, port=1, lease_s=LEASE_S),
             store_port=way,
             targets_port=port,
             registry=Registry(),
