A job keeps its queue as it was accepted: the next owner does it though the queue was removed

Found by reading: an owner that recovered a job of a removed queue knew no pool for it, so that its tasks never found a target. Test red first.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -127,7 +127,7 @@
             return Answer(
                 verdict=Verdict.OVERLOADED, retry_after_s=retry_after_s, reason=refusal.reason
             )
-        verdict, reason = await self._make_durable(job, until=until)
+        verdict, reason = await self._make_durable(job, queue=queue, until=until)
         self._log_submit(job, verdict, reason)
         return Answer(verdict=verdict, retry_after_s=self._outage_retry_after_s(), reason=reason)
 
@@ -170,8 +170,10 @@
         """Tell whether an overloaded queue's job was accepted before."""
         return bool(await self._owner_state(job_id))
 
-    async def _make_durable(self, job: jobs.Job, *, until: float) -> tuple[Verdict, str]:
-        record = progress.encode_job(job)
+    async def _make_durable(
+        self, job: jobs.Job, *, queue: queues.Queue, until: float
+    ) -> tuple[Verdict, str]:
+        record = progress.encode_accepted(job=job, queue=queue)
         verdict, reason = await self._create(job.job_id, record, until=until)
         if verdict != Verdict.NOT_DONE:
             return verdict, reason
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -265,10 +265,11 @@
         if self.job(job_id) is not None:
             return
         try:
-            name = progress.decode_job(item.value).queue
-            queue = self._configuration.queue(name) or scheduler.unknown_queue(name)
             row = scheduler.restored(
-                value=item.value, durable=done.get(job_id), queue=queue, inherited=inherited
+                accepted=progress.decode_accepted(item.value),
+                durable=done.get(job_id),
+                configuration=self._configuration,
+                inherited=inherited,
             )
         except msgspec.DecodeError as error:
             decision_log.write("record.unreadable", key=item.key, reason=str(error))
@@ -276,7 +277,7 @@
         decision_log.write(
             "job.known",
             job_id=job_id,
-            queue=name,
+            queue=row.queue.name,
             revision=item.revision,
             state=row.state,
             inherited=inherited,
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
@@ -45,19 +45,26 @@
     occurrences: dict[int, list[StepProgress]] = {}
 
 
+class Accepted(msgspec.Struct, frozen=True, kw_only=True):
+    """An accepted job, with its queue as it was then: operators may remove the queue later."""
+
+    job: jobs.Job
+    queue: queues.Queue
+
+
 _ENCODER = msgspec.json.Encoder()
 _PROGRESS = msgspec.json.Decoder(JobProgress)
-_JOB = msgspec.json.Decoder(jobs.Job)
+_ACCEPTED = msgspec.json.Decoder(Accepted)
 
 
-def encode_job(job: jobs.Job) -> bytes:
+def encode_accepted(*, job: jobs.Job, queue: queues.Queue) -> bytes:
     """Encode an accepted job."""
-    return _ENCODER.encode(job)
+    return _ENCODER.encode(Accepted(job=job, queue=queue))
 
 
-def decode_job(value: bytes) -> jobs.Job:
+def decode_accepted(value: bytes) -> Accepted:
     """Decode an accepted job; raises `msgspec.DecodeError`."""
-    return _JOB.decode(value)
+    return _ACCEPTED.decode(value)
 
 
 def encode(row: rows.JobRow) -> bytes:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -246,15 +246,15 @@
 
 
 def restored(
-    *, value: bytes, durable: bytes | None, queue: queues.Queue, inherited: bool
+    *,
+    accepted: progress.Accepted,
+    durable: bytes | None,
+    configuration: queues.Configuration,
+    inherited: bool,
 ) -> rows.JobRow:
     """Build a job's row from its records; raises `msgspec.DecodeError`."""
     done = None if durable is None else progress.decode(durable)
-    row = progress.restore(job=progress.decode_job(value), queue=queue, progress=done)
+    queue = configuration.queue(accepted.queue.name) or accepted.queue
+    row = progress.restore(job=accepted.job, queue=queue, progress=done)
     row.inherited = inherited
     return row
-
-
-def unknown_queue(name: str) -> queues.Queue:
-    """Stand in for a queue that the configuration in force doesn't have any more."""
-    return queues.Queue(name=name, host="", prefix="", pool="")
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -381,3 +381,16 @@
     world.run_until(lambda: world.state(later.job_id) == "completed", limit_s=8.0)
     world.run_until(lambda: world.state(job.job_id) == "completed", limit_s=25.0)
     world_module.check_all(world)
+
+
+def test_a_job_of_a_removed_queue_is_done_by_the_next_owner_too():
+    world = _ready()
+    job = world.job(*TWO_STEPS, work_s=2.0)
+    world.submit(job)
+    world.run(0.5)
+    without = queues.Configuration(version=5, queues=(), pools=(world_module.POOL_ROW,))
+    world.configure(without)
+    world.run(0.5)
+    world.kill(world.owner.name)
+    world.run_until(lambda: world.state(job.job_id) == "completed")
+    world_module.check_all(world)
