--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/bench_commands.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/bench_commands.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import click
-
 from ebonyhatch.cli import cli_errors, options
 
 PACKAGE = "ebonyhatch.testing.benches"
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/entry_client.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/entry_client.py
@@ -5,10 +5,9 @@
 from typing import Any
 
 import msgspec
-from twisted.internet import error
-
 from ebonyhatch.cli import cli_errors, exit_codes
 from ebonyhatch.core import record_faults
+from twisted.internet import error
 
 TIMEOUT_S = 60.0
 """Longest wait for an answer; a write at the entry may take half of it."""
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/environment.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/environment.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import treq
-
 from ebonyhatch.cli import cli_errors, entry_client, loop, pooled_http
 from ebonyhatch.ports import timing
 
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/job_commands.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/job_commands.py
@@ -10,7 +10,6 @@
 
 import click
 import msgspec
-
 from ebonyhatch.cli import (
     cli_errors,
     environment,
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/jobs_client.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/jobs_client.py
@@ -6,10 +6,9 @@
 from typing import Any
 
 import msgspec
-from twisted.internet import task
-
 from ebonyhatch.cli import cli_errors, entry_client, exit_codes, job_states, options, views
 from ebonyhatch.ports import timing
+from twisted.internet import task
 
 PATH = "/v1/jobs"
 
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/key_commands.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/key_commands.py
@@ -8,7 +8,6 @@
 import click
 import msgspec
 import zmq
-
 from ebonyhatch.cli import options, printing
 
 TOKEN_BYTES = 32
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/load_commands.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/load_commands.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import click
-
 from ebonyhatch.cli import (
     cli_errors,
     environment,
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/load_plan.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/load_plan.py
@@ -9,7 +9,6 @@
 from collections.abc import Iterator, Sequence
 
 import msgspec
-
 from ebonyhatch.cli import cli_errors
 
 RATE_LIMIT_PER_S = 2_000.0
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/load_report.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/load_report.py
@@ -7,9 +7,8 @@
 from typing import Any
 
 import click
-from hdrh import histogram
-
 from ebonyhatch.cli import load_plan, printing
+from hdrh import histogram
 
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/load_requests.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/load_requests.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import msgspec
-
 from ebonyhatch.cli import entry_client, load_plan, load_report
 
 ANSWER_GRACE_S = 5.0
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/load_run.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/load_run.py
@@ -4,10 +4,9 @@
 
 from collections.abc import Awaitable, Callable, Iterator
 
-from twisted.internet import defer
-
 from ebonyhatch.cli import load_plan, load_report
 from ebonyhatch.ports import timing
+from twisted.internet import defer
 
 IN_PROGRESS_LIMIT = 2_000
 """Most requests that are open at once; what is due beyond them is counted as not sent."""
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/loop.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/loop.py
@@ -5,11 +5,10 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from ebonyhatch.cli import cli_errors, exit_codes
 from twisted.internet import defer
 from twisted.python import failure
 
-from ebonyhatch.cli import cli_errors, exit_codes
-
 
 class InterruptedRunError(cli_errors.CliError):
     """The run was ended from the keyboard."""
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/main.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/main.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import click
-
 from ebonyhatch.cli import (
     bench_commands,
     environment,
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/options.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/options.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import click
-
 from ebonyhatch.cli import environment
 
 FILES = click.argument(
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/printing.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/printing.py
@@ -7,7 +7,6 @@
 
 import click
 import msgspec
-
 from ebonyhatch.core import errors, record_faults
 
 GAP = "  "
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/record_commands.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/record_commands.py
@@ -9,8 +9,6 @@
 
 import click
 import msgspec
-from returns import result
-
 from ebonyhatch.cli import (
     cli_errors,
     environment,
@@ -23,6 +21,7 @@
     views,
 )
 from ebonyhatch.core import record_changes, records
+from returns import result
 
 
 @click.group(
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/record_diff.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/record_diff.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import msgspec
-
 from ebonyhatch.core import record_changes, record_set
 
 SIGNS = {"added": "+", "changed": "~", "removed": "-"}
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/record_files.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/record_files.py
@@ -9,7 +9,6 @@
 
 import json5
 import msgspec
-
 from ebonyhatch.cli import cli_errors
 from ebonyhatch.core import record_faults
 
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/records_client.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/records_client.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from twisted.internet import task
-
 from ebonyhatch.cli import cli_errors, entry_client, exit_codes, views
 from ebonyhatch.ports import timing
+from twisted.internet import task
 
 PATH = "/v1/admin/records"
 
--- a/packages/ebonyhatch-cli/src/ebonyhatch/cli/status_commands.py
+++ b/packages/ebonyhatch-cli/src/ebonyhatch/cli/status_commands.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import click
-
 from ebonyhatch.cli import entry_client, options, printing, views
 
 WORKER_HEADS = ("worker", "cell", "health", "slots", "cores", "memory", "measured cores", "age")
--- a/packages/ebonyhatch-cli/tests/test_entry_client.py
+++ b/packages/ebonyhatch-cli/tests/test_entry_client.py
@@ -1,12 +1,11 @@
 import pytest
+from ebonyhatch.cli import cli_errors, entry_client, exit_codes, views
+from ebonyhatch.testing import command_line
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from twisted.internet import defer, error
 from twisted.web import resource
 
-from ebonyhatch.cli import cli_errors, entry_client, exit_codes, views
-from ebonyhatch.testing import command_line
-
 URL = "http://127.0.0.1:7110"
 BODIES = st.binary(max_size=60) | st.sampled_from(
     [b"{}", b"[" * 10_000, b'{"detail":"no","remedy":"wait","faults":[{}]}', b'{"generation":"x"}']
--- a/packages/ebonyhatch-cli/tests/test_job_commands.py
+++ b/packages/ebonyhatch-cli/tests/test_job_commands.py
@@ -2,10 +2,9 @@
 
 import klein
 import pytest
-from twisted.internet import task
-
 from ebonyhatch.cli import exit_codes, load_plan
 from ebonyhatch.testing import command_line
+from twisted.internet import task
 
 ENDED = {"state": "finished", "attempts": 2, "evictions": 1}
 
--- a/packages/ebonyhatch-cli/tests/test_load_run.py
+++ b/packages/ebonyhatch-cli/tests/test_load_run.py
@@ -1,7 +1,6 @@
 import pytest
-from twisted.internet import defer, task
-
 from ebonyhatch.cli import load_plan, load_report, load_run
+from twisted.internet import defer, task
 
 PLAN = load_plan.Plan(
     rates=(load_plan.ClassRate(work_class="quote", rate_per_s=1.0),), duration_s=5.0, seed=2
--- a/packages/ebonyhatch-cli/tests/test_main.py
+++ b/packages/ebonyhatch-cli/tests/test_main.py
@@ -7,7 +7,6 @@
 import sys
 
 from click import testing
-
 from ebonyhatch.cli import exit_codes, main, tokens
 from ebonyhatch.node import settings_schema
 from ebonyhatch.testing import processes, samples
--- a/packages/ebonyhatch-cli/tests/test_record_commands.py
+++ b/packages/ebonyhatch-cli/tests/test_record_commands.py
@@ -1,12 +1,11 @@
 import json
 
 import pytest
-from twisted.internet import task
-
 from ebonyhatch.cli import exit_codes
 from ebonyhatch.node import access, admin, admin_view, configuration
 from ebonyhatch.ports import memory_store
 from ebonyhatch.testing import command_line, samples
+from twisted.internet import task
 
 TOKEN = "a-token"
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/entities.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/entities.py
@@ -5,7 +5,6 @@
 import enum
 
 import msgspec
-
 from ebonyhatch.core import resources
 
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/job_machine.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/job_machine.py
@@ -8,7 +8,6 @@
 
 import automat
 import msgspec
-
 from ebonyhatch.core import entities
 
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_faults.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_faults.py
@@ -5,7 +5,6 @@
 from collections.abc import Sequence
 
 import msgspec
-
 from ebonyhatch.core import errors
 
 SHOWN_FAULTS = 5
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_fields.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_fields.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import msgspec
-
 from ebonyhatch.core import record_faults, record_schema
 
 HEADER_FIELDS = frozenset({"kind", "schema_version"})
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_kinds/priority.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_kinds/priority.py
@@ -5,7 +5,6 @@
 from typing import Annotated
 
 import msgspec
-
 from ebonyhatch.core import record_schema
 
 KIND = "priority"
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_kinds/work_class.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_kinds/work_class.py
@@ -5,7 +5,6 @@
 from typing import Annotated, Literal
 
 import msgspec
-
 from ebonyhatch.core import record_schema
 
 KIND = "work_class"
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_reading.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_reading.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import msgspec
-
 from ebonyhatch.core import record_faults, record_fields, record_schema, record_set
 
 RAW_LIMIT_BYTES = 900_000
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_references.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_references.py
@@ -5,7 +5,6 @@
 from collections.abc import Sequence
 
 import msgspec
-
 from ebonyhatch.core import record_faults, record_kinds, record_set
 
 REMEDY = "upgrade this entry"
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/record_schema.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/record_schema.py
@@ -6,7 +6,6 @@
 from typing import Annotated, Any, TypeVar
 
 import msgspec
-
 from ebonyhatch.core import errors
 
 Name = Annotated[str, msgspec.Meta(pattern=r"\A[a-z0-9][a-z0-9._-]{0,62}\Z")]
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/records.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/records.py
@@ -5,8 +5,6 @@
 from typing import Any
 
 import msgspec
-from returns import result
-
 from ebonyhatch.core import (
     configuration,
     entities,
@@ -17,6 +15,7 @@
     record_set,
     record_validation,
 )
+from returns import result
 
 Capacity = record_validation.Capacity
 Fault = record_faults.Fault
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/run_times.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/run_times.py
@@ -6,9 +6,8 @@
 import dataclasses
 import math
 
-from hdrh import histogram
-
 from ebonyhatch.core import entities
+from hdrh import histogram
 
 LEAST_SAMPLES = 20
 """Finished jobs of a class before its estimates count."""
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/scheduler.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/scheduler.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Sequence
 
 import msgspec
-
 from ebonyhatch.core import commands, errors, events, views
 
 
--- a/packages/ebonyhatch-core/src/ebonyhatch/core/sizes.py
+++ b/packages/ebonyhatch-core/src/ebonyhatch/core/sizes.py
@@ -5,9 +5,8 @@
 import collections
 import dataclasses
 
-from hdrh import histogram
-
 from ebonyhatch.core import entities, resources
+from hdrh import histogram
 
 UNITS = 1000
 """Units of the histograms in a core or a gigabyte."""
--- a/packages/ebonyhatch-core/tests/test_records.py
+++ b/packages/ebonyhatch-core/tests/test_records.py
@@ -1,9 +1,6 @@
 import json
 
 import pytest
-from hypothesis import given, settings
-from hypothesis import strategies as st
-
 from ebonyhatch.core import (
     entities,
     record_changes,
@@ -12,6 +9,8 @@
     records,
     resources,
 )
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 ACCEPTED = [
     {"kind": "priority", "name": "top", "schema_version": 1, "rank": 5},
--- a/packages/ebonyhatch-core/tests/test_retry.py
+++ b/packages/ebonyhatch-core/tests/test_retry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import pytest
-
 from ebonyhatch.core import default_scheduler, entities, events, resources
 
 SLOTS = 2
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
@@ -5,10 +5,9 @@
 import abc
 from collections.abc import Callable
 
-from returns import result
-
 from ebonyhatch.fleet import decision_log, queues, store
 from ebonyhatch.node import coroutines
+from returns import result
 
 WATCH_S = 1.5
 """Longest wait of one watch, seconds; bounds how long a silent connection hides a version."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/registry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/registry.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 import msgspec
-
 from ebonyhatch.fleet import rows, tails
 
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decision_log.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decision_log.py
@@ -9,7 +9,6 @@
 
 import eliot
 import msgspec
-
 from ebonyhatch.fleet import rows
 
 LINES_PER_S = 400.0
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -7,9 +7,6 @@
 from collections.abc import Callable
 
 import msgspec
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.fleet import (
     admission,
     clocks,
@@ -26,6 +23,8 @@
 )
 from ebonyhatch.fleet import owner as owner_module
 from ebonyhatch.node import coroutines, peers
+from returns import result
+from twisted.internet import defer
 
 OWNER_CALL_S = 0.4
 """Longest wait for the owner's answer, seconds; the store is asked after it."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/jobs.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/jobs.py
@@ -5,7 +5,6 @@
 import re
 
 import msgspec
-
 from ebonyhatch.core import errors
 
 JOB_ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -7,8 +7,6 @@
 from collections.abc import Callable
 
 import msgspec
-from returns import result
-
 from ebonyhatch.core import errors
 from ebonyhatch.fleet import (
     clocks,
@@ -20,6 +18,7 @@
     store,
 )
 from ebonyhatch.node import coroutines
+from returns import result
 
 GATHER_S = 0.1
 """Time for which changes gather before they are written, seconds: ten writes a second at most,
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/learnt.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/learnt.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import msgspec
-
 from ebonyhatch.fleet import decision_log, run_times, tails
 
 SAVE_S = 4.0
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_peers.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_peers.py
@@ -4,11 +4,10 @@
 
 from typing import Any
 
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.node import messages
 from ebonyhatch.node import peers as peers_
+from returns import result
+from twisted.internet import defer
 
 LATENCY_S = 0.001
 """Time that a message takes, seconds."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_store.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_store.py
@@ -6,11 +6,10 @@
 import itertools
 from typing import Any
 
+from ebonyhatch.fleet import store
 from returns import result
 from twisted.internet import defer
 
-from ebonyhatch.fleet import store
-
 HISTORY_LIMIT = 10_000
 """Changes that are remembered for watches."""
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
@@ -7,11 +7,10 @@
 from typing import Any
 
 import msgspec
+from ebonyhatch.fleet import targets
 from returns import result
 from twisted.internet import defer
 
-from ebonyhatch.fleet import targets
-
 ORDER_LATENCY_S = 0.002
 """Time that a call takes, seconds."""
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -5,7 +5,6 @@
 import os
 
 import msgspec
-
 from ebonyhatch.fleet import (
     admission,
     clocks,
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -6,9 +6,6 @@
 from collections.abc import Callable
 
 import msgspec
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.fleet import (
     clocks,
     commands,
@@ -27,6 +24,8 @@
     targets,
 )
 from ebonyhatch.node import coroutines
+from returns import result
+from twisted.internet import defer
 
 WATCH_S = 3.0
 """Longest wait of one watch, seconds."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -7,10 +7,9 @@
 from typing import TypeVar
 
 import msgspec
-from returns import result
-
 from ebonyhatch.fleet import clocks, decision_log, keys, store
 from ebonyhatch.node import coroutines
+from returns import result
 
 LEASE_TTL_S = 1.5
 """Time of an entry's lease, seconds: a killed owner is replaced after it; see docs/design."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/store.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/store.py
@@ -5,9 +5,8 @@
 import abc
 
 import msgspec
-from returns import result
-
 from ebonyhatch.core import errors
+from returns import result
 
 ABSENT = 0
 """Revision of a key that doesn't exist."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -7,10 +7,9 @@
 from collections.abc import Callable
 
 import msgspec
-from returns import result
-
 from ebonyhatch.fleet import clocks, commands, decision_log, rows, targets
 from ebonyhatch.node import coroutines
+from returns import result
 
 HOLD_WAIT_S = 1.0
 """Longest wait of a target for an end, seconds; readings are renewed as often."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/targets.py
@@ -6,9 +6,8 @@
 import enum
 
 import msgspec
-from returns import result
-
 from ebonyhatch.core import errors
+from returns import result
 
 
 class TargetError(errors.EbonyhatchError):
--- a/packages/ebonyhatch-fleet/tests/test_histories.py
+++ b/packages/ebonyhatch-fleet/tests/test_histories.py
@@ -7,7 +7,6 @@
 import hypothesis
 import hypothesis.strategies as st
 import world as world_module
-
 from ebonyhatch.fleet import entry, jobs
 
 EXAMPLES = 20
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 import world as world_module
-
 from ebonyhatch.fleet import entry, jobs, queues, targets
 
 TWO_STEPS = (
--- a/packages/ebonyhatch-fleet/tests/test_pacing.py
+++ b/packages/ebonyhatch-fleet/tests/test_pacing.py
@@ -3,7 +3,6 @@
 import itertools
 
 import pytest
-
 from ebonyhatch.fleet import commands, jobs, pacing, progress, queues, rows, tables, tails, targets
 
 LIMIT_S = 0.02
--- a/packages/ebonyhatch-fleet/tests/test_run_times.py
+++ b/packages/ebonyhatch-fleet/tests/test_run_times.py
@@ -3,7 +3,6 @@
 import random
 
 import pytest
-
 from ebonyhatch.fleet import run_times
 
 
--- a/packages/ebonyhatch-fleet/tests/test_scheduler.py
+++ b/packages/ebonyhatch-fleet/tests/test_scheduler.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 import pytest
-
 from ebonyhatch.fleet import jobs, queues, rows, scheduler, targets
 
 QUEUE = queues.Queue(name="q", host="h", prefix="/q/", pool="p", priority=1, max_attempts=3)
--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -6,8 +6,6 @@
 import itertools
 
 import msgspec
-from twisted.internet import defer, task
-
 from ebonyhatch.fleet import (
     clocks,
     configuration_source,
@@ -22,6 +20,7 @@
     target_list,
     targets,
 )
+from twisted.internet import defer, task
 
 STEP_S = 0.005
 CONFIGURATION_KEY = "operators/configuration"
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/admin.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/admin.py
@@ -9,11 +9,6 @@
 import eliot
 import klein
 import msgspec
-from returns import result
-from twisted.python import failure
-from twisted.web import server
-from werkzeug import exceptions
-
 from ebonyhatch.core import commands, record_changes, records
 from ebonyhatch.node import (
     access,
@@ -26,6 +21,10 @@
     logs,
     problems,
 )
+from returns import result
+from twisted.python import failure
+from twisted.web import server
+from werkzeug import exceptions
 
 HTTP_INTERNAL = 500
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/admin_answers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/admin_answers.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import msgspec
-from twisted.web import server
-
 from ebonyhatch.core import commands, record_changes, record_faults
 from ebonyhatch.node import (
     admin_errors,
@@ -13,6 +11,7 @@
     configuration_head,
     problems,
 )
+from twisted.web import server
 
 
 class Records(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/admin_requests.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/admin_requests.py
@@ -4,9 +4,8 @@
 
 import re
 
-from twisted.web import server
-
 from ebonyhatch.node import access, admin_errors
+from twisted.web import server
 
 JSON_TYPES = ("", "application/json")
 """Media types of a body that is read; the empty one stands for none given."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/admin_view.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/admin_view.py
@@ -6,7 +6,6 @@
 from collections.abc import Awaitable
 
 import msgspec
-
 from ebonyhatch.core import resources
 
 SHOWN_LIMIT = 1_000
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell.py
@@ -8,9 +8,6 @@
 from typing import Any, Protocol
 
 import msgspec
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import (
     commands,
     configuration,
@@ -36,6 +33,8 @@
     worker_link,
 )
 from ebonyhatch.ports import instances, store, timing, workers
+from returns import result
+from twisted.internet import defer
 
 TICK_S = 0.1
 """Longest time between two ticks of the scheduler, seconds."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell_set.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell_set.py
@@ -5,12 +5,11 @@
 from collections.abc import Callable, Mapping
 
 import msgspec
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import configuration, errors
 from ebonyhatch.node import cell, instance_view, messages
 from ebonyhatch.ports import timing
+from returns import result
+from twisted.internet import defer
 
 RETRY_S = 1.0
 """Pause before a cell whose takeover failed is tried again."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell_state.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell_state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import msgspec
-
 from ebonyhatch.core import job_machine, journal_entries
 from ebonyhatch.node import job_table, keyed_requests
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/cell_workers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/cell_workers.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 import msgspec
-
 from ebonyhatch.core import events, resources
 from ebonyhatch.node import coroutines, messages, task_reports, worker_link
 from ebonyhatch.ports import backoff, instances, timing, workers
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration.py
@@ -6,9 +6,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import configuration, record_faults, records
 from ebonyhatch.node import (
     configuration_current,
@@ -19,6 +16,8 @@
     coroutines,
 )
 from ebonyhatch.ports import store, timing
+from returns import result
+from twisted.internet import defer
 
 PEERS_SETTLE_S = 2.0
 """How long a fresh entry waits for peers before it puts what it has read in force."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_current.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_current.py
@@ -6,11 +6,10 @@
 from collections.abc import Callable
 
 import eliot
-from returns import result
-
 from ebonyhatch.core import configuration, record_faults, records
 from ebonyhatch.node import configuration_errors, configuration_head, logs
 from ebonyhatch.ports import timing
+from returns import result
 
 OnChange = Callable[[configuration.InForce], None]
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_head.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_head.py
@@ -6,11 +6,10 @@
 from typing import Annotated
 
 import msgspec
-from returns import result
-
 from ebonyhatch.core import record_changes
 from ebonyhatch.node import configuration_errors
 from ebonyhatch.ports import store
+from returns import result
 
 KEY = "configuration/head"
 """The one key of the configuration."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_watch.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_watch.py
@@ -5,9 +5,6 @@
 import random
 from typing import Any
 
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.node import (
     configuration_current,
     configuration_errors,
@@ -15,6 +12,8 @@
     coroutines,
 )
 from ebonyhatch.ports import backoff, store, timing
+from returns import result
+from twisted.internet import defer
 
 WATCH_WAIT_S = 30.0
 """How long the store may hold a watch."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_writes.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/configuration_writes.py
@@ -5,8 +5,6 @@
 import random
 
 import msgspec
-from returns import result
-
 from ebonyhatch.core import record_changes, records
 from ebonyhatch.node import (
     configuration_current,
@@ -15,6 +13,7 @@
     coroutines,
 )
 from ebonyhatch.ports import backoff, store, timing
+from returns import result
 
 TRIES = 10
 """Most rounds of read and compare-and-swap of one write."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/coroutines.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/coroutines.py
@@ -5,11 +5,10 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
+from ebonyhatch.ports import timing
 from twisted.internet import defer
 from twisted.python import failure, log
 
-from ebonyhatch.ports import timing
-
 T = TypeVar("T")
 
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
@@ -6,9 +6,6 @@
 from typing import Any
 
 import msgspec
-from twisted.internet import defer, task
-from twisted.web import resource
-
 from ebonyhatch.core import configuration as configurations
 from ebonyhatch.core import default_scheduler, errors, scheduler
 from ebonyhatch.node import (
@@ -42,6 +39,8 @@
     store_health,
 )
 from ebonyhatch.ports import guarded_store, instances, store, workers
+from twisted.internet import defer, task
+from twisted.web import resource
 
 DEFAULT_POLICY = default_scheduler.DefaultScheduler
 GAUGES_PERIOD_S = 5.0
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/daemon_view.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/daemon_view.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Callable, Iterable
 
-from returns import result
-
 from ebonyhatch.core import views
 from ebonyhatch.node import (
     admin_view,
@@ -18,6 +16,7 @@
     store_health,
 )
 from ebonyhatch.ports import instances
+from returns import result
 
 EXPLAIN_TIMEOUT_S = 2.0
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/forwarding.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/forwarding.py
@@ -7,7 +7,6 @@
 from collections.abc import Collection, Sequence
 
 import msgspec
-
 from ebonyhatch.core import scheduler
 
 AGE_LIMIT_S = 4.0
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/frames.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/frames.py
@@ -7,10 +7,9 @@
 from typing import Annotated, Any, Union
 
 import msgspec
-from returns import result
-
 from ebonyhatch.core import errors
 from ebonyhatch.node import messages
+from returns import result
 
 VERSION = 1
 FRAME_LIMIT_BYTES = 6_000_000
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
@@ -6,10 +6,6 @@
 
 import klein
 import msgspec
-from returns import result
-from twisted.internet import defer
-from twisted.web import server
-
 from ebonyhatch.core import commands, configuration, entities
 from ebonyhatch.node import (
     caller_errors,
@@ -22,6 +18,9 @@
     service_calls,
 )
 from ebonyhatch.ports import header_rules, timing, workers
+from returns import result
+from twisted.internet import defer
+from twisted.web import server
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/gossip.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/gossip.py
@@ -7,9 +7,8 @@
 from typing import Any, Protocol
 
 import msgspec
-from twisted.internet import task
-
 from ebonyhatch.node import messages
+from twisted.internet import task
 
 PERIOD_S = 1.0
 FAR_FANOUT = 2
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/heads.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/heads.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
+from ebonyhatch.node import configuration, gossip, messages, ownership, peers
 from returns import result
 from twisted.internet import defer
 
-from ebonyhatch.node import configuration, gossip, messages, ownership, peers
-
 CALL_TIMEOUT_S = 2.0
 
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/held_cells.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/held_cells.py
@@ -4,9 +4,8 @@
 
 from collections.abc import Callable, Mapping
 
-from twisted.internet import defer
-
 from ebonyhatch.node import ownership_record
+from twisted.internet import defer
 
 
 class HeldCells:
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/instance_view.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/instance_view.py
@@ -4,11 +4,10 @@
 
 from collections.abc import Callable
 
-from returns import result
-from twisted.internet import defer, task
-
 from ebonyhatch.core import rendezvous
 from ebonyhatch.ports import instances, timing
+from returns import result
+from twisted.internet import defer, task
 
 READ_PERIOD_S = 1.0
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/job_calls.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_calls.py
@@ -6,10 +6,9 @@
 from typing import Annotated
 
 import msgspec
-from returns import result
-
 from ebonyhatch.core import configuration, entities, resources
 from ebonyhatch.node import caller_errors, service_calls
+from returns import result
 
 JOB_ID_PATTERN = r"^[A-Za-z0-9._-]{1,100}$"
 """A job id has no slash: an attempt's id is the job's id, a slash and a number."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/job_requests.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_requests.py
@@ -5,9 +5,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import (
     commands,
     entities,
@@ -19,6 +16,8 @@
 )
 from ebonyhatch.node import cell_workers, elsewhere, journal, messages, task_entries, task_reports
 from ebonyhatch.ports import timing
+from returns import result
+from twisted.internet import defer
 
 JOBS_LIMIT = 50_000
 """Jobs that a cell holds."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/job_table.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_table.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import msgspec
-
 from ebonyhatch.core import job_machine, journal_entries
 
 ENDED_KEPT = 2000
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/job_transfers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/job_transfers.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable
 
 import msgspec
-from returns import result
-
 from ebonyhatch.core import entities, events, job_machine, journal_entries, resources
 from ebonyhatch.node import (
     cell_workers,
@@ -23,6 +21,7 @@
     task_reports,
 )
 from ebonyhatch.ports import timing
+from returns import result
 
 PERIOD_S = 1.0
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/journal.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/journal.py
@@ -7,9 +7,6 @@
 from collections.abc import Callable
 
 import msgspec
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import errors, journal_entries
 from ebonyhatch.node import (
     cell_state,
@@ -20,6 +17,8 @@
     store_values,
 )
 from ebonyhatch.ports import backoff, store, timing
+from returns import result
+from twisted.internet import defer
 
 WRITE_INTERVAL_S = 0.1
 """Least time between two writes of one cell, seconds."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/journal_log.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/journal_log.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import msgspec
-
 from ebonyhatch.core import journal_entries
 from ebonyhatch.node import settled_store, snapshots, store_values
 from ebonyhatch.ports import store
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/keyed_driver.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/keyed_driver.py
@@ -6,12 +6,11 @@
 from collections.abc import Callable
 
 import msgspec
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import commands, journal_entries
 from ebonyhatch.node import coroutines, journal, keyed_requests, messages, request_driver
 from ebonyhatch.ports import timing
+from returns import result
+from twisted.internet import defer
 
 Serve = Callable[[messages.RequestCall], request_driver.ReplyOutcome]
 Refusal = Callable[[messages.RequestCall, str], messages.RequestReply]
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/keyed_requests.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/keyed_requests.py
@@ -7,7 +7,6 @@
 import hashlib
 
 import msgspec
-
 from ebonyhatch.core import journal_entries
 from ebonyhatch.node import messages
 from ebonyhatch.ports import workers
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/logs.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/logs.py
@@ -9,7 +9,6 @@
 
 import eliot
 import msgspec
-
 from ebonyhatch.core import errors
 
 SECRET_FIELDS = frozenset(
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/main.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/main.py
@@ -10,12 +10,11 @@
 from typing import Any
 
 import click
-from returns import result
-from twisted.internet import defer, error
-
 from ebonyhatch.core import errors
 from ebonyhatch.node import daemon, logs, settings
 from ebonyhatch.ports import http_instances, http_store, http_workers
+from returns import result
+from twisted.internet import defer, error
 
 EXIT_BAD_SETTINGS = 2
 EXIT_NOT_STARTED = 3
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/membership.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/membership.py
@@ -5,10 +5,9 @@
 import random
 from collections.abc import Callable
 
-from returns import result
-
 from ebonyhatch.node import coroutines, ownership_record
 from ebonyhatch.ports import backoff, store, timing
+from returns import result
 
 LEASE_TTL_S = 6.0
 """Time that the lease runs without a renewal, seconds."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/metrics.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/metrics.py
@@ -6,9 +6,8 @@
 
 import prometheus_client
 import prometheus_client.metrics_core
-from twisted.internet import defer, task
-
 from ebonyhatch.node import labels
+from twisted.internet import defer, task
 
 LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 2.5, 10.0, 60.0, 600.0)
 """Bounds of the latency histograms, seconds."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/other_cells.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/other_cells.py
@@ -5,11 +5,10 @@
 import collections
 from collections.abc import Iterator, Mapping
 
-from returns import result
-
 from ebonyhatch.core import resources
 from ebonyhatch.node import cell, elsewhere, gossip, messages, peers, routing
 from ebonyhatch.ports import timing
+from returns import result
 
 CALL_TIMEOUT_S = 6.0
 """Longest wait for a peer's answer about a transfer, seconds; longer than a journal write."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/ownership.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/ownership.py
@@ -6,9 +6,6 @@
 from collections.abc import Callable, Mapping
 
 import msgspec
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import errors, rendezvous
 from ebonyhatch.node import (
     coroutines,
@@ -20,6 +17,8 @@
     silent_members,
 )
 from ebonyhatch.ports import backoff, store, timing
+from returns import result
+from twisted.internet import defer
 
 Member = ownership_record.Member
 Owner = ownership_record.Owner
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/paced_store.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/paced_store.py
@@ -6,9 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import defer
-
 from ebonyhatch.ports import store, timing
+from twisted.internet import defer
 
 WRITES_PER_S = 8.0
 """Writes of journals and snapshots a second; the lease and the ownership record need the rest
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/peer_calls.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/peer_calls.py
@@ -6,11 +6,10 @@
 import os
 from typing import Any
 
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import errors
 from ebonyhatch.node import messages
+from returns import result
+from twisted.internet import defer
 
 INCARNATION_BYTES = 8
 COUNTER_BYTES = 8
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/peer_handlers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/peer_handlers.py
@@ -4,8 +4,6 @@
 
 from typing import Any
 
-from twisted.internet import defer
-
 from ebonyhatch.node import (
     daemon_view,
     gossip,
@@ -15,6 +13,7 @@
     route_choice,
     routing,
 )
+from twisted.internet import defer
 
 JOB_CALLS = (messages.JobSubmitCall, messages.JobShowCall, messages.JobCancelCall)
 TRANSFER_CALLS = (messages.TransferCall, messages.ReleaseCall)
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/peer_link.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/peer_link.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 import msgspec
-
 from ebonyhatch.node import frames, keys, peer_sockets
 
 SILENCE_S = 3.0
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/peer_sockets.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/peer_sockets.py
@@ -7,9 +7,8 @@
 
 import txzmq
 import zmq
-from returns import result
-
 from ebonyhatch.node import frames, keys
+from returns import result
 
 QUEUE_LIMIT_FRAMES = 512
 """Frames that a socket queues for one connection."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/peers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/peers.py
@@ -5,13 +5,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from returns import pipeline, result
-from twisted.internet import defer, task
-from twisted.python import failure
-
 from ebonyhatch.core import errors
 from ebonyhatch.node import frames, logs, messages, peer_calls, peer_link, peer_sockets
 from ebonyhatch.node import keys as keys_
+from returns import pipeline, result
+from twisted.internet import defer, task
+from twisted.python import failure
 
 PeerAddress = peer_link.PeerAddress
 PeerError = peer_calls.PeerError
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/problems.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/problems.py
@@ -7,9 +7,8 @@
 from http import HTTPStatus
 
 import msgspec
-from twisted.web import server
-
 from ebonyhatch.core import commands, record_faults
+from twisted.web import server
 
 CONTENT_TYPE = "application/problem+json"
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/request_driver.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/request_driver.py
@@ -8,12 +8,11 @@
 from collections.abc import Callable
 
 import msgspec
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import commands, entities, events
 from ebonyhatch.node import coroutines, messages, worker_link
 from ebonyhatch.ports import timing, workers
+from returns import result
+from twisted.internet import defer
 
 DEADLINE_GRACE_S = 0.25
 """Time past its deadline after which a request is ended without the scheduler, seconds."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/routing.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/routing.py
@@ -6,12 +6,11 @@
 from collections.abc import Collection, Mapping, Sequence
 
 import msgspec
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import commands, entities, rendezvous
 from ebonyhatch.node import cell, forwarding, messages, peers
 from ebonyhatch.ports import timing
+from returns import result
+from twisted.internet import defer
 
 TRIES_LIMIT = 2
 """Cells that are asked for one request; a second one only after a certain `not run`."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/service_calls.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/service_calls.py
@@ -6,11 +6,10 @@
 from collections.abc import Sequence
 
 import msgspec
-from returns import result
-
 from ebonyhatch.core import configuration, entities
 from ebonyhatch.node import caller_errors, messages
 from ebonyhatch.ports import header_rules, workers
+from returns import result
 
 CLASS_HEADER = "ebonyhatch-class"
 TENANT_HEADER = "ebonyhatch-tenant"
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/settings.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/settings.py
@@ -9,10 +9,9 @@
 
 import json5
 import msgspec
-from returns import result
-
 from ebonyhatch.core import errors
 from ebonyhatch.node import keys, settings_schema
+from returns import result
 
 FILE_LIMIT_BYTES = 65_536
 """Largest settings file."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/settled_store.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/settled_store.py
@@ -5,10 +5,9 @@
 import random
 
 import msgspec
-from returns import result
-
 from ebonyhatch.node import coroutines
 from ebonyhatch.ports import backoff, store
+from returns import result
 
 
 class Written(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/shared_record.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/shared_record.py
@@ -6,12 +6,11 @@
 from collections.abc import Callable
 
 import msgspec
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import errors
 from ebonyhatch.node import coroutines, ownership_record, settled_store
 from ebonyhatch.ports import backoff, store
+from returns import result
+from twisted.internet import defer
 
 WATCH_S = 30.0
 """Longest wait of one watch on the record, seconds."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/silent_members.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/silent_members.py
@@ -6,10 +6,9 @@
 import random
 from collections.abc import Collection
 
-from returns import result
-
 from ebonyhatch.node import membership, ownership_record
 from ebonyhatch.ports import backoff, store, timing
+from returns import result
 
 PROBE_INTERVAL_S = 0.9
 """Time between two looks at an entry that fell silent lately, seconds."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/snapshots.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/snapshots.py
@@ -5,7 +5,6 @@
 import zlib
 
 import msgspec
-
 from ebonyhatch.core import errors
 from ebonyhatch.node import settled_store, store_values
 from ebonyhatch.ports import store
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/store_values.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/store_values.py
@@ -6,7 +6,6 @@
 from typing import TypeVar
 
 import msgspec
-
 from ebonyhatch.core import errors
 
 FORMAT_VERSION = 1
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/task_driver.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/task_driver.py
@@ -5,11 +5,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from returns import result
-
 from ebonyhatch.core import commands, events, job_machine, journal_entries
 from ebonyhatch.node import attempts, coroutines, journal, task_entries, task_reports, worker_link
 from ebonyhatch.ports import timing, workers
+from returns import result
 
 LEAVING_REASON = "leaving"
 """Word in a worker's refusal that says that it takes nothing new."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/task_entries.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/task_entries.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import msgspec
-
 from ebonyhatch.core import events, job_machine, journal_entries
 from ebonyhatch.ports import workers
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/task_reports.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/task_reports.py
@@ -5,12 +5,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import events, job_machine, journal_entries
 from ebonyhatch.node import attempts, coroutines, journal, task_entries, worker_link
 from ebonyhatch.ports import timing, workers
+from returns import result
+from twisted.internet import defer
 
 Emit = Callable[[events.Event], None]
 Stop = Callable[[attempts.Attempt, worker_link.WorkerLink], None]
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/worker_link.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/worker_link.py
@@ -4,11 +4,10 @@
 
 from collections.abc import Callable
 
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.node import coroutines
 from ebonyhatch.ports import backoff, instances, timing, workers
+from returns import result
+from twisted.internet import defer
 
 RENEW_INTERVAL_S = 1.0
 """Time between two renewals of a worker, seconds."""
--- a/packages/ebonyhatch-node/tests/test_admin.py
+++ b/packages/ebonyhatch-node/tests/test_admin.py
@@ -3,10 +3,6 @@
 import jsonschema
 import msgspec
 import pytest
-from hypothesis import given, settings
-from hypothesis import strategies as st
-from twisted.internet import task
-
 from ebonyhatch.node import (
     access,
     admin,
@@ -17,6 +13,9 @@
 )
 from ebonyhatch.ports import memory_store
 from ebonyhatch.testing import http_exchange, samples
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet import task
 
 TOKEN = "a-token"
 BEARER = ("Authorization", f"Bearer {TOKEN}")
--- a/packages/ebonyhatch-node/tests/test_cell.py
+++ b/packages/ebonyhatch-node/tests/test_cell.py
@@ -5,9 +5,6 @@
 import json
 
 import msgspec
-from returns import result
-from twisted.internet import task
-
 from ebonyhatch.core import (
     commands,
     configuration,
@@ -19,6 +16,8 @@
 from ebonyhatch.node import cell, cell_status, journal, messages
 from ebonyhatch.ports import instances, memory_store, memory_workers, workers
 from ebonyhatch.testing.benches import heap_clock
+from returns import result
+from twisted.internet import task
 
 CAPACITY = resources.Resources(slots=4, connections=64, cores=8.0, memory_gb=16.0)
 CLASSES = (
--- a/packages/ebonyhatch-node/tests/test_configuration.py
+++ b/packages/ebonyhatch-node/tests/test_configuration.py
@@ -1,8 +1,4 @@
 import pytest
-from hypothesis import Phase, given, settings
-from hypothesis import strategies as st
-from returns import result
-
 from ebonyhatch.node import (
     configuration,
     configuration_current,
@@ -11,6 +7,9 @@
 )
 from ebonyhatch.ports import fault_switches
 from ebonyhatch.testing import checker, configuration_fleet
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+from returns import result
 
 
 @pytest.fixture
--- a/packages/ebonyhatch-node/tests/test_configuration_current.py
+++ b/packages/ebonyhatch-node/tests/test_configuration_current.py
@@ -1,11 +1,10 @@
+from ebonyhatch.core import configuration as in_force
+from ebonyhatch.node import configuration_current, configuration_head
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns import result
 from twisted.internet import task
 
-from ebonyhatch.core import configuration as in_force
-from ebonyhatch.node import configuration_current, configuration_head
-
 
 def heads():
     raw = configuration_head.encode(
--- a/packages/ebonyhatch-node/tests/test_configuration_scenarios.py
+++ b/packages/ebonyhatch-node/tests/test_configuration_scenarios.py
@@ -1,9 +1,8 @@
 import pytest
-from pytest_bdd import given, parsers, scenarios, then, when
-from returns import result
-
 from ebonyhatch.core import commands
 from ebonyhatch.testing import configuration_fleet
+from pytest_bdd import given, parsers, scenarios, then, when
+from returns import result
 
 SLOW_CALL_S = 0.5
 
--- a/packages/ebonyhatch-node/tests/test_configuration_writes.py
+++ b/packages/ebonyhatch-node/tests/test_configuration_writes.py
@@ -1,6 +1,4 @@
 import pytest
-from returns import result
-
 from ebonyhatch.core import commands
 from ebonyhatch.node import (
     configuration,
@@ -9,6 +7,7 @@
     configuration_writes,
 )
 from ebonyhatch.testing import configuration_fleet
+from returns import result
 
 
 @pytest.fixture
--- a/packages/ebonyhatch-node/tests/test_frames.py
+++ b/packages/ebonyhatch-node/tests/test_frames.py
@@ -1,10 +1,9 @@
 import msgspec
+from ebonyhatch.node import frames, messages
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns import pipeline
 
-from ebonyhatch.node import frames, messages
-
 CALL = messages.OwnershipReply(version=3, record=b"record")
 GOOD = frames.encode(kind=frames.Kind.CALL, sender="a", correlation=b"id", message=CALL)
 
--- a/packages/ebonyhatch-node/tests/test_gateway.py
+++ b/packages/ebonyhatch-node/tests/test_gateway.py
@@ -4,11 +4,10 @@
 
 import json
 
-from twisted.internet import defer, task, testing
-
 from ebonyhatch.core import commands, configuration, entities
 from ebonyhatch.node import gateway, http_server, messages, metrics
 from ebonyhatch.ports import workers
+from twisted.internet import defer, task, testing
 
 IN_FORCE = configuration.InForce(
     generation=1,
--- a/packages/ebonyhatch-node/tests/test_instance_view.py
+++ b/packages/ebonyhatch-node/tests/test_instance_view.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from twisted.internet import task
-
 from ebonyhatch.node import instance_view
 from ebonyhatch.ports import instances, memory_instances
+from twisted.internet import task
 
 
 def worker(number, state=instances.InstanceState.LIVE):
--- a/packages/ebonyhatch-node/tests/test_job_calls.py
+++ b/packages/ebonyhatch-node/tests/test_job_calls.py
@@ -5,11 +5,10 @@
 import hypothesis
 import msgspec
 import pytest
-from hypothesis import strategies
-from returns import result
-
 from ebonyhatch.core import configuration, entities, resources
 from ebonyhatch.node import caller_errors, job_calls
+from hypothesis import strategies
+from returns import result
 
 IN_FORCE = configuration.InForce(
     generation=1,
--- a/packages/ebonyhatch-node/tests/test_job_transfers.py
+++ b/packages/ebonyhatch-node/tests/test_job_transfers.py
@@ -5,8 +5,6 @@
 import json
 
 import pytest
-from twisted.internet import task
-
 from ebonyhatch.core import (
     configuration,
     default_scheduler,
@@ -17,6 +15,7 @@
 )
 from ebonyhatch.node import cell, elsewhere, messages
 from ebonyhatch.ports import instances, memory_store, memory_workers
+from twisted.internet import task
 
 POLICY = default_scheduler.DefaultScheduler
 
--- a/packages/ebonyhatch-node/tests/test_journal.py
+++ b/packages/ebonyhatch-node/tests/test_journal.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import pytest
-from returns import result
-from twisted.internet import defer, task
-
 from ebonyhatch.core import entities, journal_entries, resources
 from ebonyhatch.node import journal, journal_log, snapshots, store_values
 from ebonyhatch.ports import memory_store, store_engine
+from returns import result
+from twisted.internet import defer, task
 
 
 class Bench:
--- a/packages/ebonyhatch-node/tests/test_logs.py
+++ b/packages/ebonyhatch-node/tests/test_logs.py
@@ -2,7 +2,6 @@
 import json
 
 import pytest
-
 from ebonyhatch.node import logs
 
 
--- a/packages/ebonyhatch-node/tests/test_main.py
+++ b/packages/ebonyhatch-node/tests/test_main.py
@@ -7,9 +7,8 @@
 
 import pytest
 from click import testing
-from twisted.internet import defer, task
-
 from ebonyhatch.node import main
+from twisted.internet import defer, task
 
 EXAMPLE = pathlib.Path(__file__).parents[3] / "examples" / "entry-a.json"
 
--- a/packages/ebonyhatch-node/tests/test_metrics.py
+++ b/packages/ebonyhatch-node/tests/test_metrics.py
@@ -1,11 +1,10 @@
 import functools
 
 import prometheus_client
+from ebonyhatch.node import labels, metrics
 from prometheus_client import parser
 from twisted.internet import task
 
-from ebonyhatch.node import labels, metrics
-
 
 def test_pairs_beyond_the_bound_are_folded():
     counted = metrics.Metrics(label_sets=3)
--- a/packages/ebonyhatch-node/tests/test_operating_page.py
+++ b/packages/ebonyhatch-node/tests/test_operating_page.py
@@ -6,7 +6,6 @@
 
 import msgspec
 import pytest
-
 from ebonyhatch.core import record_schema, records
 from ebonyhatch.node import metrics, settings, settings_schema
 
--- a/packages/ebonyhatch-node/tests/test_ownership.py
+++ b/packages/ebonyhatch-node/tests/test_ownership.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from returns import result
-from twisted.internet import defer, task
-
 from ebonyhatch.node import ownership
 from ebonyhatch.ports import memory_store, store_engine
+from returns import result
+from twisted.internet import defer, task
 
 DOMAINS = ("a", "b", "c")
 
--- a/packages/ebonyhatch-node/tests/test_paced_store.py
+++ b/packages/ebonyhatch-node/tests/test_paced_store.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from twisted.internet import task
-
 from ebonyhatch.node import paced_store
 from ebonyhatch.ports import memory_store
+from twisted.internet import task
 
 
 def test_writes_of_all_cells_together_stay_under_the_limit():
--- a/packages/ebonyhatch-node/tests/test_peers.py
+++ b/packages/ebonyhatch-node/tests/test_peers.py
@@ -1,11 +1,10 @@
 """The peer network over real sockets on loopback."""
 
 import pytest
-from twisted.internet import defer, protocol, reactor, task
-from twisted.trial import unittest
-
 from ebonyhatch.node import frames, keys, messages, peer_sockets, peers
 from ebonyhatch.ports import workers
+from twisted.internet import defer, protocol, reactor, task
+from twisted.trial import unittest
 
 SILENCE_S = 0.3
 LONG_S = 30.0
--- a/packages/ebonyhatch-node/tests/test_route_choice.py
+++ b/packages/ebonyhatch-node/tests/test_route_choice.py
@@ -4,10 +4,9 @@
 
 import random
 
-from twisted.internet import task
-
 from ebonyhatch.core import scheduler
 from ebonyhatch.node import forwarding, messages, route_choice, routing
+from twisted.internet import task
 
 
 class Placements(routing.Placements):
--- a/packages/ebonyhatch-node/tests/test_service_calls.py
+++ b/packages/ebonyhatch-node/tests/test_service_calls.py
@@ -4,12 +4,11 @@
 
 import hypothesis
 import pytest
-from hypothesis import strategies
-from returns import result
-
 from ebonyhatch.core import configuration, entities
 from ebonyhatch.node import caller_errors, service_calls
 from ebonyhatch.ports import workers
+from hypothesis import strategies
+from returns import result
 
 IN_FORCE = configuration.InForce(
     generation=1,
--- a/packages/ebonyhatch-node/tests/test_settings.py
+++ b/packages/ebonyhatch-node/tests/test_settings.py
@@ -2,12 +2,11 @@
 import pathlib
 
 import pytest
+from ebonyhatch.node import keys, settings, settings_schema
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from ebonyhatch.node import keys, settings, settings_schema
-
 MINIMAL = """{
   // who this is
   "entry": {"id": "entry-1", "region": "r1", "failure_domain": "d1", "rack": "k1"},
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/behaviour.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/behaviour.py
@@ -5,7 +5,6 @@
 from typing import Annotated
 
 import msgspec
-
 from ebonyhatch.ports import workers
 
 WORK_SECONDS_HEADER = "x-work-s"
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/body_reader.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/body_reader.py
@@ -4,13 +4,12 @@
 
 from typing import Any
 
+from ebonyhatch.core import errors
+from ebonyhatch.ports import timing
 from twisted.internet import defer, protocol
 from twisted.python import failure as failure_module
 from twisted.web import client
 
-from ebonyhatch.core import errors
-from ebonyhatch.ports import timing
-
 
 class BodyError(errors.EbonyhatchError):
     """An answer's body did not arrive whole."""
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/circuit.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/circuit.py
@@ -5,7 +5,6 @@
 from typing import Protocol
 
 import automat
-
 from ebonyhatch.ports import backoff as backoff_module
 from ebonyhatch.ports import timing
 
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/connection_pool.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/connection_pool.py
@@ -6,11 +6,10 @@
 import dataclasses
 from typing import Any
 
+from ebonyhatch.ports import addresses, body_reader, timing
 from twisted.internet import defer, endpoints, protocol
 from twisted.web import client
 
-from ebonyhatch.ports import addresses, body_reader, timing
-
 PROBE_IDLE_S = 1.0
 """Idle time after which a connection is probed before it is used."""
 
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/guarded_store.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/guarded_store.py
@@ -7,12 +7,11 @@
 from collections.abc import Callable
 from typing import Any
 
+from ebonyhatch.ports import backoff, call_rate, circuit, store, timing
 from returns import result
 from twisted.internet import defer
 from twisted.python import failure
 
-from ebonyhatch.ports import backoff, call_rate, circuit, store, timing
-
 CALLS_PER_S = 50.0
 """Most calls a second that one entry makes."""
 
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/http_calls.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/http_calls.py
@@ -9,14 +9,13 @@
 
 import msgspec
 import treq.client
+from ebonyhatch.core import errors
+from ebonyhatch.ports import body_reader, connection_pool
 from returns import result
 from twisted.internet import defer
 from twisted.python import failure as failure_module
 from twisted.web import client, http_headers, iweb
 
-from ebonyhatch.core import errors
-from ebonyhatch.ports import body_reader, connection_pool
-
 CONNECT_TIMEOUT_S = 1.0
 """Longest time to open a connection."""
 
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/http_instances.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/http_instances.py
@@ -4,9 +4,8 @@
 
 from typing import Any
 
-from returns import result
-
 from ebonyhatch.ports import addresses, answers, http_calls, instances
+from returns import result
 
 CALL_TIMEOUT_S = 2.0
 """Longest wait for an answer."""
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/http_store.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/http_store.py
@@ -6,9 +6,8 @@
 from typing import Any
 
 import msgspec
-from returns import result
-
 from ebonyhatch.ports import addresses, answers, http_calls, store, store_messages
+from returns import result
 
 CALL_TIMEOUT_S = 2.0
 """Longest wait for an answer; a watch waits for its own time besides."""
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/http_workers.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/http_workers.py
@@ -6,9 +6,6 @@
 from typing import Any
 
 import msgspec
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.ports import (
     addresses,
     answers,
@@ -17,6 +14,8 @@
     worker_messages,
     workers,
 )
+from returns import result
+from twisted.internet import defer
 
 CALL_TIMEOUT_S = 2.0
 """Longest wait for the answer to a control call."""
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/instances.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/instances.py
@@ -6,11 +6,10 @@
 import enum
 
 import msgspec
+from ebonyhatch.core import errors
 from returns import result
 from twisted.internet import defer
 
-from ebonyhatch.core import errors
-
 
 class InstancesError(errors.EbonyhatchError):
     """The list could not be read."""
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/memory_calls.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/memory_calls.py
@@ -5,11 +5,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import errors
 from ebonyhatch.ports import fault_switches, timing
+from returns import result
+from twisted.internet import defer
 
 Outcome = defer.Deferred[Any]
 Effect = Callable[[], Any]
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/memory_workers.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/memory_workers.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import msgspec
-
 from ebonyhatch.core import resources
 from ebonyhatch.ports import (
     addresses,
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/store.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/store.py
@@ -5,11 +5,10 @@
 import abc
 
 import msgspec
+from ebonyhatch.core import errors
 from returns import result
 from twisted.internet import defer
 
-from ebonyhatch.core import errors
-
 ABSENT = 0
 """Version of a key that holds nothing."""
 
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/store_engine.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/store_engine.py
@@ -7,9 +7,8 @@
 import itertools
 import math
 
-from twisted.internet import defer
-
 from ebonyhatch.ports import store, timing
+from twisted.internet import defer
 
 HISTORY_LENGTH = 64
 """Past values kept for each key, for stale reads."""
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/worker_engine.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/worker_engine.py
@@ -7,10 +7,9 @@
 import math
 
 import msgspec
-from twisted.internet import defer
-
 from ebonyhatch.core import resources
 from ebonyhatch.ports import behaviour, fault_switches, holdings, task_run, timing, workers
+from twisted.internet import defer
 
 REQUEST_DEMAND = resources.Resources(slots=1, connections=1)
 """What one request to the service holds."""
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/workers.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/workers.py
@@ -6,11 +6,10 @@
 import enum
 
 import msgspec
+from ebonyhatch.core import errors, resources
 from returns import result
 from twisted.internet import defer
 
-from ebonyhatch.core import errors, resources
-
 
 class WorkerError(errors.EbonyhatchError):
     """Base of what a worker call may answer instead of a value."""
--- a/packages/ebonyhatch-ports/tests/test_answers_fuzz.py
+++ b/packages/ebonyhatch-ports/tests/test_answers_fuzz.py
@@ -4,11 +4,6 @@
 import json
 
 import pytest
-from hypothesis import given, settings
-from hypothesis import strategies as st
-from returns import result
-from twisted import logger
-
 from ebonyhatch.ports import (
     http_instances,
     http_store,
@@ -18,6 +13,10 @@
     workers,
 )
 from ebonyhatch.testing import real_reactor, scripted_server
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns import result
+from twisted import logger
 
 REACTOR = real_reactor.reactor
 SLOTS = {"slots": 8, "connections": 64, "cores": 32.0, "memory_gb": 125.0, "accelerators": 0}
--- a/packages/ebonyhatch-ports/tests/test_guarded_store.py
+++ b/packages/ebonyhatch-ports/tests/test_guarded_store.py
@@ -2,11 +2,10 @@
 import random
 
 import pytest
+from ebonyhatch.ports import guarded_store, memory_store, store, store_engine
 from returns import result
 from twisted.internet import task
 
-from ebonyhatch.ports import guarded_store, memory_store, store, store_engine
-
 CLIENTS = 6
 STEP_S = 0.02
 NOT_SENT = {guarded_store.CallOutcome.OVER_LIMIT, guarded_store.CallOutcome.CIRCUIT_OPEN}
--- a/packages/ebonyhatch-ports/tests/test_http_calls.py
+++ b/packages/ebonyhatch-ports/tests/test_http_calls.py
@@ -4,10 +4,9 @@
 import itertools
 
 import pytest
-from twisted.internet import defer
-
 from ebonyhatch.ports import addresses, connection_pool, http_calls, http_workers, workers
 from ebonyhatch.testing import real_reactor, scripted_server
+from twisted.internet import defer
 
 REACTOR = real_reactor.reactor
 
--- a/packages/ebonyhatch-ports/tests/test_memory_twins.py
+++ b/packages/ebonyhatch-ports/tests/test_memory_twins.py
@@ -1,8 +1,6 @@
 """The contracts, against the twins in memory on a fake clock."""
 
 import pytest
-from twisted.internet import task
-
 from ebonyhatch.ports import fault_switches, memory_instances, memory_store, memory_workers
 from ebonyhatch.ports import workers as workers_port
 from ebonyhatch.testing.contracts import (
@@ -11,6 +9,7 @@
     store_contract,
     workers_contract,
 )
+from twisted.internet import task
 
 TIMEOUT_S = 0.5
 
--- a/packages/ebonyhatch-ports/tests/test_store_engine.py
+++ b/packages/ebonyhatch-ports/tests/test_store_engine.py
@@ -1,12 +1,11 @@
 """The store's engine against a naive model that works everything out from a log."""
 
+from ebonyhatch.ports import store, store_engine
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from twisted.internet import task
 
-from ebonyhatch.ports import store, store_engine
-
 KEYS = ("a", "b")
 TTL_S = 4.0
 
--- a/packages/ebonyhatch-ports/tests/test_worker_engine.py
+++ b/packages/ebonyhatch-ports/tests/test_worker_engine.py
@@ -1,8 +1,7 @@
 import pytest
-from twisted.internet import task
-
 from ebonyhatch.core import resources
 from ebonyhatch.ports import worker_engine, workers
+from twisted.internet import task
 
 CAPACITY = resources.Resources(slots=2, connections=4, cores=1.0, memory_gb=4.0)
 
--- a/packages/ebonyhatch-ports/tests/test_worker_limits.py
+++ b/packages/ebonyhatch-ports/tests/test_worker_limits.py
@@ -2,14 +2,13 @@
 
 import collections
 
+from ebonyhatch.core import resources
+from ebonyhatch.ports import worker_engine, workers
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from twisted.internet import task
 
-from ebonyhatch.core import resources
-from ebonyhatch.ports import worker_engine, workers
-
 CAPACITY = resources.Resources(slots=3, connections=3, cores=1.0, memory_gb=2.0, accelerators=1)
 TASK_IDS = st.sampled_from([f"j{n}/1" for n in range(6)])
 AMOUNTS = st.builds(
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/adapters.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/adapters.py
@@ -14,13 +14,12 @@
 
 import msgspec
 import treq
-from twisted.internet import defer
-from twisted.web import client, http_headers
-
 from ebonyhatch.core import resources
 from ebonyhatch.ports import addresses, http_store, http_workers, worker_messages, workers
 from ebonyhatch.testing import real_reactor
 from ebonyhatch.testing.benches import measures, registry
+from twisted.internet import defer
+from twisted.web import client, http_headers
 
 HOST = "127.0.0.1"
 BATCHES = 12
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import msgspec
-
 from ebonyhatch.testing.benches import (
     capacity_cell,
     capacity_daemon,
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_entries.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_entries.py
@@ -6,12 +6,11 @@
 import json
 from collections.abc import Callable
 
-from twisted.internet import defer
-
 from ebonyhatch.core import entities
 from ebonyhatch.node import configuration, ownership, ownership_record
 from ebonyhatch.ports import fault_switches, store_engine
 from ebonyhatch.testing.benches import capacity_slopes, counting_store, heap_clock
+from twisted.internet import defer
 
 ENTRY_SIZES = (10, 20, 40)
 CELL_SIZES = (20, 40, 80)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_instances.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_instances.py
@@ -5,12 +5,11 @@
 import functools
 
 import msgspec
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.node import instance_view
 from ebonyhatch.ports import answers, instances
 from ebonyhatch.testing.benches import capacity_slopes, heap_clock
+from returns import result
+from twisted.internet import defer
 
 SIZES = (330, 1_100, 3_300)
 QUICK_SIZES = (20, 40, 80)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_model.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_model.py
@@ -6,7 +6,6 @@
 from collections.abc import Mapping
 
 import msgspec
-
 from ebonyhatch.node import (
     cell,
     gossip,
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_peers.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/capacity_peers.py
@@ -7,12 +7,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import defer, reactor, task
-
 from ebonyhatch.core import scheduler
 from ebonyhatch.node import frames, gossip, keys, messages, peers
 from ebonyhatch.ports import workers
 from ebonyhatch.testing.benches import capacity_slopes
+from twisted.internet import defer, reactor, task
 
 ENTRY_SIZES = (6, 12, 24)
 QUICK_ENTRY_SIZES = (2, 3, 4)
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/configuration.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/configuration.py
@@ -8,12 +8,11 @@
 from collections.abc import Callable
 
 import msgspec
-from twisted.internet import task
-
 from ebonyhatch.core import records
 from ebonyhatch.node import configuration, configuration_current, configuration_head
 from ebonyhatch.ports import memory_store, store_engine
 from ebonyhatch.testing.benches import registry
+from twisted.internet import task
 
 TENANTS = (35, 140, 560)
 """Numbers of tenants; 140 is the size that the design is for."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/failover.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/failover.py
@@ -10,7 +10,6 @@
 import statistics
 
 import msgspec
-
 from ebonyhatch.core import scheduler
 from ebonyhatch.node import frames, messages
 from ebonyhatch.testing import checker, history
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/forwarding.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/forwarding.py
@@ -13,7 +13,6 @@
 from typing import Any
 
 import msgspec
-
 from ebonyhatch.core import scheduler
 from ebonyhatch.node import forwarding, messages
 from ebonyhatch.testing.benches import registry
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/gateway.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/gateway.py
@@ -14,7 +14,6 @@
 
 import click
 import msgspec
-
 from ebonyhatch.testing import processes, samples
 from ebonyhatch.testing.benches import registry
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/checker.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/checker.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Iterable
 
 import msgspec
-
 from ebonyhatch.testing import history
 
 LEAVING_LIMIT_S = 3.0
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/command_line.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/command_line.py
@@ -7,13 +7,12 @@
 from typing import Any
 
 from click import testing
+from ebonyhatch.cli import environment, main
 from treq import testing as treq_testing
 from twisted.internet import defer, task
 from twisted.python import failure
 from twisted.web import resource
 
-from ebonyhatch.cli import environment, main
-
 URL = "http://127.0.0.1:7110"
 STEP_S = 0.1
 STEPS_LIMIT = 20_000
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/configuration_fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/configuration_fleet.py
@@ -5,13 +5,12 @@
 import json
 from typing import Any
 
-from returns import result
-from twisted.internet import task
-
 from ebonyhatch.core import configuration as core_configuration
 from ebonyhatch.node import configuration, configuration_head
 from ebonyhatch.ports import fault_switches, memory_store, store, store_engine, timing
 from ebonyhatch.testing import history
+from returns import result
+from twisted.internet import task
 
 ENTRIES = 6
 STEP_S = 0.1
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/instances_contract.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/instances_contract.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import pytest
-
 from ebonyhatch.ports import instance_directory, instances
 from ebonyhatch.testing.contracts import rigs
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/rigs.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/rigs.py
@@ -6,9 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import defer, task
-
 from ebonyhatch.testing import real_reactor
+from twisted.internet import defer, task
 
 STEP_S = 0.05
 """Pause between two looks at a condition."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/store_contract.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/store_contract.py
@@ -7,11 +7,10 @@
 from typing import Any
 
 import pytest
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.ports import store, store_engine
 from ebonyhatch.testing.contracts import rigs
+from returns import result
+from twisted.internet import defer
 
 TTL_S = 0.3
 """Lease time used by the contract."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/workers_contract.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/contracts/workers_contract.py
@@ -6,12 +6,11 @@
 from typing import Any
 
 import pytest
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import resources
 from ebonyhatch.ports import worker_engine, workers
 from ebonyhatch.testing.contracts import rigs
+from returns import result
+from twisted.internet import defer
 
 CAPACITY = resources.Resources(slots=4, connections=16, cores=4.0, memory_gb=8.0, accelerators=1)
 """What the worker under test holds."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/demo.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/demo.py
@@ -8,9 +8,8 @@
 import click
 import msgspec
 import treq
-from twisted.internet import defer, task
-
 from ebonyhatch.testing import embedded, processes, samples
+from twisted.internet import defer, task
 
 JOB_ID = "cutting-plan-1"
 JOB_RUN_S = 2.0
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/callers.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/callers.py
@@ -7,12 +7,11 @@
 from collections.abc import Mapping
 from typing import Any
 
-from twisted.internet import defer, task
-
 from ebonyhatch.core import commands
 from ebonyhatch.node import messages
 from ebonyhatch.testing import history
 from ebonyhatch.testing.histories import entry
+from twisted.internet import defer, task
 
 HOP_S = 0.002
 """Time of a message between two entries, seconds."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/entry.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/entry.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import defer, task
-
 from ebonyhatch.core import (
     commands,
     default_scheduler,  # noqa: F401  registers the policy
@@ -27,6 +25,7 @@
 )
 from ebonyhatch.ports import instances, memory_store, memory_workers, store_engine
 from ebonyhatch.testing.histories import eviction, node_clock, node_ports
+from twisted.internet import defer, task
 
 SILENT_S = 1.5
 """Time without a heartbeat after which a peer counts as silent, seconds."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/fleet.py
@@ -7,9 +7,6 @@
 import random
 from typing import Any
 
-from returns import result
-from twisted.internet import defer, task
-
 from ebonyhatch.core import configuration, entities, resources
 from ebonyhatch.node import messages
 from ebonyhatch.ports import (
@@ -22,6 +19,8 @@
 )
 from ebonyhatch.testing import checker, history
 from ebonyhatch.testing.histories import callers, entry, observer, other_cells
+from returns import result
+from twisted.internet import defer, task
 
 STEP_S = 0.05
 """Time between two looks at workers and owners, seconds."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/node_ports.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/node_ports.py
@@ -6,11 +6,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from returns import result
-from twisted.internet import defer, task
-
 from ebonyhatch.ports import memory_store, memory_workers, store, workers
 from ebonyhatch.testing.histories import node_clock
+from returns import result
+from twisted.internet import defer, task
 
 
 class Network:
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/other_cells.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/other_cells.py
@@ -5,11 +5,10 @@
 from collections.abc import Iterator
 from typing import Any
 
-from twisted.internet import defer
-
 from ebonyhatch.core import resources
 from ebonyhatch.node import cell, cell_status, elsewhere, messages
 from ebonyhatch.testing.histories import callers
+from twisted.internet import defer
 
 CALL_TIMEOUT_S = 6.0
 """Longest wait for another entry's answer, seconds."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/runs.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/histories/runs.py
@@ -5,10 +5,9 @@
 import random
 
 import msgspec
-from hypothesis import strategies
-
 from ebonyhatch.testing import history
 from ebonyhatch.testing.histories import fleet, steps
+from hypothesis import strategies
 
 SETTLE_S = 12.0
 """Time before the first step, in which the entries join, seconds."""
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/http_exchange.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/http_exchange.py
@@ -5,11 +5,10 @@
 from collections.abc import Sequence
 
 import msgspec
+from ebonyhatch.node import http_server
 from twisted.internet import task, testing
 from twisted.web import resource
 
-from ebonyhatch.node import http_server
-
 BODY_LIMIT_BYTES = 1_000_000
 
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
@@ -17,7 +17,6 @@
 from typing import IO, Any, TypeVar
 
 import msgspec
-
 from ebonyhatch.node import keys
 
 HOST = "127.0.0.1"
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/scheduler_cases.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/scheduler_cases.py
@@ -6,9 +6,8 @@
 import heapq
 from collections.abc import Sequence
 
-from hypothesis import strategies
-
 from ebonyhatch.core import commands, entities, events, resources, scheduler
+from hypothesis import strategies
 
 CAPACITY = resources.Resources(slots=3, connections=4, cores=4.0, memory_gb=8.0)
 DEADLINE_S = 1.0
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/instances.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/instances.py
@@ -8,7 +8,6 @@
 import click
 import klein
 import msgspec
-
 from ebonyhatch.ports import fault_switches, instance_directory, instances
 from ebonyhatch.testing.stand_ins import main, serving
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/serving.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/serving.py
@@ -6,12 +6,11 @@
 from typing import Any
 
 import msgspec
-from twisted.internet import defer
-from twisted.web import server
-
 from ebonyhatch.core import errors
 from ebonyhatch.ports import answers, fault_switches, http_calls
 from ebonyhatch.testing.stand_ins import connections
+from twisted.internet import defer
+from twisted.web import server
 
 Effect = Callable[[bytes], Any]
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/store.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/store.py
@@ -6,7 +6,6 @@
 
 import click
 import klein
-
 from ebonyhatch.ports import fault_switches, store, store_engine, store_messages
 from ebonyhatch.testing.stand_ins import main, serving
 
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/worker.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/stand_ins/worker.py
@@ -7,7 +7,6 @@
 
 import click
 import klein
-
 from ebonyhatch.core import errors, resources
 from ebonyhatch.ports import (
     fault_switches,
--- a/packages/ebonyhatch-testing/tests/test_capacity.py
+++ b/packages/ebonyhatch-testing/tests/test_capacity.py
@@ -2,7 +2,6 @@
 
 import msgspec
 import pytest
-
 from ebonyhatch.testing.benches import (
     capacity_entries,
     capacity_model,
--- a/packages/ebonyhatch-testing/tests/test_daemon.py
+++ b/packages/ebonyhatch-testing/tests/test_daemon.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import pytest
-from twisted.internet import defer, testing
-
 from ebonyhatch.core import entities, resources
 from ebonyhatch.testing import embedded
+from twisted.internet import defer, testing
 
 STEP_S = 0.05
 CALLS_LIMIT_PER_S = 10
--- a/packages/ebonyhatch-testing/tests/test_examples.py
+++ b/packages/ebonyhatch-testing/tests/test_examples.py
@@ -7,7 +7,6 @@
 import json5
 import msgspec
 import pytest
-
 from ebonyhatch.core import records
 from ebonyhatch.node import settings
 from ebonyhatch.ports import instances
--- a/packages/ebonyhatch-testing/tests/test_fleet.py
+++ b/packages/ebonyhatch-testing/tests/test_fleet.py
@@ -5,7 +5,6 @@
 import dataclasses
 
 import pytest
-
 from ebonyhatch.core import default_scheduler, scheduler
 from ebonyhatch.testing import (
     fleet,
--- a/packages/ebonyhatch-testing/tests/test_job_passing.py
+++ b/packages/ebonyhatch-testing/tests/test_job_passing.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import pytest
-
 from ebonyhatch.testing import checker, history
 from ebonyhatch.testing.histories import fleet
 
--- a/packages/ebonyhatch-testing/tests/test_outages.py
+++ b/packages/ebonyhatch-testing/tests/test_outages.py
@@ -5,7 +5,6 @@
 import collections
 
 import pytest
-
 from ebonyhatch.testing import checker, history
 from ebonyhatch.testing.histories import fleet
 
--- a/packages/ebonyhatch-testing/tests/test_process_failures.py
+++ b/packages/ebonyhatch-testing/tests/test_process_failures.py
@@ -7,7 +7,6 @@
 from concurrent import futures
 
 import pytest
-
 from ebonyhatch.testing import processes, samples
 
 
--- a/packages/ebonyhatch-testing/tests/test_promises.py
+++ b/packages/ebonyhatch-testing/tests/test_promises.py
@@ -6,11 +6,10 @@
 from typing import Any
 
 import pytest
-from pytest_bdd import given, parsers, scenarios, then, when
-
 from ebonyhatch.ports import fault_switches, holdings
 from ebonyhatch.testing import checker, history
 from ebonyhatch.testing.histories import fleet
+from pytest_bdd import given, parsers, scenarios, then, when
 
 scenarios("features/promises.feature")
 
--- a/packages/ebonyhatch-testing/tests/test_protections.py
+++ b/packages/ebonyhatch-testing/tests/test_protections.py
@@ -9,9 +9,6 @@
 
 import msgspec
 import pytest
-from returns import result
-from twisted.internet import defer
-
 from ebonyhatch.core import capacity, commands, journal_entries
 from ebonyhatch.node import (
     cell,
@@ -26,6 +23,8 @@
 from ebonyhatch.ports import fault_switches, holdings, worker_engine
 from ebonyhatch.testing import checker
 from ebonyhatch.testing.histories import entry, fleet
+from returns import result
+from twisted.internet import defer
 
 
 def joined(**options: Any) -> fleet.Fleet:
--- a/packages/ebonyhatch-testing/tests/test_runs.py
+++ b/packages/ebonyhatch-testing/tests/test_runs.py
@@ -9,10 +9,9 @@
 
 import hypothesis
 import pytest
-from hypothesis import strategies
-
 from ebonyhatch.testing import checker
 from ebonyhatch.testing.histories import runs
+from hypothesis import strategies
 
 HISTORIES = int(os.environ.get("EBONYHATCH_HISTORIES", "12"))
 
--- a/packages/ebonyhatch-testing/tests/test_scheduler_cases.py
+++ b/packages/ebonyhatch-testing/tests/test_scheduler_cases.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hypothesis
-
 from ebonyhatch.core import default_scheduler, scheduler
 from ebonyhatch.testing import naive_scheduler, scheduler_cases
 
--- a/packages/ebonyhatch-testing/tests/test_stand_ins.py
+++ b/packages/ebonyhatch-testing/tests/test_stand_ins.py
@@ -7,8 +7,6 @@
 
 import pytest
 import treq
-from twisted.internet import error
-
 from ebonyhatch.ports import (
     connection_pool,
     fault_switches,
@@ -28,6 +26,7 @@
 from ebonyhatch.testing.stand_ins import instances as instances_stand_in
 from ebonyhatch.testing.stand_ins import store as store_stand_in
 from ebonyhatch.testing.stand_ins import worker as worker_stand_in
+from twisted.internet import error
 
 REACTOR = real_reactor.reactor
 TIMEOUT_S = 0.5
