--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -144,7 +144,7 @@
         local = self._owner
         if local is not None:
             await local.flush(limit_s=FLUSH_S)
-            self._members.give_up("planned stop")
+            self._members.give_up("planned stop", term=local.term)
         await self._members.leave()
 
     def close(self) -> None:
@@ -158,7 +158,7 @@
         self._network.close()
 
     def _gained(self, head: ownership.Head, revision: int) -> None:
-        self._owner = owner_module.Owner(
+        made = owner_module.Owner(
             term=head.term,
             head_revision=revision,
             store_port=self._store,
@@ -168,10 +168,16 @@
             lease_s=self._settings.lease_s,
             lease_valid=lambda: self._members.lease_valid,
             store_reachable=lambda: self._members.store_reachable,
-            on_superseded=self._members.give_up,
+            on_superseded=lambda reason: self._superseded(made, reason),
         )
+        self._owner = made
         configuration = self._configuration.current or queues.Configuration(version=0)
-        self._owner.start(configuration=configuration)
+        made.start(configuration=configuration)
+
+    def _superseded(self, owner: owner_module.Owner, reason: str) -> None:
+        """Stop acting; what reaches an owner that acts no more ends no later one."""
+        if owner is self._owner:
+            self._members.give_up(reason, term=owner.term)
 
     def _lost(self, reason: str) -> None:
         if self._owner is not None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -135,9 +135,9 @@
         """Stop taking part."""
         self._group.close()
 
-    def give_up(self, reason: str) -> None:
-        """Stop acting as the owner: somebody else is."""
-        if self._term:
+    def give_up(self, reason: str, *, term: int) -> None:
+        """Stop acting as the owner of a term; of an earlier one nothing is left to stop."""
+        if self._term == term:
             decision_log.write("owner.lost", term=self._term, reason=reason)
             self._term = 0
             self._on_lost(reason)
@@ -209,7 +209,7 @@
         for item in items:
             record = _decode_owner(item.value) if item.key == keys.OWNER else None
             if record is not None and record.incarnation != self._entry.incarnation:
-                self.give_up("another entry is the owner")
+                self.give_up("another entry is the owner", term=self._term)
 
     async def _follow(self) -> None:
         """List the membership, then watch it; list again after any fault."""
@@ -352,7 +352,7 @@
         if record is None or not self._term:
             return
         if record.incarnation != self._entry.incarnation:
-            self.give_up(f"{record.name} is the owner of term {record.term}")
+            self.give_up(f"{record.name} is the owner of term {record.term}", term=self._term)
 
     def _announce(self) -> None:
         self._on_entries(tuple(self._entries.values()))
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -172,7 +172,7 @@
     async def _read_accounts(self) -> None:
         wait_s = 0.0
         retry_s = RETRY_S
-        while True:
+        while not self._group.closed:
             self._forget_durable()
             deadline_s = self._extend()
             outcome = await self._port.hold(
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -404,3 +404,15 @@
     world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
     tasks = world.owner.node.owner.job(job.job_id).occurrences[0][0].tasks
     assert [task.last_run for task in tasks] == [1, 1, 1]
+
+
+def test_a_refusal_that_reaches_an_earlier_term_ends_no_later_one():
+    world = _ready()
+    owner = world.owner
+    first = owner.node.owner
+    owner.node._members.give_up("a test takes it away", term=first.term)
+    world.run_until(lambda: owner.node.owner is not None and owner.node.owner is not first)
+    later = owner.node.owner
+    first._on_superseded("a late refusal")
+    world.run(0.2)
+    assert owner.node.owner is later
