Fleet: one piece where the same stood twice, and nothing that nobody reads

The twins' sleeps were three copies of twisted's task.deferLater; the span of a lease, the type of the decision logger and two one-line copies of msgspec.structs.replace stood more than once. A tick went through all jobs ever submitted to find those that run by time: they have an index now. Fields, properties and a return value without a reader are gone. Behaviour is meant to stay as it is; tests of the fleet and of the adapter pass unchanged, format, lint and types too.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/accounts.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/accounts.py
@@ -2,13 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from ebonyhatch.fleet import commands, rows, standing, tables, targets, task_ends
 
-Decide = Callable[..., None]
-"""Logs a decision: a kind and its fields."""
-
 STOP_AGAIN_S = 1.0
 """Time after which a stop that shows no effect is sent again, seconds."""
 
@@ -21,8 +16,8 @@
         *,
         all_tables: tables.Tables,
         ends: task_ends.TaskEnds,
-        emit: Callable[[commands.Command], None],
-        decide: Decide,
+        emit: commands.Emit,
+        decide: commands.Decide,
     ) -> None:
         self._tables = all_tables
         self._ends = ends
@@ -116,7 +111,6 @@
             task=task,
             target=row,
             state=rows.RunState.RUNNING,
-            ordered_at=now,
             started_at=now,
             progressed_at=now,
             seen_s=clock_s,
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/commands.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/commands.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 from ebonyhatch.fleet import rows, targets
 
@@ -28,3 +30,9 @@
 
 
 Command = StartRun | StopRun | PaceRun
+
+Emit = Callable[[Command], None]
+"""Takes a command; commands are carried out in the order in which they are taken."""
+
+Decide = Callable[..., None]
+"""Logs a decision: its kind, the run that it is about or None, and further fields."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
@@ -45,18 +45,12 @@
         self._group = group
         self._on_change = on_change
         self._current: queues.Configuration | None = None
-        self._value = b""
 
     @property
     def current(self) -> queues.Configuration | None:
         """The configuration in force; None before the first."""
         return self._current
 
-    @property
-    def value(self) -> bytes:
-        """The configuration in force as the operators wrote it."""
-        return self._value
-
     def start(self) -> None:
         """Begin to follow."""
         self._group.spawn(self._follow())
@@ -76,7 +70,6 @@
             source=source,
         )
         self._current = decoded
-        self._value = value
         self._on_change(decoded, value)
 
     async def _follow(self) -> None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -327,7 +327,7 @@
             await local.cancel(job_id)
         except defer.CancelledError:
             return messages.CancelAnswer(acting=False)
-        return messages.CancelAnswer(acting=True, known=True, durable=True)
+        return messages.CancelAnswer(acting=True, durable=True)
 
     def _on_submit(
         self, sender: str, call: messages.SubmitCall
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_store.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_store.py
@@ -8,7 +8,7 @@
 
 from ebonyhatch.fleet import store
 from returns import result
-from twisted.internet import defer
+from twisted.internet import task
 
 HISTORY_LIMIT = 10_000
 """Changes that are remembered for watches."""
@@ -178,7 +178,7 @@
                 return result.Success(
                     store.Changes(changes=changes, as_of=max(after, self._engine.revision))
                 )
-            await self._sleep(POLL_S)
+            await task.deferLater(self._engine.clock, POLL_S)
 
     async def commit(
         self,
@@ -201,7 +201,7 @@
             )
         else:
             self._engine.commit(conditions, puts, removes)
-        await self._sleep(self.timeout_s)
+        await task.deferLater(self._engine.clock, self.timeout_s)
         return result.Failure(store.UnknownOutcomeError(call="commit", reason="answer lost"))
 
     async def grant(self, *, ttl_s: float) -> result.Result[store.Lease, store.StoreError]:
@@ -225,15 +225,10 @@
     async def _pass(self, call: str) -> result.Result[Any, store.StoreError] | None:
         """Take the time of a call; gives what it ends as where it isn't carried out."""
         self._engine.calls += 1
-        await self._sleep(self.faults.latency_s)
+        await task.deferLater(self._engine.clock, self.faults.latency_s)
         if self.faults.silent:
-            await self._sleep(self.timeout_s)
+            await task.deferLater(self._engine.clock, self.timeout_s)
             return result.Failure(store.UnknownOutcomeError(call=call, reason="no answer"))
         if self.faults.refuse:
             return result.Failure(store.NotDoneError(call=call, reason="refused"))
         return None
-
-    async def _sleep(self, seconds: float) -> None:
-        slept: defer.Deferred[None] = defer.Deferred(lambda _: timer.cancel())
-        timer = self._engine.clock.callLater(seconds, slept.callback, None)
-        await slept
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
@@ -9,7 +9,7 @@
 import msgspec
 from ebonyhatch.fleet import targets
 from returns import result
-from twisted.internet import defer
+from twisted.internet import task
 
 ORDER_LATENCY_S = 0.002
 """Time that a call takes, seconds."""
@@ -89,7 +89,7 @@
     def reborn(self) -> None:
         """Begin a new life under the same id."""
         born = self.target.born + 1
-        self.target = _with_born(self.target, born)
+        self.target = msgspec.structs.replace(self.target, born=born)
         for key in self.runs:
             self.ended.append((self.clock.seconds(), key, targets.EndKind.LAPSED))
         self.fence = 0
@@ -239,10 +239,10 @@
         engine = self._engines[target.target_id]
         until = self._clock.seconds() + wait_s
         while not engine.ends and self._clock.seconds() < until:
-            await self._sleep(POLL_S)
+            await task.deferLater(self._clock, POLL_S)
             engine.advance()
             if engine.faults.down or engine.faults.cut or engine.faults.mute or self.cut:
-                await self._sleep(SILENCE_S)
+                await task.deferLater(self._clock, SILENCE_S)
                 return result.Failure(_unknown(target))
         return result.Success(engine.account())
 
@@ -253,28 +253,23 @@
         *,
         late: bool = True,
     ) -> result.Result[float, targets.TargetError]:
-        await self._sleep(ORDER_LATENCY_S)
+        await task.deferLater(self._clock, ORDER_LATENCY_S)
         engine = self._engines.get(target.target_id)
         if engine is None or engine.faults.down or engine.faults.cut or self.cut:
-            await self._sleep(SILENCE_S)
+            await task.deferLater(self._clock, SILENCE_S)
             return result.Failure(_unknown(target))
         if engine.faults.late_s and late:
             self._clock.callLater(engine.faults.late_s, carry_out, engine)
-            await self._sleep(SILENCE_S)
+            await task.deferLater(self._clock, SILENCE_S)
             return result.Failure(_unknown(target))
         reason = carry_out(engine)
         if engine.faults.mute or (engine.faults.lose_answers and late):
-            await self._sleep(SILENCE_S)
+            await task.deferLater(self._clock, SILENCE_S)
             return result.Failure(_unknown(target))
         if reason is not None:
             return result.Failure(targets.RefusedError(target_id=target.target_id, reason=reason))
         return result.Success(engine.clock_s)
 
-    async def _sleep(self, seconds: float) -> None:
-        slept: defer.Deferred[None] = defer.Deferred(lambda _: timer.cancel())
-        timer = self._clock.callLater(seconds, slept.callback, None)
-        await slept
-
 
 def _unknown(target: targets.Target) -> targets.UnknownOutcomeError:
     return targets.UnknownOutcomeError(target_id=target.target_id, reason="no answer")
@@ -283,7 +278,3 @@
 def _running(run: MemoryRun) -> targets.Running:
     percent = 100.0 if run.lasting else min(99.0, 100 * run.done_s / run.work_s)
     return targets.Running(key=run.key, percent=percent)
-
-
-def _with_born(target: targets.Target, born: int) -> targets.Target:
-    return msgspec.structs.replace(target, born=born)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/messages.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/messages.py
@@ -47,12 +47,10 @@
 
     Attributes:
         acting: The answerer is the owner and knows all jobs.
-        known: The job is known.
         durable: The cancellation, or an earlier end, is durable.
     """
 
     acting: bool
-    known: bool = False
     durable: bool = False
 
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -314,9 +314,7 @@
         """Place inherited work once no run of a former owner can be unknown any more."""
         while not (self._recovered and self._targets.known):
             await self._group.sleep(0.02)
-        until = self._clocks.awake_and_suspended() + (
-            self._lease_s * target_session.CLOCK_SLOWNESS + target_session.LAPSE_MARGIN_S
-        )
+        until = self._clocks.awake_and_suspended() + target_session.lapse_s(self._lease_s)
         while self._unheard() and self._clocks.awake_and_suspended() < until:
             self._scheduler.blocked = self._blocked()
             if not self._unheard_open():
@@ -391,13 +389,10 @@
         session.row.confirmed = True
         self._scheduler.take_account(session.row, account, now=self._clocks.now())
         if account.ended:
-            self._journal.want(urgent=self._has_ended_jobs())
+            self._journal.want(urgent=self._scheduler.has_ended_changes())
         self._wake()
         return True
 
-    def _has_ended_jobs(self) -> bool:
-        return self._scheduler.has_ended_changes()
-
     def _silent(self, session: target_session.TargetSession, why: str) -> None:
         row = session.row
         if why != "lease-lapsed" or row.runs:
@@ -459,7 +454,7 @@
             if self._known_targets() != self._targets_written:
                 self._journal.want()
         if self._scheduler.has_changes():
-            self._journal.want(urgent=self._has_ended_jobs())
+            self._journal.want(urgent=self._scheduler.has_ended_changes())
 
     def _decide(self, *, now: float, wall: float) -> list[commands.Command]:
         """Tick the scheduler; a fault in one decision must not end the ticking."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -111,11 +111,6 @@
         """Whether this entry acts as the owner."""
         return self._term > 0
 
-    @property
-    def lease(self) -> int:
-        """The lease in force; 0 for none."""
-        return self._lease
-
     @property
     def lease_valid(self) -> bool:
         """Whether the lease certainly lasts."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/pacing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/pacing.py
@@ -6,8 +6,6 @@
 
 from ebonyhatch.fleet import commands, rows, tails, targets
 
-Decide = Callable[..., None]
-
 LEAST_MARGIN = 1.1
 """Margin of a serving task below which fillers beside it are paced down."""
 
@@ -48,8 +46,8 @@
         self,
         *,
         model: tails.TailModel,
-        emit: Callable[[commands.Command], None],
-        decide: Decide,
+        emit: commands.Emit,
+        decide: commands.Decide,
         stop: Callable[..., None],
     ) -> None:
         self._stop = stop
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placing.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from ebonyhatch.fleet import commands, ordering, reserve, rows, tables, tails, targets
 from ebonyhatch.fleet.constraints import registry
 
-Decide = Callable[..., None]
-
 AVOID_COST = 5.0
 """Score that the target of a task's last failure costs: used only when nothing else has room."""
 
@@ -22,8 +20,8 @@
         all_tables: tables.Tables,
         model: tails.TailModel,
         kept: reserve.Reserve,
-        emit: Callable[[commands.Command], None],
-        decide: Decide,
+        emit: commands.Emit,
+        decide: commands.Decide,
     ) -> None:
         self._model = model
         self._reserve = kept
@@ -33,10 +31,8 @@
         self.run_base = 0
         self._blocked: frozenset[str] = frozenset()
 
-    def place(
-        self, *, now: float, wall: float, settled: bool, blocked: frozenset[str]
-    ) -> list[rows.StepRow]:
-        """Place what has room; gives the steps that are left without, in their order.
+    def place(self, *, now: float, wall: float, settled: bool, blocked: frozenset[str]) -> None:
+        """Place what has room, in the order of the steps.
 
         Args:
             now: The steady time, seconds.
@@ -48,7 +44,6 @@
         self._tables.drop_settled()
         steps = [step for step in self._tables.waiting.values() if self._may_place(step, settled)]
         steps.sort(key=lambda step: ordering.key(step, wall=wall))
-        unplaced = []
         self._reserve.begin_pass()
         context = registry.Context(now=now, tails=self._model, kept=self._reserve.keeps)
         for step in steps:
@@ -58,9 +53,6 @@
                 self._place_tasks(step, context)
             if not step.waiting:
                 self._tables.waiting.pop(id(step), None)
-            elif any(task.retry_at <= now for task in step.waiting):
-                unplaced.append(step)
-        return unplaced
 
     def order(self, task: rows.TaskRow, row: rows.TargetRow, *, run: int, now: float) -> None:
         """Reserve room for a run of a task and order it."""
@@ -70,7 +62,6 @@
             key=targets.RunKey(task=task.name, run=run),
             task=task,
             target=row,
-            ordered_at=now,
             progressed_at=now,
         )
         tables.reserve(made)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -99,7 +99,6 @@
         task: The task.
         target: Where it runs.
         state: What is known of it.
-        ordered_at: When it was ordered, seconds.
         order_deadline_s: Time on the target's clock after which the order is refused.
         seen_s: Time on the target's clock when the run was known to be there, seconds.
         started_at: When it was first known to run, seconds.
@@ -118,7 +117,6 @@
     task: TaskRow
     target: TargetRow
     state: RunState = RunState.ORDERED
-    ordered_at: float = 0.0
     order_deadline_s: float = 0.0
     seen_s: float = 0.0
     started_at: float = 0.0
@@ -148,7 +146,6 @@
         retry_at: No start before this time, seconds.
         avoid: Target where its last run failed; empty for none.
         waiting_since: When it became ready, seconds.
-        ended_at: When its last run ended, seconds; 0 for none.
     """
 
     step: StepRow
@@ -162,7 +159,6 @@
     retry_at: float = 0.0
     avoid: str = ""
     waiting_since: float = 0.0
-    ended_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from ebonyhatch.fleet import (
     accounts,
     commands,
@@ -24,8 +22,6 @@
     task_ends,
 )
 
-Decide = Callable[..., None]
-
 RUNS_A_TERM = 1_000
 """Run numbers that each term of an owner may use for a task beyond those it knows."""
 
@@ -39,7 +35,7 @@
 class Scheduler:
     """Places the tasks of all jobs on all targets; knows no clock and makes no calls."""
 
-    def __init__(self, *, decide: Decide) -> None:
+    def __init__(self, *, decide: commands.Decide) -> None:
         self._commands: list[commands.Command] = []
         self._decide = decide
         self._tables = tables.Tables()
@@ -66,7 +62,6 @@
             emit=self._commands.append,
             decide=decide,
         )
-        self._configuration = queues.Configuration(version=0)
         self._now = 0.0
         self._wall = 0.0
         self.settled = False
@@ -89,7 +84,6 @@
 
     def configure(self, configuration: queues.Configuration) -> None:
         """Take in the configuration in force; jobs of a removed queue keep what they know."""
-        self._configuration = configuration
         for row in self._tables.jobs.values():
             row.queue = configuration.queue(row.job.queue) or row.queue
 
@@ -98,7 +92,7 @@
         if row.job.job_id in self._tables.jobs:
             return
         self._now, self._wall = now, wall
-        self._tables.jobs[row.job.job_id] = row
+        self._tables.add_job(row)
         if not row.ended:
             self._adopt_progress(row)
             self._released(row)
@@ -159,18 +153,16 @@
         """Tell whether a job has ended since changes were last taken."""
         return any(row.ended for row in self._ends.changed.values())
 
-    def note_changed(self, row: rows.JobRow) -> None:
-        """Have a job's progress made durable again."""
-        self._ends.note_changed(row)
-
     def tick(self, *, now: float, wall: float) -> list[commands.Command]:
         """Decide; gives the commands since the last tick, in order."""
         elapsed_s = max(0.0, now - self._now)
         self._now, self._wall = now, wall
         for row in self._tables.targets.values():
             standing.fade(row, elapsed_s=elapsed_s)
-        for job in self._tables.jobs.values():
-            if job.job.timed and not job.ended:
+        for job in list(self._tables.timed.values()):
+            if job.ended:
+                del self._tables.timed[job.job.job_id]
+            else:
                 self._released(job)
         self._stop_hung(now)
         self._model.at(now)
@@ -189,8 +181,8 @@
             for task in step.waiting
             if task.retry_at > now
         ]
-        for row in self._tables.jobs.values():
-            due_at = graph.next_due_at(row) if row.job.timed else None
+        for row in self._tables.timed.values():
+            due_at = graph.next_due_at(row)
             if due_at is not None:
                 due.append(max(due_at - wall, 0.0))
         return min(due, default=None)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
@@ -6,13 +6,20 @@
 
 
 class Tables:
-    """Jobs and targets by id, and steps that have waiting tasks."""
+    """Jobs and targets by id, jobs that run by time and have not ended, steps with waiting tasks."""
 
     def __init__(self) -> None:
         self.jobs: dict[str, rows.JobRow] = {}
+        self.timed: dict[str, rows.JobRow] = {}
         self.targets: dict[str, rows.TargetRow] = {}
         self.waiting: dict[int, rows.StepRow] = {}
 
+    def add_job(self, row: rows.JobRow) -> None:
+        """Add a job."""
+        self.jobs[row.job.job_id] = row
+        if row.job.timed and not row.ended:
+            self.timed[row.job.job_id] = row
+
     def add_waiting(self, step: rows.StepRow) -> None:
         """Note that a step has waiting tasks."""
         if step.waiting:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -40,6 +40,11 @@
 """Time after a lease's end until its runs count as gone, seconds."""
 
 
+def lapse_s(lease_s: float) -> float:
+    """Give the time from the sending of an extension until every run there is gone, seconds."""
+    return lease_s * CLOCK_SLOWNESS + LAPSE_MARGIN_S
+
+
 class TargetSession:
     """Renews one target's lease by reading its account again and again."""
 
@@ -73,7 +78,7 @@
         self._processed = 0
         self._acknowledged = 0
         self._pending: collections.deque[tuple[int, int]] = collections.deque()
-        self._lapses_at = self._clocks.awake_and_suspended() + self._lapse_s
+        self._lapses_at = self._clocks.awake_and_suspended() + lapse_s(self._lease_s)
         self._failures = 0
         self._looks = 0
 
@@ -96,10 +101,6 @@
     def _wait_s(self) -> float:
         return CLOSE_WAIT_S if self._row.close_watch else HOLD_WAIT_S
 
-    @property
-    def _lapse_s(self) -> float:
-        return self._lease_s * CLOCK_SLOWNESS + LAPSE_MARGIN_S
-
     def start(self) -> None:
         """Begin."""
         self._group.spawn(self._read_accounts())
@@ -207,7 +208,7 @@
         """
         if not self._clock_s or self._failures:
             return 0.0
-        self._lapses_at = self._clocks.awake_and_suspended() + self._lapse_s
+        self._lapses_at = self._clocks.awake_and_suspended() + lapse_s(self._lease_s)
         return self.target_now_s + self._lease_s
 
     def _is_overtaken(self, account: targets.Account) -> bool:
@@ -238,7 +239,8 @@
             self.new_life()
             # The target's own word comes before the list, which is late.
             if account.born:
-                self._row.target = _reborn(self._row.target, account.born)
+                reborn = msgspec.structs.replace(self._row.target, born=account.born)
+                self._row.target = reborn
         self._clock_s = account.clock_s
         self._clock_at = self._clocks.now()
         if self._failures >= FAILURES_UNREACHABLE:
@@ -289,7 +291,3 @@
     return targets.Account(
         clock_s=account.clock_s, running=account.running, ended=fresh, born=account.born
     )
-
-
-def _reborn(target: targets.Target, born: int) -> targets.Target:
-    return msgspec.structs.replace(target, born=born)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/targets.py
@@ -77,7 +77,6 @@
         memory_mb: Memory that it holds, megabytes.
         accelerators: Accelerators that it holds.
         draining: It is leaving and takes nothing new.
-        leaves_in_s: Least time until it leaves, seconds; 0 where it isn't told.
     """
 
     target_id: str
@@ -91,7 +90,6 @@
     memory_mb: int = 0
     accelerators: int = 0
     draining: bool = False
-    leaves_in_s: float = 0.0
 
 
 class RunKey(msgspec.Struct, frozen=True):
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -14,8 +14,6 @@
     targets,
 )
 
-Decide = Callable[..., None]
-
 FIRST_RETRY_S = 0.0
 """Wait before the second run of a task that failed once; it goes to another target."""
 
@@ -32,8 +30,8 @@
         *,
         all_tables: tables.Tables,
         times: run_times.RunTimes,
-        emit: Callable[[commands.Command], None],
-        decide: Decide,
+        emit: commands.Emit,
+        decide: commands.Decide,
         released: Callable[[rows.JobRow], None],
     ) -> None:
         self._tables = all_tables
@@ -61,7 +59,6 @@
             how=ended.kind,
             state=job.state,
         )
-        task.ended_at = now
         if ended.key.run >= task.last_run and ended.checkpoint:
             task.checkpoint = ended.checkpoint
         task.last_run = max(task.last_run, ended.key.run)
