Serving tasks of an image go together, fillers of unknown effect are looked at, large jobs come first

Now: the score of an image counts how alike a target is and how mixed already; a step is spread by the share that one loss takes; the prior of a harm is as wide as the traced pairs are; placing adds 0.7 deviations to a harm instead of a factor on its cost; a filler whose effect isn't known is read 0.3 s after its start; long-running steps that arrive together come largest first.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/harm.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/harm.py
@@ -8,9 +8,6 @@
 HARM_SCORE = 1.5
 """Score that a filler's cost in margin takes, for each serving task beside it."""
 
-CAUTION = 1.2
-"""Times the predicted cost that has to fit: costs of several fillers add up more than linearly."""
-
 SAME_IMAGE_SCORE = 1.0
 """Score of a target whose serving tasks all run the step's image: what harms one image harms all
 of its tasks, so that fillers that don't can go there."""
@@ -26,12 +23,12 @@
         return True
     fillers = tails.filler_runs(row)
     for run in tails.serving_runs(row):
-        cost = context.tails.extra_cost(run, step)
-        before = sum(context.tails.cost(run, filler) for filler in fillers)
+        cost = context.tails.cautious_cost(run, step)
+        before = sum(context.tails.cautious_cost(run, filler.task.step) for filler in fillers)
         if cost + before < pacing.FREE_COST:
             continue
         own = context.tails.own_margin(run.task.step.job.job.job_id)
-        if own - CAUTION * (before + cost) < pacing.WANTED_MARGIN:
+        if own - before - cost < pacing.WANTED_MARGIN:
             return False
     return True
 
@@ -45,8 +42,17 @@
         return -HARM_SCORE * cost
     if not wanted.tail_limit_s:
         return 0.0
-    beside = tails.serving_runs(row)
-    same = sum(1 for run in beside if run.task.step.step.image == wanted.image)
-    share = (2 * same - len(beside)) / len(beside) if beside else 0.0
     used = 1 - row.free_cpu / (row.target.cpu_millis or 1)
-    return SAME_IMAGE_SCORE * share + PACKING_SCORE * used
+    return SAME_IMAGE_SCORE * _likeness(wanted.image, row) + PACKING_SCORE * used
+
+
+def _likeness(image: str, row: rows.TargetRow) -> float:
+    """Tell how much the serving tasks of a target are of an image, from -1 to 1.
+
+    A target that is mixed already is spoilt less by one more image than one that isn't.
+    """
+    images = [run.task.step.step.image for run in tails.serving_runs(row)]
+    if not images:
+        return 0.0
+    same = images.count(image)
+    return same / len(images) if same else -1.0 / len(set(images))
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/spread.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/spread.py
@@ -5,8 +5,9 @@
 from ebonyhatch.fleet import rows
 from ebonyhatch.fleet.constraints import registry
 
-SHARED_TARGET_COST = 1.0
-"""Score that each task of the same long-running step on a target costs: a whole free target."""
+LOST_SHARE_COST = 3.0
+"""Score that a target costs whose loss would take a whole long-running step: a third of one weighs as
+much as the wish to put tasks of one image together."""
 
 
 @registry.predicate("spread")
@@ -18,7 +19,7 @@
 
 @registry.scorer("spread")
 def spread_score(step: rows.StepRow, row: rows.TargetRow, context: registry.Context) -> float:
-    """Prefer targets that hold none of a long-running step, so that one loss takes few."""
+    """Prefer targets that hold little of a long-running step, so that one loss takes few."""
     if not step.step.long_running:
         return 0.0
-    return -SHARED_TARGET_COST * step.per_target.get(row.target_id, 0)
+    return -LOST_SHARE_COST * step.per_target.get(row.target_id, 0) / step.step.count
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ordering.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ordering.py
@@ -7,7 +7,11 @@
 USEFUL_OBJECTIVES = 3.0
 """Times its objective within which a job is still of use to its caller; from the queues' contract."""
 
-Key = tuple[int, bool, float]
+ARRIVAL_WINDOW_S = 5.0
+"""Long-running jobs that arrive within a window count as arrived together, seconds: after a start of the
+service all of them come within one."""
+
+Key = tuple[int, bool, bool, float, float]
 
 
 def objective_s(row: rows.JobRow, steps: list[rows.StepRow]) -> float:
@@ -16,8 +20,16 @@
 
 
 def key(step: rows.StepRow, *, wall: float) -> Key:
-    """Give the sort key of a step: priority, useless work last, least slack first."""
+    """Give the sort key of a step: priority, useless work last, then by kind.
+
+    Short steps come by least slack. Long-running ones come after them, since they stay in what they
+    are given; of those that arrived together the largest comes first, while there is room for it:
+    what remains between large tasks still holds small ones.
+    """
     row = step.job
+    if step.step.long_running:
+        window = step.begun_at // ARRIVAL_WINDOW_S
+        return (row.queue.priority, False, True, window, -step.step.count * step.step.cpu_millis)
     slack_s = step.due_at - wall - step.expected_s
     late_s = (USEFUL_OBJECTIVES - 1) * max(step.due_at - step.begun_at, 0.0)
-    return (row.queue.priority, slack_s + late_s < 0, slack_s)
+    return (row.queue.priority, slack_s + late_s < 0, False, slack_s, 0.0)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -42,6 +42,9 @@
 SETTLE_MARGIN_S = 0.03
 """Time after a start's deadline at which its target is asked whether it took effect, seconds."""
 
+READ_AFTER_S = 0.3
+"""Time after a filler's start until its effect is read, seconds: readings cover half a second."""
+
 SUSPENDED_S = 0.5
 """Gap between two ticks from which this process counts as suspended meanwhile, seconds."""
 
@@ -491,6 +494,8 @@
         now = self._clocks.now()
         if isinstance(outcome, result.Success):
             self._scheduler.accounts.started(run, clock_s=outcome.unwrap(), now=now)
+            if self._scheduler.is_unsure(run):
+                session.look_soon(READ_AFTER_S)
             return
         error = outcome.failure()
         if isinstance(error, targets.UnknownOutcomeError):
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/pacing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/pacing.py
@@ -9,7 +9,7 @@
 LEAST_MARGIN = 1.1
 """Margin of a serving task below which fillers beside it are paced down."""
 
-WANTED_MARGIN = 1.3
+WANTED_MARGIN = 1.25
 """Margin that pacing restores, and above which fillers are paced up again."""
 
 FREE_COST = 0.12
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -122,6 +122,13 @@
         self._accounts.take(row, account, now=now)
         self._pacing.review(row, now=now)
 
+    def is_unsure(self, run: rows.RunRow) -> bool:
+        """Tell whether it has to be seen soon what a run does to the serving tasks beside it."""
+        step = run.task.step
+        return step.step.filler and any(
+            self._model.is_unsure(serving, step) for serving in tails.serving_runs(run.target)
+        )
+
     def lose_target(self, row: rows.TargetRow, *, why: str, now: float) -> None:
         """Give up all runs of a target on which nothing can run any more."""
         self._ends.lose(row, why=why, now=now)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tails.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tails.py
@@ -22,8 +22,8 @@
 """Harm of a pair that was never seen, margins for a whole target's processors: of the pairs that
 were traced, about two thirds are near 0.5 and one third between 4 and 15."""
 
-PRIOR_HARM_VARIANCE = 9.0
-"""Variance of the harm of a pair that was never seen."""
+PRIOR_HARM_VARIANCE = 20.0
+"""Variance of the harm of a pair that was never seen; see `PRIOR_HARM`."""
 
 HARM_DRIFT = 0.1
 """Variance that a harm gains a second: the contract says that it changes within seconds; on the
@@ -56,6 +56,13 @@
 LEAST_OWN_MARGIN = 0.2
 """Own margins below this count as this; a reading that low comes from a slow target."""
 
+DOUBT_DEVIATIONS = 0.7
+"""Deviations that are added to a harm where a wrong guess disturbs serving tasks: three harms in
+four are below."""
+
+UNSURE_MARGIN = 0.12
+"""Deviation of a cost from which it has to be seen what a filler does; below the noise of a reading."""
+
 DOUBT_HALF_LIFE_S = 30.0
 """Time after which half of what a harm exceeds the prior by is forgotten while the pair isn't seen,
 seconds: harms change within seconds, and a pair that is kept apart teaches nothing."""
@@ -165,8 +172,26 @@
 
     def extra_cost(self, run: rows.RunRow, step: rows.StepRow) -> float:
         """Give the margin that one more task of a filler step would take from a serving run."""
-        share = step.step.cpu_millis / (run.target.target.cpu_millis or 1)
-        return self._cost(run, step.step.image, share)
+        return self._cost(run, step.step.image, _full_share(run.target, step))
+
+    def cautious_cost(self, run: rows.RunRow, step: rows.StepRow) -> float:
+        """Give the same, a margin that it will hardly take more than."""
+        pair = (run.task.step.step.image, step.step.image)
+        doubt = DOUBT_DEVIATIONS * math.sqrt(self._variance(pair))
+        harm = self.harm(serving=pair[0], filler=pair[1]) + doubt
+        return harm * _full_share(run.target, step)
+
+    def is_unsure(self, run: rows.RunRow, step: rows.StepRow) -> bool:
+        """Tell whether it has to be seen what one more task of a filler step does."""
+        pair = (run.task.step.step.image, step.step.image)
+        return math.sqrt(self._variance(pair)) * _full_share(run.target, step) > UNSURE_MARGIN
+
+    def _variance(self, pair: tuple[str, str]) -> float:
+        harm = self._harms.get(pair)
+        if harm is None:
+            return PRIOR_HARM_VARIANCE
+        grown = harm.variance + HARM_DRIFT * max(0.0, self._now - harm.at)
+        return min(PRIOR_HARM_VARIANCE, grown)
 
     def _own_estimate(self, job_id: str) -> _Estimate:
         own = self._own.get(job_id)
@@ -204,9 +229,12 @@
     return NOISE_VARIANCE + rounding * rounding / 12
 
 
+def _full_share(row: rows.TargetRow, step: rows.StepRow) -> float:
+    return step.step.cpu_millis / (row.target.cpu_millis or 1)
+
+
 def _share(filler: rows.RunRow) -> float:
-    total = filler.target.target.cpu_millis or 1
-    return filler.task.step.step.cpu_millis * filler.pace / 100 / total
+    return _full_share(filler.target, filler.task.step) * filler.pace / 100
 
 
 def serving_runs(row: rows.TargetRow) -> list[rows.RunRow]:
--- a/packages/ebonyhatch-fleet/tests/test_ordering.py
+++ b/packages/ebonyhatch-fleet/tests/test_ordering.py
@@ -3,27 +3,65 @@
 from ebonyhatch.fleet import jobs, ordering, progress, queues, rows
 
 
-def _step(*, priority: int = 1, due_at: float, expected_s: float = 1.0) -> rows.StepRow:
+def _step(
+    *,
+    priority: int = 1,
+    due_at: float = 10.0,
+    expected_s: float = 1.0,
+    begun_at: float = 0.0,
+    step: jobs.Step | None = None,
+) -> rows.StepRow:
     queue = queues.Queue(name="q", host="", prefix="", pool="p", priority=priority)
-    job = jobs.Job(job_id="0" * 16, queue="q", spec="", steps=(jobs.Step(count=1),))
+    job = jobs.Job(job_id="0" * 16, queue="q", spec="", steps=(step or jobs.Step(count=1),))
     row = rows.JobRow(job=job, queue=queue)
     row.occurrences[0] = progress.new_steps(row, 0)
-    step = row.occurrences[0][0]
-    step.expected_s = expected_s
-    step.begun_at, step.due_at = 0.0, due_at
-    return step
+    made = row.occurrences[0][0]
+    made.expected_s = expected_s
+    made.begun_at, made.due_at = begun_at, due_at
+    return made
+
+
+def _in_order(steps: list[rows.StepRow], *, wall: float) -> list[rows.StepRow]:
+    return sorted(steps, key=lambda step: ordering.key(step, wall=wall))
+
+
+def _lasting(*, count: int = 2, cpu_millis: int = 1_000, begun_at: float = 0.0):
+    step = jobs.Step(count=count, cpu_millis=cpu_millis, long_running=True)
+    return _step(step=step, begun_at=begun_at)
 
 
 def test_priority_comes_first():
     urgent, other = _step(priority=0, due_at=100.0), _step(priority=1, due_at=5.0)
-    assert ordering.key(urgent, wall=0.0) < ordering.key(other, wall=0.0)
+    assert _in_order([other, urgent], wall=0.0) == [urgent, other]
 
 
 def test_the_least_slack_comes_first_among_those_in_time():
     near, far = _step(due_at=5.0), _step(due_at=9.0)
-    assert ordering.key(near, wall=0.0) < ordering.key(far, wall=0.0)
+    assert _in_order([far, near], wall=0.0) == [near, far]
 
 
 def test_a_job_that_is_of_no_use_any_more_comes_last():
     late, useless = _step(due_at=3.0), _step(due_at=1.0)
-    assert ordering.key(late, wall=5.0) < ordering.key(useless, wall=5.0)
+    assert _in_order([useless, late], wall=5.0) == [late, useless]
+
+
+def test_short_work_comes_before_long_running_work_of_its_priority():
+    short, lasting = _step(due_at=100.0), _lasting()
+    assert _in_order([lasting, short], wall=0.0) == [short, lasting]
+
+
+def test_of_long_running_steps_that_came_together_the_largest_comes_first():
+    small, wide, large = _lasting(), _lasting(count=9), _lasting(cpu_millis=8_000)
+    assert _in_order([small, wide, large], wall=0.0) == [large, wide, small]
+
+
+def test_long_running_steps_that_came_much_earlier_come_first():
+    early = _lasting(cpu_millis=100)
+    late = _lasting(begun_at=3 * ordering.ARRIVAL_WINDOW_S)
+    assert _in_order([late, early], wall=60.0) == [early, late]
+
+
+def test_a_long_running_step_never_counts_as_useless():
+    """However late it begins, it serves from then on."""
+    old, new = _lasting(), _lasting(begun_at=1_000.0)
+    assert _in_order([new, old], wall=2_000.0) == [old, new]
--- a/packages/ebonyhatch-fleet/tests/test_scheduler.py
+++ b/packages/ebonyhatch-fleet/tests/test_scheduler.py
@@ -177,3 +177,15 @@
     lost.target.confirmed = True
     names = {command.run.task.name for command in made.tick(now=0.3, wall=0.3)}
     assert lost.task.name in names
+
+
+def test_the_largest_of_the_long_running_jobs_that_come_together_finds_room():
+    """Small ones would take the room in pieces, and the largest would wait until they are gone."""
+    made = _scheduler(target_count=2, cpu_millis=8_000)
+    for number in range(4):
+        small = jobs.Step(count=2, cpu_millis=1_500, long_running=True)
+        _add(made, small, job_id=f"{number:016x}")
+    large = jobs.Step(count=2, cpu_millis=4_000, long_running=True)
+    wide = _add(made, large, job_id="f" * 16)
+    made.tick(now=0.0, wall=0.0)
+    assert [task.state for task in wide.occurrences[0][0].tasks] == [rows.TaskState.PLACED] * 2
--- a/packages/ebonyhatch-fleet/tests/test_tails.py
+++ b/packages/ebonyhatch-fleet/tests/test_tails.py
@@ -133,3 +133,15 @@
     for _ in range(3):
         fleet.model.learn(run, [filler])
     assert fleet.model.harm(serving="t", filler="loud") < before + 3.0
+
+
+def test_a_pair_that_was_never_seen_has_to_be_looked_at_until_it_is_known():
+    fleet = Fleet(3)
+    run, step = fleet.serving[0], fleet.fillers["quiet"]
+    assert fleet.model.is_unsure(run, step)
+    assert fleet.model.cautious_cost(run, step) > fleet.model.extra_cost(run, step)
+    doubted = fleet.model.cautious_cost(run, step) - fleet.model.extra_cost(run, step)
+    fleet.play(20.0)
+    assert not fleet.model.is_unsure(run, step)
+    sure = fleet.model.cautious_cost(run, step) - fleet.model.extra_cost(run, step)
+    assert sure < doubted / 3
