Submissions are refused at once while the store answers nobody

Ruled out: asking peers first (their store is the same one; they are still asked, and say no at once).

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -4,7 +4,8 @@
 
 import enum
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
 
 import msgspec
 from ebonyhatch.fleet import (
@@ -35,6 +36,10 @@
 RETRY_S = 0.08
 """Wait between two tries to settle a write with a lost answer, seconds."""
 
+STORE_LOST_S = 1.0
+"""Time without an answer to renewals after which submissions are refused at once instead of being
+sent, seconds: two renewals and their time-outs."""
+
 LEAST_RETRY_AFTER_S = 1.0
 """Shortest Retry-After, seconds; the header holds whole seconds."""
 
@@ -46,6 +51,9 @@
 """Share by which a Retry-After is lengthened at random, so that callers don't return together."""
 
 
+T = TypeVar("T")
+
+
 class Verdict(enum.StrEnum):
     """What became of a call."""
 
@@ -97,7 +105,6 @@
         self._local_owner = local_owner
         self._load = load
         self._random = random.Random(seed)
-        self._failing_since: float | None = None
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
 
     def start(self) -> None:
@@ -128,7 +135,7 @@
             )
         verdict, reason = await self._make_durable(job, queue=queue, until=until)
         self._log_submit(job, verdict, reason)
-        return Answer(verdict=verdict, retry_after_s=self._outage_retry_after_s(), reason=reason)
+        return Answer(verdict=verdict, retry_after_s=self.outage_retry_after_s(), reason=reason)
 
     async def show(self, job_id: str) -> Answer:
         """Tell a job's state."""
@@ -151,15 +158,13 @@
             return Answer(verdict=Verdict.DONE, count=reply.count)
         return Answer(
             verdict=Verdict.NOT_DONE,
-            retry_after_s=self._outage_retry_after_s(),
+            retry_after_s=self.outage_retry_after_s(),
             reason="the owner can't be asked",
         )
 
-    def _outage_retry_after_s(self) -> float:
+    def outage_retry_after_s(self) -> float:
         """Guess when an outage is over: one that lasts for some time lasts as long again."""
-        lasted_s = 0.0
-        if self._failing_since is not None:
-            lasted_s = self._clocks.now() - self._failing_since
+        lasted_s = self._members.store_silent_s
         return self._spread(min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, lasted_s)))
 
     def _spread(self, seconds: float) -> float:
@@ -173,7 +178,9 @@
         self, job: jobs.Job, *, queue: queues.Queue, until: float
     ) -> tuple[Verdict, str]:
         record = progress.encode_accepted(job=job, queue=queue)
-        verdict, reason = await self._create(job.job_id, record, until=until)
+        verdict, reason = Verdict.NOT_DONE, "the store answers nothing"
+        if not self._store_lost:
+            verdict, reason = await self._create(job.job_id, record, until=until)
         if verdict != Verdict.NOT_DONE:
             return verdict, reason
         relayed = await self._relay(job.job_id, record)
@@ -190,16 +197,17 @@
         put = store.Put(key=key, value=record)
         uncertain = ""
         while True:
-            outcome = await self._store.commit(conditions=(condition,), puts=(put,))
+            try:
+                outcome = await self._within(
+                    self._store.commit(conditions=(condition,), puts=(put,)), until=until
+                )
+            except defer.TimeoutError:
+                return Verdict.UNKNOWN, "the store did not answer in time"
             if isinstance(outcome, result.Success):
-                self._failing_since = None
                 return Verdict.DONE, "created"
             error = outcome.failure()
             if isinstance(error, store.ConflictError):
-                self._failing_since = None
                 return Verdict.DONE, "was there"
-            if self._failing_since is None:
-                self._failing_since = self._clocks.now()
             if not isinstance(error, store.UnknownOutcomeError) and not uncertain:
                 return Verdict.NOT_DONE, str(error)
             # An earlier try may still take effect, so that a refusal settles nothing.
@@ -208,6 +216,17 @@
                 return Verdict.UNKNOWN, uncertain
             await self._group.sleep(RETRY_S)
 
+    @property
+    def _store_lost(self) -> bool:
+        """Whether a call to the store would most likely wait for its time-out."""
+        return self._members.store_silent_s > STORE_LOST_S
+
+    def _within(self, coroutine: Coroutine[Any, Any, T], *, until: float) -> defer.Deferred[T]:
+        """Run a coroutine until a time; fails with `defer.TimeoutError` then."""
+        running = defer.Deferred.fromCoroutine(coroutine)
+        running.addTimeout(max(0.0, until - self._clocks.now()), self._clocks.loop)
+        return running
+
     async def _relay(self, job_id: str, record: bytes) -> Verdict:
         """Have a peer create the record; the owner first."""
         owner = self._members.owner
@@ -267,7 +286,7 @@
         if isinstance(known, result.Failure) or isinstance(done, result.Failure):
             return Answer(
                 verdict=Verdict.NOT_DONE,
-                retry_after_s=self._outage_retry_after_s(),
+                retry_after_s=self.outage_retry_after_s(),
                 reason="neither the owner nor the store can be asked",
             )
         if known.unwrap() is None:
@@ -282,7 +301,7 @@
         if isinstance(known, result.Failure):
             return Answer(
                 verdict=Verdict.NOT_DONE,
-                retry_after_s=self._outage_retry_after_s(),
+                retry_after_s=self.outage_retry_after_s(),
                 reason=str(known.failure()),
             )
         if known.unwrap() is None:
@@ -295,7 +314,7 @@
         unknown = isinstance(written.failure(), store.UnknownOutcomeError)
         return Answer(
             verdict=Verdict.UNKNOWN if unknown else Verdict.NOT_DONE,
-            retry_after_s=self._outage_retry_after_s(),
+            retry_after_s=self.outage_retry_after_s(),
             reason=str(written.failure()),
         )
 
@@ -335,6 +354,8 @@
         return defer.Deferred.fromCoroutine(self._submit_for(sender, call))
 
     async def _submit_for(self, sender: str, call: messages.SubmitCall) -> messages.SubmitAnswer:
+        if self._store_lost:
+            return messages.SubmitAnswer(verdict=Verdict.NOT_DONE)
         verdict, reason = await self._create(
             call.job_id, call.record, until=self._clocks.now() + RELAY_CALL_S / 2
         )
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -90,6 +90,7 @@
         self._leaving = False
         self._term = 0
         self._renewed_ok = False
+        self._answered_at = all_clocks.now()
 
     @property
     def owner(self) -> OwnerRecord | None:
@@ -121,8 +122,14 @@
         """Whether the last renewal was answered."""
         return self._renewed_ok
 
+    @property
+    def store_silent_s(self) -> float:
+        """For how long the store has answered none of this entry's renewals, seconds."""
+        return 0.0 if self._leaving else self._clocks.now() - self._answered_at
+
     def start(self) -> None:
         """Take part."""
+        self._answered_at = self._clocks.now()
         self._group.spawn(self._keep_lease())
         self._group.spawn(self._follow())
 
@@ -175,6 +182,8 @@
 
     def _note_renewal(self, outcome: result.Result[object, store.StoreError]) -> None:
         reached = isinstance(outcome, result.Success)
+        if reached or isinstance(outcome.failure(), store.NoLeaseError):
+            self._answered_at = self._clocks.now()
         if reached != self._renewed_ok:
             reason = "" if reached else str(outcome.failure())
             event = "dependency.back" if reached else "dependency.lost"
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import world as world_module
+import pytest
 from ebonyhatch.fleet import entry, jobs, queues, targets
 
 TWO_STEPS = (
@@ -123,6 +124,33 @@
     world_module.check_all(world)
 
 
+@pytest.mark.parametrize("fault", ["silent", "refuse"])
+def test_submissions_are_refused_at_once_while_the_store_answers_nobody(fault):
+    """They haven't run, and the callers come back when the outage may be over."""
+    world = _ready()
+    for member in world.members.values():
+        setattr(member.store.faults, fault, True)
+    world.run(3.0)
+    began = world.clock.seconds()
+    answer = world.submit(world.job(*TWO_STEPS))
+    assert answer.verdict == entry.Verdict.NOT_DONE
+    assert world.clock.seconds() - began < 0.25
+    assert 2.0 < answer.retry_after_s < 6.5
+    for member in world.members.values():
+        setattr(member.store.faults, fault, False)
+    world.run(1.0)
+    assert world.submit(world.job(*TWO_STEPS)).verdict == entry.Verdict.DONE
+
+
+def test_a_submission_is_answered_before_its_caller_leaves_though_the_store_is_silent():
+    world = _ready()
+    for member in world.members.values():
+        member.store.faults.silent = True
+    began = world.clock.seconds()
+    assert world.submit(world.job(*TWO_STEPS)).verdict == entry.Verdict.UNKNOWN
+    assert world.clock.seconds() - began <= 2.5 + 2 * world_module.STEP_S
+
+
 def test_a_submission_whose_answer_is_lost_is_accepted_once_it_is_there():
     world = _ready()
     job = world.job(*TWO_STEPS)
