--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ordering.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ordering.py
@@ -11,7 +11,9 @@
 """Long-running jobs that arrive within a window count as arrived together, seconds: after a start of the
 service all of them come within one."""
 
-Key = tuple[int, bool, bool, float, float]
+_IN_TIME, _LATE, _USELESS = range(3)
+
+Key = tuple[int, int, bool, float, float]
 
 
 def objective_s(row: rows.JobRow, steps: list[rows.StepRow]) -> float:
@@ -20,16 +22,18 @@
 
 
 def key(step: rows.StepRow, *, wall: float) -> Key:
-    """Give the sort key of a step: priority, useless work last, then by kind.
+    """Give the sort key of a step: priority, what the work is still good for, then by kind.
 
-    Short steps come by least slack. Long-running ones come after them, since they stay in what they
+    Short steps of jobs that can still be in time come first, then late ones, and useless ones last;
+    among them by least slack. Under overload, least slack alone makes every job late. Long-running ones come after them, since they stay in what they
     are given; of those that arrived together the largest comes first, while there is room for it:
     what remains between large tasks still holds small ones.
     """
     row = step.job
     if step.step.long_running:
         window = step.begun_at // ARRIVAL_WINDOW_S
-        return (row.queue.priority, False, True, window, -step.step.count * step.step.cpu_millis)
-    slack_s = step.due_at - wall - step.expected_s
+        return (row.queue.priority, _IN_TIME, True, window, -step.step.count * step.step.cpu_millis)
+    slack_s = step.due_at - wall - graph.rest_s(step, row.occurrences[step.occurrence])
     late_s = (USEFUL_OBJECTIVES - 1) * max(step.due_at - step.begun_at, 0.0)
-    return (row.queue.priority, slack_s + late_s < 0, False, slack_s, 0.0)
+    prospect = _IN_TIME if slack_s >= 0 else _LATE if slack_s + late_s >= 0 else _USELESS
+    return (row.queue.priority, prospect, False, slack_s, 0.0)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
@@ -4,7 +4,7 @@
 
 from ebonyhatch.fleet import rows, tables
 
-LEAST_SHARE = 0.08
+LEAST_SHARE = 0.12
 """Share of a pool that long-running tasks leave while no short work was seen: they come first on
 a new fleet, stay for minutes, and can't be taken back."""
 
--- a/packages/ebonyhatch-fleet/tests/test_ordering.py
+++ b/packages/ebonyhatch-fleet/tests/test_ordering.py
@@ -45,6 +45,22 @@
     assert _in_order([useless, late], wall=5.0) == [late, useless]
 
 
+def test_a_job_that_can_be_in_time_comes_before_one_that_is_late():
+    """Under overload, least slack alone makes every job late, one after the other."""
+    late, punctual = _step(due_at=4.5), _step(due_at=9.0)
+    assert _in_order([late, punctual], wall=4.0) == [punctual, late]
+
+
+def test_the_whole_rest_of_a_job_counts_as_slack():
+    short, long = _step(due_at=8.0), _step(due_at=9.0)
+    steps = (jobs.Step(count=1), jobs.Step(count=1, after=(0,)))
+    long.job.job = jobs.Job(job_id="1" * 16, queue="q", spec="", steps=steps)
+    long.job.occurrences[0] = made = progress.new_steps(long.job, 0)
+    for step in made:
+        step.expected_s, step.begun_at, step.due_at = 2.0, 0.0, 9.0
+    assert _in_order([short, made[0]], wall=0.0) == [made[0], short]
+
+
 def test_short_work_comes_before_long_running_work_of_its_priority():
     short, lasting = _step(due_at=100.0), _lasting()
     assert _in_order([lasting, short], wall=0.0) == [short, lasting]
