--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -224,7 +224,8 @@
     def _within(self, coroutine: Coroutine[Any, Any, T], *, until: float) -> defer.Deferred[T]:
         """Run a coroutine until a time; fails with `defer.TimeoutError` then."""
         running = defer.Deferred.fromCoroutine(coroutine)
-        running.addTimeout(max(0.0, until - self._clocks.now()), self._clocks.loop)
+        left_s = max(0.0, until - self._clocks.now())
+        running.addTimeout(left_s, self._clocks.loop)  # type: ignore[arg-type]
         return running
 
     async def _relay(self, job_id: str, record: bytes) -> Verdict:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -63,6 +63,8 @@
         head_revision: int,
         take_changed: Callable[[], list[rows.JobRow]],
         take_extras: Callable[[], list[store.Put]],
+        take_expired: Callable[[], list[str]],
+        on_removed: Callable[[list[str]], None],
         on_durable: Callable[[list[tuple[rows.JobRow, rows.JobState]]], None],
         on_superseded: Callable[[str], None],
     ) -> None:
@@ -71,6 +73,8 @@
         self._revision = head_revision
         self._take_changed = take_changed
         self._take_extras = take_extras
+        self._take_expired = take_expired
+        self._on_removed = on_removed
         self._on_durable = on_durable
         self._on_superseded = on_superseded
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
@@ -140,8 +144,19 @@
             extras = []
         self._finished = number
         self._on_durable(states)
+        await self._remove(self._take_expired())
 
-    async def _write(self, batch: list[rows.JobRow], extras: list[store.Put]) -> bool:
+    async def _remove(self, job_ids: list[str]) -> None:
+        """Remove all records of jobs, under the same condition as any other write."""
+        if not job_ids:
+            return
+        removes = [key(job_id) for job_id in job_ids for key in keys.OF_A_JOB]
+        if await self._write([], [], removes=tuple(removes)):
+            self._on_removed(job_ids)
+
+    async def _write(
+        self, batch: list[rows.JobRow], extras: list[store.Put], removes: tuple[str, ...] = ()
+    ) -> bool:
         """Write until it is durable or this entry is superseded."""
         head = ownership.Head(
             term=self._term, number=next(self._numbers), nonce=os.urandom(8).hex()
@@ -155,7 +170,9 @@
         wait_s = RETRY_S
         while not self._closed:
             condition = store.Condition(key=keys.HEAD, revision=self._revision)
-            outcome = await self._store.commit(conditions=(condition,), puts=tuple(puts))
+            outcome = await self._store.commit(
+                conditions=(condition,), puts=tuple(puts), removes=removes
+            )
             if isinstance(outcome, result.Success):
                 self._revision = outcome.unwrap()
                 return True
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/keys.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/keys.py
@@ -47,3 +47,7 @@
 def entry(name: str) -> str:
     """Key of an entry."""
     return ENTRIES + name
+
+
+OF_A_JOB = (job, progress, cancel)
+"""Every key that a job may have."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -40,12 +40,14 @@
         host: IP number for its peers.
         port: TCP port for its peers.
         lease_s: Longest lease that targets grant to runs, seconds.
+        keep_ended_s: Time for which ended jobs are kept, seconds.
     """
 
     name: str
     host: str
     port: int
     lease_s: float
+    keep_ended_s: float = 600.0
 
 
 class Node:
@@ -166,6 +168,7 @@
             registry=self._registry,
             all_clocks=self._clocks,
             lease_s=self._settings.lease_s,
+            keep_ended_s=self._settings.keep_ended_s,
             lease_valid=lambda: self._members.lease_valid,
             store_reachable=lambda: self._members.store_reachable,
             on_superseded=lambda reason: self._superseded(made, reason),
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -16,6 +16,7 @@
     learnt,
     progress,
     queues,
+    retention,
     rows,
     scheduler,
     store,
@@ -62,6 +63,7 @@
         registry: target_list.Registry,
         all_clocks: clocks.Clocks,
         lease_s: float,
+        keep_ended_s: float,
         lease_valid: Callable[[], bool],
         store_reachable: Callable[[], bool],
         on_superseded: Callable[[str], None],
@@ -85,6 +87,7 @@
             group=self._group,
             on_change=self._targets_changed,
         )
+        self._retention = retention.Retention(keep_s=keep_ended_s)
         self._journal = journal.Journal(
             store_port=store_port,
             all_clocks=all_clocks,
@@ -92,6 +95,8 @@
             head_revision=head_revision,
             take_changed=self._scheduler.take_changed,
             take_extras=self._take_extras,
+            take_expired=lambda: self._retention.take_due(now=all_clocks.now()),
+            on_removed=self._removed,
             on_durable=self._durable,
             on_superseded=on_superseded,
         )
@@ -287,6 +292,8 @@
             tasks=sum(step.count for step in row.job.steps),
         )
         self._scheduler.add_job(row, now=self._clocks.now(), wall=self._clocks.wall())
+        if row.shown in rows.ENDED_STATES:
+            self._retention.add(job_id, now=self._clocks.now())
 
     def _take_extras(self) -> list[store.Put]:
         """Give what is written besides the jobs: the targets when they change, and what was learnt."""
@@ -415,10 +422,16 @@
             if state in rows.ENDED_STATES:
                 row.shown = state
                 row.ended_at = row.ended_at or self._clocks.wall()
+                self._retention.add(row.job.job_id, now=self._clocks.now())
                 decision_log.write("job.shown", job_id=row.job.job_id, state=state)
             for waiter in self._waiters.pop(row.job.job_id, []):
                 waiter.callback(None)
 
+    def _removed(self, job_ids: list[str]) -> None:
+        for job_id in job_ids:
+            self._scheduler.forget(job_id)
+            decision_log.write("job.removed", job_id=job_id, kept=self._retention.count)
+
     def _wake(self) -> None:
         """Tick soon; what arrives meanwhile goes into the same tick."""
         self._wake_in(max(0.0, self._ticked_at + TICK_GAP_S - self._clocks.now()))
@@ -454,7 +467,7 @@
         self._wake_in(IDLE_TICK_S if due_s is None else min(IDLE_TICK_S, max(due_s, TICK_GAP_S)))
         if now - self._compared_at > IDLE_TICK_S:
             self._compared_at = now
-            if self._known_targets() != self._targets_written:
+            if self._known_targets() != self._targets_written or self._retention.is_due(now=now):
                 self._journal.want()
         if self._scheduler.has_changes():
             self._journal.want(urgent=self._scheduler.has_ended_changes())
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -107,6 +107,12 @@
         self._ends.note_changed(row)
         self._ends.stop_all(row, reason="cancelled", now=now)
 
+    def forget(self, job_id: str) -> None:
+        """Forget a job that has ended and whose records are gone."""
+        self._tables.jobs.pop(job_id, None)
+        self._tables.timed.pop(job_id, None)
+        self._model.forget(job_id)
+
     def set_target(self, target: targets.Target, *, now: float) -> rows.TargetRow:
         """Take in what a target says of itself; a new life has lost all runs of the old one."""
         row = self._tables.targets.get(target.target_id)
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
-import world as world_module
 import pytest
+import world as world_module
 from ebonyhatch.fleet import entry, jobs, queues, targets
 
 TWO_STEPS = (
--- /dev/null
+++ b/packages/ebonyhatch-fleet/tests/test_retention.py
@@ -0,0 +1,62 @@
+"""Ended jobs are kept for their time and then leave the store and the owner."""
+
+from __future__ import annotations
+
+import world as world_module
+from ebonyhatch.fleet import entry, jobs, keys, retention
+
+KEEP_S = 5.0
+SHORT = (jobs.Step(count=2, cpu_millis=500, estimate_s=0.2),)
+
+
+def _keys(world: world_module.World, job_id: str) -> list[str]:
+    return [key for key in world.store.items if key.endswith(job_id)]
+
+
+def test_jobs_are_removed_in_the_order_of_their_ends_a_few_at_once():
+    kept = retention.Retention(keep_s=KEEP_S)
+    for number in range(retention.REMOVED_AT_ONCE + 3):
+        kept.add(f"{number}", now=float(number))
+    assert kept.take_due(now=KEEP_S - 0.1) == []
+    assert kept.take_due(now=KEEP_S + 1) == ["0", "1"]
+    assert len(kept.take_due(now=1_000.0)) == retention.REMOVED_AT_ONCE
+    assert kept.count == 1
+
+
+def test_an_ended_job_is_shown_for_its_time_and_then_nothing_is_left_of_it():
+    world = world_module.World(keep_ended_s=KEEP_S)
+    world.run(1.0)
+    job = world.job(*SHORT, work_s=0.2)
+    world.submit(job)
+    world.run_until(lambda: world.state(job.job_id) == "completed")
+    world.run(KEEP_S - 1.0)
+    assert world.show(job.job_id).state == "completed"
+    world.run(2.0)
+    assert _keys(world, job.job_id) == []
+    assert world.show(job.job_id).verdict == entry.Verdict.NO_SUCH_JOB
+    assert world.owner.node.owner.job(job.job_id) is None
+
+
+def test_what_a_former_owner_did_not_remove_the_next_one_removes():
+    world = world_module.World(keep_ended_s=KEEP_S)
+    world.run(1.0)
+    ended = [world.job(*SHORT, work_s=0.2) for _ in range(2 * retention.REMOVED_AT_ONCE)]
+    under_way = world.job(*SHORT, work_s=60.0)
+    for job in (*ended, under_way):
+        world.submit(job)
+    world.run_until(lambda: all(world.state(job.job_id) == "completed" for job in ended))
+    world.kill(world.owner.name)
+    world.run(KEEP_S + 6.0)
+    assert all(_keys(world, job.job_id) == [] for job in ended)
+    assert keys.job(under_way.job_id) in world.store.items
+    assert world.state(under_way.job_id) == "running"
+    world_module.check_all(world)
+
+
+def test_jobs_that_have_not_ended_are_never_removed():
+    world = world_module.World(keep_ended_s=KEEP_S)
+    world.run(1.0)
+    job = world.job(*SHORT, work_s=4 * KEEP_S)
+    world.submit(job)
+    world.run(3 * KEEP_S)
+    assert world.show(job.job_id).state == "running"
--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -75,8 +75,11 @@
 class World:
     """Everything, on one clock."""
 
-    def __init__(self, *, entries: int = 3, target_count: int = 4) -> None:
+    def __init__(
+        self, *, entries: int = 3, target_count: int = 4, keep_ended_s: float = 600.0
+    ) -> None:
         self.clock = task.Clock()
+        self.keep_ended_s = keep_ended_s
         self.store = memory_store.StoreEngine(clock=self.clock)
         self.network = memory_peers.MemoryNetwork(clock=self.clock)
         self.work: dict[str, float] = {}
@@ -129,7 +132,9 @@
         made = node.Node(
             all_clocks=clock,
             network=memory_peers.MemoryPeers(network=self.network, entry_id=name),
-            settings=node.Settings(name=name, host=name, port=1, lease_s=LEASE_S),
+            settings=node.Settings(
+                name=name, host=name, port=1, lease_s=LEASE_S, keep_ended_s=self.keep_ended_s
+            ),
             store_port=way,
             targets_port=port,
             registry=Registry(),
