Work is saved from targets that are about to leave

Now a long-running task leaves with the first notice, and any other that won't end in time, as far as there is room for it elsewhere that isn't kept for short work. A removed entry of a draining target was ruled out as proof that its runs are gone: silence removes it too.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placing.py
@@ -45,7 +45,7 @@
         steps = [step for step in self._tables.waiting.values() if self._may_place(step, settled)]
         steps.sort(key=lambda step: ordering.key(step, wall=wall))
         self._reserve.begin_pass()
-        context = registry.Context(now=now, tails=self._model, kept=self._reserve.keeps)
+        context = self.context(now)
         for step in steps:
             if step.step.gang:
                 self._place_gang(step, context)
@@ -54,6 +54,10 @@
             if not step.waiting:
                 self._tables.waiting.pop(id(step), None)
 
+    def context(self, now: float) -> registry.Context:
+        """Give what the constraints need to know, at a time in seconds."""
+        return registry.Context(now=now, tails=self._model, kept=self._reserve.keeps)
+
     def order(self, task: rows.TaskRow, row: rows.TargetRow, *, run: int, now: float) -> None:
         """Reserve room for a run of a task and order it."""
         task.state = rows.TaskState.PLACED
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -65,6 +65,7 @@
         listed: The store still lists it.
         standing: Decayed score of failures; see `standing`.
         barred_until: No placement before this time, seconds.
+        leaves_at: When it may leave, seconds; 0 while it doesn't drain.
     """
 
     target: targets.Target
@@ -83,6 +84,7 @@
     listed: bool = True
     standing: float = 0.0
     barred_until: float = 0.0
+    leaves_at: float = 0.0
 
     @property
     def target_id(self) -> str:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -5,6 +5,7 @@
 from ebonyhatch.fleet import (
     accounts,
     commands,
+    evacuation,
     graph,
     learnt,
     ordering,
@@ -62,6 +63,7 @@
             emit=self._commands.append,
             decide=decide,
         )
+        self._evacuation = evacuation.Evacuation(all_tables=self._tables, stop=self._ends.stop)
         self._now = 0.0
         self._wall = 0.0
         self.settled = False
@@ -120,7 +122,12 @@
             self.lose_target(row, why="new-life", now=now)
             row.confirmed = False
             row.standing = 0.0
-        return self._tables.set_target(target)
+        row = self._tables.set_target(target)
+        if not target.draining:
+            row.leaves_at = 0.0
+        elif not row.leaves_at:
+            row.leaves_at = now + (target.stays_s or evacuation.LEAST_STAY_S)
+        return row
 
     def take_account(self, row: rows.TargetRow, account: targets.Account, *, now: float) -> None:
         """Take in a target's account."""
@@ -181,6 +188,7 @@
         self._model.at(now)
         self._reserve.observe(elapsed_s=elapsed_s)
         if self.may_place:
+            self._evacuation.review(self._placing.context(now))
             self._placing.place(now=now, wall=wall, settled=self.settled, blocked=self.blocked)
         decided = list(self._commands)
         self._commands.clear()
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/targets.py
@@ -77,6 +77,7 @@
         memory_mb: Memory that it holds, megabytes.
         accelerators: Accelerators that it holds.
         draining: It is leaving and takes nothing new.
+        stays_s: While it is draining, the least time that it stays, seconds; 0 where it isn't told.
     """
 
     target_id: str
@@ -90,6 +91,7 @@
     memory_mb: int = 0
     accelerators: int = 0
     draining: bool = False
+    stays_s: float = 0.0
 
 
 class RunKey(msgspec.Struct, frozen=True):
