--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -126,15 +126,16 @@
             queue: Its queue.
             until: Steady time by which the caller has to be answered, seconds.
         """
-        refusal = self._load.refusal(queue=queue, job=job, now=self._clocks.now())
+        began_at = self._clocks.now()
+        refusal = self._load.refusal(queue=queue, job=job, now=began_at)
         if refusal is not None and not await self._is_known(job.job_id):
             retry_after_s = self._spread(refusal.retry_after_s)
-            self._log_submit(job, Verdict.OVERLOADED, refusal.reason)
+            self._log_submit(job, Verdict.OVERLOADED, refusal.reason, began_at=began_at)
             return Answer(
                 verdict=Verdict.OVERLOADED, retry_after_s=retry_after_s, reason=refusal.reason
             )
         verdict, reason = await self._make_durable(job, queue=queue, until=until)
-        self._log_submit(job, verdict, reason)
+        self._log_submit(job, verdict, reason, began_at=began_at)
         return Answer(verdict=verdict, retry_after_s=self.outage_retry_after_s(), reason=reason)
 
     async def show(self, job_id: str) -> Answer:
@@ -365,12 +366,14 @@
         )
         return messages.SubmitAnswer(verdict=verdict)
 
-    def _log_submit(self, job: jobs.Job, verdict: Verdict, reason: str) -> None:
+    def _log_submit(self, job: jobs.Job, verdict: Verdict, reason: str, *, began_at: float) -> None:
+        now = self._clocks.now()
         decision_log.write(
             "job.submitted",
             job_id=job.job_id,
             queue=job.queue,
             verdict=verdict,
             reason=reason,
-            load_age_s=self._load.age_s(now=self._clocks.now()),
+            took_s=round(now - began_at, 4),
+            load_age_s=self._load.age_s(now=now),
         )
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -12,6 +12,7 @@
     entry,
     memory_peers,
     messages,
+    metrics,
     ownership,
     queues,
     store,
@@ -93,6 +94,7 @@
             group=self._group,
             on_change=self._configured,
         )
+        self._metrics = metrics.Metrics(gauges=self._gauges)
         self._entry = entry.Entry(
             name=settings.name,
             store_port=store_port,
@@ -124,6 +126,11 @@
         """Whether callers should be sent here."""
         return not self._closing and self._configuration.current is not None and self._members.known
 
+    @property
+    def metrics(self) -> metrics.Metrics:
+        """Its metrics."""
+        return self._metrics
+
     @property
     def clocks(self) -> clocks.Clocks:
         """The clocks."""
@@ -131,6 +138,7 @@
 
     def start(self) -> None:
         """Begin."""
+        self._metrics.start()
         self._network.handle(messages.ConfigurationNotice, self._on_configuration)
         self._network.handle(messages.LoadNotice, self._on_load)
         self._network.start()
@@ -158,6 +166,18 @@
             self._owner = None
         self._entry.close()
         self._network.close()
+        self._metrics.close()
+
+    def _gauges(self) -> dict[str, float]:
+        current = self._configuration.current
+        state = {
+            "is_owner": float(self._owner is not None),
+            "term": 0 if self._owner is None else self._owner.term,
+            "configuration_version": 0 if current is None else current.version,
+            "store_silent_seconds": self._members.store_silent_s,
+            "entries": len(self._members.entries),
+        }
+        return state if self._owner is None else state | self._owner.gauges()
 
     def _gained(self, head: ownership.Head, revision: int) -> None:
         made = owner_module.Owner(
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -128,6 +128,20 @@
         """Its scheduler."""
         return self._scheduler
 
+    def gauges(self) -> dict[str, float]:
+        """Give its present state for metrics."""
+        all_tables = self._scheduler.tables
+        targets_now = all_tables.targets.values()
+        return {
+            "jobs": len(all_tables.jobs),
+            "jobs_ended": self._retention.count,
+            "tasks_waiting": sum(len(step.waiting) for step in all_tables.waiting.values()),
+            "tasks_running": sum(len(row.runs) for row in targets_now),
+            "targets": len(targets_now),
+            "targets_unreachable": sum(not row.reachable for row in targets_now),
+            "targets_barred": sum(row.barred_until > self._clocks.now() for row in targets_now),
+        }
+
     def start(self, *, configuration: queues.Configuration) -> None:
         """Recover, then act."""
         self._configuration = configuration
@@ -423,7 +437,13 @@
                 row.shown = state
                 row.ended_at = row.ended_at or self._clocks.wall()
                 self._retention.add(row.job.job_id, now=self._clocks.now())
-                decision_log.write("job.shown", job_id=row.job.job_id, state=state)
+                decision_log.write(
+                    "job.shown",
+                    job_id=row.job.job_id,
+                    queue=row.queue.name,
+                    state=state,
+                    took_s=round(row.ended_at - row.job.accepted_at, 3),
+                )
             for waiter in self._waiters.pop(row.job.job_id, []):
                 waiter.callback(None)
 
