The rest of a job is found in one pass; tests share how a run gets on a target

Cause: seen in reading: the longest chain from a step went through every way in the job's graph, so that a job of many steps that each come after all before would have held up the owner for good.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/spread.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/spread.py
@@ -6,8 +6,8 @@
 from ebonyhatch.fleet.constraints import registry
 
 LOST_SHARE_COST = 3.0
-"""Score that a target costs whose loss would take a whole long-running step: a third of one weighs as
-much as the wish to put tasks of one image together."""
+"""Score that a target costs whose loss would take a whole long-running step: a third of one weighs
+as much as the wish to put tasks of one image together."""
 
 
 @registry.predicate("spread")
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/graph.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/graph.py
@@ -59,9 +59,16 @@
 
 
 def rest_s(step: rows.StepRow, steps: list[rows.StepRow]) -> float:
-    """Sum the expected run times of the longest chain that begins with a step."""
-    following = [later for later in steps if step.index in later.step.after]
-    return step.expected_s + max((rest_s(later, steps) for later in following), default=0.0)
+    """Sum the expected run times of the longest chain that begins with a step.
+
+    Steps come after earlier ones only, so that one pass from the last to the first does.
+    """
+    following = [0.0] * len(steps)
+    for later in reversed(steps[step.index + 1 :]):
+        rest = later.expected_s + following[later.index]
+        for before in later.step.after:
+            following[before] = max(following[before], rest)
+    return step.expected_s + following[step.index]
 
 
 def _release_occurrences(row: rows.JobRow, wall: float) -> None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ordering.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ordering.py
@@ -8,8 +8,8 @@
 """Times its objective within which a job is still of use to its caller; from the queues' contract."""
 
 ARRIVAL_WINDOW_S = 5.0
-"""Long-running jobs that arrive within a window count as arrived together, seconds: after a start of the
-service all of them come within one."""
+"""Long-running jobs that arrive within a window count as arrived together, seconds: after a start
+of the service all of them come within one."""
 
 _IN_TIME, _LATE, _USELESS = range(3)
 
@@ -25,9 +25,11 @@
     """Give the sort key of a step: priority, what the work is still good for, then by kind.
 
     Short steps of jobs that can still be in time come first, then late ones, and useless ones last;
-    among them by least slack. Under overload, least slack alone makes every job late. Long-running ones come after them, since they stay in what they
-    are given; of those that arrived together the largest comes first, while there is room for it:
-    what remains between large tasks still holds small ones.
+    among them by least slack. Under overload, least slack alone makes every job late.
+
+    Long-running steps come after them, since they stay in what they are given. Of those that
+    arrived together the largest comes first, while there is room for it: what remains between
+    large tasks still holds small ones.
     """
     row = step.job
     if step.step.long_running:
--- a/packages/ebonyhatch-fleet/tests/test_harm.py
+++ b/packages/ebonyhatch-fleet/tests/test_harm.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import placed
 import pytest
 from ebonyhatch.fleet import jobs, progress, queues, reserve, rows, tables, tails, targets
 from ebonyhatch.fleet.constraints import harm, registry
@@ -36,18 +37,6 @@
     return progress.new_steps(rows.JobRow(job=job, queue=queue), 0)[0]
 
 
-def _put(step: rows.StepRow, row: rows.TargetRow, index: int) -> rows.RunRow:
-    task = step.tasks[index]
-    run = rows.RunRow(
-        key=targets.RunKey(task=task.name, run=1),
-        task=task,
-        target=row,
-        state=rows.RunState.RUNNING,
-    )
-    tables.reserve(run)
-    return run
-
-
 def _context(model: tails.TailModel) -> registry.Context:
     kept = reserve.Reserve(all_tables=tables.Tables())
     return registry.Context(now=0.0, tails=model, kept=kept.keeps)
@@ -56,10 +45,10 @@
 def test_a_serving_task_prefers_its_image_then_what_is_mixed_already():
     """Fillers that harm one image find a place only where none of its tasks run."""
     like, pure, mixed = _row(0), _row(1), _row(2)
-    _put(_step("a", number=1), like, 0)
-    _put(_step("b", number=2), pure, 0)
-    _put(_step("b", number=3), mixed, 0)
-    _put(_step("c", number=4), mixed, 0)
+    placed.run_on(like, _step("a", number=1), 0)
+    placed.run_on(pure, _step("b", number=2), 0)
+    placed.run_on(mixed, _step("b", number=3), 0)
+    placed.run_on(mixed, _step("c", number=4), 0)
     for row in (like, pure):
         # The same room is free on all.
         row.free_cpu = mixed.free_cpu
@@ -72,17 +61,17 @@
 def test_a_filler_goes_where_the_tasks_beside_stay_within_their_limits(harms, allowed):
     model, row = tails.TailModel(), _row(0)
     model.restore((("a", "f", harms),))
-    _put(_step("a"), row, 0)
+    placed.run_on(row, _step("a"), 0)
     filler = _step("f", filler=True, number=1)
     assert harm.is_harmless(filler, row, _context(model)) == allowed
 
 
 def test_of_fillers_whose_effect_nobody_knows_few_go_beside_a_serving_task():
     row, filler = _row(0), _step("f", filler=True, number=1)
-    _put(_step("a"), row, 0)
+    placed.run_on(row, _step("a"), 0)
     context = _context(tails.TailModel())
-    placed = 0
+    count = 0
     while harm.is_harmless(filler, row, context):
-        _put(filler, row, placed)
-        placed += 1
-    assert placed <= 1
+        placed.run_on(row, filler, count)
+        count += 1
+    assert count <= 1
--- a/packages/ebonyhatch-fleet/tests/test_tails.py
+++ b/packages/ebonyhatch-fleet/tests/test_tails.py
@@ -5,6 +5,7 @@
 import math
 import random
 
+import placed
 import pytest
 from ebonyhatch.fleet import jobs, progress, queues, rows, tables, tails, targets
 
@@ -40,7 +41,7 @@
             for number in range(6)
         ]
         self.serving = [
-            self.run(self.jobs["s" if number % 2 else "t"], row, number)
+            placed.run_on(row, self.jobs["s" if number % 2 else "t"], number)
             for number, row in enumerate(self.rows)
         ]
 
@@ -56,17 +57,6 @@
         job = jobs.Job(job_id=image.ljust(16, "0"), queue="q", spec="", steps=(step,))
         return progress.new_steps(rows.JobRow(job=job, queue=self.queue), 0)[0]
 
-    def run(self, step: rows.StepRow, row: rows.TargetRow, index: int) -> rows.RunRow:
-        task = step.tasks[index]
-        run = rows.RunRow(
-            key=targets.RunKey(task=task.name, run=1),
-            task=task,
-            target=row,
-            state=rows.RunState.RUNNING,
-        )
-        tables.reserve(run)
-        return run
-
     def play(self, seconds: float) -> None:
         for tick in range(int(seconds / READ_EVERY_S)):
             now = tick * READ_EVERY_S
@@ -81,7 +71,7 @@
             tables.release(filler)
         for number, image in enumerate(("loud", "quiet")):
             if self.random.random() < 0.6:
-                filler = self.run(self.fillers[image], row, 10 * number + index)
+                filler = placed.run_on(row, self.fillers[image], 10 * number + index)
                 filler.reading = float(filler.task.step.step.cpu_millis)
 
     def read(self, run: rows.RunRow, row: rows.TargetRow, now: float) -> None:
@@ -127,7 +117,7 @@
     run, row = fleet.serving[0], fleet.rows[0]
     for filler in tails.filler_runs(row):
         tables.release(filler)
-    filler = fleet.run(fleet.fillers["loud"], row, 0)
+    filler = placed.run_on(row, fleet.fillers["loud"], 0)
     filler.reading = float(filler.task.step.step.cpu_millis)
     run.reading = 0.9
     for _ in range(3):
