A takeover never writes the owner's key without a lease

An entry whose lease ended while it read the head wrote the owner's key with lease 0, which is none: the key stayed when that entry was killed, and nobody could take over. The lease is now taken before and the takeover given up without one.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
@@ -193,7 +193,7 @@
         self, order: Callable[[TargetEngine], targets.RefusalReason | None], *, born: int
     ) -> None:
         """Do what a process received and left lying; what ended with that process is not done."""
-        if self.target.born == born:
+        if self.target.born == born and not self.faults.down:
             order(self)
 
     def _end(self, run: MemoryRun, kind: targets.EndKind) -> None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -201,6 +201,8 @@
 
     async def _claim_again(self) -> None:
         """Write the owner's key anew after its lease ended, unless another one is there."""
+        if not self._lease:
+            return
         put = store.Put(key=keys.OWNER, value=self._owner_value(self._term), lease=self._lease)
         absent = store.Condition(key=keys.OWNER, revision=store.ABSENT)
         claimed = await self._store.commit(conditions=(absent,), puts=(put,))
@@ -260,6 +262,10 @@
         read = await self._store.get(key=keys.HEAD)
         if isinstance(read, result.Failure):
             return False
+        lease = self._lease
+        if not lease:
+            # It ended meanwhile; a key without a lease would stay when this entry is gone.
+            return False
         item = read.unwrap()
         last = _decode_head(item.value) if item is not None else None
         term = 1 if last is None else last.term + 1
@@ -271,7 +277,7 @@
             ),
         )
         puts = (
-            store.Put(key=keys.OWNER, value=self._owner_value(term), lease=self._lease),
+            store.Put(key=keys.OWNER, value=self._owner_value(term), lease=lease),
             store.Put(key=keys.HEAD, value=msgspec.json.encode(head)),
         )
         taken = await self._store.commit(conditions=conditions, puts=puts)
--- a/packages/ebonyhatch-fleet/tests/test_histories.py
+++ b/packages/ebonyhatch-fleet/tests/test_histories.py
@@ -244,6 +244,12 @@
         ("heal", 1, 0.02),
         ("target_down", 1, 0.2),
     ),
+    "a lease that ended during a takeover: the owner's key was written without one and stayed": (
+        ("target_drains", 0, 0.7),
+        ("end_leases", 1, 3.0),
+        ("submit", 2, 3.0),
+        ("kill_all", 4, 1.6),
+    ),
     "a cancellation that the owner itself was asked for waited for the store without a bound": (
         ("submit", 0, 0.02),
         ("silence_all", 4, 0.02),
--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -11,6 +11,7 @@
     configuration_source,
     entry,
     jobs,
+    keys,
     memory_peers,
     memory_store,
     memory_targets,
@@ -275,8 +276,15 @@
             highest[name] = run
 
 
+def check_owner_has_a_lease(world: World) -> None:
+    """The owner's key goes with its owner."""
+    item = world.store.items.get(keys.OWNER)
+    assert item is None or item.lease, "nobody can take over once this owner is gone"
+
+
 def check_all(world: World) -> None:
     """Check everything that always holds."""
+    check_owner_has_a_lease(world)
     check_never_twice(world)
     check_order(world)
     check_rising_runs(world)
