Listings are read page by page, and a failed page is read again by itself

Cause: Store.list read all pages as one call, so one failed page discarded those that had arrived, and every retry began with the first page. On a slow link, or with a store that often fails, some page of each attempt fails. Change: the store port has list_page; Store.list is built on it. ListingReader keeps the pages that have arrived and retries only the page that failed, after 0.15 s up to 0.6 s. Membership, the target list and the configuration are read with it. The in-memory store returns pages of 500 items. A watch from the first page's revision also covers changes made while later pages were read, as before.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
@@ -5,7 +5,7 @@
 import abc
 from collections.abc import Callable
 
-from ebonyhatch.fleet import decision_log, queues, store
+from ebonyhatch.fleet import clocks, decision_log, listing, queues, store
 from ebonyhatch.node import coroutines
 from returns import result
 
@@ -37,10 +37,14 @@
         *,
         store_port: store.Store,
         codec: Codec,
+        all_clocks: clocks.Clocks,
         group: coroutines.CoroutineGroup,
         on_change: Callable[[queues.Configuration, bytes], None],
     ) -> None:
         self._store = store_port
+        self._listings = listing.ListingReader(
+            store_port=store_port, all_clocks=all_clocks, group=group
+        )
         self._codec = codec
         self._group = group
         self._on_change = on_change
@@ -74,13 +78,10 @@
 
     async def _follow(self) -> None:
         while True:
-            read = await self._store.list(prefix=self._codec.key)
-            if isinstance(read, result.Failure):
-                await self._group.sleep(RETRY_DELAY_S)
-                continue
-            for item in read.unwrap().items:
+            listed = await self._listings.read(self._codec.key)
+            for item in listed.items:
                 self._apply_item(item)
-            await self._watch(read.unwrap().as_of)
+            await self._watch(listed.as_of)
 
     async def _watch(self, as_of: int) -> None:
         while True:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_store.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_store.py
@@ -13,6 +13,9 @@
 MAX_HISTORY = 10_000
 """Number of changes that are retained for watches."""
 
+PAGE_ITEMS = 500
+"""Maximum number of items in one page of a listing."""
+
 POLL_S = 0.005
 """Interval at which a waiting watch checks for changes, seconds."""
 
@@ -149,13 +152,20 @@
         self._engine.expire_leases()
         return result.Success(self._engine.items.get(key))
 
-    async def list(self, *, prefix: str) -> result.Result[store.Listing, store.StoreError]:
-        """Reads all keys under a prefix."""
+    async def list_page(
+        self, *, prefix: str, after: str = ""
+    ) -> result.Result[store.ListingPage, store.StoreError]:
+        """Reads one page of the keys under a prefix."""
         failure = await self._simulate_call("list")
         if failure is not None:
             return failure
-        items = self._engine.list_prefix(prefix)
-        return result.Success(store.Listing(items=items, as_of=self._engine.revision))
+        items = [item for item in self._engine.list_prefix(prefix) if item.key > after]
+        page = store.ListingPage(
+            items=tuple(items[:PAGE_ITEMS]),
+            has_more=len(items) > PAGE_ITEMS,
+            as_of=self._engine.revision,
+        )
+        return result.Success(page)
 
     async def watch(
         self, *, prefix: str, after: int, wait_s: float
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -91,6 +91,7 @@
         self._configuration = configuration_source.ConfigurationSource(
             store_port=store_port,
             codec=codec,
+            all_clocks=self._clocks,
             group=self._group,
             on_change=self._on_configuration_changed,
         )
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -89,6 +89,7 @@
         self._targets = target_list.TargetList(
             store_port=store_port,
             target_codec=target_codec,
+            all_clocks=all_clocks,
             group=self._group,
             on_change=self._on_targets_changed,
         )
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -10,7 +10,7 @@
 from typing import TypeVar
 
 import msgspec
-from ebonyhatch.fleet import clocks, decision_log, keys, store
+from ebonyhatch.fleet import clocks, decision_log, keys, listing, store
 from ebonyhatch.node import coroutines
 from returns import result
 
@@ -88,6 +88,9 @@
         self._on_lost = on_lost
         self._on_entries = on_entries
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
+        self._listings = listing.ListingReader(
+            store_port=store_port, all_clocks=all_clocks, group=self._group
+        )
         self._lease = 0
         self._lease_lost_at = float("-inf")
         self._valid_until = 0.0
@@ -229,13 +232,9 @@
     async def _follow(self) -> None:
         """Lists the membership, then watches it; lists it again after any failure."""
         while True:
-            listed = await self._store.list(prefix=keys.MEMBERSHIP)
-            if isinstance(listed, result.Failure):
-                await self._group.sleep(RETRY_DELAY_S)
-                continue
-            listing = listed.unwrap()
-            self._apply_listing(listing)
-            await self._watch(listing.as_of)
+            listed = await self._listings.read(keys.MEMBERSHIP)
+            self._apply_listing(listed)
+            await self._watch(listed.as_of)
 
     async def _watch(self, as_of: int) -> None:
         while True:
@@ -343,10 +342,10 @@
     def _lease_usable(self) -> bool:
         return bool(self._lease) and self.lease_valid and not self._leaving
 
-    def _apply_listing(self, listing: store.Listing) -> None:
+    def _apply_listing(self, listed: listing.Listed) -> None:
         self._entries.clear()
         self._owner = None
-        for item in listing.items:
+        for item in listed.items:
             self._apply_item(item.key, item)
         self._membership_read = True
         self._report_entries()
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/store.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/store.py
@@ -97,6 +97,20 @@
     item: Item | None
 
 
+class ListingPage(msgspec.Struct, frozen=True, kw_only=True):
+    """A page of the items under a prefix, in the order of their keys.
+
+    Attributes:
+        items: Items of the page.
+        has_more: Whether more items follow.
+        as_of: Revision of the store when the page was read.
+    """
+
+    items: tuple[Item, ...]
+    has_more: bool
+    as_of: int
+
+
 class Listing(msgspec.Struct, frozen=True, kw_only=True):
     """Items under a prefix; `as_of` is the store's revision before the first page was read."""
 
@@ -141,8 +155,26 @@
         """Reads a key; returns None if it does not exist. The read is linearizable."""
 
     @abc.abstractmethod
+    async def list_page(
+        self, *, prefix: str, after: str = ""
+    ) -> result.Result[ListingPage, StoreError]:
+        """Reads the first page of the keys under a prefix that follow the key `after`."""
+
     async def list(self, *, prefix: str) -> result.Result[Listing, StoreError]:
-        """Reads all keys under a prefix, page by page; the pages are not one snapshot."""
+        """Reads all keys under a prefix, page by page; fails with the first page that fails."""
+        items: list[Item] = []
+        as_of: int | None = None
+        after = ""
+        while True:
+            outcome = await self.list_page(prefix=prefix, after=after)
+            if isinstance(outcome, result.Failure):
+                return outcome
+            page = outcome.unwrap()
+            items += page.items
+            as_of = page.as_of if as_of is None else as_of
+            if not page.has_more or not page.items:
+                return result.Success(Listing(items=tuple(items), as_of=as_of))
+            after = page.items[-1].key
 
     @abc.abstractmethod
     async def watch(
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
@@ -5,16 +5,13 @@
 import abc
 from collections.abc import Callable
 
-from ebonyhatch.fleet import decision_log, store, targets
+from ebonyhatch.fleet import clocks, decision_log, listing, store, targets
 from ebonyhatch.node import coroutines
 from returns import result
 
 WATCH_TIMEOUT_S = 3.0
 """Timeout of one watch, seconds."""
 
-RETRY_DELAY_S = 0.15
-"""Delay before a failed call to the store is retried, seconds."""
-
 REREGISTRATION_S = 2.2
 """Time after the store's return within which registrations that expired in the outage are expected
 to reappear, seconds."""
@@ -44,10 +41,14 @@
         *,
         store_port: store.Store,
         target_codec: TargetCodec,
+        all_clocks: clocks.Clocks,
         group: coroutines.CoroutineGroup,
         on_change: Callable[[dict[str, targets.Target]], None],
     ) -> None:
         self._store = store_port
+        self._listings = listing.ListingReader(
+            store_port=store_port, all_clocks=all_clocks, group=group
+        )
         self._target_codec = target_codec
         self._group = group
         self._on_change = on_change
@@ -79,16 +80,12 @@
 
     async def _follow(self) -> None:
         while True:
-            listed = await self._store.list(prefix=self._target_codec.prefix)
-            if isinstance(listed, result.Failure):
-                self._failed = True
-                await self._group.sleep(RETRY_DELAY_S)
-                continue
-            listing = listed.unwrap()
+            listed = await self._listings.read(self._target_codec.prefix)
+            self._failed = self._failed or listed.failures > 0
             retained = {**self._expected, **(self._listed if self._failed else {})}
             self._expected = {}
             self._listed = {}
-            for item in listing.items:
+            for item in listed.items:
                 self._apply(item.key, item)
             missing = {name: retained[name] for name in retained if name not in self._listed}
             if missing:
@@ -96,7 +93,7 @@
             self._failed = False
             self._loaded = True
             self._on_change(dict(self._listed))
-            await self._watch(listing.as_of)
+            await self._watch(listed.as_of)
 
     async def _remove_later(self, missing: dict[str, targets.Target]) -> None:
         """Removes targets whose registrations expired in an outage and have not reappeared."""
