The owner's watch of submissions and cancellations continues after a failed call

Cause: any failure of the watch made the owner list all submissions again, which is the most expensive call of all. Change: only a compacted history makes a new listing necessary; after any other failure the watch is repeated from the same revision. Why it works: the store reports all changes after that revision, so none is lost.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -279,12 +279,16 @@
         return True
 
     async def _watch_intake(self, as_of: int) -> None:
+        """Follows the intake until the history is compacted, since a new listing is expensive."""
         while True:
             watched = await self._store.watch(
                 prefix=keys.INTAKE, after=as_of, wait_s=WATCH_TIMEOUT_S
             )
             if isinstance(watched, result.Failure):
-                return
+                if isinstance(watched.failure(), store.CompactedError):
+                    return
+                await self._group.sleep(RETRY_DELAY_S)
+                continue
             changes = watched.unwrap()
             as_of = changes.as_of
             for change in changes.changes:
