--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -4,7 +4,7 @@
 
 import itertools
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 from ebonyhatch.core import errors
@@ -29,11 +29,12 @@
 
 MAX_RETRY_DELAY_S = 0.5
 
-MAX_AUXILIARY_RECORDS = 2
-"""Auxiliary records of one write: the learned model and the targets."""
+MAX_RECORDS_PER_WRITE = store.TRANSACTION_LIMIT - 2
+"""Maximum number of records in one write; the head takes a condition and a value."""
 
-MAX_JOBS_PER_WRITE = store.TRANSACTION_LIMIT - 2 - MAX_AUXILIARY_RECORDS
-"""Maximum number of jobs in one write; the head takes a condition and a value."""
+MAX_WRITE_BYTES = 64_000
+"""Size from which no further record is added to a write, bytes: a fraction of a second on the
+slowest links, which renewals of the lease share."""
 
 
 class SupersededError(errors.EbonyhatchError):
@@ -139,13 +140,14 @@
         number = self._started_round
         changed = self._collect_changed()
         states = [(row, row.state) for row in changed]
-        auxiliary_records = self._collect_auxiliary_records()
-        for start in range(0, max(len(changed), 1 if auxiliary_records else 0), MAX_JOBS_PER_WRITE):
-            if not await self._write(
-                changed[start : start + MAX_JOBS_PER_WRITE], auxiliary_records
-            ):
+        records = [
+            store.Put(key=keys.progress(row.job.job_id), value=progress.encode(row))
+            for row in changed
+        ]
+        records += self._collect_auxiliary_records()
+        for puts in _batches(records):
+            if not await self._write(puts):
                 return
-            auxiliary_records = []
         self._durable_round = number
         self._on_durable(states)
         await self._remove_jobs(self._collect_expired())
@@ -155,25 +157,15 @@
         if not job_ids:
             return
         removes = [key(job_id) for job_id in job_ids for key in keys.JOB_KEYS]
-        if await self._write([], [], removes=tuple(removes)):
+        if await self._write([], removes=tuple(removes)):
             self._on_removed(job_ids)
 
-    async def _write(
-        self,
-        batch: list[rows.JobRow],
-        auxiliary_records: list[store.Put],
-        removes: tuple[str, ...] = (),
-    ) -> bool:
+    async def _write(self, records: list[store.Put], removes: tuple[str, ...] = ()) -> bool:
         """Retries a write until it is durable or this entry is superseded; returns whether durable."""
         head = ownership.Head(
             term=self._term, number=next(self._numbers), nonce=os.urandom(8).hex()
         )
-        puts = [store.Put(key=keys.HEAD, value=msgspec.json.encode(head))]
-        puts += [
-            store.Put(key=keys.progress(row.job.job_id), value=progress.encode(row))
-            for row in batch
-        ]
-        puts += auxiliary_records
+        puts = [store.Put(key=keys.HEAD, value=msgspec.json.encode(head)), *records]
         retry_delay_s = RETRY_DELAY_S
         while not self._closed:
             condition = store.Condition(key=keys.HEAD, revision=self._revision)
@@ -204,3 +196,17 @@
         self._closed = True
         self._on_superseded(str(SupersededError(term=self._term)))
         return False
+
+
+def _batches(records: list[store.Put]) -> Iterator[list[store.Put]]:
+    """Splits the records of a round into writes, by the limits of their number and their size."""
+    batch: list[store.Put] = []
+    size_bytes = 0
+    for record in records:
+        if batch and (len(batch) == MAX_RECORDS_PER_WRITE or size_bytes >= MAX_WRITE_BYTES):
+            yield batch
+            batch, size_bytes = [], 0
+        batch.append(record)
+        size_bytes += len(record.value)
+    if batch:
+        yield batch
