Known targets are stored in 64 groups, and only groups that changed are written

Cause: one record held all targets, so a change of one target wrote the whole record, and its size grew with their number. Change: 64 groups by a hash of the target's id have a record each under a common prefix. A changed group is written, an unreadable one is logged and left out. Nothing is written before the owner has recovered and read the target list, as the inherited records still describe targets that it has no connection with. Why it works: a record stays small at 3,300 targets (about 20 kB), and a restored record isn't written again until it changes. Not compatible: a record stored by the former code isn't read and stays in the store. The owner then waits for such targets' reports or the end of their lease, as after a first start.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/keys.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/keys.py
@@ -22,9 +22,9 @@
 MODEL_SNAPSHOT = ROOT + "learnt"
 """Learned model of the owner's scheduler, for the next owner."""
 
-TARGETS = ROOT + "targets"
-"""Targets that the owner has sessions with, for the next owner. The list of registered targets is
-empty for seconds after an outage."""
+TARGETS = ROOT + "targets/"
+"""Prefix of the targets that the owner has sessions with, for the next owner; a key holds a group of
+them. The list of registered targets is empty for seconds after an outage."""
 
 HEAD = ROOT + "head"
 """Term and number of the owner's last write. Each write replaces it on condition of its revision."""
@@ -45,6 +45,11 @@
     return PROGRESS + job_id
 
 
+def targets(group: int) -> str:
+    """Returns the key of a group of known targets."""
+    return f"{TARGETS}{group:02d}"
+
+
 def entry(name: str) -> str:
     """Returns the key of an entry."""
     return ENTRIES + name
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+import zlib
+from collections.abc import Iterable
+
 import msgspec
-from ebonyhatch.fleet import rows, targets
+from ebonyhatch.fleet import decision_log, rows, targets
+
+GROUPS = 64
+"""Number of groups of targets with a record each; a few targets a record at today's sizes, and about
+20 kB at 3,300 targets."""
 
 
 class KnownTarget(msgspec.Struct, frozen=True, kw_only=True):
@@ -31,11 +38,58 @@
     return KnownTarget(target=row.target, takes_runs=not row.confirmed, tasks=tasks)
 
 
+def group_of(target_id: str) -> int:
+    """Returns the number of the group in whose record a target is stored."""
+    return zlib.crc32(target_id.encode()) % GROUPS
+
+
 def encode(known: KnownTargets) -> bytes:
-    """Returns the encoded records of all targets."""
+    """Returns the encoded record of a group of targets."""
     return msgspec.json.encode(known)
 
 
-def decode(value: bytes) -> KnownTargets:
-    """Returns the decoded records of all targets; raises `msgspec.DecodeError`."""
-    return msgspec.json.decode(value, type=KnownTargets)
+def decode_groups(values: Iterable[bytes]) -> KnownTargets:
+    """Returns the targets of all groups; an unreadable record is logged and left out."""
+    known: KnownTargets = {}
+    for value in values:
+        try:
+            known.update(msgspec.json.decode(value, type=KnownTargets))
+        except msgspec.DecodeError as error:
+            decision_log.write("record.unreadable", kind="KnownTargets", reason=str(error))
+    return known
+
+
+class Records:
+    """The stored records of known targets; only groups that changed are written again.
+
+    One record of all targets would grow with their number, and any change of one target would
+    write it whole.
+    """
+
+    def __init__(self) -> None:
+        self._stored: dict[int, KnownTargets] = {}
+
+    @property
+    def targets(self) -> KnownTargets:
+        """Targets as in the records that were taken for writing last."""
+        return {name: known for group in self._stored.values() for name, known in group.items()}
+
+    def restore(self, known: KnownTargets) -> None:
+        """Starts from the records that an earlier owner stored."""
+        self._stored = self._grouped(known)
+
+    def changed(self, known: KnownTargets) -> dict[int, KnownTargets]:
+        """Returns the groups that differ from the stored ones; a group may have become empty."""
+        groups: dict[int, KnownTargets] = {number: {} for number in self._stored}
+        groups.update(self._grouped(known))
+        return {n: group for n, group in groups.items() if self._stored.get(n) != group}
+
+    def take(self, changed: dict[int, KnownTargets]) -> None:
+        """Records groups as taken for writing."""
+        self._stored.update(changed)
+
+    def _grouped(self, known: KnownTargets) -> dict[int, KnownTargets]:
+        groups: dict[int, KnownTargets] = {}
+        for name, target in known.items():
+            groups.setdefault(group_of(name), {})[name] = target
+        return groups
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -114,7 +114,7 @@
         self._ticked_boottime = all_clocks.boottime()
         self._lease_renewal_required = False
         self._model_saved_at = all_clocks.now()
-        self._recorded_targets: known_targets.KnownTargets = {}
+        self._known_records = known_targets.Records()
         self._inherited_targets: known_targets.KnownTargets = {}
         self._targets_compared_at = 0.0
         self._cancel_waiters: dict[str, list[defer.Deferred[None]]] = {}
@@ -261,18 +261,16 @@
 
     async def _read_auxiliary_records(self) -> bool:
         """Reads the last owner's targets and its learned model; returns whether both were read."""
-        known = await self._store.get(key=keys.TARGETS)
+        known = await self._store.list(prefix=keys.TARGETS)
         model_read = await self._store.get(key=keys.MODEL_SNAPSHOT)
         for outcome in (known, model_read):
             if isinstance(outcome, result.Failure):
                 decision_log.write("recovery.retry", reason=str(outcome.failure()))
                 return False
-        item = known.unwrap()
-        if item is not None:
-            self._inherited_targets = known_targets.decode(item.value)
-            self._targets.restore_known(
-                {name: known.target for name, known in self._inherited_targets.items()}
-            )
+        inherited = known_targets.decode_groups(item.value for item in known.unwrap().items)
+        self._inherited_targets = inherited
+        self._known_records.restore(inherited)
+        self._targets.restore_known({name: known.target for name, known in inherited.items()})
         model_item = model_read.unwrap()
         if model_item is not None:
             self._scheduler.restore_model(model_item.value)
@@ -333,14 +331,20 @@
 
     def _collect_auxiliary_records(self) -> list[store.Put]:
         """Returns the records to write with the jobs: changed targets, and the learned model."""
-        auxiliary_records = []
-        known = self._known_targets()
-        if self._recorded_targets != known:
-            self._recorded_targets = known
-            auxiliary_records.append(store.Put(key=keys.TARGETS, value=known_targets.encode(known)))
-            for name, session in self._sessions.items():
-                # No run may be ordered on a target that this record declares to take none.
-                session.row.announced = session.row.announced and known[name].takes_runs
+        if not (self._recovered and self._targets.loaded):
+            # The inherited records still describe targets that have no session yet.
+            return []
+        changed = self._known_records.changed(self._known_targets())
+        self._known_records.take(changed)
+        auxiliary_records = [
+            store.Put(key=keys.targets(group), value=known_targets.encode(known))
+            for group, known in changed.items()
+        ]
+        for known in changed.values():
+            for name in known:
+                # No run may be ordered on a target that its record declares to take none.
+                row = self._sessions[name].row
+                row.announced = row.announced and known[name].takes_runs
         now = self._clocks.now()
         if now - self._model_saved_at >= model_snapshot.MIN_SAVE_INTERVAL_S:
             self._model_saved_at = now
@@ -477,7 +481,7 @@
         self._schedule_tick()
 
     def _on_durable(self, states: list[tuple[rows.JobRow, rows.JobState]]) -> None:
-        for name, known in self._recorded_targets.items():
+        for name, known in self._known_records.targets.items():
             if known.takes_runs and name in self._sessions:
                 self._sessions[name].row.announced = True
         for row, state in states:
@@ -541,7 +545,10 @@
         )
         if now - self._targets_compared_at > MAX_TICK_INTERVAL_S:
             self._targets_compared_at = now
-            if self._known_targets() != self._recorded_targets or self._retention.is_due(now=now):
+            if self._targets.loaded and (
+                self._known_records.changed(self._known_targets())
+                or self._retention.is_due(now=now)
+            ):
                 self._journal.request_write()
         if self._scheduler.has_changes():
             self._journal.request_write(urgent=self._scheduler.has_ended_changes())
