A recovery keeps what it has read when a later call fails

Cause: each attempt read the submissions, the progress, the known targets and the model from the beginning, and any failed call discarded all of them. Change: module recovery reads the stored state with ListingReader, part by part; the owner applies it when all parts are read. recovery.done says how long it took. After a compacted history only the submissions are read again. Why it works: with the time limit on silence only and the pages kept, the time of a recovery is bounded by the link's bandwidth, not by the chance that all calls of an attempt succeed.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -20,6 +20,7 @@
     model_snapshot,
     progress,
     queues,
+    recovery,
     retention,
     rows,
     scheduler,
@@ -93,6 +94,10 @@
             group=self._group,
             on_change=self._on_targets_changed,
         )
+        self._recovery = recovery.Recovery(
+            store_port=store_port, all_clocks=all_clocks, group=self._group
+        )
+        self._began_at = all_clocks.now()
         self._retention = retention.Retention(keep_s=keep_ended_s)
         self._journal = journal.Journal(
             store_port=store_port,
@@ -218,63 +223,44 @@
         return waiter
 
     async def _follow_intake(self) -> None:
-        """Reads all jobs, then watches submissions and cancellations."""
+        """Recovers, then watches submissions and cancellations."""
+        as_of = await self._recover()
         while True:
-            as_of = await self._read_all()
-            if as_of:
-                await self._watch_intake(as_of)
-            await self._group.sleep(RETRY_DELAY_S)
-
-    async def _read_all(self) -> int:
-        intake = await self._store.list(prefix=keys.INTAKE)
-        if isinstance(intake, result.Failure):
-            decision_log.write("recovery.retry", reason=str(intake.failure()))
-            return 0
-        stored_progress: dict[str, bytes] = {}
-        if not self._recovered:
-            progress_listed = await self._store.list(prefix=keys.PROGRESS)
-            if isinstance(progress_listed, result.Failure):
-                decision_log.write("recovery.retry", reason=str(progress_listed.failure()))
-                return 0
-            for item in progress_listed.unwrap().items:
-                stored_progress[item.key.removeprefix(keys.PROGRESS)] = item.value
-            if not await self._read_auxiliary_records():
-                return 0
-        listing = intake.unwrap()
-        inherited = not self._recovered
-        for item in listing.items:
+            await self._watch_intake(as_of)
+            listed = await self._recovery.read_intake()
+            self._add_intake(listed.items, {}, inherited=False)
+            self._schedule_tick()
+            as_of = listed.as_of
+
+    async def _recover(self) -> int:
+        """Restores the stored state; returns the revision from which the intake is watched."""
+        stored = await self._recovery.read()
+        self._inherited_targets = stored.targets
+        self._known_records.restore(stored.targets)
+        self._targets.restore_known({name: known.target for name, known in stored.targets.items()})
+        if stored.model is not None:
+            self._scheduler.restore_model(stored.model)
+        self._add_intake(stored.intake, stored.progress, inherited=True)
+        self._recovered = True
+        decision_log.write(
+            "recovery.done",
+            term=self._term,
+            jobs=len(stored.intake),
+            progress=len(stored.progress),
+            took_s=round(self._clocks.now() - self._began_at, 3),
+        )
+        self._schedule_tick()
+        return stored.as_of
+
+    def _add_intake(
+        self, items: tuple[store.Item, ...], stored_progress: dict[str, bytes], *, inherited: bool
+    ) -> None:
+        for item in items:
             if item.key.startswith(keys.JOBS):
                 self._add_job(item, stored_progress, inherited=inherited)
-        for item in listing.items:
+        for item in items:
             if item.key.startswith(keys.CANCELS):
                 self._apply_cancellation(item.key)
-        if not self._recovered:
-            self._recovered = True
-            decision_log.write(
-                "recovery.done",
-                term=self._term,
-                jobs=len(listing.items),
-                progress=len(stored_progress),
-            )
-        self._schedule_tick()
-        return listing.as_of
-
-    async def _read_auxiliary_records(self) -> bool:
-        """Reads the last owner's targets and its learned model; returns whether both were read."""
-        known = await self._store.list(prefix=keys.TARGETS)
-        model_read = await self._store.get(key=keys.MODEL_SNAPSHOT)
-        for outcome in (known, model_read):
-            if isinstance(outcome, result.Failure):
-                decision_log.write("recovery.retry", reason=str(outcome.failure()))
-                return False
-        inherited = known_targets.decode_groups(item.value for item in known.unwrap().items)
-        self._inherited_targets = inherited
-        self._known_records.restore(inherited)
-        self._targets.restore_known({name: known.target for name, known in inherited.items()})
-        model_item = model_read.unwrap()
-        if model_item is not None:
-            self._scheduler.restore_model(model_item.value)
-        return True
 
     async def _watch_intake(self, as_of: int) -> None:
         """Follows the intake until the history is compacted, since a new listing is expensive."""
--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/recovery.py
@@ -0,0 +1,71 @@
+"""Recovery of a new owner: everything that the owners before it have stored."""
+
+from __future__ import annotations
+
+import msgspec
+from ebonyhatch.fleet import clocks, decision_log, keys, known_targets, listing, store
+from ebonyhatch.node import coroutines
+from returns import result
+
+
+class StoredState(msgspec.Struct, frozen=True, kw_only=True):
+    """Stored state of the fleet.
+
+    Attributes:
+        intake: Submissions and cancellations.
+        as_of: Revision from which a watch reports all later submissions and cancellations.
+        progress: Encoded progress of jobs, by job id.
+        targets: Targets of the last owner.
+        model: Encoded model that the last owner learned; None if there is none.
+    """
+
+    intake: tuple[store.Item, ...]
+    as_of: int
+    progress: dict[str, bytes]
+    targets: known_targets.KnownTargets
+    model: bytes | None
+
+
+class Recovery:
+    """Reads the stored state; a part that has been read is kept when a later one fails."""
+
+    def __init__(
+        self,
+        *,
+        store_port: store.Store,
+        all_clocks: clocks.Clocks,
+        group: coroutines.CoroutineGroup,
+    ) -> None:
+        self._store = store_port
+        self._group = group
+        self._listings = listing.ListingReader(
+            store_port=store_port, all_clocks=all_clocks, group=group
+        )
+
+    async def read_intake(self) -> listing.Listed:
+        """Reads all submissions and cancellations."""
+        return await self._listings.read(keys.INTAKE)
+
+    async def read(self) -> StoredState:
+        """Reads the whole state; retries until the group is closed."""
+        intake = await self.read_intake()
+        progress_listed = await self._listings.read(keys.PROGRESS)
+        targets_listed = await self._listings.read(keys.TARGETS)
+        model = await self._read_model()
+        return StoredState(
+            intake=intake.items,
+            as_of=intake.as_of,
+            progress={
+                item.key.removeprefix(keys.PROGRESS): item.value for item in progress_listed.items
+            },
+            targets=known_targets.decode_groups(item.value for item in targets_listed.items),
+            model=None if model is None else model.value,
+        )
+
+    async def _read_model(self) -> store.Item | None:
+        while True:
+            outcome = await self._store.get(key=keys.MODEL_SNAPSHOT)
+            if isinstance(outcome, result.Success):
+                return outcome.unwrap()
+            decision_log.write("recovery.retry", reason=str(outcome.failure()))
+            await self._group.sleep(listing.RETRY_DELAY_S)
