Reports that arrive before the recovery are held, and polls until then are few

Cause: a report that couldn't be applied yet was dropped and asked for again after 0.025 s without a wait: up to 40 polls a second and target, on the link that the recovery needs. Change: the target's last report is held and applied when the owner has recovered. Until then a target is polled three times in the time of a lease, so two polls may fail before the lease ends. A report that is superseded is followed by the usual pause instead of none. Why it works: a held report is as good as a new one, since from it on the target has refused the orders of former owners. A report is dropped when the target has restarted or its lease has ended. Known fault of this state: after the held report is applied, a target's next poll still waits for the rest of the long pause.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -249,6 +249,8 @@
             progress=len(stored.progress),
             took_s=round(self._clocks.now() - self._began_at, 3),
         )
+        for session in self._sessions.values():
+            session.apply_held_report()
         self._schedule_tick()
         return stored.as_of
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -22,6 +22,10 @@
 POLL_PAUSE_S = 0.025
 """Pause between two polls, seconds: ends that follow each other closely are read at once."""
 
+POLLS_PER_LEASE = 3
+"""Number of polls in the time of a lease while reports can't be applied yet: two may fail before the
+lease ends."""
+
 RETRY_DELAY_S = 0.03
 """Delay before a failed poll is retried, seconds; doubles up to `MAX_RETRY_DELAY_S`."""
 
@@ -78,6 +82,7 @@
             durable: Returns the number of the last durable journal round.
             ticket: Returns the number of the journal round that will hold changes made now.
         """
+        self._held_report: targets.StatusReport | None = None
         self._row = row
         self._port = port
         self._fence = fence
@@ -129,6 +134,7 @@
         """Resets the state that belongs to the target's previous incarnation."""
         self._processed = self._acknowledged = 0
         self._pending.clear()
+        self._held_report = None
         self._clock_s = 0.0
 
     def start_deadline_s(self) -> float:
@@ -186,6 +192,15 @@
         self._check_fence(outcome)
         return outcome
 
+    def apply_held_report(self) -> None:
+        """Applies the last report that could not be applied when it arrived.
+
+        It is as good as a new one: since then the target has refused the orders of former owners.
+        """
+        report, self._held_report = self._held_report, None
+        if report is not None:
+            self._run_safely(self._deliver, report)
+
     async def _poll_reports(self) -> None:
         wait_s = 0.0
         retry_s = RETRY_DELAY_S
@@ -209,11 +224,18 @@
             first = not self._clock_s
             report = outcome.unwrap()
             if self._is_superseded(report):
-                continue
-            applied = self._apply_safely(report)
-            wait_s = self._wait_s if applied and not first else 0.0
-            if not (applied and first):
                 await self._group.sleep(POLL_PAUSE_S)
+                continue
+            self._apply_safely(report)
+            wait_s = 0.0 if first or self._held_report is not None else self._wait_s
+            if not first:
+                # The first poll renews nothing, as it learns the target's clock.
+                await self._group.sleep(self._pause_after_poll_s())
+
+    def _pause_after_poll_s(self) -> float:
+        if self._held_report is not None:
+            return self._lease_s / POLLS_PER_LEASE
+        return POLL_PAUSE_S
 
     def _renew_lease(self) -> float:
         """Returns the end of the lease that the next poll requests, on the target's clock.
@@ -234,20 +256,23 @@
             return born < known or (born == known and report.clock_s < self._clock_s)
         return self._extra_polls > 0 and report.clock_s < self._clock_s
 
-    def _apply_safely(self, report: targets.StatusReport) -> bool:
+    def _apply_safely(self, report: targets.StatusReport) -> None:
+        self._run_safely(self._apply, report)
+
+    def _run_safely(
+        self, apply: Callable[[targets.StatusReport], None], report: targets.StatusReport
+    ) -> None:
         """Applies a report; an exception in one decision must not let the runs' lease expire."""
         try:
-            return self._apply(report)
+            apply(report)
         except Exception:
             decision_log.write(
                 "target.account_failed",
                 target=self._row.target_id,
                 reason=traceback.format_exc(),
             )
-            return False
 
-    def _apply(self, report: targets.StatusReport) -> bool:
-        """Applies a report; returns False while `on_report` can't apply it yet."""
+    def _apply(self, report: targets.StatusReport) -> None:
         if report.clock_s < self._clock_s or (
             report.born and report.born > self._row.target.born > 0
         ):
@@ -262,17 +287,22 @@
         if self._failures >= FAILURES_UNTIL_UNREACHABLE:
             decision_log.write("target.back", target=self._row.target_id, failures=self._failures)
         self._failures = 0
-        fresh = tuple(ended for ended in report.ended if ended.number > self._processed)
         self._row.reachable = True
+        self._deliver(report)
+
+    def _deliver(self, report: targets.StatusReport) -> None:
+        """Hands a report to `on_report`, or holds it while it can't be applied yet."""
+        fresh = tuple(ended for ended in report.ended if ended.number > self._processed)
         # The round's number is read before the ended runs are applied: applying them may start the
         # journal round that holds them, and the next number would then be one too high.
         ticket = self._ticket()
         if not self._on_report(self, _with_ends(report, fresh)):
-            return False
+            self._held_report = report
+            return
+        self._held_report = None
         if fresh:
             self._processed = fresh[-1].number
             self._pending.append((ticket, self._processed))
-        return True
 
     def _handle_failure(self, error: targets.TargetError) -> None:
         self._failures += 1
@@ -281,12 +311,14 @@
                 self._on_fenced(str(error))
                 return
             if error.reason == targets.RefusalReason.OTHER_INCARNATION:
+                self._held_report = None
                 self._on_runs_lost(self, "other-life")
         if self._failures == FAILURES_UNTIL_UNREACHABLE:
             decision_log.write("target.lost", target=self._row.target_id, reason=str(error))
         if self._failures >= FAILURES_UNTIL_UNREACHABLE:
             self._row.reachable = False
         if self.lease_expired:
+            self._held_report = None
             self._on_runs_lost(self, "lease-lapsed")
 
     def _acknowledge_durable(self) -> None:
