Polls that ask for an immediate answer are limited to 32 over all targets

Cause: a new owner sent the first polls of all targets at once. Their answers queued behind each other on the link and the processor of the owner, and the last ones came after the time limit. Change: all target connections of an owner share 32 slots for polls without a wait. A poll that waits at the target, and a retry after a failure, need no slot, so that targets that don't answer don't hold up the others. Why it works: a poll's time limit begins when it is sent, and at most 32 answers can be in front of it.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -52,6 +52,9 @@
 """Time after the start of a filler (a task that uses processor time left over by others) until the
 target is polled for its effect, seconds. Readings cover half a second."""
 
+MAX_SCANS_IN_FLIGHT = 32
+"""Maximum number of polls that ask for an immediate answer, over all targets."""
+
 MIN_SUSPENSION_S = 0.5
 """Minimum suspension between two ticks after which the lease has to be renewed first, seconds."""
 
@@ -74,6 +77,7 @@
         store_reachable: Callable[[], bool],
         on_superseded: Callable[[str], None],
     ) -> None:
+        self._scan_slots = defer.DeferredSemaphore(MAX_SCANS_IN_FLIGHT)
         self._term = term
         self._store = store_port
         self._targets_port = targets_port
@@ -429,6 +433,7 @@
             on_fenced=self._on_superseded,
             durable=lambda: self._journal.durable_round,
             ticket=lambda: self._journal.next_round,
+            scan_slots=self._scan_slots,
         )
         self._sessions[row.target_id] = session
         session.start()
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -10,6 +10,7 @@
 from ebonyhatch.fleet import clocks, commands, decision_log, rows, targets
 from ebonyhatch.node import coroutines
 from returns import result
+from twisted.internet import defer
 
 POLL_WAIT_S = 1.0
 """Longest time for which a target delays its answer to a poll while no run ends, seconds. It also
@@ -67,6 +68,7 @@
         on_fenced: Callable[[str], None],
         durable: Callable[[], int],
         ticket: Callable[[], int],
+        scan_slots: defer.DeferredSemaphore,
     ) -> None:
         """Creates a session.
 
@@ -81,7 +83,9 @@
             on_fenced: Called when the target has received the fencing token of a later term.
             durable: Returns the number of the last durable journal round.
             ticket: Returns the number of the journal round that will hold changes made now.
+            scan_slots: Limits the polls of all sessions that ask for an immediate answer.
         """
+        self._scan_slots = scan_slots
         self._held_report: targets.StatusReport | None = None
         self._row = row
         self._port = port
@@ -150,14 +154,10 @@
         if not self._clock_s:
             return
         self._extra_polls += 1
-        outcome = await self._port.renew_and_poll(
-            target=self._row.target,
-            fence=self._fence,
-            acknowledged=self._acknowledged,
-            deadline_s=self._renew_lease(),
-            wait_s=0.0,
-        )
-        self._extra_polls -= 1
+        try:
+            outcome = await self._poll(0.0)
+        finally:
+            self._extra_polls -= 1
         if isinstance(outcome, result.Success) and not self._is_superseded(outcome.unwrap()):
             self._apply_safely(outcome.unwrap())
 
@@ -205,15 +205,7 @@
         wait_s = 0.0
         retry_s = RETRY_DELAY_S
         while not self._group.closed:
-            self._acknowledge_durable()
-            deadline_s = self._renew_lease()
-            outcome = await self._port.renew_and_poll(
-                target=self._row.target,
-                fence=self._fence,
-                acknowledged=self._acknowledged,
-                deadline_s=deadline_s,
-                wait_s=wait_s,
-            )
+            outcome = await self._poll(wait_s)
             if isinstance(outcome, result.Failure):
                 wait_s = 0.0
                 self._handle_failure(outcome.failure())
@@ -237,6 +229,30 @@
             return self._lease_s / POLLS_PER_LEASE
         return POLL_PAUSE_S
 
+    async def _poll(
+        self, wait_s: float
+    ) -> result.Result[targets.StatusReport, targets.TargetError]:
+        if wait_s or self._failures:
+            # Targets that don't answer must not hold up the others.
+            return await self._send_poll(wait_s)
+        await self._scan_slots.acquire()
+        try:
+            return await self._send_poll(wait_s)
+        finally:
+            self._scan_slots.release()
+
+    async def _send_poll(
+        self, wait_s: float
+    ) -> result.Result[targets.StatusReport, targets.TargetError]:
+        self._acknowledge_durable()
+        return await self._port.renew_and_poll(
+            target=self._row.target,
+            fence=self._fence,
+            acknowledged=self._acknowledged,
+            deadline_s=self._renew_lease(),
+            wait_s=wait_s,
+        )
+
     def _renew_lease(self) -> float:
         """Returns the end of the lease that the next poll requests, on the target's clock.
 
