--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
 
 import msgspec
 from ebonyhatch.fleet import (
@@ -14,6 +15,7 @@
     messages,
     metrics,
     ownership,
+    poll_pace,
     queues,
     store,
     target_list,
@@ -42,6 +44,7 @@
         port: TCP port for peers.
         lease_s: Maximum lease that targets grant to runs, seconds.
         keep_ended_s: Time for which ended jobs are kept, seconds.
+        link_bytes_per_s: Bandwidth of the instance's link, bytes a second; 0 where it is unknown.
     """
 
     name: str
@@ -49,6 +52,7 @@
     port: int
     lease_s: float
     keep_ended_s: float = 600.0
+    link_bytes_per_s: float = 0.0
 
 
 class Node:
@@ -64,7 +68,9 @@
         targets_port: targets.Targets,
         target_codec: target_list.TargetCodec,
         codec: configuration_source.Codec,
+        link_bytes: Callable[[], int] = lambda: 0,
     ) -> None:
+        """Creates an entry; `link_bytes` returns the bytes sent or received, whichever is more."""
         self._settings = settings
         self._store = store_port
         self._targets = targets_port
@@ -73,6 +79,12 @@
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
         self._network = network
         self._load = admission.QueueLoad()
+        self._poll_pace = poll_pace.PollPace(
+            all_clocks=all_clocks,
+            loop_delay_s=lambda: 0.0,
+            link_bytes=link_bytes,
+            link_bytes_per_s=settings.link_bytes_per_s,
+        )
         self._owner: owner_module.Owner | None = None
         self._closing = False
         self._members = ownership.Ownership(
@@ -197,6 +209,7 @@
             lease_valid=lambda: self._members.lease_valid,
             store_reachable=lambda: self._members.store_reachable,
             on_superseded=lambda reason: self._on_superseded(new_owner, reason),
+            poll_pause_s=self._poll_pace.pause_s,
         )
         self._owner = new_owner
         configuration = self._configuration.current or queues.Configuration(version=0)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -76,7 +76,9 @@
         lease_valid: Callable[[], bool],
         store_reachable: Callable[[], bool],
         on_superseded: Callable[[str], None],
+        poll_pause_s: Callable[[], float],
     ) -> None:
+        self._poll_pause_s = poll_pause_s
         self._scan_slots = defer.DeferredSemaphore(MAX_SCANS_IN_FLIGHT)
         self._term = term
         self._store = store_port
@@ -433,6 +435,7 @@
             on_fenced=self._on_superseded,
             durable=lambda: self._journal.durable_round,
             ticket=lambda: self._journal.next_round,
+            pause_s=self._poll_pause_s,
             scan_slots=self._scan_slots,
         )
         self._sessions[row.target_id] = session
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -20,9 +20,6 @@
 """The same while a serving task on the target is near its limit, seconds: a reading covers half a
 second."""
 
-POLL_PAUSE_S = 0.025
-"""Pause between two polls, seconds: ends that follow each other closely are read at once."""
-
 POLLS_PER_LEASE = 3
 """Number of polls in the time of a lease while reports can't be applied yet: two may fail before the
 lease ends."""
@@ -68,6 +65,7 @@
         on_fenced: Callable[[str], None],
         durable: Callable[[], int],
         ticket: Callable[[], int],
+        pause_s: Callable[[], float],
         scan_slots: defer.DeferredSemaphore,
     ) -> None:
         """Creates a session.
@@ -83,8 +81,10 @@
             on_fenced: Called when the target has received the fencing token of a later term.
             durable: Returns the number of the last durable journal round.
             ticket: Returns the number of the journal round that will hold changes made now.
+            pause_s: Returns the pause between two polls, seconds.
             scan_slots: Limits the polls of all sessions that ask for an immediate answer.
         """
+        self._pause_s = pause_s
         self._scan_slots = scan_slots
         self._held_report: targets.StatusReport | None = None
         self._row = row
@@ -216,7 +216,7 @@
             first = not self._clock_s
             report = outcome.unwrap()
             if self._is_superseded(report):
-                await self._group.sleep(POLL_PAUSE_S)
+                await self._group.sleep(self._pause_s())
                 continue
             self._apply_safely(report)
             wait_s = 0.0 if first or self._held_report is not None else self._wait_s
@@ -227,7 +227,7 @@
     def _pause_after_poll_s(self) -> float:
         if self._held_report is not None:
             return self._lease_s / POLLS_PER_LEASE
-        return POLL_PAUSE_S
+        return self._pause_s()
 
     async def _poll(
         self, wait_s: float
