Ticks of the owner take at most a quarter of the loop's time

Cause: the next tick was due 8 ms after the beginning of the last one. Change: the next tick is due only four times the last one's duration after its beginning, and 8 ms at the least.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -52,6 +52,9 @@
 """Time after the start of a filler (a task that uses processor time left over by others) until the
 target is polled for its effect, seconds. Readings cover half a second."""
 
+MAX_TICK_SHARE = 0.25
+"""Maximum share of the loop's time that ticks take, so that renewals and answers are not delayed."""
+
 MAX_SCANS_IN_FLIGHT = 32
 """Maximum number of polls that ask for an immediate answer, over all targets."""
 
@@ -80,6 +83,7 @@
     ) -> None:
         self._poll_pause_s = poll_pause_s
         self._scan_slots = defer.DeferredSemaphore(MAX_SCANS_IN_FLIGHT)
+        self._tick_took_s = 0.0
         self._term = term
         self._store = store_port
         self._targets_port = targets_port
@@ -502,7 +506,8 @@
 
     def _schedule_tick(self) -> None:
         """Schedules a tick; events that arrive before it are handled in the same tick."""
-        self._schedule_tick_in(max(0.0, self._ticked_at + MIN_TICK_INTERVAL_S - self._clocks.now()))
+        interval_s = max(MIN_TICK_INTERVAL_S, self._tick_took_s / MAX_TICK_SHARE)
+        self._schedule_tick_in(max(0.0, self._ticked_at + interval_s - self._clocks.now()))
 
     def _schedule_tick_in(self, delay_s: float) -> None:
         if self._closed:
@@ -533,11 +538,15 @@
         self._scheduler.may_place = self._recovered and self._may_order_runs()
         for command in self._decide(now=now, wall=wall):
             self._execute(command)
+        self._tick_took_s = self._clocks.now() - now
         due_s = self._scheduler.next_wake_s(now=now, wall=wall)
         self._schedule_tick_in(
             MAX_TICK_INTERVAL_S
             if due_s is None
-            else min(MAX_TICK_INTERVAL_S, max(due_s, MIN_TICK_INTERVAL_S))
+            else min(
+                MAX_TICK_INTERVAL_S,
+                max(due_s, MIN_TICK_INTERVAL_S, self._tick_took_s / MAX_TICK_SHARE),
+            )
         )
         if now - self._targets_compared_at > MAX_TICK_INTERVAL_S:
             self._targets_compared_at = now
