At most 64 starts are without an answer at a time; further tasks wait

Cause: a tick ordered all tasks that fit. Each order has a deadline of 0.4 s, and an owner can't send and read that many within it. Change: the owner counts starts without an answer, and gives the scheduler the rest up to 64 as the limit of a pass. A gang isn't divided. When an answer arrives and tasks were held back, the next tick is scheduled. Why it works: tasks wait in the scheduler's order, where a start isn't late yet, and the pace of starts follows the answers.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -55,6 +55,10 @@
 MAX_TICK_SHARE = 0.25
 """Maximum share of the loop's time that ticks take, so that renewals and answers are not delayed."""
 
+MAX_ORDERS_IN_FLIGHT = 64
+"""Maximum number of starts without an answer. On an overloaded instance answers arrive late, and
+tasks wait in the scheduler's order instead of starting too late."""
+
 MAX_SCANS_IN_FLIGHT = 32
 """Maximum number of polls that ask for an immediate answer, over all targets."""
 
@@ -83,6 +87,7 @@
     ) -> None:
         self._poll_pause_s = poll_pause_s
         self._scan_slots = defer.DeferredSemaphore(MAX_SCANS_IN_FLIGHT)
+        self._orders_in_flight = 0
         self._tick_took_s = 0.0
         self._term = term
         self._store = store_port
@@ -536,6 +541,7 @@
         if self._lease_valid():
             self._lease_renewal_required = False
         self._scheduler.may_place = self._recovered and self._may_order_runs()
+        self._scheduler.order_limit = MAX_ORDERS_IN_FLIGHT - self._orders_in_flight
         for command in self._decide(now=now, wall=wall):
             self._execute(command)
         self._tick_took_s = self._clocks.now() - now
@@ -594,7 +600,13 @@
             )
             return
         run.order_deadline_s = session.start_deadline_s()
-        outcome = await session.start_run(command)
+        self._orders_in_flight += 1
+        try:
+            outcome = await session.start_run(command)
+        finally:
+            self._orders_in_flight -= 1
+        if self._scheduler.orders_held_back:
+            self._schedule_tick()
         now = self._clocks.now()
         if isinstance(outcome, result.Success):
             self._scheduler.reconciler.start_confirmed(run, clock_s=outcome.unwrap(), now=now)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -16,7 +16,12 @@
 
 
 class Placement:
-    """Reserves capacity for waiting tasks and orders their runs."""
+    """Reserves capacity for waiting tasks and orders their runs.
+
+    Attributes:
+        run_number_base: Number above which the runs of this term are numbered.
+        orders_held_back: Whether the last placement stopped at its limit of orders.
+    """
 
     def __init__(
         self,
@@ -33,10 +38,18 @@
         self._emit = emit
         self._decide = decide
         self.run_number_base = 0
+        self.orders_held_back = False
+        self._orders_left = 0
         self._blocked_tasks: frozenset[str] = frozenset()
 
     def place(
-        self, *, now: float, wall: float, reconciled: bool, blocked_tasks: frozenset[str]
+        self,
+        *,
+        now: float,
+        wall: float,
+        reconciled: bool,
+        blocked_tasks: frozenset[str],
+        order_limit: int,
     ) -> None:
         """Places the tasks that fit, in the order of the steps.
 
@@ -46,8 +59,11 @@
             reconciled: Whether the runs of a former owner are known, except those of
                 `blocked_tasks`.
             blocked_tasks: Tasks that may still run on a target without a status report.
+            order_limit: Number of runs after which no more are ordered; a gang isn't divided.
         """
         self._blocked_tasks = blocked_tasks
+        self._orders_left = order_limit
+        self.orders_held_back = False
         self._tables.drop_empty_steps()
         steps = [
             step for step in self._tables.waiting.values() if self._may_place(step, reconciled)
@@ -56,6 +72,9 @@
         self._reserve.choose_targets()
         context = self.context(now)
         for step in steps:
+            if self._orders_left <= 0:
+                self.orders_held_back = True
+                return
             if step.step.gang:
                 self._place_gang(step, context)
             else:
@@ -69,6 +88,7 @@
 
     def order_run(self, task: rows.TaskRow, row: rows.TargetRow, *, run: int, now: float) -> None:
         """Reserves capacity for a run of a task and orders it."""
+        self._orders_left -= 1
         task.state = rows.TaskState.PLACED
         task.last_run = run
         run_row = rows.RunRow(
@@ -96,7 +116,7 @@
             if not registry.failed(step, row, context)
         }
         deferred = []
-        while step.waiting and scores:
+        while step.waiting and scores and self._orders_left > 0:
             task = step.waiting.popleft()
             if task.retry_at > now or task.name in self._blocked_tasks:
                 deferred.append(task)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -30,6 +30,9 @@
 RUN_NUMBERS_PER_TERM = 1_000
 """Run numbers that each term of an owner may use for a task in addition to those already used."""
 
+UNLIMITED_ORDERS = 1_000_000
+"""Value of `order_limit` that is never reached."""
+
 MIN_HUNG_S = 1.5
 """Minimum time without progress after which a run counts as hung, seconds."""
 
@@ -45,6 +48,7 @@
         reconciled: Whether the runs of a former owner are known, except those of `blocked_tasks`.
         blocked_tasks: Names of tasks that may still run on targets without a status report.
         may_place: Whether new runs may be ordered.
+        order_limit: Number of runs after which the next tick orders no more.
     """
 
     def __init__(self, *, decide: commands.Decide) -> None:
@@ -80,6 +84,12 @@
         self.reconciled = False
         self.blocked_tasks: frozenset[str] = frozenset()
         self.may_place = False
+        self.order_limit = UNLIMITED_ORDERS
+
+    @property
+    def orders_held_back(self) -> bool:
+        """Whether the last tick left tasks waiting because of `order_limit`."""
+        return self._placement.orders_held_back
 
     @property
     def tables(self) -> tables.Tables:
@@ -207,7 +217,11 @@
         if self.may_place:
             self._evacuation.review(self._placement.context(now))
             self._placement.place(
-                now=now, wall=wall, reconciled=self.reconciled, blocked_tasks=self.blocked_tasks
+                now=now,
+                wall=wall,
+                reconciled=self.reconciled,
+                blocked_tasks=self.blocked_tasks,
+                order_limit=self.order_limit,
             )
         due_commands = list(self._commands)
         self._commands.clear()
