--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -36,6 +36,12 @@
 """Size from which no further record is added to a write, bytes: a fraction of a second on the
 slowest links, which renewals of the lease share."""
 
+MAX_LINK_SHARE = 0.25
+"""Maximum share of the instance's link that the journal uses."""
+
+ENCODED_SIZE_RATIO = 4 / 3
+"""Size of a value on the link relative to its own: stores encode values as text."""
+
 
 class SupersededError(errors.EbonyhatchError):
     """Another entry has written to the journal: this one is no longer the owner."""
@@ -70,8 +76,12 @@
         on_removed: Callable[[list[str]], None],
         on_durable: Callable[[list[tuple[rows.JobRow, rows.JobState]]], None],
         on_superseded: Callable[[str], None],
+        link_bytes_per_s: float = 0.0,
     ) -> None:
         self._store = store_port
+        self._clocks = all_clocks
+        self._link_bytes_per_s = link_bytes_per_s
+        self._next_round_at = 0.0
         self._term = term
         self._revision = head_revision
         self._collect_changed = collect_changed
@@ -130,6 +140,7 @@
         self._writing = True
         try:
             while self._write_requested and not self._closed:
+                await self._wait_for_link()
                 await self._write_round()
         finally:
             self._writing = False
@@ -145,13 +156,26 @@
             for row in changed
         ]
         records += self._collect_auxiliary_records()
+        started_at = self._clocks.now()
         for puts in _batches(records):
             if not await self._write(puts):
                 return
+        self._reserve_link(started_at, sum(len(put.value) for put in records))
         self._durable_round = number
         self._on_durable(states)
         await self._remove_jobs(self._collect_expired())
 
+    def _reserve_link(self, started_at: float, size_bytes: int) -> None:
+        """Delays the next round by the time that this one needs at its share of the link."""
+        if self._link_bytes_per_s:
+            rate = self._link_bytes_per_s * MAX_LINK_SHARE
+            self._next_round_at = started_at + size_bytes * ENCODED_SIZE_RATIO / rate
+
+    async def _wait_for_link(self) -> None:
+        delay_s = self._next_round_at - self._clocks.now()
+        if delay_s > 0:
+            await self._group.sleep(delay_s)
+
     async def _remove_jobs(self, job_ids: list[str]) -> None:
         """Removes all records of jobs, under the same condition as any other write."""
         if not job_ids:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -210,6 +210,7 @@
             store_reachable=lambda: self._members.store_reachable,
             on_superseded=lambda reason: self._on_superseded(new_owner, reason),
             poll_pause_s=self._poll_pace.pause_s,
+            link_bytes_per_s=self._settings.link_bytes_per_s,
         )
         self._owner = new_owner
         configuration = self._configuration.current or queues.Configuration(version=0)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -84,6 +84,7 @@
         store_reachable: Callable[[], bool],
         on_superseded: Callable[[str], None],
         poll_pause_s: Callable[[], float],
+        link_bytes_per_s: float = 0.0,
     ) -> None:
         self._poll_pause_s = poll_pause_s
         self._scan_slots = defer.DeferredSemaphore(MAX_SCANS_IN_FLIGHT)
@@ -125,6 +126,7 @@
             on_removed=self._on_removed,
             on_durable=self._on_durable,
             on_superseded=on_superseded,
+            link_bytes_per_s=link_bytes_per_s,
         )
         self._recovered = False
         self._closed = False
