Candidates for the ownership stand in the order of their capacity

Cause: candidates stood in the order of their names' hashes. Change: an entry's record has the instance's capacity: cores, or the link's bandwidth in the traffic of an owner that keeps a core busy, whichever is less. Larger candidates try first, equal ones in the order of the hashes as before. The longest delay is 1.2 s; candidates after it try at the same time, and one succeeds. Why it works: each candidate waits 0.12 s longer than the one before it, so the largest one that is alive is first. Not yet in effect: nothing passes cores and bandwidth; without them all capacities are 0 and the order is as before.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -27,6 +27,9 @@
 LOAD_NOTICE_INTERVAL_S = 0.25
 """Time between two load notices of the owner, seconds."""
 
+LINK_BYTES_PER_CORE = 3_000_000
+"""Traffic of an owner that keeps one core busy, bytes a second."""
+
 FLUSH_TIMEOUT_S = 1.0
 """Timeout of the last write of an owner that hands over, seconds."""
 
@@ -44,6 +47,7 @@
         port: TCP port for peers.
         lease_s: Maximum lease that targets grant to runs, seconds.
         keep_ended_s: Time for which ended jobs are kept, seconds.
+        processor_cores: Processor capacity of the instance, cores; 0 where it is unknown.
         link_bytes_per_s: Bandwidth of the instance's link, bytes a second; 0 where it is unknown.
     """
 
@@ -52,8 +56,19 @@
     port: int
     lease_s: float
     keep_ended_s: float = 600.0
+    processor_cores: float = 0.0
     link_bytes_per_s: float = 0.0
 
+    @property
+    def capacity(self) -> float:
+        """Capacity as an owner relative to other instances; the scarcer resource counts."""
+        limits = []
+        if self.processor_cores:
+            limits.append(self.processor_cores)
+        if self.link_bytes_per_s:
+            limits.append(self.link_bytes_per_s / LINK_BYTES_PER_CORE)
+        return round(min(limits, default=0.0), 3)
+
 
 class Node:
     """An entry, from `start` until `close`: callers, peers, configuration, ownership and owner."""
@@ -93,6 +108,7 @@
                 incarnation=os.urandom(8).hex(),
                 host=settings.host,
                 port=settings.port,
+                capacity=settings.capacity,
             ),
             store_port=store_port,
             all_clocks=self._clocks,
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -39,6 +39,9 @@
 TAKEOVER_STAGGER_S = 0.12
 """Delay that each candidate adds to that of the candidate before it, seconds."""
 
+MAX_TAKEOVER_DELAY_S = 1.2
+"""Longest delay of a candidate, seconds; later candidates try at the same time, and one succeeds."""
+
 
 class OwnerRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Value of the owner's key."""
@@ -49,12 +52,21 @@
 
 
 class EntryRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """Value of an entry's key: the address for its peers."""
+    """Value of an entry's key.
+
+    Attributes:
+        name: Name of the entry.
+        incarnation: Random text that identifies the process.
+        host: Host for its peers.
+        port: Port for its peers.
+        capacity: Capacity of the instance relative to others; 0 where it is unknown.
+    """
 
     name: str
     incarnation: str
     host: str
     port: int
+    capacity: float = 0.0
 
 
 class Head(msgspec.Struct, frozen=True, kw_only=True):
@@ -266,7 +278,7 @@
             # An outage may have ended the leases of all entries; the previous owner goes first.
             await self._group.sleep(OWNER_RETURN_S)
             return False
-        await self._group.sleep(TAKEOVER_STAGGER_S * self._candidate_position())
+        await self._group.sleep(self._takeover_delay_s())
         if not self._lease_usable():
             return False
         read = await self._store.get(key=keys.HEAD)
@@ -334,9 +346,15 @@
         decision_log.write("owner.gained", term=head.term, head_revision=revision)
         self._on_gained(head, revision)
 
+    def _takeover_delay_s(self) -> float:
+        return min(MAX_TAKEOVER_DELAY_S, TAKEOVER_STAGGER_S * self._candidate_position())
+
     def _candidate_position(self) -> int:
-        """Returns this entry's position among the candidates, in the order of their names' hashes."""
-        names = sorted({*self._entries, self._entry.name}, key=_candidate_hash)
+        """Returns this entry's position: larger candidates first, equal ones by their names' hashes."""
+        candidates = {**self._entries, self._entry.name: self._entry}
+        names = sorted(
+            candidates, key=lambda name: (-candidates[name].capacity, _candidate_hash(name))
+        )
         return names.index(self._entry.name)
 
     def _lease_usable(self) -> bool:
