An owner yields to an entry of at least twice its capacity

Cause: an owner gave its role up only with its lease. Change: every 0.5 s an owner compares capacities. It yields at most once in 20 s, so that a role that comes back is kept. A listing of the membership keeps the time since which an entry is known. Why it works: the key is removed on condition of its revision, so a newer owner's key isn't touched, and the orders of the old term are fenced by the next one as in any takeover. Not yet in effect: capacities are unknown (0) until the instance's cores and bandwidth are passed.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -10,6 +10,7 @@
     admission,
     clocks,
     configuration_source,
+    decision_log,
     entry,
     memory_peers,
     messages,
@@ -30,6 +31,9 @@
 LINK_BYTES_PER_CORE = 3_000_000
 """Traffic of an owner that keeps one core busy, bytes a second."""
 
+OWNER_REVIEW_INTERVAL_S = 0.5
+"""Time between two checks of whether this owner should yield, seconds."""
+
 FLUSH_TIMEOUT_S = 1.0
 """Timeout of the last write of an owner that hands over, seconds."""
 
@@ -179,6 +183,7 @@
         self._configuration.start()
         self._members.start()
         self._group.spawn(self._report_load())
+        self._group.spawn(self._review_ownership())
 
     async def hand_over(self) -> None:
         """Reports this entry as not ready and hands its ownership over; calls are still served."""
@@ -232,6 +237,22 @@
         configuration = self._configuration.current or queues.Configuration(version=0)
         new_owner.start(configuration=configuration)
 
+    async def _review_ownership(self) -> None:
+        """Yields the ownership to a larger entry."""
+        while True:
+            await self._group.sleep(OWNER_REVIEW_INTERVAL_S)
+            local_owner = self._owner
+            if local_owner is None or self._closing:
+                continue
+            if self._members.should_yield():
+                await self._yield_ownership(local_owner, "an entry of more capacity is present")
+
+    async def _yield_ownership(self, local_owner: owner_module.Owner, reason: str) -> None:
+        decision_log.write("owner.yields", term=local_owner.term, reason=reason)
+        await local_owner.flush(limit_s=FLUSH_TIMEOUT_S)
+        if local_owner is self._owner:
+            await self._members.yield_ownership(reason)
+
     def _on_superseded(self, owner: owner_module.Owner, reason: str) -> None:
         """Stops the current owner; a late report about an earlier owner has no effect."""
         if owner is self._owner:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -42,6 +42,16 @@
 MAX_TAKEOVER_DELAY_S = 1.2
 """Longest delay of a candidate, seconds; later candidates try at the same time, and one succeeds."""
 
+YIELD_CAPACITY_RATIO = 2.0
+"""Ratio of capacities from which an owner yields to a larger entry."""
+
+YIELD_AFTER_S = 2.0
+"""Time for which a larger entry has to be registered before the owner yields to it, seconds."""
+
+MIN_YIELD_INTERVAL_S = 20.0
+"""Minimum time between two times that an entry yields, seconds. An entry to which the ownership
+returns sooner keeps it: the others didn't do better."""
+
 
 class OwnerRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Value of the owner's key."""
@@ -107,6 +117,8 @@
         self._lease_lost_at = float("-inf")
         self._valid_until = 0.0
         self._entries: dict[str, EntryRecord] = {}
+        self._entry_seen_at: dict[str, float] = {}
+        self._yielded_at = float("-inf")
         self._owner: OwnerRecord | None = None
         self._membership_read = False
         self._leaving = False
@@ -166,6 +178,39 @@
             self._term = 0
             self._on_lost(reason)
 
+    def should_yield(self) -> bool:
+        """Returns whether this owner should yield to an entry of much more capacity."""
+        now = self._clocks.now()
+        return self.may_yield and any(
+            record.capacity >= YIELD_CAPACITY_RATIO * self._entry.capacity
+            and now - self._entry_seen_at[record.name] >= YIELD_AFTER_S
+            for record in self._entries.values()
+            if record.name != self._entry.name and record.capacity
+        )
+
+    @property
+    def may_yield(self) -> bool:
+        """Whether this owner may yield: there are other entries, and it hasn't yielded recently."""
+        return (
+            self._term > 0
+            and len(self._entries) > 1
+            and self._clocks.now() - self._yielded_at >= MIN_YIELD_INTERVAL_S
+        )
+
+    async def yield_ownership(self, reason: str) -> None:
+        """Stops acting as the owner and removes the owner's key; another entry takes over."""
+        self._yielded_at = self._clocks.now()
+        self.relinquish(reason, term=self._term)
+        read = await self._store.get(key=keys.OWNER)
+        item = None if isinstance(read, result.Failure) else read.unwrap()
+        record = None if item is None else _decode_owner(item.value)
+        if item is None or record is None or record.incarnation != self._entry.incarnation:
+            return
+        unchanged = store.Condition(key=keys.OWNER, revision=item.revision)
+        removed = await self._store.commit(conditions=(unchanged,), removes=(keys.OWNER,))
+        if isinstance(removed, result.Failure):
+            decision_log.write("owner.key_kept", reason=str(removed.failure()))
+
     async def leave(self) -> None:
         """Revokes the lease, so that another entry can take over at once."""
         self._leaving = True
@@ -347,6 +392,8 @@
         self._on_gained(head, revision)
 
     def _takeover_delay_s(self) -> float:
+        if self._clocks.now() - self._yielded_at < MIN_YIELD_INTERVAL_S:
+            return MAX_TAKEOVER_DELAY_S
         return min(MAX_TAKEOVER_DELAY_S, TAKEOVER_STAGGER_S * self._candidate_position())
 
     def _candidate_position(self) -> int:
@@ -361,7 +408,9 @@
         return bool(self._lease) and self.lease_valid and not self._leaving
 
     def _apply_listing(self, listed: listing.Listed) -> None:
-        self._entries.clear()
+        listed_names = {item.key.removeprefix(keys.ENTRIES) for item in listed.items}
+        for name in [name for name in self._entries if name not in listed_names]:
+            del self._entries[name]
         self._owner = None
         for item in listed.items:
             self._apply_item(item.key, item)
@@ -376,8 +425,10 @@
             record = None if item is None else _decode_entry(item.value)
             if record is None:
                 self._entries.pop(name, None)
-            else:
-                self._entries[name] = record
+                return
+            if self._entries.get(name) != record:
+                self._entry_seen_at[name] = self._clocks.now()
+            self._entries[name] = record
 
     def _apply_owner(self, record: OwnerRecord | None) -> None:
         if record != self._owner:
