An owner whose recovery reads nothing for 4 s yields

Nothing started, and runs of cancelled jobs went on, as the owner's polls renewed their lease. Cause: nothing looked at the progress of a recovery; renewing the lease was enough to stay the owner. Change: the recovery records when it last read a page. Why it works: another entry may reach the store or have a better link; a slow recovery that does read pages isn't stopped.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/listing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/listing.py
@@ -45,6 +45,12 @@
         self._store = store_port
         self._clocks = all_clocks
         self._group = group
+        self._progressed_at = all_clocks.now()
+
+    @property
+    def progressed_at(self) -> float:
+        """Time at which the last page was read, seconds; before the first one, of the creation."""
+        return self._progressed_at
 
     async def read(self, prefix: str) -> Listed:
         """Reads all items under a prefix; retries until the group is closed."""
@@ -71,6 +77,7 @@
             outcome = await self._store.list_page(prefix=prefix, after=after)
             if isinstance(outcome, result.Success):
                 page = outcome.unwrap()
+                self._progressed_at = self._clocks.now()
                 if failures or number > 1 or page.has_more:
                     decision_log.write(
                         "listing.page",
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -34,6 +34,9 @@
 OWNER_REVIEW_INTERVAL_S = 0.5
 """Time between two checks of whether this owner should yield, seconds."""
 
+NO_PROGRESS_S = 4.0
+"""Time without progress of its recovery after which an owner yields, seconds."""
+
 FLUSH_TIMEOUT_S = 1.0
 """Timeout of the last write of an owner that hands over, seconds."""
 
@@ -238,7 +241,7 @@
         new_owner.start(configuration=configuration)
 
     async def _review_ownership(self) -> None:
-        """Yields the ownership to a larger entry."""
+        """Yields the ownership to a larger entry, or if the recovery makes no progress."""
         while True:
             await self._group.sleep(OWNER_REVIEW_INTERVAL_S)
             local_owner = self._owner
@@ -246,6 +249,8 @@
                 continue
             if self._members.should_yield():
                 await self._yield_ownership(local_owner, "an entry of more capacity is present")
+            elif self._members.may_yield and local_owner.stalled_s > NO_PROGRESS_S:
+                await self._yield_ownership(local_owner, "the recovery makes no progress")
 
     async def _yield_ownership(self, local_owner: owner_module.Owner, reason: str) -> None:
         decision_log.write("owner.yields", term=local_owner.term, reason=reason)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -151,6 +151,13 @@
         """Whether all jobs have been read from the store."""
         return self._recovered
 
+    @property
+    def stalled_s(self) -> float:
+        """Time for which the recovery has read nothing, seconds; 0 once it is done."""
+        if self._recovered:
+            return 0.0
+        return self._clocks.now() - max(self._began_at, self._recovery.progressed_at)
+
     @property
     def scheduler(self) -> scheduler.Scheduler:
         """Scheduler of this term."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/recovery.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/recovery.py
@@ -42,6 +42,11 @@
             store_port=store_port, all_clocks=all_clocks, group=group
         )
 
+    @property
+    def progressed_at(self) -> float:
+        """Time at which the last page was read, seconds."""
+        return self._listings.progressed_at
+
     async def read_intake(self) -> listing.Listed:
         """Reads all submissions and cancellations."""
         return await self._listings.read(keys.INTAKE)
