An entry's lease is longer where its link is slow

Cause: a renewal queues behind polls, orders and pages on the link. At 5 Mbit/s 250 kB take 0.4 s, so within a lease of 1.5 s few attempts are left. Change: an entry's lease is longer by twice the time that 250 kB take on its link. Why it works: each of two attempts to renew may wait that long. Where the bandwidth is large or unknown the lease stays at about 1.5 s; where it isn't, a killed owner is replaced later by as much (0.8 s at 5 Mbit/s). Not yet in effect: nothing passes the bandwidth yet.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -31,6 +31,10 @@
 LINK_BYTES_PER_CORE = 3_000_000
 """Traffic of an owner that keeps one core busy, bytes a second."""
 
+QUEUED_LINK_BYTES = 250_000
+"""Bytes that may be queued on an instance's link at once: a burst of polls and orders, and parts of
+a listing."""
+
 OWNER_REVIEW_INTERVAL_S = 0.5
 """Time between two checks of whether this owner should yield, seconds."""
 
@@ -76,6 +80,11 @@
             limits.append(self.link_bytes_per_s / LINK_BYTES_PER_CORE)
         return round(min(limits, default=0.0), 3)
 
+    @property
+    def link_delay_s(self) -> float:
+        """Time for which a call may wait on the link behind others, seconds."""
+        return QUEUED_LINK_BYTES / self.link_bytes_per_s if self.link_bytes_per_s else 0.0
+
 
 class Node:
     """An entry, from `start` until `close`: callers, peers, configuration, ownership and owner."""
@@ -117,6 +126,7 @@
                 port=settings.port,
                 capacity=settings.capacity,
             ),
+            link_delay_s=settings.link_delay_s,
             store_port=store_port,
             all_clocks=self._clocks,
             on_gained=self._on_gained,
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -17,6 +17,10 @@
 LEASE_TTL_S = 1.5
 """Duration of an entry's lease, seconds. A killed owner is replaced after it; see docs/design."""
 
+LEASE_LINK_DELAYS = 2
+"""Number of the link's delays by which a lease is longer: each of two attempts to renew it may wait
+that long on a busy link."""
+
 RENEW_INTERVAL_S = 0.4
 """Time between renewals, seconds. Three may be lost before the lease ends."""
 
@@ -102,7 +106,9 @@
         on_gained: Callable[[Head, int], None],
         on_lost: Callable[[str], None],
         on_entries: Callable[[tuple[EntryRecord, ...]], None],
+        link_delay_s: float = 0.0,
     ) -> None:
+        self._lease_ttl_s = LEASE_TTL_S + LEASE_LINK_DELAYS * link_delay_s
         self._entry = entry
         self._store = store_port
         self._clocks = all_clocks
@@ -232,7 +238,7 @@
     async def _renew(self) -> None:
         sent_at = self._clocks.boottime()
         if not self._lease:
-            granted = await self._store.grant(ttl_s=LEASE_TTL_S)
+            granted = await self._store.grant(ttl_s=self._lease_ttl_s)
             if isinstance(granted, result.Success):
                 self._lease = granted.unwrap().lease
                 self._valid_until = sent_at + granted.unwrap().ttl_s - LEASE_MARGIN_S
