Fleet: processor time of the process as a gauge of every entry

Cause: unknown; no metric shows whether an entry uses up its share of a core. Change: gauge process_cpu_seconds, read at each scrape. Checked: a test compares three scrapes.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -4,6 +4,7 @@
 
 import os
 from collections.abc import Callable
+import time
 
 import msgspec
 from ebonyhatch.fleet import (
@@ -232,6 +233,7 @@
             "store_silent_seconds": self._members.store_unresponsive_s,
             "entries": len(self._members.entries),
             "loop_delay_seconds": self._loop_delay.recent_s,
+            "process_cpu_seconds": time.process_time(),
         }
         return state if self._owner is None else state | self._owner.gauges()
 
--- a/packages/ebonyhatch-fleet/tests/test_metrics.py
+++ b/packages/ebonyhatch-fleet/tests/test_metrics.py
@@ -55,3 +55,15 @@
     text = world.owner.node.metrics.render().decode()
     assert "ebonyhatch_is_owner 1.0" in text and "ebonyhatch_targets 4.0" in text
     assert 'ebonyhatch_job_seconds_count{queue="plans"} 1.0' in text
+
+
+def test_each_entry_reports_the_processor_time_of_its_process():
+    world = world_module.World(entries=2)
+    samples = [_sample(world, "e0"), _sample(world, "e1"), _sample(world, "e0")]
+    assert 0.0 < samples[0] < samples[1] < samples[2]
+
+
+def _sample(world: world_module.World, name: str) -> float:
+    lines = world.members[name].node.metrics.render().decode().splitlines()
+    line = next(line for line in lines if line.startswith("ebonyhatch_process_cpu_seconds "))
+    return float(line.split()[1])
