Calls and bytes to the platform by kind of call, as metrics of every entry

Cause: unknown from the log alone; nothing shows how many calls of which kind an entry makes, and what they weigh. Not measured on a deployment.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/metrics.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/metrics.py
@@ -11,6 +11,7 @@
 
 import eliot
 import prometheus_client
+from ebonyhatch.fleet import call_counts
 from ebonyhatch.node import labels
 from prometheus_client import metrics_core, registry
 
@@ -48,7 +49,9 @@
 class Metrics:
     """Counts logged events from `start` until `close`."""
 
-    def __init__(self, *, gauges: GaugeSource) -> None:
+    def __init__(
+        self, *, gauges: GaugeSource, calls: call_counts.CallSource = call_counts.no_calls
+    ) -> None:
         self._registry = prometheus_client.CollectorRegistry()
         self._events = labels.LabelSet(limit=EVENTS_LIMIT)
         self._outcomes = labels.LabelSet(limit=OUTCOMES_LIMIT)
@@ -66,6 +69,7 @@
             for event, (name, _, text) in HISTOGRAMS.items()
         }
         self._registry.register(_GaugeCollector(gauges=gauges))
+        self._registry.register(_CallCollector(calls=calls))
 
     def start(self) -> None:
         """Starts to count."""
@@ -108,3 +112,33 @@
         """Returns each value as a gauge."""
         for name, value in self._gauges().items():
             yield metrics_core.GaugeMetricFamily(PREFIX + name, "State of this entry.", value=value)
+
+
+class _CallCollector(registry.Collector):
+    """Reads the counts of calls when metrics are rendered; nothing is looked up at a call."""
+
+    def __init__(self, *, calls: call_counts.CallSource) -> None:
+        self._calls = calls
+
+    def collect(self) -> Iterator[metrics_core.Metric]:
+        """Returns calls by outcome, bytes by direction and calls in progress, by kind of call."""
+        calls = metrics_core.CounterMetricFamily(
+            PREFIX + "calls", "Calls to the platform, by outcome.", labels=("kind", "outcome")
+        )
+        transferred = metrics_core.CounterMetricFamily(
+            PREFIX + "call_bytes",
+            "Bytes of calls to the platform, with headers.",
+            labels=("kind", "direction"),
+        )
+        in_progress = metrics_core.GaugeMetricFamily(
+            PREFIX + "calls_in_progress", "Calls without an outcome yet.", labels=("kind",)
+        )
+        for kind, counts in self._calls().items():
+            calls.add_metric((kind, "answered"), counts.answered)
+            calls.add_metric((kind, "failed"), counts.failed)
+            calls.add_metric((kind, "timed-out"), counts.timed_out)
+            calls.add_metric((kind, "cancelled"), counts.cancelled)
+            transferred.add_metric((kind, "sent"), counts.bytes_sent)
+            transferred.add_metric((kind, "received"), counts.bytes_received)
+            in_progress.add_metric((kind,), counts.in_progress)
+        yield from (calls, transferred, in_progress)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Callable
 import time
 
 import msgspec
 from ebonyhatch.fleet import (
     admission,
+    call_counts,
     clocks,
     configuration_source,
     decision_log,
@@ -101,9 +101,8 @@
         targets_port: targets.Targets,
         target_codec: target_list.TargetCodec,
         codec: configuration_source.Codec,
-        link_bytes: Callable[[], int] = lambda: 0,
+        calls: call_counts.CallSource = call_counts.no_calls,
     ) -> None:
-        """Creates an entry; `link_bytes` returns the bytes sent or received, whichever is more."""
         self._settings = settings
         self._store = store_port
         self._targets = targets_port
@@ -114,8 +113,8 @@
         self._load = admission.QueueLoad()
         self._poll_pace = poll_pace.PollPace(
             all_clocks=all_clocks,
-            loop_delay_s=lambda: 0.0,
-            link_bytes=link_bytes,
+            loop_delay_s=lambda: self._loop_delay.recent_s,
+            link_bytes=lambda: call_counts.link_bytes(calls()),
             link_bytes_per_s=settings.link_bytes_per_s,
         )
         self._owner: owner_module.Owner | None = None
@@ -143,7 +142,7 @@
             on_change=self._on_configuration_changed,
         )
         self._loop_delay = loop_delay.LoopDelay(all_clocks=all_clocks)
-        self._metrics = metrics.Metrics(gauges=self._gauges)
+        self._metrics = metrics.Metrics(gauges=self._gauges, calls=calls)
         self._entry = entry.Entry(
             name=settings.name,
             store_port=store_port,
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -87,6 +87,7 @@
         self._pause_s = pause_s
         self._scan_slots = scan_slots
         self._held_report: targets.StatusReport | None = None
+        self._released: defer.Deferred[None] | None = None
         self._row = row
         self._port = port
         self._fence = fence
@@ -200,6 +201,8 @@
         report, self._held_report = self._held_report, None
         if report is not None:
             self._run_safely(self._deliver, report)
+        if self._released is not None:
+            _release(self._released)
 
     async def _poll_reports(self) -> None:
         wait_s = 0.0
@@ -222,12 +225,21 @@
             wait_s = 0.0 if first or self._held_report is not None else self._wait_s
             if not first:
                 # The first poll renews nothing, as it learns the target's clock.
-                await self._group.sleep(self._pause_after_poll_s())
+                await self._pause()
 
-    def _pause_after_poll_s(self) -> float:
-        if self._held_report is not None:
-            return self._lease_s / POLLS_PER_LEASE
-        return self._pause_s()
+    async def _pause(self) -> None:
+        """Waits before the next poll; while a report is held, until it is applied at the latest."""
+        if self._held_report is None:
+            await self._group.sleep(self._pause_s())
+            return
+        released: defer.Deferred[None] = defer.Deferred()
+        self._released = released
+        timer = self._clocks.loop.callLater(self._lease_s / POLLS_PER_LEASE, _release, released)
+        try:
+            await released
+        finally:
+            if timer.active():
+                timer.cancel()
 
     async def _poll(
         self, wait_s: float
@@ -351,6 +363,11 @@
             self._on_fenced(str(error))
 
 
+def _release(waiting: defer.Deferred[None]) -> None:
+    if not waiting.called:
+        waiting.callback(None)
+
+
 def _with_ends(
     report: targets.StatusReport, fresh: tuple[targets.Ended, ...]
 ) -> targets.StatusReport:
--- a/packages/ebonyhatch-fleet/tests/test_metrics.py
+++ b/packages/ebonyhatch-fleet/tests/test_metrics.py
@@ -4,7 +4,7 @@
 
 import pytest
 import world as world_module
-from ebonyhatch.fleet import decision_log, jobs, metrics
+from ebonyhatch.fleet import call_counts, decision_log, jobs, metrics
 
 
 @pytest.fixture
@@ -46,6 +46,30 @@
     started_metrics.start()
 
 
+def test_calls_are_shown_by_kind_with_their_outcomes_and_bytes():
+    counts = call_counts.CallCounts(
+        begun=11,
+        answered=4,
+        failed=3,
+        timed_out=2,
+        cancelled=1,
+        bytes_sent=50,
+        bytes_received=60,
+    )
+    calls = {"list": counts}
+    entry_metrics = metrics.Metrics(gauges=dict, calls=lambda: calls)
+    text = entry_metrics.render().decode()
+    for outcome, count in (("answered", 4), ("failed", 3), ("timed-out", 2), ("cancelled", 1)):
+        series = f'ebonyhatch_calls_total{{kind="list",outcome="{outcome}"}} {count}.0'
+        assert series in text.splitlines()
+    assert 'ebonyhatch_call_bytes_total{direction="sent",kind="list"} 50.0' in text
+    assert 'ebonyhatch_call_bytes_total{direction="received",kind="list"} 60.0' in text
+    assert 'ebonyhatch_calls_in_progress{kind="list"} 1.0' in text
+    calls["poll"] = call_counts.CallCounts(begun=1, answered=1)
+    later = entry_metrics.render().decode()
+    assert 'ebonyhatch_calls_total{kind="poll",outcome="answered"} 1.0' in later
+
+
 def test_the_owner_reports_its_jobs_and_targets():
     world = world_module.World()
     world.run(1.0)
