Timers follow the monotonic clock, not the time of day

Twisted's reactors measure time by the time of day. So a step of it fired all timers early or held them up for as long, renewals of leases among them, and owner.was_suspended could never be logged: the clock that was taken for the monotonic one counts suspensions like the other.

--- a/packages/ebonyhatch-node/src/ebonyhatch/node/main.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/main.py
@@ -12,7 +12,7 @@
 import click
 from ebonyhatch.core import errors
 from ebonyhatch.node import daemon, logs, settings
-from ebonyhatch.ports import http_instances, http_store, http_workers
+from ebonyhatch.ports import http_instances, http_store, http_workers, timing
 from returns import result
 from twisted.internet import defer, error
 
@@ -65,6 +65,7 @@
 def _run(chosen: settings.Settings) -> int:
     from twisted.internet import reactor
 
+    timing.use_monotonic_clock(reactor)
     log = logs.start(format=chosen.log.format, stream=sys.stderr)
     entry = daemon.Daemon(
         chosen=chosen,
--- a/packages/ebonyhatch-ports/src/ebonyhatch/ports/timing.py
+++ b/packages/ebonyhatch-ports/src/ebonyhatch/ports/timing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -29,3 +30,12 @@
         self, delay_s: float, call: Callable[..., Any], /, *args: Any, **kwargs: Any
     ) -> Any:
         """Schedules `call` after `delay_s` seconds; returns a `Timer`."""
+
+
+def use_monotonic_clock(reactor: Any) -> None:
+    """Makes a reactor measure time by the monotonic clock, before anything is scheduled on it.
+
+    Twisted's reactors use the time of day, so that a step of it fires timers early or holds them
+    up, and a suspension of the machine can't be told from running.
+    """
+    reactor.seconds = time.monotonic
