A candidate reads the owner's key first, and late events end no newer term

And at 7.90 an entry gave up its new term because its watch reported the owner before it; records of a lower term are ignored.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -332,6 +332,13 @@
         await self._group.sleep(self._takeover_delay_s())
         if not self._lease_usable():
             return False
+        owner_read = await self._store.get(key=keys.OWNER)
+        if isinstance(owner_read, result.Failure):
+            return False
+        owner_item = owner_read.unwrap()
+        if owner_item is not None:
+            self._apply_owner(_decode_owner(owner_item.value))
+            return True
         read = await self._store.get(key=keys.HEAD)
         if isinstance(read, result.Failure):
             return False
@@ -437,6 +444,9 @@
             self._entries[name] = record
 
     def _apply_owner(self, record: OwnerRecord | None) -> None:
+        if record is not None and record.term < self._term:
+            # A change from before this entry's takeover, which the watch reports late.
+            return
         if record != self._owner:
             decision_log.write(
                 "owner.seen",
