A pass of placement ranks the targets once instead of for each waiting step

What callers saw: with a backlog of thousands of tasks the owner's loop stood still for most of a second or longer at each tick, so that polls timed out, targets counted as lost and leases ended. Cause: each tick ordered all waiting steps and scored every target with all constraints for each of them, also where no target had any free capacity. Change: a pass collects the usable targets once; steps that ask for more processor time than any target has free, or for at least as much as a step that was rejected everywhere, are skipped; short steps share one ranking; constraints that don't concern a step aren't called; the pass ends when the least demand fits nowhere, or after 64 orders, and then the next tick is due at once.

--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
@@ -0,0 +1,136 @@
+"""Targets that one pass of placement may use, ranked once for all steps that rank them alike.
+
+Within a pass runs are only added, so that free capacity and the scores of short steps only decrease.
+"""
+
+from __future__ import annotations
+
+import heapq
+
+from ebonyhatch.fleet import jobs, rows
+from ebonyhatch.fleet.constraints import registry, resource_fit, usable
+
+_Amounts = tuple[int, int, int]
+_Entry = tuple[float, int, rows.TargetRow]
+
+
+class Candidates:
+    """Usable targets in the order of the table, and what is known not to fit on any of them."""
+
+    def __init__(
+        self,
+        *,
+        target_rows: list[rows.TargetRow],
+        steps: list[rows.StepRow],
+        context: registry.Context,
+    ) -> None:
+        self._context = context
+        self._pools: dict[str, list[rows.TargetRow]] = {}
+        for row in target_rows:
+            if usable.is_usable(steps[0], row, context):
+                self._pools.setdefault(row.target.pool, []).append(row)
+        self._least_cpu: dict[tuple[str, bool], int] = {}
+        for step in steps:
+            key = (step.job.queue.pool, step.step.filler)
+            cpu_millis = step.step.cpu_millis
+            if cpu_millis < self._least_cpu.get(key, cpu_millis + 1):
+                self._least_cpu[key] = cpu_millis
+        self._free_cpu: dict[tuple[str, bool], float] = {}
+        self._rankings: dict[tuple[str, str, str], list[_Entry]] = {}
+        self._rejected: dict[tuple[str, str, bool, str], list[_Amounts]] = {}
+
+    def targets(self, pool: str) -> list[rows.TargetRow]:
+        """Returns the usable targets of a pool."""
+        return self._pools.get(pool, [])
+
+    def may_fit(self, step: rows.StepRow) -> bool:
+        """Returns False if no target had enough free processor time when last looked at."""
+        pool, filler = step.job.queue.pool, step.step.filler
+        free_cpu = self._free_cpu.get((pool, filler))
+        if free_cpu is None:
+            free_cpu = self._look(pool, filler)
+        return step.step.cpu_millis <= free_cpu
+
+    def exhausted(self) -> bool:
+        """Looks at all targets again; returns whether the least demand of each pool fits nowhere."""
+        return all(
+            cpu_millis > self._look(pool, filler)
+            for (pool, filler), cpu_millis in self._least_cpu.items()
+        )
+
+    def reject(self, step: rows.StepRow) -> None:
+        """Records that no target allows a step for a reason that holds for the whole pass."""
+        if not step.step.max_per_target:
+            self._rejected.setdefault(_kind(step), []).append(_amounts(step.step))
+
+    def rejected(self, step: rows.StepRow) -> bool:
+        """Returns whether a step asks for at least as much as one that no target allows."""
+        cpu_millis, memory_mb, accelerators = _amounts(step.step)
+        return any(
+            cpu_millis >= amounts[0] and memory_mb >= amounts[1] and accelerators >= amounts[2]
+            for amounts in self._rejected.get(_kind(step), ())
+        )
+
+    def best(self, step: rows.StepRow, selection: registry.Selection) -> rows.TargetRow | None:
+        """Returns the allowed target with the best score, the first of equals; None if none is.
+
+        The step must be one for which `ranks_alike` holds.
+        """
+        ranking = self._ranking(step, selection)
+        least_cpu = self._least_cpu[(step.job.queue.pool, False)]
+        too_small = []
+        best = None
+        while ranking:
+            cost, position, row = ranking[0]
+            present_cost = -selection.score(step, row, self._context)
+            if present_cost != cost:
+                heapq.heapreplace(ranking, (present_cost, position, row))
+            elif resource_fit.has_capacity(step, row, self._context):
+                best = row
+                break
+            elif row.free_cpu < least_cpu:
+                heapq.heappop(ranking)
+            else:
+                too_small.append(heapq.heappop(ranking))
+        for entry in too_small:
+            heapq.heappush(ranking, entry)
+        return best
+
+    def _ranking(self, step: rows.StepRow, selection: registry.Selection) -> list[_Entry]:
+        spec = step.step
+        key = (step.job.queue.pool, spec.label, spec.data_rack)
+        ranking = self._rankings.get(key)
+        if ranking is None:
+            ranking = [
+                (-selection.score(step, row, self._context), position, row)
+                for position, row in enumerate(self.targets(key[0]))
+                if not spec.label or spec.label in row.target.labels
+            ]
+            heapq.heapify(ranking)
+            self._rankings[key] = ranking
+        return ranking
+
+    def _look(self, pool: str, filler: bool) -> float:
+        """Returns the most free processor time that a target of a pool has, and remembers it."""
+        pool_targets = self.targets(pool)
+        if filler:
+            free_cpu = max(map(resource_fit.leftover_cpu, pool_targets), default=-1.0)
+        else:
+            free_cpu = max([row.free_cpu for row in pool_targets], default=-1)
+        self._free_cpu[(pool, filler)] = free_cpu
+        return free_cpu
+
+
+def ranks_alike(step: jobs.Step) -> bool:
+    """Returns whether targets rank for a step as for all short steps of its pool, label and rack."""
+    return not (step.filler or step.long_running or step.tail_limit_s or step.max_per_target)
+
+
+def _kind(step: rows.StepRow) -> tuple[str, str, bool, str]:
+    spec = step.step
+    image = spec.image if spec.filler else ""
+    return (step.job.queue.pool, spec.label, spec.filler, image)
+
+
+def _amounts(step: jobs.Step) -> _Amounts:
+    return (step.cpu_millis, step.memory_mb, step.accelerators)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/interference.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/interference.py
@@ -21,7 +21,7 @@
 """Score of a full target for a serving task: empty targets are left for other work."""
 
 
-@registry.predicate("harm")
+@registry.predicate("harm", applies=lambda step: step.filler)
 def keeps_margins(step: rows.StepRow, row: rows.TargetRow, context: registry.Context) -> bool:
     """Returns whether all serving tasks would stay within their limits with one more filler."""
     if not step.step.filler:
@@ -38,7 +38,7 @@
     return True
 
 
-@registry.scorer("harm")
+@registry.scorer("harm", applies=lambda step: step.filler or step.tail_limit_s > 0)
 def interference_score(step: rows.StepRow, row: rows.TargetRow, context: registry.Context) -> float:
     """Prefers targets where a filler costs least, and for serving tasks those with their image."""
     spec = step.step
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/rack.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/rack.py
@@ -10,7 +10,7 @@
 multiple of the time on another rack."""
 
 
-@registry.scorer("rack")
+@registry.scorer("rack", applies=lambda step: bool(step.data_rack))
 def rack_score(step: rows.StepRow, row: rows.TargetRow, context: registry.Context) -> float:
     """Prefers the rack that holds the step's data."""
     if not step.step.data_rack:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/spread.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/spread.py
@@ -10,14 +10,14 @@
 much as placing tasks of one image together."""
 
 
-@registry.predicate("spread")
+@registry.predicate("spread", applies=lambda step: step.max_per_target > 0)
 def is_below_limit(step: rows.StepRow, row: rows.TargetRow, context: registry.Context) -> bool:
     """Returns whether a target may take one more task of the step."""
     limit = step.step.max_per_target
     return not limit or step.per_target.get(row.target_id, 0) < limit
 
 
-@registry.scorer("spread")
+@registry.scorer("spread", applies=lambda step: step.long_running)
 def spread_score(step: rows.StepRow, row: rows.TargetRow, context: registry.Context) -> float:
     """Prefers targets with few tasks of a long-running step, so that the loss of one takes few."""
     if not step.step.long_running:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/graph.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/graph.py
@@ -63,6 +63,8 @@
 
     Steps depend on earlier ones only, so one pass from the last to the first is enough.
     """
+    if step.index + 1 == len(steps):
+        return step.expected_s
     following = [0.0] * len(steps)
     for later in reversed(steps[step.index + 1 :]):
         rest = later.expected_s + following[later.index]
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -5,15 +5,32 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterable
 
-from ebonyhatch.fleet import commands, interference, ordering, reserve, rows, tables, targets
+from ebonyhatch.fleet import (
+    candidates,
+    commands,
+    interference,
+    ordering,
+    reserve,
+    rows,
+    tables,
+    targets,
+)
 from ebonyhatch.fleet.constraints import registry
 
 AVOIDED_TARGET_PENALTY = 5.0
 """Penalty of the target where the task's last run failed: it is used only if no other target has
 free capacity."""
 
+MAX_ORDERS_PER_PASS = 64
+"""Number of orders after which a pass places no further step. Polls and renewals of leases wait
+while a pass runs."""
+
+LOOK_AGAIN_STEPS = 32
+"""Number of remaining steps above which the free capacity is looked at again after an order."""
+
 
 class Placement:
     """Reserves capacity for waiting tasks and orders their runs."""
@@ -34,6 +51,7 @@
         self._decide = decide
         self.run_number_base = 0
         self._blocked_tasks: frozenset[str] = frozenset()
+        self._orders_left = MAX_ORDERS_PER_PASS
 
     def place(
         self, *, now: float, wall: float, reconciled: bool, blocked_tasks: frozenset[str]
@@ -52,16 +70,15 @@
         steps = [
             step for step in self._tables.waiting.values() if self._may_place(step, reconciled)
         ]
-        steps.sort(key=lambda step: ordering.key(step, wall=wall))
         self._reserve.choose_targets()
-        context = self.context(now)
-        for step in steps:
-            if step.step.gang:
-                self._place_gang(step, context)
-            else:
-                self._place_tasks(step, context)
-            if not step.waiting:
-                self._tables.waiting.pop(id(step), None)
+        self._orders_left = MAX_ORDERS_PER_PASS
+        if steps:
+            self._place_steps(steps, self.context(now), wall)
+
+    @property
+    def cut_short(self) -> bool:
+        """Whether the last pass stopped at its limit of orders, so that the next one is due."""
+        return self._orders_left <= 0
 
     def context(self, now: float) -> registry.Context:
         """Returns the context of the constraints at a time in seconds."""
@@ -69,6 +86,7 @@
 
     def order_run(self, task: rows.TaskRow, row: rows.TargetRow, *, run: int, now: float) -> None:
         """Reserves capacity for a run of a task and orders it."""
+        self._orders_left -= 1
         task.state = rows.TaskState.PLACED
         task.last_run = run
         run_row = rows.RunRow(
@@ -85,18 +103,87 @@
         """Returns a number above that of every run of the tasks that any owner may have ordered."""
         return max(self.run_number_base, *(task.last_run for task in tasks)) + 1
 
+    def _place_steps(
+        self, steps: list[rows.StepRow], context: registry.Context, wall: float
+    ) -> None:
+        """Places steps in their order until nothing fits or the limit of orders is reached."""
+        usable = candidates.Candidates(
+            target_rows=list(self._tables.targets.values()), steps=steps, context=context
+        )
+        queue = [
+            (ordering.key(step, wall=wall), number, step)
+            for number, step in enumerate(steps)
+            if usable.may_fit(step)
+        ]
+        heapq.heapify(queue)
+        orders_seen = self._orders_left
+        while queue and self._orders_left > 0:
+            step = heapq.heappop(queue)[2]
+            if step.step.gang:
+                self._place_gang(step, context, usable)
+            else:
+                self._place_tasks(step, context, usable)
+            if not step.waiting:
+                self._tables.waiting.pop(id(step), None)
+            if self._orders_left < orders_seen and len(queue) > LOOK_AGAIN_STEPS:
+                orders_seen = self._orders_left
+                if usable.exhausted():
+                    return
+
     def _may_place(self, step: rows.StepRow, reconciled: bool) -> bool:
         return reconciled or not step.job.inherited
 
-    def _place_tasks(self, step: rows.StepRow, context: registry.Context) -> None:
+    def _place_tasks(
+        self, step: rows.StepRow, context: registry.Context, usable: candidates.Candidates
+    ) -> None:
+        if not usable.may_fit(step) or usable.rejected(step):
+            return
+        selection = registry.select(step.step)
+        if candidates.ranks_alike(step.step) and not any(t.avoid_target for t in step.waiting):
+            self._place_ranked(step, context, usable, selection)
+        else:
+            self._place_scored(step, context, usable, selection)
+
+    def _place_ranked(
+        self,
+        step: rows.StepRow,
+        context: registry.Context,
+        usable: candidates.Candidates,
+        selection: registry.Selection,
+    ) -> None:
+        """Places tasks of a short step, whose targets are ranked once in a pass."""
+        deferred = []
+        while step.waiting and self._orders_left > 0:
+            task = step.waiting.popleft()
+            if task.retry_at > context.now or task.name in self._blocked_tasks:
+                deferred.append(task)
+                continue
+            row = usable.best(step, selection)
+            if row is None:
+                step.waiting.appendleft(task)
+                usable.reject(step)
+                break
+            self.order_run(task, row, run=self.next_run_number([task]), now=context.now)
+        step.waiting.extendleft(reversed(deferred))
+
+    def _place_scored(
+        self,
+        step: rows.StepRow,
+        context: registry.Context,
+        usable: candidates.Candidates,
+        selection: registry.Selection,
+    ) -> None:
+        """Places tasks of a step for which all targets are scored anew."""
         now = context.now
         scores = {
-            target_id: registry.score(step, row, context)
-            for target_id, row in self._tables.targets.items()
-            if not registry.failed(step, row, context)
+            row.target_id: selection.score(step, row, context)
+            for row in usable.targets(step.job.queue.pool)
+            if selection.allows(step, row, context)
         }
+        if not scores:
+            usable.reject(step)
         deferred = []
-        while step.waiting and scores:
+        while step.waiting and scores and self._orders_left > 0:
             task = step.waiting.popleft()
             if task.retry_at > now or task.name in self._blocked_tasks:
                 deferred.append(task)
@@ -106,15 +193,19 @@
                 deferred.append(task)
                 continue
             self.order_run(task, row, run=self.next_run_number([task]), now=now)
-            if registry.failed(step, row, context):
-                del scores[row.target_id]
+            if selection.allows(step, row, context):
+                scores[row.target_id] = selection.score(step, row, context)
             else:
-                scores[row.target_id] = registry.score(step, row, context)
+                del scores[row.target_id]
         step.waiting.extendleft(reversed(deferred))
 
-    def _place_gang(self, step: rows.StepRow, context: registry.Context) -> None:
+    def _place_gang(
+        self, step: rows.StepRow, context: registry.Context, usable: candidates.Candidates
+    ) -> None:
         """Places all members or none, since each member waits for the others."""
         now = context.now
+        if not usable.may_fit(step):
+            return
         members = [task for task in step.tasks if task.state != rows.TaskState.DONE]
         waiting = [
             task
@@ -123,7 +214,9 @@
         ]
         if len(waiting) < len(members):
             return
-        chosen = self._choose_gang_targets(step, len(members), context)
+        chosen = _choose_gang_targets(
+            step, usable.targets(step.job.queue.pool), len(members), context
+        )
         if not chosen:
             return
         run = self.next_run_number(members)
@@ -131,20 +224,6 @@
         for task, row in zip(members, chosen, strict=True):
             self.order_run(task, row, run=run, now=now)
 
-    def _choose_gang_targets(
-        self, step: rows.StepRow, count: int, context: registry.Context
-    ) -> list[rows.TargetRow]:
-        """Returns a target for each member, within one rack if that is faster and possible."""
-        all_targets = list(self._tables.targets.values())
-        if step.step.same_rack:
-            racks = sorted({row.target.rack for row in all_targets})
-            for rack in racks:
-                rack_targets = [row for row in all_targets if row.target.rack == rack]
-                chosen = _choose_for_all(step, rack_targets, count, context)
-                if chosen:
-                    return chosen
-        return _choose_for_all(step, all_targets, count, context)
-
 
 def _best_target(scores: dict[str, float], task: rows.TaskRow) -> str:
     if not task.avoid_target:
@@ -154,14 +233,29 @@
     )
 
 
+def _choose_gang_targets(
+    step: rows.StepRow, usable: list[rows.TargetRow], count: int, context: registry.Context
+) -> list[rows.TargetRow]:
+    """Returns a target for each member, within one rack if that is faster and possible."""
+    if step.step.same_rack:
+        racks = sorted({row.target.rack for row in usable})
+        for rack in racks:
+            rack_targets = [row for row in usable if row.target.rack == rack]
+            chosen = _choose_for_all(step, rack_targets, count, context)
+            if chosen:
+                return chosen
+    return _choose_for_all(step, usable, count, context)
+
+
 def _choose_for_all(
-    step: rows.StepRow, candidates: list[rows.TargetRow], count: int, context: registry.Context
+    step: rows.StepRow, usable: list[rows.TargetRow], count: int, context: registry.Context
 ) -> list[rows.TargetRow]:
     """Returns targets that can hold all members together; empty if they can't."""
     spec = step.step
     chosen: list[rows.TargetRow] = []
-    allowed = [row for row in candidates if not registry.failed(step, row, context)]
-    for row in sorted(allowed, key=lambda row: -registry.score(step, row, context)):
+    selection = registry.select(spec)
+    allowed = [row for row in usable if selection.allows(step, row, context)]
+    for row in sorted(allowed, key=lambda row: -selection.score(step, row, context)):
         fits = [count - len(chosen)]
         for demand, free in (
             (spec.cpu_millis, row.free_cpu),
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -215,6 +215,8 @@
 
     def next_wake_s(self, *, now: float, wall: float) -> float | None:
         """Returns the time until the next timed event, seconds; None if there is none."""
+        if self._placement.cut_short:
+            return 0.0
         due = [
             task.retry_at - now
             for step in self._tables.waiting.values()
--- /dev/null
+++ b/packages/ebonyhatch-fleet/tests/test_candidates.py
@@ -0,0 +1,201 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+from ebonyhatch.fleet import jobs, ordering, placement, queues, rows, scheduler, targets
+from ebonyhatch.fleet.constraints import registry
+
+QUEUES = tuple(
+    queues.Queue(name=f"q{number}", host="h", prefix=f"/{number}/", pool=pool, priority=number % 2)
+    for number, pool in enumerate(("p", "p", "q"))
+)
+
+
+class PlainPlacement(placement.Placement):
+    """Scores every target with all constraints, for each step in its order."""
+
+    def _place_steps(self, steps, context, wall):
+        self._orders_left = 10**9
+        for step in sorted(steps, key=lambda step: ordering.key(step, wall=wall)):
+            if step.step.gang:
+                self._place_all_members(step, context)
+            else:
+                self._place_each(step, context)
+            if not step.waiting:
+                self._tables.waiting.pop(id(step), None)
+
+    def _place_each(self, step, context):
+        deferred = []
+        while step.waiting:
+            scores = {
+                row.target_id: registry.score(step, row, context)
+                for row in self._tables.targets.values()
+                if not registry.failed(step, row, context)
+            }
+            if not scores:
+                break
+            task = step.waiting.popleft()
+            if task.retry_at > context.now or task.name in self._blocked_tasks:
+                deferred.append(task)
+                continue
+            row = self._tables.targets[placement._best_target(scores, task)]
+            if not self._reserve.allows(task, row):
+                deferred.append(task)
+                continue
+            self.order_run(task, row, run=self.next_run_number([task]), now=context.now)
+        step.waiting.extendleft(reversed(deferred))
+
+    def _place_all_members(self, step, context):
+        now = context.now
+        members = [task for task in step.tasks if task.state != rows.TaskState.DONE]
+        if any(
+            task.runs or task.retry_at > now or task.name in self._blocked_tasks for task in members
+        ):
+            return
+        everywhere = list(self._tables.targets.values())
+        chosen = placement._choose_gang_targets(step, everywhere, len(members), context)
+        if chosen:
+            run = self.next_run_number(members)
+            step.waiting.clear()
+            for task, row in zip(members, chosen, strict=True):
+                self.order_run(task, row, run=run, now=now)
+
+
+class Trial:
+    """A scheduler under random work; two with one seed see the same as long as they agree."""
+
+    def __init__(self, *, seed: int, plain: bool) -> None:
+        self.random = random.Random(seed)
+        self.decisions: list = []
+        self.subject = scheduler.Scheduler(decide=self._decide)
+        self.subject.reconciled = self.subject.may_place = True
+        if plain:
+            fast = self.subject._placement
+            self.subject._placement = PlainPlacement(
+                all_tables=fast._tables,
+                model=fast._model,
+                reserved=fast._reserve,
+                emit=fast._emit,
+                decide=fast._decide,
+            )
+        for number in range(self.random.randrange(4, 14)):
+            self._add_target(number)
+
+    def _decide(self, event, run, **fields):
+        where = None if run is None else (run.key, run.target.target_id)
+        self.decisions.append((event, where, fields))
+
+    def _add_target(self, number: int) -> None:
+        target = targets.Target(
+            target_id=f"t{number}",
+            address=f"t{number}:1",
+            pool=self.random.choice(("p", "p", "q")),
+            failure_domain="a",
+            born=1,
+            rack=f"r{number % 3}",
+            labels=("big",) if number % 2 else (),
+            cpu_millis=self.random.choice((8000, 12000, 16000)),
+            memory_mb=self.random.choice((2000, 8000)),
+            accelerators=number % 3,
+            draining=self.random.random() < 0.1,
+        )
+        row = self.subject.set_target(target, now=0.0)
+        row.confirmed = self.random.random() < 0.95
+        row.announced = True
+
+    def submit(self, number: int) -> None:
+        pick = self.random.choice
+        kind = pick(("short", "short", "short", "short", "filler", "serving", "gang", "long"))
+        chance = self.random.random
+        step = jobs.Step(
+            count=self.random.randrange(1, 5),
+            cpu_millis=self.random.randrange(0, 5000, 250),
+            memory_mb=pick((0, 0, 300, 900)),
+            accelerators=int(chance() < 0.1),
+            estimate_s=round(self.random.uniform(0.5, 20), 1),
+            label="big" if chance() < 0.1 else "",
+            data_rack=pick(("r1", "r2")) if chance() < 0.2 else "",
+            max_per_target=1 if chance() < 0.1 else 0,
+            long_running=kind in ("serving", "long"),
+            image=pick("abc"),
+            tail_limit_s=0.2 if kind == "serving" else 0.0,
+            filler=kind == "filler",
+            gang=kind == "gang",
+            same_rack=kind == "gang" and chance() < 0.5,
+        )
+        queue = pick(QUEUES)
+        job = jobs.Job(job_id=f"{number:016x}", queue=queue.name, spec="", steps=(step,))
+        self.subject.add_job(rows.JobRow(job=job, queue=queue), now=number / 9, wall=number / 9)
+
+    def report_all(self, now: float) -> None:
+        kinds = (targets.EndKind.DONE, targets.EndKind.DONE, targets.EndKind.FAILED)
+        for row in list(self.subject.tables.targets.values()):
+            ended = [key for key in row.runs if self.random.random() < 0.2]
+            report = targets.StatusReport(
+                clock_s=now,
+                born=1,
+                ended=tuple(
+                    targets.Ended(number=n, key=key, kind=self.random.choice(kinds))
+                    for n, key in enumerate(ended)
+                ),
+                running=tuple(
+                    targets.Running(
+                        key=key,
+                        percent=self.random.choice((10.0, 20.0, 50.0)),
+                        reading=self.random.uniform(40, 300),
+                    )
+                    for key in row.runs
+                    if key not in ended
+                ),
+            )
+            self.subject.apply_report(row, report, now=now)
+
+    def play(self) -> list:
+        number = 0
+        for tick in range(1, 40):
+            now = tick * 0.4
+            for _ in range(self.random.randrange(6)):
+                number += 1
+                self.submit(number)
+            if tick % 3 == 0:
+                self.report_all(now)
+            if self.random.random() < 0.05:
+                row = self.random.choice(list(self.subject.tables.targets.values()))
+                self.subject.mark_runs_lost(row, why="lost", now=now)
+            self.decisions.append(len(self.subject.tick(now=now, wall=now)))
+            self.decisions.append(
+                [[t.name for t in step.waiting] for step in self.subject.tables.waiting.values()]
+            )
+        return self.decisions
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_decisions_equal_those_of_scoring_every_target_for_every_step(seed, monkeypatch):
+    if seed % 2:
+        monkeypatch.setattr(placement, "LOOK_AGAIN_STEPS", 0)
+    assert Trial(seed=seed, plain=False).play() == Trial(seed=seed, plain=True).play()
+
+
+def test_a_pass_stops_at_its_limit_of_orders_and_the_next_one_is_due_at_once():
+    trial = Trial(seed=1, plain=False)
+    subject = trial.subject
+    for number in range(40):
+        target = targets.Target(
+            target_id=f"more{number}",
+            address="a:1",
+            pool="p",
+            failure_domain="a",
+            cpu_millis=8000,
+            memory_mb=1000,
+        )
+        row = subject.set_target(target, now=0.0)
+        row.confirmed = row.announced = True
+    job = jobs.Job(
+        job_id="f" * 16, queue="q0", spec="", steps=(jobs.Step(count=100, cpu_millis=1000),)
+    )
+    subject.add_job(rows.JobRow(job=job, queue=QUEUES[0]), now=0.0, wall=0.0)
+    assert len(subject.tick(now=0.1, wall=0.1)) == placement.MAX_ORDERS_PER_PASS
+    assert subject.next_wake_s(now=0.1, wall=0.1) == 0.0
+    assert len(subject.tick(now=0.2, wall=0.2)) == 100 - placement.MAX_ORDERS_PER_PASS
+    assert subject.next_wake_s(now=0.2, wall=0.2) is None
