--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -89,7 +89,7 @@
     @property
     def orders_held_back(self) -> bool:
         """Whether the last tick left tasks waiting because of `order_limit`."""
-        return self._placement.orders_held_back
+        return self._placement.cut_short
 
     @property
     def tables(self) -> tables.Tables:
@@ -229,6 +229,8 @@
 
     def next_wake_s(self, *, now: float, wall: float) -> float | None:
         """Returns the time until the next timed event, seconds; None if there is none."""
+        if self._placement.cut_short and self.order_limit > 0:
+            return 0.0
         due = [
             task.retry_at - now
             for step in self._tables.waiting.values()
