The store port lists page by page, and in-memory ports have a link

Callers of the store read a listing as a whole or not at all, and no test could model an entry whose link or processor is small. The port gets list_page; list stays a method of the port, reads all pages from the start and fails with the first page that fails, as before. MemoryStore and MemoryTargets take a link: a bandwidth for each direction, shared segment by segment by all calls of the entry, and a processor time for each call. A call whose answer has not passed in time fails as one over HTTP does.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_store.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_store.py
@@ -4,11 +4,12 @@
 
 import dataclasses
 import itertools
-from typing import Any
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
 
-from ebonyhatch.fleet import store
+from ebonyhatch.fleet import memory_link, store
 from returns import result
-from twisted.internet import task
+from twisted.internet import defer, task
 
 MAX_HISTORY = 10_000
 """Number of changes that are retained for watches."""
@@ -16,6 +17,20 @@
 POLL_S = 0.005
 """Interval at which a waiting watch checks for changes, seconds."""
 
+PAGE_ITEMS = 500
+"""Largest number of items of a listing's page."""
+
+LEASE_TIMEOUT_S = 0.5
+"""Time after which the grant or renewal of a lease on a link fails, seconds."""
+
+WATCH_TIMEOUT_MARGIN_S = 0.8
+"""Time beyond its own wait after which a watch on a link fails, seconds."""
+
+ITEM_BYTES = 150
+"""Size of an item on a link without its value, bytes."""
+
+T = TypeVar("T")
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class StoreFaults:
@@ -27,6 +42,7 @@
         silent: Calls get no answer and have no effect.
         lose_answers: Writes are carried out and get no answer.
         delay_s: With `lose_answers`, delay after which writes are carried out, seconds.
+        silent_prefix: Listings under this prefix get no answer; empty for none.
     """
 
     latency_s: float = 0.004
@@ -34,6 +50,7 @@
     silent: bool = False
     lose_answers: bool = False
     delay_s: float = 0.0
+    silent_prefix: str = ""
 
 
 class StoreEngine:
@@ -134,33 +151,74 @@
 
 
 class MemoryStore(store.Store):
-    """One caller's connection to the engine."""
+    """One caller's connection to the engine, over its link if it has one."""
 
-    def __init__(self, *, engine: StoreEngine, faults: StoreFaults | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        engine: StoreEngine,
+        faults: StoreFaults | None = None,
+        link: memory_link.Link | None = None,
+        page_items: int = PAGE_ITEMS,
+        poll_s: float = POLL_S,
+    ) -> None:
         self._engine = engine
         self.faults = faults or StoreFaults()
+        self._link = link
+        self._page_items = page_items
+        self._poll_s = poll_s
         self.timeout_s = 0.9
+        self.page_timeout_s = self.timeout_s
 
     async def get(self, *, key: str) -> result.Result[store.Item | None, store.StoreError]:
         """Reads a key."""
+        return await self._over_link("get", lambda: self._get(key))
+
+    async def _get(self, key: str) -> result.Result[store.Item | None, store.StoreError]:
         failure = await self._simulate_call("get")
         if failure is not None:
             return failure
         self._engine.expire_leases()
         return result.Success(self._engine.items.get(key))
 
-    async def list(self, *, prefix: str) -> result.Result[store.Listing, store.StoreError]:
-        """Reads all keys under a prefix."""
+    async def list_page(
+        self, *, prefix: str, after: str = ""
+    ) -> result.Result[store.ListingPage, store.StoreError]:
+        """Reads the first keys under a prefix that come after a key."""
+        return await self._over_link(
+            "list", lambda: self._list_page(prefix, after), timeout_s=self.page_timeout_s
+        )
+
+    async def _list_page(
+        self, prefix: str, after: str
+    ) -> result.Result[store.ListingPage, store.StoreError]:
         failure = await self._simulate_call("list")
         if failure is not None:
             return failure
-        items = self._engine.list_prefix(prefix)
-        return result.Success(store.Listing(items=items, as_of=self._engine.revision))
+        if self.faults.silent_prefix and prefix.startswith(self.faults.silent_prefix):
+            await task.deferLater(self._engine.clock, self.timeout_s)
+            return result.Failure(store.UnknownOutcomeError(call="list", reason="no answer"))
+        items = [item for item in self._engine.list_prefix(prefix) if item.key > after]
+        page = store.ListingPage(
+            items=tuple(items[: self._page_items]),
+            has_more=len(items) > self._page_items,
+            as_of=self._engine.revision,
+        )
+        return result.Success(page)
 
     async def watch(
         self, *, prefix: str, after: int, wait_s: float
     ) -> result.Result[store.Changes, store.StoreError]:
         """Waits for changes."""
+        return await self._over_link(
+            "watch",
+            lambda: self._watch(prefix, after, wait_s),
+            timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
+        )
+
+    async def _watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> result.Result[store.Changes, store.StoreError]:
         until = self._engine.clock.seconds() + wait_s
         while True:
             failure = await self._simulate_call("watch")
@@ -178,7 +236,7 @@
                 return result.Success(
                     store.Changes(changes=changes, as_of=max(after, self._engine.revision))
                 )
-            await task.deferLater(self._engine.clock, POLL_S)
+            await task.deferLater(self._engine.clock, self._poll_s)
 
     async def commit(
         self,
@@ -188,6 +246,19 @@
         removes: tuple[str, ...] = (),
     ) -> result.Result[int, store.StoreError]:
         """Writes everything or nothing."""
+        return await self._over_link(
+            "commit",
+            lambda: self._commit(conditions, puts, removes),
+            request_bytes=memory_link.REQUEST_BYTES
+            + sum(ITEM_BYTES + _encoded_bytes(put.value) for put in puts),
+        )
+
+    async def _commit(
+        self,
+        conditions: tuple[store.Condition, ...],
+        puts: tuple[store.Put, ...],
+        removes: tuple[str, ...],
+    ) -> result.Result[int, store.StoreError]:
         if len(conditions) + len(puts) + len(removes) > store.TRANSACTION_LIMIT:
             return result.Failure(store.NotDoneError(call="commit", reason="too many entries"))
         failure = await self._simulate_call("commit")
@@ -206,22 +277,57 @@
 
     async def grant(self, *, ttl_s: float) -> result.Result[store.Lease, store.StoreError]:
         """Grants a lease."""
+        return await self._over_link("grant", lambda: self._grant(ttl_s), timeout_s=LEASE_TIMEOUT_S)
+
+    async def _grant(self, ttl_s: float) -> result.Result[store.Lease, store.StoreError]:
         failure = await self._simulate_call("grant")
         return result.Success(self._engine.grant(ttl_s)) if failure is None else failure
 
     async def renew(self, *, lease: int) -> result.Result[float, store.StoreError]:
         """Renews a lease."""
+        return await self._over_link("keep", lambda: self._renew(lease), timeout_s=LEASE_TIMEOUT_S)
+
+    async def _renew(self, lease: int) -> result.Result[float, store.StoreError]:
         failure = await self._simulate_call("keep")
         return self._engine.renew(lease) if failure is None else failure
 
     async def revoke(self, *, lease: int) -> result.Result[None, store.StoreError]:
         """Revokes a lease."""
+        return await self._over_link("end", lambda: self._revoke(lease))
+
+    async def _revoke(self, lease: int) -> result.Result[None, store.StoreError]:
         failure = await self._simulate_call("end")
         if failure is not None:
             return failure
         self._engine.revoke(lease)
         return result.Success(None)
 
+    async def _over_link(
+        self,
+        call: str,
+        carry_out: Callable[[], Awaitable[result.Result[T, store.StoreError]]],
+        *,
+        request_bytes: int = memory_link.REQUEST_BYTES,
+        timeout_s: float | None = None,
+    ) -> result.Result[T, store.StoreError]:
+        """Carries out a call; one whose answer has not passed the link in time fails."""
+        link = self._link
+        if link is None:
+            return await carry_out()
+
+        async def pass_link() -> result.Result[T, store.StoreError]:
+            await link.send(request_bytes)
+            outcome = await carry_out()
+            await link.receive(_answer_bytes(outcome))
+            return outcome
+
+        try:
+            return await link.bound(
+                pass_link(), timeout_s=self.timeout_s if timeout_s is None else timeout_s
+            )
+        except defer.TimeoutError:
+            return result.Failure(store.UnknownOutcomeError(call=call, reason="the call timed out"))
+
     async def _simulate_call(self, call: str) -> result.Result[Any, store.StoreError] | None:
         """Waits for the duration of a call; returns its failure if a fault prevents the call."""
         self._engine.calls += 1
@@ -232,3 +338,22 @@
         if self.faults.refuse:
             return result.Failure(store.NotDoneError(call=call, reason="refused"))
         return None
+
+
+def _answer_bytes(outcome: result.Result[Any, store.StoreError]) -> int:
+    value = outcome.unwrap() if isinstance(outcome, result.Success) else None
+    items: list[store.Item] = []
+    if isinstance(value, store.Item):
+        items = [value]
+    elif isinstance(value, store.ListingPage):
+        items = [*value.items]
+    elif isinstance(value, store.Changes):
+        items = [change.item for change in value.changes if change.item is not None]
+    return memory_link.REQUEST_BYTES + sum(
+        ITEM_BYTES + _encoded_bytes(item.value) for item in items
+    )
+
+
+def _encoded_bytes(value: bytes) -> int:
+    """Returns the size of a value as base64 text."""
+    return 4 * -(-len(value) // 3)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
 
 import msgspec
-from ebonyhatch.fleet import targets
+from ebonyhatch.fleet import memory_link, targets
 from returns import result
-from twisted.internet import task
+from twisted.internet import defer, task
 
 CALL_LATENCY_S = 0.002
 """Duration of a call, seconds."""
@@ -20,6 +20,14 @@
 POLL_S = 0.01
 """Interval at which a waiting poll checks for ends, seconds."""
 
+RUNNING_BYTES = 70
+"""Size of a running run in a status report on a link, bytes."""
+
+ORDER_ANSWER_BYTES = 250
+"""Size of the answer to an order on a link, bytes."""
+
+T = TypeVar("T")
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class TargetFaults:
@@ -78,6 +86,7 @@
         self.started: list[tuple[float, targets.RunKey, str]] = []
         self.ended: list[tuple[float, targets.RunKey, targets.EndKind]] = []
         self.acknowledged: list[tuple[float, targets.RunKey]] = []
+        self.polls = 0
         self._last_end_number = 0
         self._started_at = clock.seconds()
         self._lease_expires_s = 0.0
@@ -209,24 +218,33 @@
 
 
 class MemoryTargets(targets.Targets):
-    """One owner's connection to the engines."""
+    """One owner's connection to the engines, over its link if it has one."""
 
-    def __init__(self, *, clock: Any, engines: dict[str, TargetEngine]) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Any,
+        engines: dict[str, TargetEngine],
+        link: memory_link.Link | None = None,
+        poll_s: float = POLL_S,
+    ) -> None:
         self._clock = clock
         self._engines = engines
+        self._link = link
+        self._poll_s = poll_s
         self.partitioned = False
 
     async def start_run(
         self, *, target: targets.Target, fence: int, order: targets.StartOrder
     ) -> result.Result[float, targets.TargetError]:
         """Starts a run."""
-        return await self._call(target, lambda engine: engine.start(fence, order))
+        return await self._send_order(target, lambda engine: engine.start(fence, order))
 
     async def stop_run(
         self, *, target: targets.Target, fence: int, key: targets.RunKey
     ) -> result.Result[float, targets.TargetError]:
         """Stops a run."""
-        return await self._call(target, lambda engine: engine.stop(fence, key))
+        return await self._send_order(target, lambda engine: engine.stop(fence, key))
 
     async def pace_run(
         self, *, target: targets.Target, fence: int, key: targets.RunKey, percent: int
@@ -241,7 +259,7 @@
                 engine.runs[key].pace = percent
             return None
 
-        return await self._call(target, pace)
+        return await self._send_order(target, pace)
 
     async def renew_and_poll(
         self,
@@ -253,6 +271,20 @@
         wait_s: float,
     ) -> result.Result[targets.StatusReport, targets.TargetError]:
         """Renews the lease, acknowledges ends and reads the status report."""
+        return await self._over_link(
+            target,
+            lambda: self._renew_and_poll(target, fence, acknowledged, deadline_s, wait_s),
+            timeout_s=wait_s + CALL_TIMEOUT_S,
+        )
+
+    async def _renew_and_poll(
+        self,
+        target: targets.Target,
+        fence: int,
+        acknowledged: int,
+        deadline_s: float,
+        wait_s: float,
+    ) -> result.Result[targets.StatusReport, targets.TargetError]:
         renewed = await self._call(
             target,
             lambda engine: engine.renew_and_acknowledge(fence, acknowledged, deadline_s),
@@ -261,9 +293,10 @@
         if isinstance(renewed, result.Failure):
             return renewed
         engine = self._engines[target.target_id]
+        engine.polls += 1
         deadline = self._clock.seconds() + wait_s
         while not engine.ends and self._clock.seconds() < deadline:
-            await task.deferLater(self._clock, POLL_S)
+            await task.deferLater(self._clock, self._poll_s)
             engine.advance()
             if (
                 engine.faults.down
@@ -275,6 +308,38 @@
                 return result.Failure(_unknown(target))
         return result.Success(engine.status_report())
 
+    async def _send_order(
+        self,
+        target: targets.Target,
+        carry_out: Callable[[TargetEngine], targets.RefusalReason | None],
+    ) -> result.Result[float, targets.TargetError]:
+        return await self._over_link(
+            target, lambda: self._call(target, carry_out), timeout_s=CALL_TIMEOUT_S
+        )
+
+    async def _over_link(
+        self,
+        target: targets.Target,
+        carry_out: Callable[[], Awaitable[result.Result[T, targets.TargetError]]],
+        *,
+        timeout_s: float,
+    ) -> result.Result[T, targets.TargetError]:
+        """Carries out a call; one whose answer has not passed the link in time fails."""
+        link = self._link
+        if link is None:
+            return await carry_out()
+
+        async def pass_link() -> result.Result[T, targets.TargetError]:
+            await link.send(memory_link.REQUEST_BYTES)
+            outcome = await carry_out()
+            await link.receive(_answer_bytes(outcome))
+            return outcome
+
+        try:
+            return await link.bound(pass_link(), timeout_s=timeout_s)
+        except defer.TimeoutError:
+            return result.Failure(_unknown(target))
+
     async def _call(
         self,
         target: targets.Target,
@@ -306,6 +371,14 @@
     return targets.UnknownOutcomeError(target_id=target.target_id, reason="no answer")
 
 
+def _answer_bytes(outcome: result.Result[Any, targets.TargetError]) -> int:
+    value = outcome.unwrap() if isinstance(outcome, result.Success) else None
+    if not isinstance(value, targets.StatusReport):
+        return ORDER_ANSWER_BYTES
+    rows = len(value.running) + len(value.ended)
+    return memory_link.REQUEST_BYTES + RUNNING_BYTES * rows
+
+
 def _running(run: MemoryRun) -> targets.Running:
     percent = 100.0 if run.long_running else min(99.0, 100 * run.done_s / run.work_s)
     return targets.Running(key=run.key, percent=percent)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/store.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/store.py
@@ -104,6 +104,14 @@
     as_of: int
 
 
+class ListingPage(msgspec.Struct, frozen=True, kw_only=True):
+    """One page of a listing; `as_of` is the store's revision at its reading."""
+
+    items: tuple[Item, ...]
+    has_more: bool
+    as_of: int
+
+
 class Changes(msgspec.Struct, frozen=True, kw_only=True):
     """Changes under a prefix; the next watch continues from `as_of`."""
 
@@ -141,8 +149,31 @@
         """Reads a key; returns None if it does not exist. The read is linearizable."""
 
     @abc.abstractmethod
+    async def list_page(
+        self, *, prefix: str, after: str = ""
+    ) -> result.Result[ListingPage, StoreError]:
+        """Reads the first keys under a prefix that come after a key; the store limits their number."""
+
     async def list(self, *, prefix: str) -> result.Result[Listing, StoreError]:
-        """Reads all keys under a prefix, page by page; the pages are not one snapshot."""
+        """Reads all keys under a prefix, page by page; the pages are not one snapshot.
+
+        Fails with the first page that fails.
+        """
+        items: list[Item] = []
+        as_of: int | None = None
+        after = ""
+        while True:
+            outcome = await self.list_page(prefix=prefix, after=after)
+            if isinstance(outcome, result.Failure):
+                return outcome
+            page = outcome.unwrap()
+            items += page.items
+            # A watch from the first page's revision also covers changes made while later pages
+            # were read.
+            as_of = page.as_of if as_of is None else as_of
+            if not page.has_more or not page.items:
+                return result.Success(Listing(items=tuple(items), as_of=as_of))
+            after = page.items[-1].key
 
     @abc.abstractmethod
     async def watch(
