Tests reproduce the takeover by an entry on a thin link

On the grown deployments a takeover by a small entry never recovered: nothing was placed, leases lapsed, and a cancellation that another entry had stored ended no run. World gets large fleets on an event-driven clock, links and directly stored jobs.

--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 
+import event_clock
 import msgspec
 from ebonyhatch.fleet import (
     clocks,
@@ -12,10 +13,12 @@
     entry,
     jobs,
     keys,
+    memory_link,
     memory_peers,
     memory_store,
     memory_targets,
     node,
+    progress,
     queues,
     store,
     target_list,
@@ -27,6 +30,12 @@
 CONFIGURATION_KEY = "operators/configuration"
 TARGETS_PREFIX = "targets/"
 LEASE_S = 6.0
+THIN_BYTES_PER_S = 625_000
+LARGE_STEP_S = 0.05
+"""Step of a large fleet, and interval at which its waiting calls check for changes, seconds."""
+
+RECORD_SPEC_BYTES = 900
+PUTS_PER_COMMIT = 30
 POOL = "pool"
 QUEUE = queues.Queue(
     name="plans",
@@ -71,15 +80,23 @@
     clocks: clocks.MemoryClocks
     store: memory_store.MemoryStore
     targets: memory_targets.MemoryTargets
+    link: memory_link.Link | None = None
 
 
 class World:
-    """A fleet whose parts share one clock."""
+    """A fleet whose parts share one clock; a large one runs in coarse steps on an `EventClock`."""
 
     def __init__(
-        self, *, entries: int = 3, target_count: int = 4, keep_ended_s: float = 600.0
+        self,
+        *,
+        entries: int = 3,
+        target_count: int = 4,
+        keep_ended_s: float = 600.0,
+        large: bool = False,
     ) -> None:
-        self.clock = task.Clock()
+        self.clock = event_clock.EventClock() if large else task.Clock()
+        self.step_s = LARGE_STEP_S if large else STEP_S
+        self.large = large
         self.keep_ended_s = keep_ended_s
         self.store = memory_store.StoreEngine(clock=self.clock)
         self.network = memory_peers.MemoryNetwork(clock=self.clock)
@@ -126,22 +143,51 @@
     def unregister(self, target_id: str) -> None:
         self.store.commit((), (), (TARGETS_PREFIX + target_id,))
 
-    def start(self, name: str) -> Member:
+    def store_jobs(self, *new_jobs: jobs.Job) -> None:
+        """Stores accepted jobs without an entry."""
+        puts = [
+            store.Put(
+                key=keys.job(job.job_id), value=progress.encode_accepted(job=job, queue=QUEUE)
+            )
+            for job in new_jobs
+        ]
+        for start in range(0, len(puts), PUTS_PER_COMMIT):
+            self.store.commit((), tuple(puts[start : start + PUTS_PER_COMMIT]), ())
+        self.accepted.update({job.job_id: job for job in new_jobs})
+
+    def start(
+        self,
+        name: str,
+        *,
+        link: memory_link.Link | None = None,
+        capacity: float | None = None,
+    ) -> Member:
+        optional = {} if capacity is None else {"capacity": capacity}
         clock = clocks.MemoryClocks(clock=self.clock)
-        connection = memory_store.MemoryStore(engine=self.store)
-        port = memory_targets.MemoryTargets(clock=self.clock, engines=self.engines)
+        waits = {"poll_s": self.step_s} if self.large else {}
+        connection = memory_store.MemoryStore(engine=self.store, link=link, **waits)
+        port = memory_targets.MemoryTargets(
+            clock=self.clock, engines=self.engines, link=link, **waits
+        )
         started = node.Node(
             all_clocks=clock,
             network=memory_peers.MemoryPeers(network=self.network, entry_id=name),
             settings=node.Settings(
-                name=name, host=name, port=1, lease_s=LEASE_S, keep_ended_s=self.keep_ended_s
+                name=name,
+                host=name,
+                port=1,
+                lease_s=LEASE_S,
+                keep_ended_s=self.keep_ended_s,
+                **optional,
             ),
             store_port=connection,
             targets_port=port,
             target_codec=JsonTargetCodec(),
             codec=Codec(),
         )
-        member = Member(name=name, node=started, clocks=clock, store=connection, targets=port)
+        member = Member(
+            name=name, node=started, clocks=clock, store=connection, targets=port, link=link
+        )
         self.members[name] = member
         started.start()
         return member
@@ -160,7 +206,7 @@
         """Advances the clock; targets advance in small steps, so that their reports show progress."""
         until = self.clock.seconds() + seconds
         while self.clock.seconds() < until - 1e-9:
-            self.clock.advance(STEP_S)
+            self.clock.advance(self.step_s)
             for engine in self.engines.values():
                 engine.advance()
 
@@ -171,7 +217,7 @@
             assert (
                 self.clock.seconds() - started_at < limit_s
             ), "the condition did not become true in time"
-            self.run(STEP_S)
+            self.run(self.step_s)
         return self.clock.seconds() - started_at
 
     def wait(self, coroutine, limit_s: float = 5.0):
@@ -184,13 +230,15 @@
             outcome[0].raiseException()
         return outcome[0]
 
-    def job(self, *steps: jobs.Step, work_s: float = 0.5, queue: str = "plans") -> jobs.Job:
+    def job(
+        self, *steps: jobs.Step, work_s: float = 0.5, queue: str = "plans", spec: str = "text"
+    ) -> jobs.Job:
         job_id = f"{next(self._ids):016x}"
         self.work[job_id] = work_s
         return jobs.Job(
             job_id=job_id,
             queue=queue,
-            spec="text",
+            spec=spec,
             steps=steps or (jobs.Step(count=2, cpu_millis=1000, estimate_s=work_s),),
             accepted_at=clocks.WALL_START_S + self.clock.seconds(),
         )
