--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -264,15 +264,15 @@
             if local_owner is None or self._closing:
                 continue
             if self._members.should_yield():
-                await self._yield_ownership(local_owner, "an entry of more capacity is present")
+                reason, gives_up = "an entry of more capacity is present", False
             elif self._members.may_yield and local_owner.stalled_s > NO_PROGRESS_S:
-                await self._yield_ownership(local_owner, "the recovery makes no progress")
-
-    async def _yield_ownership(self, local_owner: owner_module.Owner, reason: str) -> None:
-        decision_log.write("owner.yields", term=local_owner.term, reason=reason)
-        await local_owner.flush(limit_s=FLUSH_TIMEOUT_S)
-        if local_owner is self._owner:
-            await self._members.yield_ownership(reason)
+                reason, gives_up = "the recovery makes no progress", True
+            else:
+                continue
+            decision_log.write("owner.yields", term=local_owner.term, reason=reason)
+            await local_owner.flush(limit_s=FLUSH_TIMEOUT_S)
+            if local_owner is self._owner:
+                await self._members.yield_ownership(reason, gives_up=gives_up)
 
     def _on_superseded(self, owner: owner_module.Owner, reason: str) -> None:
         """Stops the current owner; a late report about an earlier owner has no effect."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -121,10 +121,12 @@
         )
         self._lease = 0
         self._lease_lost_at = float("-inf")
+        self._joined_at = all_clocks.now()
         self._valid_until = 0.0
         self._entries: dict[str, EntryRecord] = {}
         self._entry_seen_at: dict[str, float] = {}
         self._yielded_at = float("-inf")
+        self._gave_up_at = float("-inf")
         self._owner: OwnerRecord | None = None
         self._membership_read = False
         self._leaving = False
@@ -169,7 +171,7 @@
 
     def start(self) -> None:
         """Joins the membership as a candidate."""
-        self._store_answered_at = self._clocks.now()
+        self._store_answered_at = self._joined_at = self._clocks.now()
         self._group.spawn(self._maintain_lease())
         self._group.spawn(self._follow())
 
@@ -203,9 +205,14 @@
             and self._clocks.now() - self._yielded_at >= MIN_YIELD_INTERVAL_S
         )
 
-    async def yield_ownership(self, reason: str) -> None:
-        """Stops acting as the owner and removes the owner's key; another entry takes over."""
+    async def yield_ownership(self, reason: str, *, gives_up: bool) -> None:
+        """Stops acting as the owner and removes the owner's key; another entry takes over.
+
+        An entry that gives up lets all others go first for a while.
+        """
         self._yielded_at = self._clocks.now()
+        if gives_up:
+            self._gave_up_at = self._yielded_at
         self.relinquish(reason, term=self._term)
         read = await self._store.get(key=keys.OWNER)
         item = None if isinstance(read, result.Failure) else read.unwrap()
@@ -325,8 +332,9 @@
 
     async def _try_takeover(self) -> bool:
         """Attempts a takeover in the order of the candidates; False requests a new listing."""
-        if self._clocks.now() - self._lease_lost_at < OWNER_RETURN_S:
-            # An outage may have ended the leases of all entries; the previous owner goes first.
+        if self._clocks.now() - max(self._lease_lost_at, self._joined_at) < OWNER_RETURN_S:
+            # An outage may have ended the leases of all entries; the previous owner goes first, and
+            # an entry that has just joined doesn't know the others yet.
             await self._group.sleep(OWNER_RETURN_S)
             return False
         await self._group.sleep(self._takeover_delay_s())
@@ -405,7 +413,7 @@
         self._on_gained(head, revision)
 
     def _takeover_delay_s(self) -> float:
-        if self._clocks.now() - self._yielded_at < MIN_YIELD_INTERVAL_S:
+        if self._clocks.now() - self._gave_up_at < MIN_YIELD_INTERVAL_S:
             return MAX_TAKEOVER_DELAY_S
         return min(MAX_TAKEOVER_DELAY_S, TAKEOVER_STAGGER_S * self._candidate_position())
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/store.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/store.py
@@ -158,10 +158,13 @@
     async def list_page(
         self, *, prefix: str, after: str = ""
     ) -> result.Result[ListingPage, StoreError]:
-        """Reads the first page of the keys under a prefix that follow the key `after`."""
+        """Reads the first keys under a prefix that come after a key; the store limits their number."""
 
     async def list(self, *, prefix: str) -> result.Result[Listing, StoreError]:
-        """Reads all keys under a prefix, page by page; fails with the first page that fails."""
+        """Reads all keys under a prefix, page by page; the pages are not one snapshot.
+
+        Fails with the first page that fails.
+        """
         items: list[Item] = []
         as_of: int | None = None
         after = ""
@@ -171,6 +174,8 @@
                 return outcome
             page = outcome.unwrap()
             items += page.items
+            # A watch from the first page's revision also covers changes made while later pages
+            # were read.
             as_of = page.as_of if as_of is None else as_of
             if not page.has_more or not page.items:
                 return result.Success(Listing(items=tuple(items), as_of=as_of))
