The record of known targets is kept for targets that didn't change

Change: a target whose description would be the same keeps the recorded one, so that the comparison meets the same object.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
@@ -23,14 +23,23 @@
 KnownTargets = dict[str, KnownTarget]
 
 
-def describe(row: rows.TargetRow) -> KnownTarget:
-    """Returns the record of a target in the state that its owner knows."""
+def describe(row: rows.TargetRow, *, recorded: KnownTarget | None = None) -> KnownTarget:
+    """Returns the record of a target in the state that its owner knows.
+
+    This is the one that was recorded last if nothing changed, which makes comparing them cheap.
+    """
     if row.confirmed and row.reachable and row.listed and not row.target.draining:
+        if recorded is not None and recorded.target is row.target and _takes_any(recorded):
+            return recorded
         return KnownTarget(target=row.target, takes_runs=True)
     tasks = tuple(sorted({key.task for key in row.runs}))
     return KnownTarget(target=row.target, takes_runs=not row.confirmed, tasks=tasks)
 
 
+def _takes_any(recorded: KnownTarget) -> bool:
+    return recorded.takes_runs and not recorded.tasks
+
+
 def encode(known: KnownTargets) -> bytes:
     """Returns the encoded records of all targets."""
     return msgspec.json.encode(known)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -345,8 +345,10 @@
         return auxiliary_records
 
     def _known_targets(self) -> known_targets.KnownTargets:
+        recorded = self._recorded_targets
         return {
-            name: known_targets.describe(session.row) for name, session in self._sessions.items()
+            name: known_targets.describe(session.row, recorded=recorded.get(name))
+            for name, session in self._sessions.items()
         }
 
     def _apply_cancellation(self, key: str) -> None:
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/owner_load.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/owner_load.py
@@ -366,8 +366,13 @@
     """Returns the processor time to describe all targets and compare, microseconds."""
     fleet = Fleet(target_count=target_count, seed=1, decide=_ignore)
 
+    recorded: known_targets.KnownTargets = {}
+
     def describe() -> known_targets.KnownTargets:
-        return {row.target_id: known_targets.describe(row) for row in fleet.target_rows}
+        return {
+            row.target_id: known_targets.describe(row, recorded=recorded.get(row.target_id))
+            for row in fleet.target_rows
+        }
 
     recorded = describe()
     spent_s = capacity_slopes.min_cpu_s(lambda: describe() != recorded, repeats=REPEATS)
