A log line is encoded once

Each line was encoded twice: first to see whether all of its values can be encoded. Now that is tried with the line itself, and values are turned into text only after an error.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decision_log.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decision_log.py
@@ -21,6 +21,8 @@
 """Maximum number of bytes buffered for a slow reader of the output. Lines beyond it are dropped and
 counted."""
 
+_OMITTED_FIELDS = frozenset({"task_uuid", "task_level"})
+
 _ENCODER = msgspec.json.Encoder()
 
 
@@ -62,13 +64,13 @@
         line = {
             name: value
             for name, value in message.items()
-            if name not in ("task_uuid", "task_level") and value not in ("", None)
+            if name not in _OMITTED_FIELDS and value is not None and value != ""
         }
         line.update(self._common)
         if self._dropped:
             line["lines_dropped"] = self._dropped
             self._dropped = 0
-        encoded = _ENCODER.encode(_to_encodable(line)) + b"\n"
+        encoded = _encode(line) + b"\n"
         if self._buffered + len(encoded) > BUFFER_LIMIT_BYTES:
             self._dropped += 1
             return
@@ -125,12 +127,11 @@
     eliot.log_message(message_type=event, **fields)
 
 
-def _to_encodable(value: Any) -> Any:
+def _encode(line: dict[str, Any]) -> bytes:
     try:
-        msgspec.json.encode(value)
+        return _ENCODER.encode(line)
     except TypeError:
-        return {str(name): _to_scalar(item) for name, item in value.items()}
-    return value
+        return _ENCODER.encode({str(name): _to_scalar(item) for name, item in line.items()})
 
 
 def _to_scalar(value: Any) -> Any:
