The comparison of known targets and the counting of events make fewer objects

Counters of events are looked up by event and outcome instead of being assembled from labels for each line; the comparison of known targets calls nothing for a target that didn't change.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
@@ -28,18 +28,15 @@
 
     This is the one that was recorded last if nothing changed, which makes comparing them cheap.
     """
-    if row.confirmed and row.reachable and row.listed and not row.target.draining:
-        if recorded is not None and recorded.target is row.target and _takes_any(recorded):
-            return recorded
-        return KnownTarget(target=row.target, takes_runs=True)
+    target = row.target
+    if row.confirmed and row.reachable and row.listed and not target.draining:
+        if recorded is None or recorded.target is not target or not recorded.takes_runs:
+            return KnownTarget(target=target, takes_runs=True)
+        return KnownTarget(target=target, takes_runs=True) if recorded.tasks else recorded
     tasks = tuple(sorted({key.task for key in row.runs}))
     return KnownTarget(target=row.target, takes_runs=not row.confirmed, tasks=tasks)
 
 
-def _takes_any(recorded: KnownTarget) -> bool:
-    return recorded.takes_runs and not recorded.tasks
-
-
 def encode(known: KnownTargets) -> bytes:
     """Returns the encoded records of all targets."""
     return msgspec.json.encode(known)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/metrics.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/metrics.py
@@ -59,6 +59,7 @@
             ("event", "outcome"),
             registry=self._registry,
         )
+        self._series: dict[tuple[str, str], prometheus_client.Counter] = {}
         self._histograms = {
             event: prometheus_client.Histogram(
                 PREFIX + name, text, ("queue",), buckets=BUCKETS_S, registry=self._registry
@@ -81,7 +82,7 @@
 
     def _receive(self, message: dict[str, Any]) -> None:
         event = str(message.get("message_type", ""))
-        self._counter.labels(self._events.fold(event), self._outcome(message)).inc()
+        self._count(self._events.fold(event), self._outcome(message))
         if event not in HISTOGRAMS:
             return
         value = message.get(HISTOGRAMS[event][1])
@@ -89,6 +90,12 @@
             queue = self._queues.fold(str(message.get("queue", "")))
             self._histograms[event].labels(queue).observe(float(value))
 
+    def _count(self, event: str, outcome: str) -> None:
+        series = self._series.get((event, outcome))
+        if series is None:
+            series = self._series[(event, outcome)] = self._counter.labels(event, outcome)
+        series.inc()
+
     def _outcome(self, message: dict[str, Any]) -> str:
         for name in OUTCOME_FIELDS:
             value = str(message.get(name) or "")
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/owner_load.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/owner_load.py
@@ -370,8 +370,8 @@
 
     def describe() -> known_targets.KnownTargets:
         return {
-            row.target_id: known_targets.describe(row, recorded=recorded.get(row.target_id))
-            for row in fleet.target_rows
+            name: known_targets.describe(row, recorded=recorded.get(name))
+            for name, row in fleet.scheduler.tables.targets.items()
         }
 
     recorded = describe()
