Waiting steps are sorted group by group, as far as a pass comes

Cause: with a backlog each pass built a key of five parts for every waiting step and kept all of them, which also set off the garbage collector. Now a step keeps one number within its group of equal priority, timeliness and kind, and a group is sorted when the pass reaches it.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ordering.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ordering.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from typing import Any
+
 from ebonyhatch.fleet import graph, rows
 
 USEFUL_OBJECTIVE_FACTOR = 3.0
@@ -22,6 +25,23 @@
     return row.queue.stretch * graph.longest_chain_s(steps) + row.queue.slack_s
 
 
+def in_order(steps: list[rows.StepRow], *, wall: float) -> Iterator[rows.StepRow]:
+    """Yields steps in the order of their keys; steps with equal keys keep their order.
+
+    Each group of equal priority, timeliness and kind is sorted only when it is reached.
+    """
+    groups: dict[tuple[int, int, bool], tuple[list[rows.StepRow], list[Any]]] = {}
+    for step in steps:
+        priority, timeliness, long_running, first, second = key(step, wall=wall)
+        group = groups.setdefault((priority, timeliness, long_running), ([], []))
+        group[0].append(step)
+        group[1].append((first, second) if long_running else first)
+    for name in sorted(groups):
+        members, keys = groups[name]
+        for index in sorted(range(len(members)), key=keys.__getitem__):
+            yield members[index]
+
+
 def key(step: rows.StepRow, *, wall: float) -> Key:
     """Returns the sort key of a step: priority, whether the job can still be useful, then by kind.
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Iterable
 
 from ebonyhatch.fleet import (
@@ -110,21 +109,18 @@
         usable = candidates.Candidates(
             target_rows=list(self._tables.targets.values()), step=steps[0], context=context
         )
-        queue = [
-            (ordering.key(step, wall=wall), number, step)
-            for number, step in enumerate(usable.fitting(steps))
-        ]
-        heapq.heapify(queue)
+        fitting = usable.fitting(steps)
         orders_seen = self._orders_left
-        while queue and self._orders_left > 0:
-            step = heapq.heappop(queue)[2]
+        for number, step in enumerate(ordering.in_order(fitting, wall=wall)):
             if step.step.gang:
                 self._place_gang(step, context, usable)
             else:
                 self._place_tasks(step, context, usable)
             if not step.waiting:
                 self._tables.waiting.pop(id(step), None)
-            if self._orders_left < orders_seen and len(queue) > LOOK_AGAIN_STEPS:
+            if self._orders_left <= 0:
+                return
+            if self._orders_left < orders_seen and len(fitting) - number > LOOK_AGAIN_STEPS:
                 orders_seen = self._orders_left
                 if usable.exhausted():
                     return
--- a/packages/ebonyhatch-fleet/tests/test_ordering.py
+++ b/packages/ebonyhatch-fleet/tests/test_ordering.py
@@ -1,5 +1,8 @@
 from __future__ import annotations
 
+import random
+
+import pytest
 from ebonyhatch.fleet import jobs, ordering, progress, queues, rows
 
 
@@ -81,3 +84,22 @@
     """However late it starts, it serves from then on."""
     old, new = _long_running(), _long_running(objective_from=1_000.0)
     assert _in_order([new, old], wall=2_000.0) == [old, new]
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_steps_come_in_the_order_of_their_keys(seed):
+    pick = random.Random(seed)
+    steps = []
+    for number in range(60):
+        spec = jobs.Step(
+            count=pick.randrange(1, 4), cpu_millis=1000, long_running=pick.random() < 0.3
+        )
+        queue = queues.Queue(name="q", host="", prefix="", pool="p", priority=pick.randrange(3))
+        job = jobs.Job(job_id=f"{number:016x}", queue="q", spec="", steps=(spec,))
+        row = rows.JobRow(job=job, queue=queue)
+        step = (row.occurrences.setdefault(0, progress.new_steps(row, 0)))[0]
+        step.objective_from = float(pick.randrange(0, 40, 5))
+        step.due_at = step.objective_from + pick.randrange(0, 20, 5)
+        steps.append(step)
+    expected = sorted(steps, key=lambda step: ordering.key(step, wall=25.0))
+    assert list(ordering.in_order(steps, wall=25.0)) == expected
