--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -24,6 +24,9 @@
 """Time for which changes are collected before they are written, seconds. It limits the journal to
 ten writes a second, and ends are acknowledged well within the second that they may stay listed."""
 
+MIN_ROUND_INTERVAL_S = 0.02
+"""Minimum time between the starts of two rounds, seconds, also of urgent ones."""
+
 RETRY_DELAY_S = 0.1
 """Delay before a failed write is retried, seconds; doubles up to `MAX_RETRY_DELAY_S`."""
 
@@ -140,7 +143,7 @@
         self._writing = True
         try:
             while self._write_requested and not self._closed:
-                await self._wait_for_link()
+                await self._wait_for_next_round()
                 await self._write_round()
         finally:
             self._writing = False
@@ -160,18 +163,20 @@
         for puts in _batches(records):
             if not await self._write(puts):
                 return
-        self._reserve_link(started_at, sum(len(put.value) for put in records))
+        self._delay_next_round(started_at, sum(len(put.value) for put in records))
         self._durable_round = number
         self._on_durable(states)
         await self._remove_jobs(self._collect_expired())
 
-    def _reserve_link(self, started_at: float, size_bytes: int) -> None:
-        """Delays the next round by the time that this one needs at its share of the link."""
+    def _delay_next_round(self, started_at: float, size_bytes: int) -> None:
+        """Delays the next round by the time that this one takes of the journal's share of the link."""
+        interval_s = MIN_ROUND_INTERVAL_S
         if self._link_bytes_per_s:
             rate = self._link_bytes_per_s * MAX_LINK_SHARE
-            self._next_round_at = started_at + size_bytes * ENCODED_SIZE_RATIO / rate
+            interval_s = max(interval_s, size_bytes * ENCODED_SIZE_RATIO / rate)
+        self._next_round_at = started_at + interval_s
 
-    async def _wait_for_link(self) -> None:
+    async def _wait_for_next_round(self) -> None:
         delay_s = self._next_round_at - self._clocks.now()
         if delay_s > 0:
             await self._group.sleep(delay_s)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
@@ -74,15 +74,17 @@
 
     def __init__(self) -> None:
         self._stored: dict[int, KnownTargets] = {}
+        self._targets: KnownTargets = {}
 
     @property
     def targets(self) -> KnownTargets:
         """Targets as in the records that were taken for writing last."""
-        return {name: known for group in self._stored.values() for name, known in group.items()}
+        return self._targets
 
     def restore(self, known: KnownTargets) -> None:
         """Starts from the records that an earlier owner stored."""
         self._stored = self._grouped(known)
+        self._targets = dict(known)
 
     def changed(self, known: KnownTargets) -> dict[int, KnownTargets]:
         """Returns the groups that differ from the stored ones; a group may have become empty."""
@@ -92,7 +94,12 @@
 
     def take(self, changed: dict[int, KnownTargets]) -> None:
         """Records groups as taken for writing."""
+        if not changed:
+            return
         self._stored.update(changed)
+        self._targets = {
+            name: known for group in self._stored.values() for name, known in group.items()
+        }
 
     def _grouped(self, known: KnownTargets) -> dict[int, KnownTargets]:
         groups: dict[int, KnownTargets] = {}
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -366,7 +366,7 @@
         return auxiliary_records
 
     def _known_targets(self) -> known_targets.KnownTargets:
-        recorded = self._recorded_targets
+        recorded = self._known_records.targets
         return {
             name: known_targets.describe(session.row, recorded=recorded.get(name))
             for name, session in self._sessions.items()
