--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -231,6 +231,7 @@
             "configuration_version": 0 if current is None else current.version,
             "store_silent_seconds": self._members.store_unresponsive_s,
             "entries": len(self._members.entries),
+            "poll_pause_seconds": self._poll_pace.pause_s(),
             "loop_delay_seconds": self._loop_delay.recent_s,
             "process_cpu_seconds": time.process_time(),
         }
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -52,7 +52,7 @@
 """Time after the start of a filler (a task that uses processor time left over by others) until the
 target is polled for its effect, seconds. Readings cover half a second."""
 
-MAX_TICK_SHARE = 0.1
+MAX_TICK_SHARE = 0.2
 """Maximum share of the loop's time that ticks take, so that renewals and answers are not delayed."""
 
 MAX_ORDERS_IN_FLIGHT = 64
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -130,6 +130,7 @@
         self._owner: OwnerRecord | None = None
         self._membership_read = False
         self._leaving = False
+        self._yielding = False
         self._term = 0
         self._last_renewal_succeeded = False
         self._store_answered_at = all_clocks.now()
@@ -213,7 +214,15 @@
         self._yielded_at = self._clocks.now()
         if gives_up:
             self._gave_up_at = self._yielded_at
-        self.relinquish(reason, term=self._term)
+        self._yielding = True
+        try:
+            self.relinquish(reason, term=self._term)
+            await self._remove_owner_key()
+        finally:
+            self._yielding = False
+
+    async def _remove_owner_key(self) -> None:
+        """Removes the owner's key if it is this entry's; one that remains makes it the owner again."""
         read = await self._store.get(key=keys.OWNER)
         item = None if isinstance(read, result.Failure) else read.unwrap()
         record = None if item is None else _decode_owner(item.value)
@@ -381,7 +390,7 @@
         """Returns whether the owner's key is this entry's although it doesn't act as the owner."""
         owner = self._owner
         is_own = owner is not None and owner.incarnation == self._entry.incarnation
-        return is_own and not self._term and not self._leaving
+        return is_own and not self._term and not self._leaving and not self._yielding
 
     async def _resume_ownership(self) -> bool:
         """Begins the term of a takeover whose answer was lost; False requests a new listing.
