--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -86,10 +86,6 @@
         poll_pause_s: Callable[[], float],
         link_bytes_per_s: float = 0.0,
     ) -> None:
-        self._poll_pause_s = poll_pause_s
-        self._scan_slots = defer.DeferredSemaphore(MAX_SCANS_IN_FLIGHT)
-        self._orders_in_flight = 0
-        self._tick_took_s = 0.0
         self._term = term
         self._store = store_port
         self._targets_port = targets_port
@@ -98,6 +94,10 @@
         self._lease_valid = lease_valid
         self._store_reachable = store_reachable
         self._on_superseded = on_superseded
+        self._poll_pause_s = poll_pause_s
+        self._scan_slots = defer.DeferredSemaphore(MAX_SCANS_IN_FLIGHT)
+        self._orders_in_flight = 0
+        self._tick_took_s = 0.0
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
         self._scheduler = scheduler.Scheduler(decide=decision_log.decide)
         self._scheduler.begin_term(term)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -108,13 +108,13 @@
         on_entries: Callable[[tuple[EntryRecord, ...]], None],
         link_delay_s: float = 0.0,
     ) -> None:
-        self._lease_ttl_s = LEASE_TTL_S + LEASE_LINK_DELAYS * link_delay_s
         self._entry = entry
         self._store = store_port
         self._clocks = all_clocks
         self._on_gained = on_gained
         self._on_lost = on_lost
         self._on_entries = on_entries
+        self._lease_ttl_s = LEASE_TTL_S + LEASE_LINK_DELAYS * link_delay_s
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
         self._listings = listing.ListingReader(
             store_port=store_port, all_clocks=all_clocks, group=self._group
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -84,10 +84,6 @@
             pause_s: Returns the pause between two polls, seconds.
             scan_slots: Limits the polls of all sessions that ask for an immediate answer.
         """
-        self._pause_s = pause_s
-        self._scan_slots = scan_slots
-        self._held_report: targets.StatusReport | None = None
-        self._released: defer.Deferred[None] | None = None
         self._row = row
         self._port = port
         self._fence = fence
@@ -98,6 +94,10 @@
         self._on_fenced = on_fenced
         self._durable = durable
         self._ticket = ticket
+        self._pause_s = pause_s
+        self._scan_slots = scan_slots
+        self._held_report: targets.StatusReport | None = None
+        self._released: defer.Deferred[None] | None = None
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
         self._clock_s = 0.0
         self._clock_at = 0.0
