A term that was given up is not resumed

Callers saw nothing of it yet; review and test_ownership found it. An owner that yields stops acting before its key is removed. If the watch returned meanwhile, the entry found its own key and began the same term again: same fencing token and same run numbers, so that orders of the first owner object which targets carry out late were accepted beside those of the second (a task ran twice in a scripted fleet). Now only a term in which this process never acted is taken up; the key of any other is removed, and again until that succeeds. test_owner_that_yields_does_not_resume_its_term_... failed before with terms [1, 1].

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -34,8 +34,6 @@
 RETRY_DELAY_S = 0.15
 """Delay before a failed call to the store is retried, seconds."""
 
-T = TypeVar("T")
-
 OWNER_RETURN_S = 0.5
 """Time after the loss of its own lease during which an entry attempts no takeover, seconds. It is
 longer than the retry delay of a renewal, so that the previous owner can return first."""
@@ -57,6 +55,9 @@
 returns sooner keeps it: the others didn't do better."""
 
 
+T = TypeVar("T")
+
+
 class OwnerRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Value of the owner's key."""
 
@@ -130,8 +131,8 @@
         self._owner: OwnerRecord | None = None
         self._membership_read = False
         self._leaving = False
-        self._yielding = False
         self._term = 0
+        self._last_term = 0
         self._last_renewal_succeeded = False
         self._store_answered_at = all_clocks.now()
 
@@ -192,7 +193,7 @@
         now = self._clocks.now()
         return self.may_yield and any(
             record.capacity >= YIELD_CAPACITY_RATIO * self._entry.capacity
-            and now - self._entry_seen_at[record.name] >= YIELD_AFTER_S
+            and now - self._entry_seen_at.get(record.name, now) >= YIELD_AFTER_S
             for record in self._entries.values()
             if record.name != self._entry.name and record.capacity
         )
@@ -214,17 +215,16 @@
         self._yielded_at = self._clocks.now()
         if gives_up:
             self._gave_up_at = self._yielded_at
-        self._yielding = True
-        try:
-            self.relinquish(reason, term=self._term)
-            await self._remove_owner_key()
-        finally:
-            self._yielding = False
+        self.relinquish(reason, term=self._term)
+        await self._remove_owner_key()
 
     async def _remove_owner_key(self) -> None:
-        """Removes the owner's key if it is this entry's; one that remains makes it the owner again."""
+        """Removes the owner's key if it is this entry's."""
         read = await self._store.get(key=keys.OWNER)
-        item = None if isinstance(read, result.Failure) else read.unwrap()
+        if isinstance(read, result.Failure):
+            decision_log.write("owner.key_kept", reason=str(read.failure()))
+            return
+        item = read.unwrap()
         record = None if item is None else _decode_owner(item.value)
         if item is None or record is None or record.incarnation != self._entry.incarnation:
             return
@@ -322,7 +322,7 @@
                     await self._reclaim_ownership()
                 elif not await self._try_takeover():
                     return
-            if self._has_unacknowledged_ownership() and not await self._resume_ownership():
+            if self._holds_key_without_acting() and not await self._resolve_held_key():
                 return
             watched = await self._store.watch(
                 prefix=keys.MEMBERSHIP,
@@ -386,11 +386,21 @@
         self._begin_term(head, committed.unwrap())
         return True
 
-    def _has_unacknowledged_ownership(self) -> bool:
+    def _holds_key_without_acting(self) -> bool:
         """Returns whether the owner's key is this entry's although it doesn't act as the owner."""
         owner = self._owner
         is_own = owner is not None and owner.incarnation == self._entry.incarnation
-        return is_own and not self._term and not self._leaving and not self._yielding
+        return is_own and not self._term and not self._leaving
+
+    async def _resolve_held_key(self) -> bool:
+        """Begins the term of the key if it is new, else removes the key; False as in the callees."""
+        owner = self._owner
+        if owner is not None and owner.term > self._last_term:
+            return await self._resume_ownership()
+        # The term was given up. Its run numbers may be in use, so it must not begin again.
+        await self._remove_owner_key()
+        await self._group.sleep(RETRY_DELAY_S)
+        return False
 
     async def _resume_ownership(self) -> bool:
         """Begins the term of a takeover whose answer was lost; False requests a new listing.
@@ -417,7 +427,7 @@
     def _begin_term(self, head: Head, revision: int) -> None:
         if self._term:
             self._on_lost("a new term begins")
-        self._term = head.term
+        self._term = self._last_term = head.term
         decision_log.write("owner.gained", term=head.term, head_revision=revision)
         self._on_gained(head, revision)
 
