--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -24,8 +24,8 @@
 """Time for which changes are collected before they are written, seconds. It limits the journal to
 ten writes a second, and ends are acknowledged well within the second that they may stay listed."""
 
-MIN_ROUND_INTERVAL_S = 0.02
-"""Minimum time between the starts of two rounds, seconds, also of urgent ones."""
+MIN_WRITE_INTERVAL_S = 0.02
+"""Minimum time between the starts of two writes, seconds, also of urgent ones."""
 
 RETRY_DELAY_S = 0.1
 """Delay before a failed write is retried, seconds; doubles up to `MAX_RETRY_DELAY_S`."""
@@ -42,6 +42,12 @@
 MAX_LINK_SHARE = 0.25
 """Maximum share of the instance's link that the journal uses."""
 
+MAX_WRITE_DELAY_S = 0.3
+"""Longest delay of a write for the sake of the link, seconds: cancellations and ends wait for it."""
+
+MAX_REMOVALS_PER_ROUND = 5
+"""Maximum number of writes after a round that remove jobs."""
+
 ENCODED_SIZE_RATIO = 4 / 3
 """Size of a value on the link relative to its own: stores encode values as text."""
 
@@ -84,7 +90,7 @@
         self._store = store_port
         self._clocks = all_clocks
         self._link_bytes_per_s = link_bytes_per_s
-        self._next_round_at = 0.0
+        self._next_write_at = 0.0
         self._term = term
         self._revision = head_revision
         self._collect_changed = collect_changed
@@ -143,7 +149,6 @@
         self._writing = True
         try:
             while self._write_requested and not self._closed:
-                await self._wait_for_next_round()
                 await self._write_round()
         finally:
             self._writing = False
@@ -152,34 +157,38 @@
         self._write_requested = self._urgent = False
         self._started_round += 1
         number = self._started_round
-        changed = self._collect_changed()
+        changed = sorted(self._collect_changed(), key=lambda row: not row.ended)
         states = [(row, row.state) for row in changed]
         records = [
             store.Put(key=keys.progress(row.job.job_id), value=progress.encode(row))
             for row in changed
         ]
         records += self._collect_auxiliary_records()
-        started_at = self._clocks.now()
         for puts in _batches(records):
-            if not await self._write(puts):
+            if not await self._write_paced(puts):
                 return
-        self._delay_next_round(started_at, sum(len(put.value) for put in records))
+            written, states = states[: len(puts)], states[len(puts) :]
+            self._on_durable(written)
         self._durable_round = number
-        self._on_durable(states)
-        await self._remove_jobs(self._collect_expired())
-
-    def _delay_next_round(self, started_at: float, size_bytes: int) -> None:
-        """Delays the next round by the time that this one takes of the journal's share of the link."""
-        interval_s = MIN_ROUND_INTERVAL_S
-        if self._link_bytes_per_s:
-            rate = self._link_bytes_per_s * MAX_LINK_SHARE
-            interval_s = max(interval_s, size_bytes * ENCODED_SIZE_RATIO / rate)
-        self._next_round_at = started_at + interval_s
+        if not records:
+            self._on_durable([])
+        for _ in range(MAX_REMOVALS_PER_ROUND):
+            expired = self._collect_expired()
+            if not expired:
+                return
+            await self._remove_jobs(expired)
 
-    async def _wait_for_next_round(self) -> None:
-        delay_s = self._next_round_at - self._clocks.now()
+    async def _write_paced(self, puts: list[store.Put]) -> bool:
+        """Writes records once the journal's share of the link allows it."""
+        delay_s = self._next_write_at - self._clocks.now()
         if delay_s > 0:
             await self._group.sleep(delay_s)
+        interval_s = MIN_WRITE_INTERVAL_S
+        if self._link_bytes_per_s:
+            size_bytes = sum(len(put.value) for put in puts) * ENCODED_SIZE_RATIO
+            interval_s = max(interval_s, size_bytes / (self._link_bytes_per_s * MAX_LINK_SHARE))
+        self._next_write_at = self._clocks.now() + min(interval_s, MAX_WRITE_DELAY_S)
+        return await self._write(puts)
 
     async def _remove_jobs(self, job_ids: list[str]) -> None:
         """Removes all records of jobs, under the same condition as any other write."""
