Sessions of an owner that stops send no more polls; first polls give up their slots

Closing sessions one after the other released their slots to sessions that were still open: of 350 sessions 318 polled in one turn while the owner closed. And targets that don't answer kept their slots for the whole time limit, so that at 490 targets with a third of them dead the last one was asked after 4.1 s of its 6 s lease (model). A slot is given back after 0.1 s. A target that the listing announces as restarted is reset at once; its reports counted as old ones until its clock had passed that of its former incarnation. Listed jobs and held reports are applied in parts, with turns of the loop between them.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -59,6 +59,10 @@
 """Maximum number of starts without an answer. On an overloaded instance answers arrive late, and
 tasks wait in the scheduler's order instead of starting too late."""
 
+ITEMS_PER_TURN = 25
+"""Number of listed jobs or held reports that are applied in one turn of the loop, so that renewals
+are not held up."""
+
 MAX_SCANS_IN_FLIGHT = 32
 """Maximum number of polls that ask for an immediate answer, over all targets."""
 
@@ -252,7 +256,7 @@
         while True:
             await self._watch_intake(as_of)
             listed = await self._recovery.read_intake()
-            self._add_intake(listed.items, {}, inherited=False)
+            await self._add_intake(listed.items, {}, inherited=False)
             self._schedule_tick()
             as_of = listed.as_of
 
@@ -264,7 +268,7 @@
         self._targets.restore_known({name: known.target for name, known in stored.targets.items()})
         if stored.model is not None:
             self._scheduler.restore_model(stored.model)
-        self._add_intake(stored.intake, stored.progress, inherited=True)
+        await self._add_intake(stored.intake, stored.progress, inherited=True)
         self._recovered = True
         decision_log.write(
             "recovery.done",
@@ -273,17 +277,21 @@
             progress=len(stored.progress),
             took_s=round(self._clocks.now() - self._began_at, 3),
         )
-        for session in self._sessions.values():
+        for number, session in enumerate(list(self._sessions.values()), start=1):
             session.apply_held_report()
+            if number % ITEMS_PER_TURN == 0:
+                await self._group.sleep(0.0)
         self._schedule_tick()
         return stored.as_of
 
-    def _add_intake(
+    async def _add_intake(
         self, items: tuple[store.Item, ...], stored_progress: dict[str, bytes], *, inherited: bool
     ) -> None:
-        for item in items:
+        for number, item in enumerate(items, start=1):
             if item.key.startswith(keys.JOBS):
                 self._add_job(item, stored_progress, inherited=inherited)
+            if number % ITEMS_PER_TURN == 0:
+                await self._group.sleep(0.0)
         for item in items:
             if item.key.startswith(keys.CANCELS):
                 self._apply_cancellation(item.key)
@@ -429,9 +437,13 @@
     def _on_targets_changed(self, listed: dict[str, targets.Target]) -> None:
         now = self._clocks.now()
         for target in listed.values():
+            session = self._sessions.get(target.target_id)
+            restarted = session is not None and session.row.target.born < target.born
             row = self._scheduler.set_target(target, now=now)
-            if target.target_id not in self._sessions:
+            if session is None:
                 self._open_session(row)
+            elif restarted:
+                session.reset_for_new_incarnation()
         for target_id, session in list(self._sessions.items()):
             if target_id not in listed:
                 session.row.listed = False
@@ -457,6 +469,7 @@
             ticket=lambda: self._journal.next_round,
             pause_s=self._poll_pause_s,
             scan_slots=self._scan_slots,
+            stopping=lambda: self._closed,
         )
         self._sessions[row.target_id] = session
         session.start()
@@ -522,8 +535,13 @@
 
     def _schedule_tick(self) -> None:
         """Schedules a tick; events that arrive before it are handled in the same tick."""
-        interval_s = max(MIN_TICK_INTERVAL_S, self._tick_took_s / MAX_TICK_SHARE)
-        self._schedule_tick_in(max(0.0, self._ticked_at + interval_s - self._clocks.now()))
+        due_at = self._ticked_at + self._tick_took_s + self._min_tick_interval_s
+        self._schedule_tick_in(max(0.0, due_at - self._clocks.now()))
+
+    @property
+    def _min_tick_interval_s(self) -> float:
+        """Minimum time from the end of a tick to the next one, seconds."""
+        return max(MIN_TICK_INTERVAL_S, self._tick_took_s * (1 / MAX_TICK_SHARE - 1))
 
     def _schedule_tick_in(self, delay_s: float) -> None:
         if self._closed:
@@ -557,14 +575,8 @@
             self._execute(command)
         self._tick_took_s = self._clocks.now() - now
         due_s = self._scheduler.next_wake_s(now=now, wall=wall)
-        self._schedule_tick_in(
-            MAX_TICK_INTERVAL_S
-            if due_s is None
-            else min(
-                MAX_TICK_INTERVAL_S,
-                max(due_s, MIN_TICK_INTERVAL_S, self._tick_took_s / MAX_TICK_SHARE),
-            )
-        )
+        wake_s = MAX_TICK_INTERVAL_S if due_s is None else min(due_s, MAX_TICK_INTERVAL_S)
+        self._schedule_tick_in(max(wake_s, self._min_tick_interval_s))
         if now - self._targets_compared_at > MAX_TICK_INTERVAL_S:
             self._targets_compared_at = now
             if self._targets.loaded and (
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -29,6 +29,9 @@
 
 MAX_RETRY_DELAY_S = 0.5
 
+SCAN_SLOT_S = 0.1
+"""Time after which a poll that has no answer yet gives its slot to the next one, seconds."""
+
 START_VALID_S = 0.6
 """Time within which a start has to arrive, seconds: many times the links' delay. After it, a
 delayed order is refused on arrival, so that its task can be placed on another target."""
@@ -49,6 +52,22 @@
     return lease_s * MAX_CLOCK_SLOWNESS + EXPIRY_MARGIN_S
 
 
+class _Slot:
+    """A claimed slot of a semaphore, which is released once."""
+
+    __slots__ = ("_semaphore", "_released")
+
+    def __init__(self, *, semaphore: defer.DeferredSemaphore) -> None:
+        self._semaphore = semaphore
+        self._released = False
+
+    def release(self) -> None:
+        """Releases the slot, unless it was released before."""
+        if not self._released:
+            self._released = True
+            self._semaphore.release()
+
+
 class TargetSession:
     """Renews one target's lease by polling its status report in a loop."""
 
@@ -67,6 +86,7 @@
         ticket: Callable[[], int],
         pause_s: Callable[[], float],
         scan_slots: defer.DeferredSemaphore,
+        stopping: Callable[[], bool],
     ) -> None:
         """Creates a session.
 
@@ -83,6 +103,7 @@
             ticket: Returns the number of the journal round that will hold changes made now.
             pause_s: Returns the pause between two polls, seconds.
             scan_slots: Limits the polls of all sessions that ask for an immediate answer.
+            stopping: Whether the owner of all sessions is stopping.
         """
         self._row = row
         self._port = port
@@ -96,6 +117,7 @@
         self._ticket = ticket
         self._pause_s = pause_s
         self._scan_slots = scan_slots
+        self._stopping = stopping
         self._held_report: targets.StatusReport | None = None
         self._released: defer.Deferred[None] | None = None
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
@@ -199,7 +221,7 @@
         It is as good as a new one: since then the target has refused the orders of former owners.
         """
         report, self._held_report = self._held_report, None
-        if report is not None:
+        if report is not None and not self._is_superseded(report) and not self.lease_expired:
             self._run_safely(self._deliver, report)
         if self._released is not None:
             _release(self._released)
@@ -248,10 +270,16 @@
             # Targets that don't answer must not hold up the others.
             return await self._send_poll(wait_s)
         await self._scan_slots.acquire()
+        slot = _Slot(semaphore=self._scan_slots)
+        timer = self._clocks.loop.callLater(SCAN_SLOT_S, slot.release)
         try:
+            if self._stopping():
+                raise defer.CancelledError
             return await self._send_poll(wait_s)
         finally:
-            self._scan_slots.release()
+            if timer.active():
+                timer.cancel()
+            slot.release()
 
     async def _send_poll(
         self, wait_s: float
