--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -41,7 +41,11 @@
 """Time between two checks of whether this owner should yield, seconds."""
 
 NO_PROGRESS_S = 4.0
-"""Time without progress of its recovery after which an owner yields, seconds."""
+"""Time without a page of its recovery after which an owner yields, seconds, beside the time that a
+page takes on half of the link."""
+
+PAGE_BYTES = 1_400_000
+"""Largest page of a listing on the link, bytes."""
 
 FLUSH_TIMEOUT_S = 1.0
 """Timeout of the last write of an owner that hands over, seconds."""
@@ -257,6 +261,11 @@
         configuration = self._configuration.current or queues.Configuration(version=0)
         new_owner.start(configuration=configuration)
 
+    @property
+    def _no_progress_s(self) -> float:
+        link = self._settings.link_bytes_per_s
+        return NO_PROGRESS_S + (2 * PAGE_BYTES / link if link else 0.0)
+
     async def _review_ownership(self) -> None:
         """Yields the ownership to a larger entry, or if the recovery makes no progress."""
         while True:
@@ -266,7 +275,7 @@
                 continue
             if self._members.should_yield():
                 reason, gives_up = "an entry of more capacity is present", False
-            elif self._members.may_yield and local_owner.stalled_s > NO_PROGRESS_S:
+            elif self._members.may_yield and local_owner.stalled_s > self._no_progress_s:
                 reason, gives_up = "the recovery makes no progress", True
             else:
                 continue
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -233,7 +233,7 @@
 
     def next_wake_s(self, *, now: float, wall: float) -> float | None:
         """Returns the time until the next timed event, seconds; None if there is none."""
-        if self._placement.cut_short and self.order_limit > 0:
+        if self.may_place and self.order_limit > 0 and self._placement.cut_short:
             return 0.0
         retries = self._tables.retries
         for name in [name for name, task in retries.items() if task.retry_at <= now]:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
@@ -111,6 +111,8 @@
             )
             if isinstance(watched, result.Failure):
                 self._failed = not isinstance(watched.failure(), store.CompactedError)
+                if self._failed:
+                    await self._group.sleep(listing.RETRY_DELAY_S)
                 return
             changes = watched.unwrap()
             as_of = changes.as_of
