--- /dev/null
+++ b/packages/ebonyhatch-fleet/tests/test_journal.py
@@ -0,0 +1,202 @@
+from __future__ import annotations
+
+import itertools
+
+import msgspec
+import pytest
+import scripted
+from ebonyhatch.fleet import (
+    clocks,
+    jobs,
+    journal,
+    keys,
+    memory_store,
+    ownership,
+    queues,
+    rows,
+    store,
+)
+from twisted.internet import task
+
+TERM = 3
+BYTES_PER_S = 625_000.0
+QUEUE = queues.Queue(name="q", host="h", prefix="/q/", pool="p")
+
+
+class JournalCase:
+    """A journal whose next round writes the rows in `changed` and the records in `records`."""
+
+    def __init__(self, *, bytes_per_s: float = 0.0) -> None:
+        self.clock = task.Clock()
+        self.engine = memory_store.StoreEngine(clock=self.clock)
+        head = ownership.Head(term=TERM, number=0, nonce="n")
+        self.write_head(head)
+        self.store = scripted.ScriptedStore(engine=self.engine)
+        self.changed: list[rows.JobRow] = []
+        self.records: list[store.Put] = []
+        self.durable: list[list[tuple[rows.JobRow, rows.JobState]]] = []
+        self.superseded: list[str] = []
+        self.journal = journal.Journal(
+            store_port=self.store,
+            all_clocks=clocks.MemoryClocks(clock=self.clock),
+            term=TERM,
+            head_revision=self.engine.revision,
+            collect_changed=lambda: self._take("changed"),
+            collect_auxiliary_records=lambda: self._take("records"),
+            collect_expired=list,
+            on_removed=lambda ids: None,
+            on_durable=self.durable.append,
+            on_superseded=self.superseded.append,
+            link_bytes_per_s=bytes_per_s,
+        )
+
+    def write_head(self, head: ownership.Head) -> None:
+        self.engine.commit((), (store.Put(key=keys.HEAD, value=msgspec.json.encode(head)),), ())
+
+    def request(self, count: int, *, size_bytes: int = 100, urgent: bool = True) -> None:
+        """Requests a round of `count` records."""
+        self.records = [
+            store.Put(key=f"r/{number:03}", value=bytes(size_bytes)) for number in range(count)
+        ]
+        self.journal.request_write(urgent=urgent)
+
+    def writes(self) -> list[list[store.Put]]:
+        """Returns the records of each write, without the head."""
+        return [
+            [put for put in call.arguments["puts"] if put.key != keys.HEAD]
+            for call in self.store.of("commit")
+        ]
+
+    def _take(self, name: str) -> list:
+        taken = getattr(self, name)
+        setattr(self, name, [])
+        return taken
+
+
+@pytest.mark.parametrize("count", [30, 31, 95])
+def test_round_is_split_into_writes_by_the_number_of_records(count):
+    case = JournalCase()
+    case.request(count)
+    scripted.advance(case.clock, 0.5)
+    writes = case.writes()
+    sizes = [len(write) for write in writes]
+    assert sum(sizes) == count and max(sizes) == journal.MAX_RECORDS_PER_WRITE
+    assert len(sizes) == -(-count // journal.MAX_RECORDS_PER_WRITE)
+    assert [put.key for write in writes for put in write] == [f"r/{n:03}" for n in range(count)]
+    for call in case.store.of("commit"):
+        arguments = call.arguments
+        entries = len(arguments["puts"]) + len(arguments["conditions"])
+        assert entries <= store.TRANSACTION_LIMIT
+    assert case.journal.durable_round == 1
+
+
+@pytest.mark.parametrize("size_bytes", [9_000, 20_000, 100_000])
+def test_round_is_split_into_writes_by_the_size_of_records(size_bytes):
+    case = JournalCase()
+    case.request(20, size_bytes=size_bytes)
+    scripted.advance(case.clock, 0.5)
+    writes = case.writes()
+    assert sum(len(write) for write in writes) == 20
+    for write in writes:
+        assert sum(len(put.value) for put in write[:-1]) < journal.MAX_WRITE_BYTES
+    for write in writes[:-1]:
+        assert sum(len(put.value) for put in write) >= journal.MAX_WRITE_BYTES
+
+
+@pytest.mark.parametrize("size_bytes", [10_000, 50_000])
+def test_rounds_are_paced_by_the_journal_s_share_of_the_link(size_bytes):
+    case = JournalCase(bytes_per_s=BYTES_PER_S)
+    for _ in range(1200):
+        if case.journal.idle:
+            case.request(3, size_bytes=size_bytes)
+        scripted.advance(case.clock, 0.01)
+    starts = [
+        call.at
+        for call, records in zip(case.store.of("commit"), case.writes(), strict=True)
+        if records[0].key == "r/000"
+    ]
+    sent = 3 * size_bytes * journal.ENCODED_SIZE_RATIO * (len(starts) - 1)
+    share = sent / (starts[-1] - starts[0]) / BYTES_PER_S
+    assert 0.8 * journal.MAX_LINK_SHARE <= share <= journal.MAX_LINK_SHARE
+
+
+def test_urgent_write_on_a_link_without_a_limit_waits_for_no_more_than_the_shortest_interval():
+    case = JournalCase()
+    for number in range(20):
+        case.request(30, size_bytes=60_000)
+        scripted.advance(case.clock, 0.2 + 0.005 * number)
+        requested_at = case.clock.seconds()
+        before = len(case.store.of("commit"))
+        case.request(1)
+        scripted.advance(case.clock, 0.1)
+        started_at = case.store.of("commit")[before].at
+        assert started_at - requested_at <= 0.02 + 1e-9
+
+
+def test_rounds_on_a_link_without_a_limit_keep_the_shortest_interval():
+    case = JournalCase()
+    for _ in range(100):
+        case.request(1)
+        scripted.advance(case.clock, 0.005)
+    times = [call.at for call in case.store.of("commit")]
+    intervals = [later - earlier for earlier, later in itertools.pairwise(times)]
+    assert min(intervals) >= journal.MIN_ROUND_INTERVAL_S - 1e-9
+    assert max(intervals) <= journal.MIN_ROUND_INTERVAL_S + 2 * scripted.STEP_S
+
+
+def test_change_that_is_not_urgent_is_collected_for_the_batching_delay():
+    case = JournalCase()
+    case.request(1, urgent=False)
+    scripted.advance(case.clock, 1.0)
+    (call,) = case.store.of("commit")
+    assert call.at == pytest.approx(journal.BATCH_DELAY_S, abs=2 * scripted.STEP_S)
+
+
+def test_round_is_durable_only_once_all_its_writes_are():
+    case = JournalCase()
+    job = jobs.Job(job_id="0" * 16, queue="q", spec="", steps=(jobs.Step(count=1),))
+    case.changed = [rows.JobRow(job=job, queue=QUEUE)]
+    case.store.fails = lambda call: any(
+        put.key == "r/080" for put in call.arguments.get("puts", ())
+    )
+    case.request(90)
+    scripted.advance(case.clock, 3.0)
+    assert "r/058" in case.engine.items and "r/080" not in case.engine.items
+    assert (case.journal.durable_round, case.durable, case.journal.idle) == (0, [], False)
+    case.store.fails = lambda call: False
+    scripted.advance(case.clock, 1.0)
+    assert "r/089" in case.engine.items
+    assert case.journal.durable_round == 1 and len(case.durable) == 1
+    ((row, _),) = case.durable[0]
+    assert row.job is job
+
+
+def test_writes_of_a_round_after_a_superseded_one_are_not_made():
+    case = JournalCase()
+
+    def supersede(call: scripted.Call) -> bool:
+        if len(case.store.of("commit")) == 2:
+            case.write_head(ownership.Head(term=TERM + 1, number=1, nonce="other"))
+        return False
+
+    case.store.fails = supersede
+    case.request(90)
+    scripted.advance(case.clock, 3.0)
+    assert len(case.store.of("commit")) == 2
+    assert len(case.superseded) == 1
+    assert (case.journal.durable_round, case.durable) == (0, [])
+    assert "r/030" not in case.engine.items
+    case.request(1)
+    scripted.advance(case.clock, 1.0)
+    assert len(case.store.of("commit")) == 2
+
+
+def test_write_whose_answer_was_lost_counts_as_durable_and_the_round_goes_on():
+    case = JournalCase()
+    case.store.faults.lose_answers = True
+    case.request(45)
+    scripted.advance(case.clock, 0.5)
+    case.store.faults.lose_answers = False
+    scripted.advance(case.clock, 3.0)
+    assert case.journal.durable_round == 1 and case.superseded == []
+    assert "r/044" in case.engine.items
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -2,7 +2,7 @@
 
 import pytest
 import world as world_module
-from ebonyhatch.fleet import entry, jobs, queues, targets
+from ebonyhatch.fleet import entry, jobs, node, queues, targets
 
 TWO_STEPS = (
     jobs.Step(count=3, cpu_millis=1000, estimate_s=0.5),
@@ -444,3 +444,28 @@
     first._on_superseded("a late refusal")
     world.run(0.2)
     assert owner.node.owner is later
+
+
+@pytest.mark.parametrize(
+    ("cores", "bytes_per_s", "capacity", "link_delay_s"),
+    [
+        (0.0, 0.0, 0.0, 0.0),
+        (2.0, 0.0, 2.0, 0.0),
+        (0.0, 625_000.0, 0.208, 0.4),
+        (0.1, 625_000.0, 0.1, 0.4),
+        (2.0, 30_000_000.0, 2.0, 0.00833),
+    ],
+)
+def test_capacity_of_an_entry_is_that_of_its_scarcer_resource(
+    cores, bytes_per_s, capacity, link_delay_s
+):
+    settings = node.Settings(
+        name="e",
+        host="h",
+        port=1,
+        lease_s=6.0,
+        processor_cores=cores,
+        link_bytes_per_s=bytes_per_s,
+    )
+    assert settings.capacity == capacity
+    assert settings.link_delay_s == pytest.approx(link_delay_s, rel=1e-3)
--- /dev/null
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -0,0 +1,130 @@
+from __future__ import annotations
+
+import pytest
+import world as world_module
+from ebonyhatch.fleet import jobs, keys, memory_targets, owner, store
+from returns import result
+
+ANSWER_S = 0.15
+ONE_TASK = jobs.Step(count=1, cpu_millis=1000, estimate_s=30.0)
+
+
+def _ready(*, target_count: int = 4) -> world_module.World:
+    world = world_module.World(entries=1, target_count=target_count)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(1.0)
+    return world
+
+
+class StartOrders:
+    """Records the start orders of a member: their tasks, and the most that had no answer."""
+
+    def __init__(self, world: world_module.World) -> None:
+        self.tasks: list[str] = []
+        self.in_flight = self.most_in_flight = 0
+        port = world.owner.targets
+        start_run = port.start_run
+
+        async def start(**arguments):
+            self.tasks.append(arguments["order"].key.task)
+            self.in_flight += 1
+            self.most_in_flight = max(self.most_in_flight, self.in_flight)
+            try:
+                return await start_run(**arguments)
+            finally:
+                self.in_flight -= 1
+
+        port.start_run = start
+
+
+def test_orders_in_flight_are_limited_and_the_rest_is_placed_in_order(monkeypatch):
+    world = _ready(target_count=60)
+    monkeypatch.setattr(memory_targets, "CALL_LATENCY_S", ANSWER_S)
+    orders = StartOrders(world)
+    submitted = []
+    for number in range(200):
+        job = world.job(ONE_TASK, work_s=60.0)
+        submitted.append(jobs.Job(**_fields(job) | {"accepted_at": job.accepted_at + number / 1e4}))
+    world.store_jobs(*submitted)
+    took_s = world.run_until(lambda: len(orders.tasks) == len(submitted) and not orders.in_flight)
+    assert orders.most_in_flight == owner.MAX_ORDERS_IN_FLIGHT
+    assert [name.partition(".")[0] for name in orders.tasks] == [job.job_id for job in submitted]
+    assert took_s < (len(submitted) / owner.MAX_ORDERS_IN_FLIGHT + 2) * ANSWER_S
+    world.run(1.0)
+    assert len(orders.tasks) == len(submitted)
+    world_module.check_all(world)
+
+
+def _fields(job: jobs.Job) -> dict:
+    return {name: getattr(job, name) for name in job.__struct_fields__}
+
+
+class IntakeCalls:
+    """Records a member's listings and watches of the intake; the next watch may fail."""
+
+    def __init__(self, member: world_module.Member) -> None:
+        self.listings = 0
+        self.watched: list[int] = []
+        self.failures = 0
+        watch, list_page = member.store.watch, member.store.list_page
+
+        async def record_watch(**arguments):
+            if arguments["prefix"] != keys.INTAKE:
+                return await watch(**arguments)
+            self.watched.append(arguments["after"])
+            if self.failures:
+                self.failures -= 1
+                return result.Failure(store.UnknownOutcomeError(call="watch", reason="lost"))
+            return await watch(**arguments)
+
+        async def record_listing(**arguments):
+            self.listings += arguments["prefix"] == keys.INTAKE
+            return await list_page(**arguments)
+
+        member.store.watch, member.store.list_page = record_watch, record_listing
+
+
+@pytest.mark.parametrize("failures", [1, 3])
+def test_watch_of_the_intake_resumes_from_its_revision_after_failures_without_a_listing(failures):
+    world = _ready()
+    calls = IntakeCalls(world.owner)
+    calls.failures = failures
+    world.run_until(lambda: calls.watched, 4.0)
+    job = world.job(ONE_TASK, work_s=0.5)
+    world.store_jobs(job)
+    world.run_until(lambda: world.state(job.job_id) == "completed")
+    assert calls.failures == 0 and calls.listings == 0
+    assert len(set(calls.watched[: failures + 1])) == 1
+    assert len(world.starts(job.job_id)) == 1
+
+
+def test_history_that_was_compacted_leads_to_one_new_listing_that_finds_what_was_missed():
+    world = _ready()
+    calls = IntakeCalls(world.owner)
+    calls.failures = 4
+    world.run_until(lambda: calls.watched, 4.0)
+    missed = world.job(ONE_TASK, work_s=0.5)
+    world.store_jobs(missed)
+    world.store.compact()
+    world.run_until(lambda: world.state(missed.job_id) == "completed")
+    assert calls.listings == 1
+    later = world.job(ONE_TASK, work_s=0.5)
+    world.store_jobs(later)
+    world.run_until(lambda: world.state(later.job_id) == "completed")
+    assert calls.listings == 1
+    assert [len(world.starts(job.job_id)) for job in (missed, later)] == [1, 1]
+
+
+def test_cancellation_that_a_failed_watch_missed_is_applied():
+    world = _ready()
+    job = world.job(ONE_TASK, work_s=60.0)
+    world.submit(job)
+    world.run_until(lambda: world.starts(job.job_id))
+    calls = IntakeCalls(world.owner)
+    calls.failures = 2
+    world.run_until(lambda: calls.watched, 4.0)
+    world.store.commit((), (store.Put(key=keys.cancel(job.job_id), value=b"{}"),), ())
+    world.run_until(lambda: world.state(job.job_id) == "cancelled", 3.0)
+    assert calls.listings == 0
+    world.run(0.5)
+    assert not any(engine.runs for engine in world.engines.values())
--- /dev/null
+++ b/packages/ebonyhatch-fleet/tests/test_target_session.py
@@ -0,0 +1,248 @@
+from __future__ import annotations
+
+import itertools
+
+import pytest
+import scripted
+from ebonyhatch.fleet import clocks, rows, target_session, targets
+from returns import result
+from twisted.internet import defer, task
+
+LEASE_S = 6.0
+PAUSE_S = 0.025
+BORN = 5
+KEY = targets.RunKey(task="0000000000000001.0.0.0", run=1)
+UNKNOWN = result.Failure(targets.UnknownOutcomeError(target_id="t", reason="no answer"))
+
+
+class SessionCase:
+    """A session with a target; its reports can't be applied until `ready` is set."""
+
+    def __init__(
+        self, *, clock: task.Clock | None = None, slots: defer.DeferredSemaphore | None = None
+    ) -> None:
+        self.clock = clock or task.Clock()
+        self.slots = slots or defer.DeferredSemaphore(1)
+        self.target = scripted.ScriptedTarget(clock=self.clock)
+        self.ready = False
+        self.offered: list[targets.StatusReport] = []
+        self.applied: list[targets.StatusReport] = []
+        self.lost: list[str] = []
+        target = targets.Target(
+            target_id="t", address="t:1", pool="p", failure_domain="a", born=BORN
+        )
+        self.session = target_session.TargetSession(
+            row=rows.TargetRow(target=target),
+            port=self.target,
+            fence=1,
+            lease_s=LEASE_S,
+            all_clocks=clocks.MemoryClocks(clock=self.clock),
+            on_report=self._on_report,
+            on_runs_lost=lambda session, why: self.lost.append(why),
+            on_fenced=lambda reason: None,
+            durable=lambda: 0,
+            ticket=lambda: 1,
+            pause_s=lambda: PAUSE_S,
+            scan_slots=self.slots,
+        )
+
+    def report(self, poll: scripted.Poll | None = None, *, born: int = BORN) -> result.Result:
+        """Returns a report whose clock is 100 seconds ahead, with one end."""
+        ended = targets.Ended(number=1, key=KEY, kind=targets.EndKind.DONE)
+        clock_s = self.clock.seconds() + 100.0
+        return result.Success(
+            targets.StatusReport(clock_s=clock_s, running=(), ended=(ended,), born=born)
+        )
+
+    def hold(self) -> None:
+        """Starts the session with a target that answers, and lets it hold a report."""
+        self.target.respond = self.report
+        self.session.start()
+        self.advance(1.0)
+        assert self.offered and not self.applied
+
+    def become_ready(self) -> None:
+        self.ready = True
+        self.session.apply_held_report()
+
+    def advance(self, seconds: float) -> None:
+        scripted.advance(self.clock, seconds)
+
+    def _on_report(self, session, report: targets.StatusReport) -> bool:
+        self.offered.append(report)
+        if self.ready:
+            self.applied.append(report)
+        return self.ready
+
+
+def test_held_report_is_applied_once_and_its_ends_too():
+    case = SessionCase()
+    case.hold()
+    held = case.offered[-1]
+    case.become_ready()
+    assert case.applied == [held] and len(held.ended) == 1
+    case.session.apply_held_report()
+    assert case.applied == [held]
+    case.advance(3.0)
+    assert len(case.applied) > 1
+    assert all(report.ended == () for report in case.applied[1:])
+
+
+def test_held_report_does_not_set_the_estimate_of_the_target_s_clock_back():
+    case = SessionCase()
+    case.hold()
+    before = case.session.target_clock_s
+    assert before == pytest.approx(101.0, abs=0.02)
+    case.become_ready()
+    assert case.session.target_clock_s == before
+
+
+def test_report_that_can_still_not_be_applied_stays_held():
+    case = SessionCase()
+    case.hold()
+    case.session.apply_held_report()
+    assert case.applied == []
+    case.become_ready()
+    assert len(case.applied) == 1
+
+
+def test_held_report_is_dropped_when_the_lease_expires():
+    case = SessionCase()
+    case.hold()
+    case.target.respond = lambda poll: UNKNOWN
+    case.advance(1.5 * LEASE_S)
+    assert "lease-lapsed" in case.lost
+    case.become_ready()
+    assert case.applied == []
+
+
+def test_held_report_stays_while_polls_fail_and_the_lease_is_valid():
+    case = SessionCase()
+    case.hold()
+    case.target.respond = lambda poll: UNKNOWN
+    case.advance(0.5 * LEASE_S)
+    assert case.lost == []
+    case.become_ready()
+    assert len(case.applied) == 1
+
+
+def test_held_report_is_replaced_by_that_of_a_new_incarnation():
+    case = SessionCase()
+    case.hold()
+    case.target.respond = lambda poll: case.report(born=BORN + 1)
+    case.advance(LEASE_S / 2)
+    assert case.lost == ["new-life"]
+    case.become_ready()
+    assert [report.born for report in case.applied] == [BORN + 1]
+
+
+def test_held_report_is_dropped_when_the_session_is_reset_for_a_new_incarnation():
+    case = SessionCase()
+    case.hold()
+    case.session.reset_for_new_incarnation()
+    case.become_ready()
+    assert case.applied == []
+
+
+def test_held_report_is_dropped_when_another_incarnation_refuses():
+    case = SessionCase()
+    case.hold()
+    refused = targets.RefusedError(target_id="t", reason=targets.RefusalReason.OTHER_INCARNATION)
+    case.target.respond = lambda poll: result.Failure(refused)
+    case.advance(LEASE_S / 2)
+    assert "other-life" in case.lost
+    case.become_ready()
+    assert case.applied == []
+
+
+def test_lease_is_renewed_each_third_of_it_while_a_report_is_held():
+    case = SessionCase()
+    case.hold()
+    case.advance(4 * LEASE_S)
+    first, *renewals = case.target.polls
+    assert first.deadline_s == 0.0
+    assert [poll.wait_s for poll in case.target.polls] == [0.0] * len(case.target.polls)
+    intervals = [later.at - earlier.at for earlier, later in itertools.pairwise(renewals)]
+    assert len(intervals) >= 11
+    assert intervals == pytest.approx([LEASE_S / 3] * len(intervals), abs=4 * scripted.STEP_S)
+    for poll in renewals:
+        assert poll.deadline_s == pytest.approx(poll.at + 100.0 + LEASE_S, abs=0.02)
+    assert not case.session.lease_expired and case.lost == []
+
+
+def test_polls_go_on_at_once_when_the_held_report_is_applied():
+    case = SessionCase()
+    case.hold()
+    before = len(case.target.polls)
+    case.become_ready()
+    assert len(case.target.polls) == before + 1
+    assert case.target.polls[-1].at == case.clock.seconds()
+    case.advance(0.2)
+    assert case.target.polls[-1].wait_s == target_session.POLL_WAIT_S
+
+
+def test_session_closed_while_a_report_is_held_polls_no_more():
+    case = SessionCase()
+    case.hold()
+    before = len(case.target.polls)
+    case.session.close()
+    case.become_ready()
+    case.advance(LEASE_S)
+    assert len(case.target.polls) == before
+
+
+def _two_sessions() -> tuple[SessionCase, SessionCase]:
+    first = SessionCase()
+    second = SessionCase(clock=first.clock, slots=first.slots)
+    first.session.start()
+    second.session.start()
+    assert (len(first.target.polls), len(second.target.polls)) == (1, 0)
+    return first, second
+
+
+def test_slot_of_a_first_poll_is_released_when_it_is_answered():
+    first, second = _two_sessions()
+    first.ready = True
+    first.target.polls[0].answer.callback(first.report())
+    assert len(second.target.polls) == 1
+
+
+def test_slot_of_a_first_poll_is_released_when_it_fails():
+    first, second = _two_sessions()
+    first.target.polls[0].answer.callback(UNKNOWN)
+    assert len(second.target.polls) == 1
+
+
+def test_slot_of_a_first_poll_is_released_when_the_session_is_closed():
+    first, second = _two_sessions()
+    first.session.close()
+    assert len(second.target.polls) == 1
+
+
+def test_session_closed_while_it_waits_for_a_slot_takes_none():
+    first, second = _two_sessions()
+    second.session.close()
+    first.session.close()
+    assert second.target.polls == []
+    assert first.slots.tokens == 1 and first.slots.waiting == []
+
+
+def test_target_that_does_not_answer_takes_no_slot_after_its_first_failure():
+    case = SessionCase()
+    case.session.start()
+    assert case.slots.tokens == 0
+    case.target.polls[0].answer.callback(UNKNOWN)
+    case.advance(0.1)
+    assert len(case.target.polls) == 2 and not case.target.polls[1].answer.called
+    assert case.slots.tokens == 1
+
+
+def test_waiting_poll_takes_no_slot():
+    case = SessionCase()
+    case.ready = True
+    case.session.start()
+    for number in range(2):
+        case.target.polls[number].answer.callback(case.report())
+        case.advance(0.1)
+    assert case.target.polls[2].wait_s == target_session.POLL_WAIT_S
+    assert case.slots.tokens == 1
