Test of the last small entry: 246 targets and 60 jobs a second on 5 Mbit/s

With 1.5 ms of processor time a call and jobs of 3 s, the entry keeps its lease, no target that answers is lost, no task is started twice, and at least half of the work is completed in 30 s.

--- a/packages/ebonyhatch-fleet/tests/test_owner_on_thin_link.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner_on_thin_link.py
@@ -17,6 +17,8 @@
 FIRST_CALL_COST_S = 0.002
 """The same while calls open connections, seconds."""
 
+LAST_ENTRY_TARGETS = 246
+LAST_ENTRY_CALL_COST_S = 0.0015
 MAX_POLLS_PER_S = 4
 STEP = jobs.Step(count=1, cpu_millis=1000, estimate_s=60.0)
 SHORT_STEP = jobs.Step(count=1, cpu_millis=1000, estimate_s=3.0)
@@ -171,3 +173,20 @@
         assert world.owner.name == max(world.members, key=capacities.__getitem__)
         world.run(1.0)
     world_module.check_all(world)
+
+
+def test_last_small_entry_keeps_its_lease_and_its_targets_and_completes_half_of_the_work():
+    world = world_module.World(entries=0, target_count=LAST_ENTRY_TARGETS, large=True)
+    world.start("small", link=_link(world, call_cost_s=LAST_ENTRY_CALL_COST_S))
+    world.run_until(lambda: _recovered(world), RECOVER_S)
+    owner = world.owner.node.owner
+    for _ in range(int(OBSERVED_S)):
+        world.store_jobs(*_new_jobs(world, 60, step=SHORT_STEP, work_s=3.0))
+        world.run(1.0)
+        assert world.owner is not None and world.owner.node.owner is owner
+        assert all(row.reachable for row in owner.scheduler.tables.targets.values())
+    starts = [key.task for engine in world.engines.values() for _, key, _ in engine.started]
+    assert len(starts) == len(set(starts))
+    completed = sum(world.state(job_id) == "completed" for job_id in world.accepted)
+    assert completed >= len(world.accepted) / 2
+    world_module.check_all(world)
