Red test: an owner that yields resumes its term while it removes its key

Between giving up its term and removing the owner's key, an entry takes its own key for a takeover whose answer was lost, if its watch returns meanwhile: it gains the same term a second time, recovers once more, and acts as the owner although its key is then removed. Seen with any change of the membership during the removal, at 4 ms and at 300 ms a call.

--- a/packages/ebonyhatch-fleet/tests/test_ownership.py
+++ b/packages/ebonyhatch-fleet/tests/test_ownership.py
@@ -207,6 +207,26 @@
     assert b'"b"' in fleet.engine.items[keys.OWNER].value
 
 
+@pytest.mark.parametrize("latency_s", [0.004, 0.3])
+def test_owner_that_yields_does_not_resume_its_term_when_the_membership_changes_meanwhile(
+    latency_s,
+):
+    fleet = Fleet()
+    one = fleet.join("a", 1.0)
+    fleet.advance(SETTLED_S)
+    fleet.join("b", 4.0)
+    fleet.advance(SETTLED_S)
+    one.store.faults.latency_s = latency_s
+    fleet.advance(4 * latency_s)
+    third = ownership.EntryRecord(name="c", incarnation="of c", host="c", port=1)
+    put = store.Put(key=keys.entry("c"), value=msgspec.json.encode(third))
+    fleet.engine.commit((), (put,), ())
+    _yield(fleet, one)
+    fleet.advance(SETTLED_S)
+    assert [term for _, term in one.gained] == [1]
+    assert fleet.owners() == ["b"]
+
+
 @pytest.mark.parametrize("other", [0.25, 1.0, 4.0])
 def test_entry_that_gave_up_lets_the_others_go_first(other):
     fleet = Fleet()
