Log lines are sent without a UUID

Callers saw nothing; an owner writes about ten lines a second for each target, and eliot made a UUID and a level of an action for each, which the decision log then left out. Lines go to eliot's logger directly now, with the same fields in the same order. The metrics keep the series of a histogram, as they already do those of the counters.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decision_log.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decision_log.py
@@ -4,6 +4,7 @@
 
 import collections
 import os
+import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -25,6 +26,8 @@
 
 _ENCODER = msgspec.json.Encoder()
 
+_LOGGER = eliot.Logger()
+
 
 class DecisionLog:
     """An eliot destination that writes to a file descriptor without blocking."""
@@ -108,7 +111,7 @@
 
 def write(event: str, **fields: Any) -> None:
     """Logs an event that is not a decision about a run."""
-    eliot.log_message(message_type=event, **fields)
+    _send(event, fields)
 
 
 def decide(event: str, run: rows.RunRow | None, **fields: Any) -> None:
@@ -124,7 +127,14 @@
         fields["task"] = key.task
         fields["run"] = key.run
         fields["job_id"] = key.task.partition(".")[0]
-    eliot.log_message(message_type=event, **fields)
+    _send(event, fields)
+
+
+def _send(event: str, fields: dict[str, Any]) -> None:
+    """Sends a message without eliot's context of an action: no line carries a task's UUID."""
+    fields["timestamp"] = time.time()
+    fields["message_type"] = event
+    _LOGGER.write(fields)
 
 
 def _encode(line: dict[str, Any]) -> bytes:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/metrics.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/metrics.py
@@ -63,6 +63,7 @@
             registry=self._registry,
         )
         self._series: dict[tuple[str, str], prometheus_client.Counter] = {}
+        self._observed: dict[tuple[str, str], prometheus_client.Histogram] = {}
         self._histograms = {
             event: prometheus_client.Histogram(
                 PREFIX + name, text, ("queue",), buckets=BUCKETS_S, registry=self._registry
@@ -92,7 +93,7 @@
         value = message.get(HISTOGRAMS[event][1])
         if value is not None:
             queue = self._queues.fold(str(message.get("queue", "")))
-            self._histograms[event].labels(queue).observe(float(value))
+            self._observe(event, queue, float(value))
 
     def _count(self, event: str, outcome: str) -> None:
         series = self._series.get((event, outcome))
@@ -100,12 +101,21 @@
             series = self._series[(event, outcome)] = self._counter.labels(event, outcome)
         series.inc()
 
+    def _observe(self, event: str, queue: str, value: float) -> None:
+        series = self._observed.get((event, queue))
+        if series is None:
+            series = self._observed[(event, queue)] = self._histograms[event].labels(queue)
+        series.observe(value)
+
     def _outcome(self, message: dict[str, Any]) -> str:
         for name in OUTCOME_FIELDS:
-            value = str(message.get(name) or "")
+            value = message.get(name)
+            if not value:
+                continue
+            text = str(value)
             # Texts with spaces contain ids and figures, and each would create a new series.
-            if value and " " not in value:
-                return self._outcomes.fold(value)
+            if text and " " not in text:
+                return self._outcomes.fold(text)
         return ""
 
 
--- /dev/null
+++ b/packages/ebonyhatch-fleet/tests/test_decision_log.py
@@ -0,0 +1,57 @@
+from __future__ import annotations
+
+import os
+
+import eliot
+import msgspec
+import pytest
+from ebonyhatch.fleet import decision_log, metrics
+
+
+@pytest.fixture
+def pipe():
+    ends = os.pipe()
+    yield ends
+    for end in ends:
+        os.close(end)
+
+
+def lines(descriptor: int) -> list[dict]:
+    written = os.read(descriptor, 1_000_000)
+    return [msgspec.json.decode(line) for line in written.splitlines()]
+
+
+def test_a_line_has_the_fields_of_a_message_that_eliot_makes(pipe):
+    log = decision_log.DecisionLog(descriptor=pipe[1], clock=lambda: 0.0, common={"entry": "e1"})
+    log.start()
+    fields = {"job_id": "j", "state": "", "reason": None, "took_s": 0.25, "steps": 0}
+    eliot.log_message(message_type="job.shown", **fields)
+    decision_log.write("job.shown", **fields)
+    log.close()
+    made_by_eliot, written = lines(pipe[0])
+    assert list(written) == list(made_by_eliot)
+    assert written.pop("timestamp") >= made_by_eliot.pop("timestamp")
+    assert written == made_by_eliot
+    assert written == {
+        "job_id": "j",
+        "took_s": 0.25,
+        "steps": 0,
+        "message_type": "job.shown",
+        "entry": "e1",
+    }
+
+
+def test_a_line_that_the_rate_limit_drops_is_counted_by_the_metrics(pipe, monkeypatch):
+    monkeypatch.setattr(decision_log, "MAX_BURST_LINES", 2.0)
+    log = decision_log.DecisionLog(descriptor=pipe[1], clock=lambda: 0.0, common={})
+    counted = metrics.Metrics(gauges=dict)
+    log.start()
+    counted.start()
+    for _ in range(5):
+        decision_log.write("job.removed", job_id="j")
+    log.close()
+    counted.close()
+    assert len(lines(pipe[0])) == 2
+    assert log.dropped == 3
+    expected = 'ebonyhatch_events_total{event="job.removed",outcome=""} 5.0'
+    assert expected in counted.render().decode().splitlines()
