--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/interference.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/interference.py
@@ -107,11 +107,13 @@
     def __init__(self) -> None:
         self._baselines: dict[str, _Estimate] = {}
         self._interferences: dict[tuple[str, str], _Estimate] = {}
+        self._cautious_interferences: dict[tuple[str, str], float] = {}
         self._now = 0.0
 
     def advance_to(self, now: float) -> None:
         """Sets the model's time, seconds."""
         self._now = now
+        self._cautious_interferences.clear()
 
     def interference(self, *, serving: str, filler: str) -> float:
         """Returns the interference of a filler image with a serving image."""
@@ -142,6 +144,7 @@
 
         Their variances aren't stored, so a quarter of the prior's is assumed.
         """
+        self._cautious_interferences.clear()
         for serving, filler, interference in interferences:
             self._interferences[(serving, filler)] = _Estimate(
                 mean=interference, variance=PRIOR_INTERFERENCE_VARIANCE / 4, at=self._now
@@ -156,6 +159,7 @@
         step = run.task.step
         if not run.reading:
             return
+        self._cautious_interferences.clear()
         margin = min(step.step.tail_limit_s / run.reading, MAX_MARGIN)
         baseline = self._baseline_estimate(step.job.job.job_id)
         pairs = [
@@ -191,8 +195,11 @@
     def cautious_cost(self, run: rows.RunRow, step: rows.StepRow) -> float:
         """Returns an upper estimate of `extra_cost`, see `CAUTION_DEVIATIONS`."""
         pair = (run.task.step.step.image, step.step.image)
-        uncertainty = CAUTION_DEVIATIONS * math.sqrt(self._variance(pair))
-        upper = self.interference(serving=pair[0], filler=pair[1]) + uncertainty
+        upper = self._cautious_interferences.get(pair)
+        if upper is None:
+            uncertainty = CAUTION_DEVIATIONS * math.sqrt(self._variance(pair))
+            upper = self.interference(serving=pair[0], filler=pair[1]) + uncertainty
+            self._cautious_interferences[pair] = upper
         return upper * _full_fraction(run.target, step)
 
     def needs_observation(self, run: rows.RunRow, step: rows.StepRow) -> bool:
@@ -262,13 +269,9 @@
 
 def serving_runs(row: rows.TargetRow) -> list[rows.RunRow]:
     """Returns the serving runs on a target, except those being stopped."""
-    return [
-        run
-        for run in row.runs.values()
-        if run.task.step.step.tail_limit_s and run.state != rows.RunState.STOPPING
-    ]
+    return [run for run in row.serving.values() if run.state != rows.RunState.STOPPING]
 
 
 def filler_runs(row: rows.TargetRow) -> list[rows.RunRow]:
     """Returns the fillers on a target."""
-    return [run for run in row.runs.values() if run.task.step.step.filler]
+    return list(row.fillers.values())
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -63,6 +63,8 @@
         short_cpu: Processor time of the short runs by pool of their queue, thousandths of a core;
             short runs are neither fillers nor long-running.
         runs: Runs that hold a reservation.
+        serving: Those of serving tasks among them.
+        fillers: Those of fillers among them.
         confirmed: Whether a status report of its present incarnation was read under the owner's
             fence.
         announced: Whether the owner's durable record says that it may take runs.
@@ -85,6 +87,8 @@
     long_running_cpu: int = 0
     short_cpu: dict[str, int] = dataclasses.field(default_factory=dict)
     runs: dict[targets.RunKey, RunRow] = dataclasses.field(default_factory=dict)
+    serving: dict[targets.RunKey, RunRow] = dataclasses.field(default_factory=dict)
+    fillers: dict[targets.RunKey, RunRow] = dataclasses.field(default_factory=dict)
     confirmed: bool = False
     announced: bool = False
     reachable: bool = True
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
@@ -88,6 +88,10 @@
     """Reserves the resources of a run on its target."""
     _update_reservation(run, 1)
     run.target.runs[run.key] = run
+    if run.task.step.step.tail_limit_s:
+        run.target.serving[run.key] = run
+    if run.task.step.step.filler:
+        run.target.fillers[run.key] = run
     run.task.runs[run.key.run] = run
 
 
@@ -95,6 +99,8 @@
     """Releases the resources of a run."""
     if run.target.runs.pop(run.key, None) is None:
         return
+    run.target.serving.pop(run.key, None)
+    run.target.fillers.pop(run.key, None)
     run.task.runs.pop(run.key.run, None)
     _update_reservation(run, -1)
 
--- a/packages/ebonyhatch-fleet/tests/test_interference.py
+++ b/packages/ebonyhatch-fleet/tests/test_interference.py
@@ -152,3 +152,28 @@
     assert not fleet.model.needs_observation(run, step)
     certain = fleet.model.cautious_cost(run, step) - fleet.model.extra_cost(run, step)
     assert certain < uncertain / 3
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_cautious_cost_equals_the_one_computed_anew(seed):
+    fleet = Fleet(seed)
+    model, pick = fleet.model, random.Random(seed)
+    for step in range(300):
+        event = pick.randrange(4)
+        index = pick.randrange(len(fleet.rows))
+        if event == 0:
+            model.advance_to(step * 0.1)
+        elif event == 1:
+            fleet.randomize_fillers(fleet.rows[index], index)
+        elif event == 2:
+            fleet.read(fleet.serving[index], fleet.rows[index], step * 0.1)
+        elif pick.random() < 0.1:
+            model.restore((("s", "loud", pick.uniform(0, 9)),))
+        for run in fleet.serving:
+            for filler in fleet.fillers.values():
+                pair = (run.task.step.step.image, filler.step.image)
+                deviation = math.sqrt(model._variance(pair))
+                upper = model.interference(serving=pair[0], filler=pair[1])
+                upper += interference.CAUTION_DEVIATIONS * deviation
+                expected = upper * filler.step.cpu_millis / CPU_MILLIS
+                assert model.cautious_cost(run, filler) == pytest.approx(expected, rel=1e-12)
