--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -157,7 +157,7 @@
         self._write_requested = self._urgent = False
         self._started_round += 1
         number = self._started_round
-        changed = sorted(self._collect_changed(), key=lambda row: not row.ended)
+        changed = self._collect_changed()
         states = [(row, row.state) for row in changed]
         records = [
             store.Put(key=keys.progress(row.job.job_id), value=progress.encode(row))
@@ -167,11 +167,8 @@
         for puts in _batches(records):
             if not await self._write_paced(puts):
                 return
-            written, states = states[: len(puts)], states[len(puts) :]
-            self._on_durable(written)
         self._durable_round = number
-        if not records:
-            self._on_durable([])
+        self._on_durable(states)
         for _ in range(MAX_REMOVALS_PER_ROUND):
             expired = self._collect_expired()
             if not expired:
