--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -52,8 +52,9 @@
 """Time after the start of a filler (a task that uses processor time left over by others) until the
 target is polled for its effect, seconds. Readings cover half a second."""
 
-MAX_TICK_SHARE = 0.2
-"""Maximum share of the loop's time that ticks take, so that renewals and answers are not delayed."""
+MAX_TICK_SHARE = 0.25
+"""Maximum share of the loop's time that decisions take, so that renewals and answers are not held
+up; the orders that follow from them are limited by `MAX_ORDERS_IN_FLIGHT`."""
 
 MAX_ORDERS_IN_FLIGHT = 64
 """Maximum number of starts without an answer. On an overloaded instance answers arrive late, and
@@ -585,9 +586,10 @@
             self._lease_renewal_required = False
         self._scheduler.may_place = self._recovered and self._may_order_runs()
         self._scheduler.order_limit = MAX_ORDERS_IN_FLIGHT - self._orders_in_flight
-        for command in self._decide(now=now, wall=wall):
-            self._execute(command)
+        due_commands = self._decide(now=now, wall=wall)
         self._tick_took_s = self._clocks.now() - now
+        for command in due_commands:
+            self._execute(command)
         due_s = self._scheduler.next_wake_s(now=now, wall=wall)
         wake_s = MAX_TICK_INTERVAL_S if due_s is None else min(due_s, MAX_TICK_INTERVAL_S)
         self._schedule_tick_in(max(wake_s, self._min_tick_interval_s))
