--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/poll_pace.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/poll_pace.py
@@ -15,7 +15,7 @@
 REVIEW_INTERVAL_S = 0.25
 """Time between two changes of the pause, seconds."""
 
-MAX_LOOP_DELAY_S = 0.05
+MAX_LOOP_DELAY_S = 0.15
 """Delay of the loop's callbacks above which the instance counts as overloaded, seconds."""
 
 MAX_LINK_SHARE = 0.5
