--- a/packages/ebonyhatch-fleet/tests/test_poll_pace.py
+++ b/packages/ebonyhatch-fleet/tests/test_poll_pace.py
@@ -36,7 +36,9 @@
     assert case.review(REVIEWS, rate=0.4 * BYTES_PER_S) == poll_pace.MIN_PAUSE_S
 
 
-@pytest.mark.parametrize(("delay_s", "share"), [(0.06, 0.0), (0.0, 0.6)])
+@pytest.mark.parametrize(
+    ("delay_s", "share"), [(1.2 * poll_pace.MAX_LOOP_DELAY_S, 0.0), (0.0, 0.6)]
+)
 def test_pause_grows_under_overload_up_to_its_limit_and_decays_after_it(delay_s, share):
     case = PaceCase()
     case.delay_s = delay_s
