--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -192,6 +192,11 @@
         """Clocks of this process."""
         return self._clocks
 
+    @property
+    def _no_progress_s(self) -> float:
+        link = self._settings.link_bytes_per_s
+        return NO_PROGRESS_S + (2 * PAGE_BYTES / link if link else 0.0)
+
     def start(self) -> None:
         """Starts all components."""
         self._metrics.start()
@@ -261,11 +266,6 @@
         configuration = self._configuration.current or queues.Configuration(version=0)
         new_owner.start(configuration=configuration)
 
-    @property
-    def _no_progress_s(self) -> float:
-        link = self._settings.link_bytes_per_s
-        return NO_PROGRESS_S + (2 * PAGE_BYTES / link if link else 0.0)
-
     async def _review_ownership(self) -> None:
         """Yields the ownership to a larger entry, or if the recovery makes no progress."""
         while True:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -169,6 +169,11 @@
         """Scheduler of this term."""
         return self._scheduler
 
+    @property
+    def _min_tick_interval_s(self) -> float:
+        """Minimum time from the end of a tick to the next one, seconds."""
+        return max(MIN_TICK_INTERVAL_S, self._tick_took_s * (1 / MAX_TICK_SHARE - 1))
+
     def gauges(self) -> dict[str, float]:
         """Returns the current state for metrics."""
         all_tables = self._scheduler.tables
@@ -365,7 +370,9 @@
         for known in changed.values():
             for name in known:
                 # No run may be ordered on a target that its record declares to take none.
-                row = self._sessions[name].row
+                row = self._row_of(name)
+                if row is None:
+                    continue
                 row.announced = row.announced and known[name].takes_runs
                 if not row.announced:
                     self._unannounced.add(name)
@@ -553,11 +560,6 @@
         due_at = self._ticked_at + self._tick_took_s + self._min_tick_interval_s
         self._schedule_tick_in(max(0.0, due_at - self._clocks.now()))
 
-    @property
-    def _min_tick_interval_s(self) -> float:
-        """Minimum time from the end of a tick to the next one, seconds."""
-        return max(MIN_TICK_INTERVAL_S, self._tick_took_s * (1 / MAX_TICK_SHARE - 1))
-
     def _schedule_tick_in(self, delay_s: float) -> None:
         if self._closed:
             return
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -171,6 +171,15 @@
         """Time for which the store has answered no renewal of this entry, seconds."""
         return 0.0 if self._leaving else self._clocks.now() - self._store_answered_at
 
+    @property
+    def may_yield(self) -> bool:
+        """Whether this owner may yield: there are other entries, and it hasn't yielded recently."""
+        return (
+            self._term > 0
+            and len(self._entries) > 1
+            and self._clocks.now() - self._yielded_at >= MIN_YIELD_INTERVAL_S
+        )
+
     def start(self) -> None:
         """Joins the membership as a candidate."""
         self._store_answered_at = self._joined_at = self._clocks.now()
@@ -198,15 +207,6 @@
             if record.name != self._entry.name and record.capacity
         )
 
-    @property
-    def may_yield(self) -> bool:
-        """Whether this owner may yield: there are other entries, and it hasn't yielded recently."""
-        return (
-            self._term > 0
-            and len(self._entries) > 1
-            and self._clocks.now() - self._yielded_at >= MIN_YIELD_INTERVAL_S
-        )
-
     async def yield_ownership(self, reason: str, *, gives_up: bool) -> None:
         """Stops acting as the owner and removes the owner's key; another entry takes over.
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -56,6 +56,11 @@
         self._blocked_tasks: frozenset[str] = frozenset()
         self._orders_left = MAX_ORDERS_PER_PASS
 
+    @property
+    def cut_short(self) -> bool:
+        """Whether the last pass stopped at its limit of orders, so that the next one is due."""
+        return self._orders_left <= 0
+
     def place(
         self,
         *,
@@ -82,14 +87,9 @@
         ]
         self._reserve.choose_targets()
         self._orders_left = min(MAX_ORDERS_PER_PASS, order_limit)
-        if steps:
+        if steps and self._orders_left > 0:
             self._place_steps(steps, self.context(now), wall)
 
-    @property
-    def cut_short(self) -> bool:
-        """Whether the last pass stopped at its limit of orders, so that the next one is due."""
-        return self._orders_left <= 0
-
     def context(self, now: float) -> registry.Context:
         """Returns the context of the constraints at a time in seconds."""
         return registry.Context(now=now, tails=self._model, kept=self._reserve.is_reserved)
