--- a/packages/ebonyhatch-fleet/tests/test_target_session.py
+++ b/packages/ebonyhatch-fleet/tests/test_target_session.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import msgspec
 import pytest
 import scripted
 from ebonyhatch.fleet import clocks, rows, target_session, targets
@@ -28,6 +29,8 @@
         self.offered: list[targets.StatusReport] = []
         self.applied: list[targets.StatusReport] = []
         self.lost: list[str] = []
+        self.changed: list[target_session.TargetSession] = []
+        self.stopping = False
         target = targets.Target(
             target_id="t", address="t:1", pool="p", failure_domain="a", born=BORN
         )
@@ -40,10 +43,12 @@
             on_report=self._on_report,
             on_runs_lost=lambda session, why: self.lost.append(why),
             on_fenced=lambda reason: None,
+            on_changed=self.changed.append,
             durable=lambda: 0,
             ticket=lambda: 1,
             pause_s=lambda: PAUSE_S,
             scan_slots=self.slots,
+            stopping=lambda: self.stopping,
         )
 
     def report(self, poll: scripted.Poll | None = None, *, born: int = BORN) -> result.Result:
@@ -61,6 +66,11 @@
         self.advance(1.0)
         assert self.offered and not self.applied
 
+    def list_new_incarnation(self) -> None:
+        """Sets the registration as the listing of a restarted target does."""
+        row = self.session.row
+        row.target = msgspec.structs.replace(row.target, born=BORN + 1)
+
     def become_ready(self) -> None:
         self.ready = True
         self.session.apply_held_report()
@@ -246,3 +256,76 @@
         case.advance(0.1)
     assert case.target.polls[2].wait_s == target_session.POLL_WAIT_S
     assert case.slots.tokens == 1
+
+
+def test_held_report_of_an_earlier_incarnation_is_not_applied_once_a_new_one_is_listed():
+    case = SessionCase()
+    case.hold()
+    case.list_new_incarnation()
+    case.become_ready()
+    assert case.applied == []
+    case.advance(LEASE_S / 2)
+    assert case.applied == []
+    case.target.respond = lambda poll: case.report(born=BORN + 1)
+    case.advance(LEASE_S / 2)
+    assert case.applied and {report.born for report in case.applied} == {BORN + 1}
+
+
+def test_reports_of_a_restarted_target_that_was_listed_first_are_applied_at_once():
+    case = SessionCase()
+    case.ready = True
+    case.target.respond = case.report
+    case.session.start()
+    case.advance(1.0)
+    before = len(case.applied)
+    case.list_new_incarnation()
+    case.session.reset_for_new_incarnation()
+    restarted_at = case.clock.seconds()
+
+    def report_of_restarted(poll: scripted.Poll) -> result.Result:
+        clock_s = case.clock.seconds() - restarted_at + 0.001
+        return result.Success(
+            targets.StatusReport(clock_s=clock_s, running=(), ended=(), born=BORN + 1)
+        )
+
+    case.target.respond = report_of_restarted
+    case.advance(0.2)
+    polls = [poll for poll in case.target.polls if poll.at >= restarted_at]
+    reports = case.applied[before:]
+    assert [report.born for report in reports] == [BORN + 1] * len(polls)
+    assert polls and reports[0].clock_s < 0.2
+    assert case.session.target_clock_s < 1.0
+    assert case.lost == []
+
+
+def test_slot_of_a_first_poll_without_an_answer_is_given_to_the_next_one_once():
+    first, second = _two_sessions()
+    first.advance(target_session.SCAN_SLOT_S - 2 * scripted.STEP_S)
+    assert second.target.polls == []
+    first.advance(4 * scripted.STEP_S)
+    assert len(second.target.polls) == 1
+    first.target.polls[0].answer.callback(UNKNOWN)
+    assert first.slots.tokens == 0
+    second.session.close()
+    assert first.slots.tokens == 1
+
+
+def test_session_of_a_stopping_owner_sends_no_first_poll_when_it_gets_a_slot():
+    first, second = _two_sessions()
+    second.stopping = True
+    first.target.polls[0].answer.callback(UNKNOWN)
+    assert second.target.polls == []
+    assert first.slots.tokens == 1
+
+
+def test_session_reports_its_target_as_changed_when_its_reachability_or_incarnation_changes():
+    case = SessionCase()
+    case.hold()
+    assert case.changed == []
+    case.target.respond = lambda poll: UNKNOWN
+    case.advance(LEASE_S / 2)
+    assert not case.session.row.reachable and len(case.changed) == 1
+    case.target.respond = lambda poll: case.report(born=BORN + 1)
+    case.advance(LEASE_S / 2)
+    assert case.session.row.reachable and case.session.row.target.born == BORN + 1
+    assert case.changed == [case.session] * 3
