--- a/packages/ebonyhatch-fleet/tests/test_known_targets.py
+++ b/packages/ebonyhatch-fleet/tests/test_known_targets.py
@@ -4,7 +4,8 @@
 
 import msgspec
 import pytest
-from ebonyhatch.fleet import jobs, known_targets, progress, queues, rows, targets
+import world as world_module
+from ebonyhatch.fleet import jobs, known_targets, owner, progress, queues, rows, targets
 from placed import run_on
 
 QUEUE = queues.Queue(name="q", host="h", prefix="/q/", pool="p")
@@ -31,69 +32,184 @@
         assert recorded == known_targets.describe(row)
 
 
-def _known(name: str, *, tasks: tuple[str, ...] = ()) -> known_targets.KnownTarget:
-    target = msgspec.structs.replace(TARGET, target_id=name, address=f"10.100.200.{len(name)}:8169")
-    return known_targets.KnownTarget(target=target, takes_runs=not tasks, tasks=tasks)
+class Fleet:
+    """Rows of usable targets and their records."""
+
+    def __init__(self, count: int) -> None:
+        names = [f"i-{number:016x}" for number in range(count)]
+        self.rows = {name: _row(name) for name in names}
+        self.records = known_targets.Records()
+        self.mark_all()
+
+    @property
+    def known(self) -> known_targets.KnownTargets:
+        return {name: known_targets.describe(row) for name, row in self.rows.items()}
+
+    def mark_all(self) -> None:
+        for name in self.rows:
+            self.records.mark(name)
+
+    def changed(self) -> dict[int, known_targets.KnownTargets]:
+        return dict(self.records.changed(self.rows.get))
 
+    def store(self) -> dict[int, bytes]:
+        """Takes the changed groups and returns them as they are stored."""
+        changed = self.changed()
+        self.records.take(changed)
+        return {number: known_targets.encode(group) for number, group in changed.items()}
 
-def _fleet(count: int) -> known_targets.KnownTargets:
-    return {f"i-{number:016x}": _known(f"i-{number:016x}") for number in range(count)}
+
+def _row(name: str) -> rows.TargetRow:
+    target = msgspec.structs.replace(TARGET, target_id=name, address=f"10.100.200.{len(name)}:8169")
+    return rows.TargetRow(target=target, confirmed=True)
 
 
-def _stored(records: known_targets.Records, known: known_targets.KnownTargets) -> dict[int, bytes]:
-    """Takes the changed groups and returns them as they are stored."""
-    changed = records.changed(known)
-    records.take(changed)
-    return {number: known_targets.encode(group) for number, group in changed.items()}
+def _lose(row: rows.TargetRow) -> None:
+    """Makes a target with a run unreachable, so that its record lists the task."""
+    job = jobs.Job(job_id="0" * 16, queue="q", spec="", steps=(jobs.Step(count=1),))
+    run_on(row, progress.new_steps(rows.JobRow(job=job, queue=QUEUE), 0)[0], 0)
+    row.reachable = False
 
 
 def test_only_the_group_of_a_changed_target_is_written_again():
-    records = known_targets.Records()
-    known = _fleet(300)
-    stored = _stored(records, known)
-    assert set(stored) == {known_targets.group_of(name) for name in known}
-    assert _stored(records, dict(known)) == {}
+    fleet = Fleet(300)
+    stored = fleet.store()
+    assert set(stored) == {known_targets.group_of(name) for name in fleet.rows}
+    assert fleet.store() == {}
+    fleet.mark_all()
+    assert fleet.store() == {}
     changed = "i-" + f"{77:016x}"
-    known[changed] = _known(changed, tasks=("t",))
-    again = _stored(records, known)
+    _lose(fleet.rows[changed])
+    fleet.records.mark(changed)
+    assert len(fleet.known[changed].tasks) == 1
+    again = fleet.store()
     assert list(again) == [known_targets.group_of(changed)]
-    assert known_targets.decode_groups((stored | again).values()) == known
-    assert records.targets == known
+    assert known_targets.decode_groups((stored | again).values()) == fleet.known
+    assert fleet.records.targets == fleet.known
 
 
 def test_target_that_leaves_is_removed_from_its_group_and_the_last_one_empties_it():
-    records = known_targets.Records()
-    known = _fleet(3)
-    stored = _stored(records, known)
-    left = next(iter(known))
+    fleet = Fleet(3)
+    stored = fleet.store()
+    left = next(iter(fleet.rows))
     number = known_targets.group_of(left)
-    assert all(known_targets.group_of(name) != number for name in known if name != left)
-    del known[left]
-    again = _stored(records, known)
+    assert all(known_targets.group_of(name) != number for name in fleet.rows if name != left)
+    del fleet.rows[left]
+    fleet.records.mark(left)
+    again = fleet.store()
     assert again == {number: known_targets.encode({})}
-    assert _stored(records, known) == {}
-    assert known_targets.decode_groups((stored | again).values()) == known
+    assert fleet.store() == {}
+    assert known_targets.decode_groups((stored | again).values()) == fleet.known
 
 
 def test_groups_not_taken_for_writing_stay_changed():
-    records = known_targets.Records()
-    known = _fleet(5)
-    assert records.changed(known) == records.changed(known) != {}
-    assert records.targets == {}
+    fleet = Fleet(5)
+    assert fleet.changed() == fleet.changed() != {}
+    assert fleet.records.targets == {}
 
 
 def test_restored_records_are_not_written_again_until_they_change():
-    before = known_targets.Records()
-    known = _fleet(50)
-    values = _stored(before, known).values()
-    records = known_targets.Records()
-    records.restore(known_targets.decode_groups(values))
-    assert records.targets == known
-    assert records.changed(known) == {}
-    assert set(records.changed({})) == {known_targets.group_of(name) for name in known}
+    before = Fleet(50)
+    values = before.store().values()
+    fleet = Fleet(50)
+    fleet.records.restore(known_targets.decode_groups(values))
+    assert fleet.records.targets == fleet.known == before.known
+    assert fleet.changed() == {}
+    groups = {known_targets.group_of(name) for name in fleet.rows}
+    fleet.mark_all()
+    fleet.rows.clear()
+    assert set(fleet.changed()) == groups
 
 
 def test_record_of_a_group_is_small_at_3300_targets():
-    stored = _stored(known_targets.Records(), _fleet(3_300))
+    stored = Fleet(3_300).store()
     assert len(stored) == known_targets.GROUPS
     assert max(len(value) for value in stored.values()) <= MAX_GROUP_BYTES
+
+
+class PlainComparison:
+    """Compares the records and announcements of an owner with those computed over all targets."""
+
+    def __init__(self, monkeypatch) -> None:
+        self.compared = 0
+        self.announced = 0
+        self.differences: list = []
+        self._changed = known_targets.Records.changed
+        self._on_durable = owner.Owner._on_durable
+        comparison = self
+        monkeypatch.setattr(
+            known_targets.Records, "changed", lambda *args: comparison.changed(*args)
+        )
+        monkeypatch.setattr(owner.Owner, "_on_durable", lambda *args: comparison.on_durable(*args))
+
+    def changed(self, records, row_of):
+        sessions = row_of.__self__._sessions
+        groups = {number: {} for number in records._stored}
+        for name, session in sessions.items():
+            group = groups.setdefault(known_targets.group_of(name), {})
+            group[name] = known_targets.describe(session.row)
+        expected = {n: group for n, group in groups.items() if records._stored.get(n) != group}
+        found = self._changed(records, row_of)
+        if found != expected:
+            self.differences.append((found, expected))
+        self.compared += bool(found)
+        return found
+
+    def on_durable(self, subject, states):
+        recorded = subject._known_records.targets
+        expected = {
+            name: session.row.announced or (name in recorded and recorded[name].takes_runs)
+            for name, session in subject._sessions.items()
+        }
+        before = [session.row.announced for session in subject._sessions.values()]
+        self._on_durable(subject, states)
+        found = {name: session.row.announced for name, session in subject._sessions.items()}
+        if found != expected:
+            self.differences.append((found, expected))
+        self.announced += before != list(found.values())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_records_and_announcements_equal_those_computed_over_all_targets(seed, monkeypatch):
+    comparison = PlainComparison(monkeypatch)
+    pick = random.Random(seed)
+    world = world_module.World(entries=2, target_count=6)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    for _ in range(40):
+        target_id = f"t{pick.randrange(6)}"
+        engine = world.engines[target_id]
+        event = pick.randrange(6)
+        if event == 0:
+            world.restart_target(target_id)
+        elif event == 1:
+            world.unregister(target_id)
+        elif event == 2:
+            world.register(engine.target)
+        elif event == 3:
+            engine.faults.partitioned = not engine.faults.partitioned
+        elif event == 4:
+            work_s = pick.uniform(0.1, 3)
+            step = jobs.Step(count=2, cpu_millis=1000, estimate_s=work_s)
+            world.store_jobs(world.job(step, work_s=work_s))
+        elif world.owner is not None and len(world.members) > 1:
+            world.kill(world.owner.name)
+        world.run(pick.uniform(0.1, 1.5))
+    assert not comparison.differences
+    assert comparison.compared
+    assert comparison.announced
+
+
+def test_target_that_is_listed_again_becomes_announced_again():
+    world = world_module.World(entries=1, target_count=1)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(1.0)
+    subject = world.owner.node.owner
+    first = subject.scheduler.tables.targets["t0"]
+    assert first.announced
+    world.unregister("t0")
+    world.run_until(lambda: not subject.scheduler.tables.targets)
+    world.register(world.engines["t0"].target)
+    world.run_until(lambda: bool(subject.scheduler.tables.targets))
+    again = subject.scheduler.tables.targets["t0"]
+    assert again is not first
+    world.run_until(lambda: again.announced)
