--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -40,7 +40,7 @@
 slowest links, which renewals of the lease share."""
 
 MAX_LINK_SHARE = 0.25
-"""Maximum share of the instance's link that the journal uses."""
+"""Share of the instance's link that the journal uses, as far as `MAX_WRITE_DELAY_S` allows."""
 
 MAX_WRITE_DELAY_S = 0.3
 """Longest delay of a write for the sake of the link, seconds: cancellations and ends wait for it."""
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -435,17 +435,16 @@
 
 
 def test_a_refusal_that_reaches_an_earlier_term_ends_no_later_one():
-    # A term that was given up isn't resumed, and with more entries another one may begin the next.
     world = _ready(entries=1)
     owner = world.owner
     first = owner.node.owner
     owner.node._members.relinquish("relinquished by a test", term=first.term)
     world.run_until(lambda: owner.node.owner is not None and owner.node.owner is not first)
     later = owner.node.owner
+    assert later.term > first.term
     first._on_superseded("a late refusal")
     world.run(0.2)
     assert owner.node.owner is later
-    assert later.term > first.term
 
 
 @pytest.mark.parametrize(
