The owner logs its load once a second

Callers saw work wait for seconds on fleets of small entries only.

Change: one line a second on the owner, `owner.load`, with the current gauges of work, loop and polls and the increase of orders, ticks, processor time and bytes. New gauges of the owner: orders in flight and answered, ticks, ticks that stopped at the limit of orders, and their times.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -13,6 +13,7 @@
     configuration_source,
     decision_log,
     entry,
+    load_report,
     loop_delay,
     memory_peers,
     messages,
@@ -147,6 +148,9 @@
         )
         self._loop_delay = loop_delay.LoopDelay(all_clocks=all_clocks)
         self._metrics = metrics.Metrics(gauges=self._gauges, calls=calls)
+        self._load_report = load_report.LoadReport(
+            all_clocks=all_clocks, gauges=self._gauges, calls=calls, group=self._group
+        )
         self._entry = entry.Entry(
             name=settings.name,
             store_port=store_port,
@@ -201,6 +205,7 @@
         """Starts all components."""
         self._metrics.start()
         self._loop_delay.start()
+        self._load_report.start()
         self._network.handle(messages.ConfigurationNotice, self._on_configuration_notice)
         self._network.handle(messages.LoadNotice, self._on_load_notice)
         self._network.start()
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -102,6 +102,11 @@
         self._poll_pause_s = poll_pause_s
         self._scan_slots = defer.DeferredSemaphore(MAX_SCANS_IN_FLIGHT)
         self._orders_in_flight = 0
+        self._orders_answered = 0
+        self._order_seconds = 0.0
+        self._ticks = 0
+        self._ticks_held_back = 0
+        self._tick_seconds = 0.0
         self._tick_took_s = 0.0
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
         self._scheduler = scheduler.Scheduler(decide=decision_log.decide)
@@ -188,6 +193,12 @@
             "targets_barred": sum(
                 row.quarantined_until > self._clocks.now() for row in targets_now
             ),
+            "orders_in_flight": self._orders_in_flight,
+            "orders_answered": self._orders_answered,
+            "order_seconds": self._order_seconds,
+            "ticks": self._ticks,
+            "ticks_held_back": self._ticks_held_back,
+            "tick_seconds": self._tick_seconds,
         }
 
     def start(self, *, configuration: queues.Configuration) -> None:
@@ -590,6 +601,9 @@
         self._scheduler.order_limit = MAX_ORDERS_IN_FLIGHT - self._orders_in_flight
         due_commands = self._decide(now=now, wall=wall)
         self._tick_took_s = self._clocks.now() - now
+        self._ticks += 1
+        self._tick_seconds += self._tick_took_s
+        self._ticks_held_back += self._scheduler.orders_held_back
         for command in due_commands:
             self._execute(command)
         due_s = self._scheduler.next_wake_s(now=now, wall=wall)
@@ -641,10 +655,13 @@
             return
         run.order_deadline_s = session.start_deadline_s()
         self._orders_in_flight += 1
+        sent_at = self._clocks.now()
         try:
             outcome = await session.start_run(command)
         finally:
             self._orders_in_flight -= 1
+        self._orders_answered += 1
+        self._order_seconds += self._clocks.now() - sent_at
         if self._scheduler.orders_held_back:
             self._schedule_tick()
         now = self._clocks.now()
