Margins for fillers are computed once a pass, not for each waiting step

Callers saw batch work wait for seconds, and slot-confirm and daily-tally missed their floors, on fleets of which only small entries were left.

Cause: a pass of placement estimated for each waiting filler step anew, on every target with or without free capacity, what it would take from each serving task. With 180 waiting filler steps on 246 targets a tick took 35 to 145 ms on 0.516 of a core, so that a quarter of the loop held 2 to 11 ticks a second.

Change: the margins of the serving tasks on a target are kept for a pass, by image, until a run is ordered there; targets without free capacity are left out first, and predicates that hold for all candidates are not checked again. Decisions are the same: the comparison with the plain computation now has the model itself as the plain one.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
@@ -14,6 +14,10 @@
 _Entry = tuple[float, int, rows.TargetRow]
 
 
+_CHECKED: frozenset[registry.Predicate] = frozenset({usable.is_usable, resource_fit.has_capacity})
+"""Predicates that hold for the usable targets with free capacity."""
+
+
 class Candidates:
     """Usable targets in the order of the table, and what is known not to fit on any of them."""
 
@@ -41,6 +45,16 @@
         """Returns the usable targets of a pool."""
         return self._pools.get(pool, [])
 
+    def scores(self, step: rows.StepRow, selection: registry.Selection) -> dict[str, float]:
+        """Returns the scores of the targets that a step may use, by target id."""
+        context = self._context
+        return {
+            row.target_id: selection.score(step, row, context)
+            for row in self.targets(step.job.queue.pool)
+            if resource_fit.has_capacity(step, row, context)
+            and selection.allows_beyond(_CHECKED, step, row, context)
+        }
+
     def may_fit(self, step: rows.StepRow) -> bool:
         """Returns False if no target had enough free processor time when last looked at."""
         spec = step.step
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/interference.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/interference.py
@@ -26,14 +26,12 @@
     """Returns whether all serving tasks would stay within their limits with one more filler."""
     if not step.step.filler:
         return True
-    fillers = interference.filler_runs(row)
-    for run in interference.serving_runs(row):
-        cost = context.tails.cautious_cost(run, step)
-        present_cost = sum(context.tails.cautious_cost(run, filler.task.step) for filler in fillers)
-        if cost + present_cost < pacing.NEGLIGIBLE_COST:
+    fraction = interference.full_fraction(row, step)
+    for serving in context.tails.margins(row, step.step.image):
+        cost = serving.upper_interference * fraction
+        if cost + serving.present_cost < pacing.NEGLIGIBLE_COST:
             continue
-        baseline = context.tails.baseline_margin(run.task.step.job.job.job_id)
-        if baseline - present_cost - cost < pacing.DESIRED_MARGIN:
+        if serving.baseline - serving.present_cost - cost < pacing.DESIRED_MARGIN:
             return False
     return True
 
@@ -43,7 +41,9 @@
     """Prefers targets where a filler costs least, and for serving tasks those with their image."""
     spec = step.step
     if spec.filler:
-        cost = sum(context.tails.extra_cost(run, step) for run in interference.serving_runs(row))
+        fraction = interference.full_fraction(row, step)
+        margins = context.tails.margins(row, spec.image)
+        cost = sum(serving.interference * fraction for serving in margins)
         return -INTERFERENCE_PENALTY * cost
     if not spec.tail_limit_s:
         return 0.0
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/registry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/registry.py
@@ -13,12 +13,12 @@
 
     Attributes:
         now: Time on the scheduler's clock, seconds.
-        tails: Model of the interference of fillers with serving tasks.
+        tails: Margins of serving tasks, of which fillers take a part.
         kept: Returns whether a target is reserved for short work.
     """
 
     now: float
-    tails: interference.InterferenceModel
+    tails: interference.MarginSource
     kept: Callable[[rows.TargetRow], bool]
 
 
@@ -50,6 +50,19 @@
         """Returns whether no predicate rejects a target."""
         return all(allows(step, target, context) for allows in self.predicates)
 
+    def allows_beyond(
+        self,
+        checked: frozenset[Predicate],
+        step: rows.StepRow,
+        target: rows.TargetRow,
+        context: Context,
+    ) -> bool:
+        """Returns whether no predicate rejects a target that those of `checked` allow."""
+        for allows in self.predicates:
+            if allows not in checked and not allows(step, target, context):
+                return False
+        return True
+
     def score(self, step: rows.StepRow, target: rows.TargetRow, context: Context) -> float:
         """Returns the sum of the scores of a target."""
         total = 0.0
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/interference.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/interference.py
@@ -18,6 +18,7 @@
 
 import dataclasses
 import math
+from typing import NamedTuple, Protocol
 
 from ebonyhatch.fleet import rows
 
@@ -101,6 +102,29 @@
         self.variance *= 1 - gain * slope
 
 
+class ServingMargin(NamedTuple):
+    """Margin of a serving run, as far as one more filler of an image concerns it.
+
+    Attributes:
+        interference: Expected interference of the image with the run.
+        upper_interference: Upper estimate of it, see `CAUTION_DEVIATIONS`.
+        baseline: Margin without fillers.
+        present_cost: Upper estimate of the margin that the fillers on the target take at full pace.
+    """
+
+    interference: float
+    upper_interference: float
+    baseline: float
+    present_cost: float
+
+
+class MarginSource(Protocol):
+    """Source of the margins of the serving runs on a target."""
+
+    def margins(self, row: rows.TargetRow, image: str) -> tuple[ServingMargin, ...]:
+        """Returns the margins of the serving runs on a target for a filler image."""
+
+
 class InterferenceModel:
     """Baseline margins of serving jobs and interference of pairs of images."""
 
@@ -190,26 +214,48 @@
 
     def extra_cost(self, run: rows.RunRow, step: rows.StepRow) -> float:
         """Returns the margin that one more task of a filler step would take from a serving run."""
-        return self._cost(run, step.step.image, _full_fraction(run.target, step))
+        return self._cost(run, step.step.image, full_fraction(run.target, step))
 
     def cautious_cost(self, run: rows.RunRow, step: rows.StepRow) -> float:
         """Returns an upper estimate of `extra_cost`, see `CAUTION_DEVIATIONS`."""
         pair = (run.task.step.step.image, step.step.image)
-        upper = self._cautious_interferences.get(pair)
-        if upper is None:
-            uncertainty = CAUTION_DEVIATIONS * math.sqrt(self._variance(pair))
-            upper = self.interference(serving=pair[0], filler=pair[1]) + uncertainty
-            self._cautious_interferences[pair] = upper
-        return upper * _full_fraction(run.target, step)
+        return self._upper_interference(pair) * full_fraction(run.target, step)
+
+    def margins(self, row: rows.TargetRow, image: str) -> tuple[ServingMargin, ...]:
+        """Returns the margins of the serving runs on a target for a filler image."""
+        fillers = filler_runs(row)
+        margins = []
+        for run in serving_runs(row):
+            step = run.task.step
+            serving = step.step.image
+            present_cost = sum(self.cautious_cost(run, filler.task.step) for filler in fillers)
+            margins.append(
+                ServingMargin(
+                    interference=self.interference(serving=serving, filler=image),
+                    upper_interference=self._upper_interference((serving, image)),
+                    baseline=self.baseline_margin(step.job.job.job_id),
+                    present_cost=present_cost,
+                )
+            )
+        return tuple(margins)
 
     def needs_observation(self, run: rows.RunRow, step: rows.StepRow) -> bool:
         """Returns whether the effect of one more task of a filler step must be observed."""
         pair = (run.task.step.step.image, step.step.image)
         return (
-            math.sqrt(self._variance(pair)) * _full_fraction(run.target, step)
+            math.sqrt(self._variance(pair)) * full_fraction(run.target, step)
             > OBSERVATION_THRESHOLD
         )
 
+    def _upper_interference(self, pair: tuple[str, str]) -> float:
+        """Returns an upper estimate of an interference, see `CAUTION_DEVIATIONS`."""
+        upper = self._cautious_interferences.get(pair)
+        if upper is None:
+            uncertainty = CAUTION_DEVIATIONS * math.sqrt(self._variance(pair))
+            upper = self.interference(serving=pair[0], filler=pair[1]) + uncertainty
+            self._cautious_interferences[pair] = upper
+        return upper
+
     def _variance(self, pair: tuple[str, str]) -> float:
         estimate = self._interferences.get(pair)
         if estimate is None:
@@ -253,18 +299,39 @@
         return {image: fraction for image, fraction in fractions.items() if fraction > 0}
 
 
+class KeptMargins:
+    """Margins of a model that doesn't change, kept until the runs on their target change."""
+
+    def __init__(self, *, model: InterferenceModel) -> None:
+        self._model = model
+        self._margins: dict[str, dict[str, tuple[ServingMargin, ...]]] = {}
+
+    def margins(self, row: rows.TargetRow, image: str) -> tuple[ServingMargin, ...]:
+        """Returns the margins of the serving runs on a target for a filler image."""
+        by_image = self._margins.setdefault(row.target_id, {})
+        margins = by_image.get(image)
+        if margins is None:
+            margins = by_image[image] = self._model.margins(row, image)
+        return margins
+
+    def forget(self, row: rows.TargetRow) -> None:
+        """Drops what is kept of a target whose runs have changed."""
+        self._margins.pop(row.target_id, None)
+
+
 def _reading_variance(margin: float, limit_s: float) -> float:
     """Returns the variance of a margin: its noise, and the rounding of the tail it comes from."""
     rounding = margin * margin * ROUNDING_S / limit_s
     return NOISE_VARIANCE + rounding * rounding / 12
 
 
-def _full_fraction(row: rows.TargetRow, step: rows.StepRow) -> float:
+def full_fraction(row: rows.TargetRow, step: rows.StepRow) -> float:
+    """Returns the fraction of a target's processors that one task of a step requests."""
     return step.step.cpu_millis / (row.target.cpu_millis or 1)
 
 
 def _paced_fraction(filler: rows.RunRow) -> float:
-    return _full_fraction(filler.target, filler.task.step) * filler.pace / 100
+    return full_fraction(filler.target, filler.task.step) * filler.pace / 100
 
 
 def serving_runs(row: rows.TargetRow) -> list[rows.RunRow]:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -48,6 +48,7 @@
         decide: commands.Decide,
     ) -> None:
         self._model = model
+        self._margins = interference.KeptMargins(model=model)
         self._reserve = reserved
         self._tables = all_tables
         self._emit = emit
@@ -91,8 +92,9 @@
             self._place_steps(steps, self.context(now), wall)
 
     def context(self, now: float) -> registry.Context:
-        """Returns the context of the constraints at a time in seconds."""
-        return registry.Context(now=now, tails=self._model, kept=self._reserve.is_reserved)
+        """Returns the context of the constraints at a time in seconds, for one pass."""
+        self._margins = interference.KeptMargins(model=self._model)
+        return registry.Context(now=now, tails=self._margins, kept=self._reserve.is_reserved)
 
     def order_run(self, task: rows.TaskRow, row: rows.TargetRow, *, run: int, now: float) -> None:
         """Reserves capacity for a run of a task and orders it."""
@@ -106,6 +108,7 @@
             progressed_at=now,
         )
         tables.reserve(run_row)
+        self._margins.forget(row)
         self._decide("run.order", run_row, waited_s=round(now - task.waiting_since, 3))
         self._emit(commands.StartRun(run=run_row))
 
@@ -181,11 +184,7 @@
     ) -> None:
         """Places tasks of a step for which all targets are scored anew."""
         now = context.now
-        scores = {
-            row.target_id: selection.score(step, row, context)
-            for row in usable.targets(step.job.queue.pool)
-            if selection.allows(step, row, context)
-        }
+        scores = usable.scores(step, selection)
         if not scores:
             usable.reject(step)
         deferred = []
--- a/packages/ebonyhatch-fleet/tests/test_candidates.py
+++ b/packages/ebonyhatch-fleet/tests/test_candidates.py
@@ -26,6 +26,9 @@
 class PlainPlacement(placement.Placement):
     """Scores every target with all constraints, for each step in its order."""
 
+    def context(self, now):
+        return registry.Context(now=now, tails=self._model, kept=self._reserve.is_reserved)
+
     def _place_steps(self, steps, context, wall):
         self._orders_left = 10**9
         for step in sorted(steps, key=lambda step: ordering.key(step, wall=wall)):
--- a/packages/ebonyhatch-fleet/tests/test_interference.py
+++ b/packages/ebonyhatch-fleet/tests/test_interference.py
@@ -177,3 +177,18 @@
                 upper += interference.CAUTION_DEVIATIONS * deviation
                 expected = upper * filler.step.cpu_millis / CPU_MILLIS
                 assert model.cautious_cost(run, filler) == pytest.approx(expected, rel=1e-12)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_kept_margins_equal_those_of_the_model_once_changed_targets_are_forgotten(seed):
+    fleet = Fleet(seed)
+    fleet.simulate(5.0)
+    kept, pick = interference.KeptMargins(model=fleet.model), random.Random(seed)
+    for _ in range(100):
+        index = pick.randrange(len(fleet.rows))
+        row = fleet.rows[index]
+        if pick.random() < 0.5:
+            fleet.randomize_fillers(row, index)
+            kept.forget(row)
+        for image in ("loud", "quiet", "unknown"):
+            assert kept.margins(row, image) == fleet.model.margins(row, image)
--- a/packages/ebonyhatch-fleet/tests/test_scheduler.py
+++ b/packages/ebonyhatch-fleet/tests/test_scheduler.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 import pytest
-from ebonyhatch.fleet import jobs, queues, rows, scheduler, targets
+from ebonyhatch.fleet import interference, jobs, queues, rows, scheduler, targets
 
 QUEUE = queues.Queue(name="q", host="h", prefix="/q/", pool="p", priority=1, max_attempts=3)
 JOB_ID = "0" * 15 + "1"
@@ -189,3 +189,31 @@
     wide = _add(subject, large, job_id="f" * 16)
     subject.tick(now=0.0, wall=0.0)
     assert [task.state for task in wide.occurrences[0][0].tasks] == [rows.TaskState.PLACED] * 2
+
+
+@pytest.mark.parametrize("waiting", [5, 60])
+def test_tick_estimates_interference_no_more_often_with_more_waiting_fillers(waiting, monkeypatch):
+    target_count = 12
+    subject = _scheduler(target_count=target_count, cpu_millis=16_000)
+    serving = jobs.Step(
+        count=target_count, cpu_millis=2000, long_running=True, tail_limit_s=0.2, image="s"
+    )
+    _add(subject, serving)
+    subject.tick(now=1.0, wall=1.0)
+    subject.order_limit = 1
+    for number in range(waiting):
+        filler = jobs.Step(count=1, cpu_millis=1000 + number, filler=True, image="f", estimate_s=9)
+        _add(subject, filler, job_id=f"{number + 2:016x}")
+    estimated = []
+    estimate = interference.InterferenceModel.interference
+
+    def count(model, **pair):
+        estimated.append(pair)
+        return estimate(model, **pair)
+
+    monkeypatch.setattr(interference.InterferenceModel, "interference", count)
+    for number in range(40):
+        estimated.clear()
+        subject.order_limit = 8
+        subject.tick(now=1.1 + number / 10, wall=1.1 + number / 10)
+        assert len(estimated) <= 3 * target_count + 3 * 8
