A cancellation is reported durable only by a write that holds it

Callers saw: nothing traced; found by reading. A DELETE could be answered 2xx while the stored progress of the job still said that it runs, so that an owner that took over then would have gone on with it. Cause: the waiters of a job's cancellation were called after any durable write of the job, also one that was encoded before the cancellation and was still on its way when it came. Change: only a write of an ended state calls them. A job that ends otherwise calls them too, as before. Test: test_cancellation_during_an_earlier_write_of_its_job_is_not_reported_durable_by_that_write failed before: the stored state was `running` when the cancellation was reported.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -536,17 +536,19 @@
     def _on_durable(self, states: list[tuple[rows.JobRow, rows.JobState]]) -> None:
         self._announce_targets()
         for row, state in states:
-            if state in rows.ENDED_STATES:
-                row.visible_state = state
-                row.ended_at = row.ended_at or self._clocks.wall()
-                self._retention.add(row.job.job_id, now=self._clocks.now())
-                decision_log.write(
-                    "job.shown",
-                    job_id=row.job.job_id,
-                    queue=row.queue.name,
-                    state=state,
-                    took_s=round(row.ended_at - row.job.accepted_at, 3),
-                )
+            if state not in rows.ENDED_STATES:
+                # A cancellation made since this write is not durable yet.
+                continue
+            row.visible_state = state
+            row.ended_at = row.ended_at or self._clocks.wall()
+            self._retention.add(row.job.job_id, now=self._clocks.now())
+            decision_log.write(
+                "job.shown",
+                job_id=row.job.job_id,
+                queue=row.queue.name,
+                state=state,
+                took_s=round(row.ended_at - row.job.accepted_at, 3),
+            )
             for waiter in self._cancel_waiters.pop(row.job.job_id, []):
                 waiter.callback(None)
 
--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -2,8 +2,9 @@
 
 import pytest
 import world as world_module
-from ebonyhatch.fleet import jobs, keys, memory_targets, owner, store
+from ebonyhatch.fleet import jobs, keys, memory_targets, owner, progress, rows, store
 from returns import result
+from twisted.internet import task
 
 ANSWER_S = 0.15
 ONE_TASK = jobs.Step(count=1, cpu_millis=1000, estimate_s=30.0)
@@ -128,3 +129,24 @@
     assert calls.listings == 0
     world.run(0.5)
     assert not any(engine.runs for engine in world.engines.values())
+
+
+def test_cancellation_during_an_earlier_write_of_its_job_is_not_reported_durable_by_that_write():
+    world = _ready()
+    next_step = jobs.Step(count=1, cpu_millis=1000, estimate_s=30.0, after=(0,))
+    job = world.job(ONE_TASK, next_step)
+    world.store_jobs(job)
+    key, written = keys.progress(job.job_id), []
+    commit = world.owner.store.commit
+
+    async def commit_late(**arguments):
+        written.extend(put.key for put in arguments["puts"])
+        await task.deferLater(world.clock, ANSWER_S)
+        return await commit(**arguments)
+
+    world.owner.store.commit = commit_late
+    world.run_until(lambda: key in written)
+    waiter = world.owner.node.owner.cancel(job.job_id)
+    world.run_until(lambda: waiter.called)
+    stored = progress.decode(world.store.items[key].value)
+    assert stored.state == rows.JobState.CANCELLED
