--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 import os
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import msgspec
 from ebonyhatch.core import errors
@@ -63,13 +64,36 @@
         self.term = term
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Unwritten:
+    """A record that has to be written.
+
+    Attributes:
+        round: Number of the first round that collected a change of it.
+        row: Job whose progress it is; None for an auxiliary record.
+        value: Value of an auxiliary record.
+    """
+
+    round: int
+    row: rows.JobRow | None = None
+    value: bytes = b""
+
+    def encode(self) -> bytes:
+        """Returns the value to write; that of a job is its progress at the time of the call."""
+        return self.value if self.row is None else progress.encode(self.row)
+
+
 class Journal:
     """Writes the progress of changed jobs, one write at a time.
 
     A write replaces the head, the key that identifies the last write, on condition that it has the
     revision of the previous write. So a write whose answer was lost can't take effect after a later
-    one, and no write of an older owner can. Writes are grouped into numbered rounds; a round covers
-    all changes that were pending at its start.
+    one, and no write of an older owner can.
+
+    Changes are collected in numbered rounds, each before a write. What doesn't fit into the write
+    stays unwritten, so that an urgent change which arrives later is not held up by the rest of a
+    large round. Ended jobs are written first, then the records that were collected first. A round
+    is durable when no record that it or an earlier round collected is unwritten.
     """
 
     def __init__(
@@ -84,9 +108,26 @@
         collect_expired: Callable[[], list[str]],
         on_removed: Callable[[list[str]], None],
         on_durable: Callable[[list[tuple[rows.JobRow, rows.JobState]]], None],
+        on_auxiliary_durable: Callable[[], None],
         on_superseded: Callable[[str], None],
         link_bytes_per_s: float = 0.0,
     ) -> None:
+        """Creates a journal.
+
+        Args:
+            store_port: The port to the store.
+            all_clocks: Clocks of the process.
+            term: Term of the owner.
+            head_revision: Revision of the head that the takeover wrote.
+            collect_changed: Returns the jobs that changed since its last call.
+            collect_auxiliary_records: Returns the other records that changed since its last call.
+            collect_expired: Returns ids of jobs to remove, no more than fit into one write.
+            on_removed: Called with the ids of jobs whose records were removed.
+            on_durable: Called with the jobs of a durable write and their written states.
+            on_auxiliary_durable: Called when all collected auxiliary records are durable.
+            on_superseded: Called with a reason when another entry has written.
+            link_bytes_per_s: Bandwidth of the instance's link, bytes a second; 0 if unknown.
+        """
         self._store = store_port
         self._clocks = all_clocks
         self._link_bytes_per_s = link_bytes_per_s
@@ -98,11 +139,16 @@
         self._collect_expired = collect_expired
         self._on_removed = on_removed
         self._on_durable = on_durable
+        self._on_auxiliary_durable = on_auxiliary_durable
         self._on_superseded = on_superseded
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
         self._numbers = itertools.count(1)
         self._started_round = 0
         self._durable_round = 0
+        self._unwritten: dict[str, _Unwritten] = {}
+        self._unwritten_ends: dict[str, None] = {}
+        self._unwritten_auxiliary: set[str] = set()
+        self._auxiliary_postponed = False
         self._write_requested = False
         self._urgent = False
         self._writing = False
@@ -148,44 +194,90 @@
             return
         self._writing = True
         try:
-            while self._write_requested and not self._closed:
-                await self._write_round()
+            while (self._write_requested or self._unwritten) and not self._closed:
+                await self._write_next()
         finally:
             self._writing = False
 
-    async def _write_round(self) -> None:
+    async def _write_next(self) -> None:
+        """Collects what has changed and makes one write of what is unwritten."""
+        await self._wait_for_link()
+        if self._write_requested:
+            self._collect()
+        if self._unwritten and not await self._write_unwritten():
+            return
+        if not self._unwritten_auxiliary:
+            self._write_requested = self._write_requested or self._auxiliary_postponed
+            self._on_auxiliary_durable()
+        durable_before = self._durable_round
+        self._durable_round = self._started_round
+        if self._unwritten:
+            # The records stand in the order of their rounds.
+            self._durable_round = next(iter(self._unwritten.values())).round - 1
+        if self._durable_round > durable_before:
+            await self._remove_expired()
+
+    def _collect(self) -> None:
         self._write_requested = self._urgent = False
         self._started_round += 1
-        number = self._started_round
-        changed = self._collect_changed()
-        states = [(row, row.state) for row in changed]
-        records = [
-            store.Put(key=keys.progress(row.job.job_id), value=progress.encode(row))
-            for row in changed
-        ]
-        records += self._collect_auxiliary_records()
-        for puts in _batches(records):
-            if not await self._write_paced(puts):
-                return
-        self._durable_round = number
-        self._on_durable(states)
-        for _ in range(MAX_REMOVALS_PER_ROUND):
-            expired = self._collect_expired()
-            if not expired:
-                return
-            await self._remove_jobs(expired)
-
-    async def _write_paced(self, puts: list[store.Put]) -> bool:
-        """Writes records once the journal's share of the link allows it."""
+        for row in self._collect_changed():
+            key = keys.progress(row.job.job_id)
+            self._unwritten.setdefault(key, _Unwritten(round=self._started_round, row=row))
+            if row.ended:
+                self._unwritten_ends[key] = None
+        # One set of auxiliary records at a time, so that new ones can't delay its end forever.
+        self._auxiliary_postponed = bool(self._unwritten_auxiliary)
+        if self._auxiliary_postponed:
+            return
+        for put in self._collect_auxiliary_records():
+            self._unwritten[put.key] = _Unwritten(round=self._started_round, value=put.value)
+            self._unwritten_auxiliary.add(put.key)
+
+    async def _write_unwritten(self) -> bool:
+        """Writes what fits into one write; returns whether it is durable."""
+        puts: list[store.Put] = []
+        size_bytes = 0
+        later = (key for key in self._unwritten if key not in self._unwritten_ends)
+        for key in itertools.chain(self._unwritten_ends, later):
+            if puts and (len(puts) == MAX_RECORDS_PER_WRITE or size_bytes >= MAX_WRITE_BYTES):
+                break
+            puts.append(store.Put(key=key, value=self._unwritten[key].encode()))
+            size_bytes += len(puts[-1].value)
+        written_rows = [self._unwritten[put.key].row for put in puts]
+        states = [(row, row.state) for row in written_rows if row is not None]
+        self._set_next_write_at(size_bytes)
+        if not await self._write(puts):
+            return False
+        for put in puts:
+            del self._unwritten[put.key]
+            self._unwritten_ends.pop(put.key, None)
+            self._unwritten_auxiliary.discard(put.key)
+        if states:
+            self._on_durable(states)
+        return True
+
+    async def _wait_for_link(self) -> None:
+        """Waits until the journal's share of the link allows the next write."""
         delay_s = self._next_write_at - self._clocks.now()
         if delay_s > 0:
             await self._group.sleep(delay_s)
+
+    def _set_next_write_at(self, size_bytes: int) -> None:
         interval_s = MIN_WRITE_INTERVAL_S
         if self._link_bytes_per_s:
-            size_bytes = sum(len(put.value) for put in puts) * ENCODED_SIZE_RATIO
-            interval_s = max(interval_s, size_bytes / (self._link_bytes_per_s * MAX_LINK_SHARE))
+            link_bytes = size_bytes * ENCODED_SIZE_RATIO
+            interval_s = max(interval_s, link_bytes / (self._link_bytes_per_s * MAX_LINK_SHARE))
         self._next_write_at = self._clocks.now() + min(interval_s, MAX_WRITE_DELAY_S)
-        return await self._write(puts)
+
+    async def _remove_expired(self) -> None:
+        """Removes jobs after their retention, as long as no urgent write is requested."""
+        for _ in range(MAX_REMOVALS_PER_ROUND):
+            expired = self._collect_expired()
+            if not expired:
+                return
+            await self._remove_jobs(expired)
+            if self._urgent:
+                return
 
     async def _remove_jobs(self, job_ids: list[str]) -> None:
         """Removes all records of jobs, under the same condition as any other write."""
@@ -231,17 +323,3 @@
         self._closed = True
         self._on_superseded(str(SupersededError(term=self._term)))
         return False
-
-
-def _batches(records: list[store.Put]) -> Iterator[list[store.Put]]:
-    """Splits the records of a round into writes, by the limits of their number and their size."""
-    batch: list[store.Put] = []
-    size_bytes = 0
-    for record in records:
-        if batch and (len(batch) == MAX_RECORDS_PER_WRITE or size_bytes >= MAX_WRITE_BYTES):
-            yield batch
-            batch, size_bytes = [], 0
-        batch.append(record)
-        size_bytes += len(record.value)
-    if batch:
-        yield batch
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -130,6 +130,7 @@
             collect_expired=lambda: self._retention.pop_due(now=all_clocks.now()),
             on_removed=self._on_removed,
             on_durable=self._on_durable,
+            on_auxiliary_durable=self._announce_targets,
             on_superseded=on_superseded,
             link_bytes_per_s=link_bytes_per_s,
         )
@@ -534,7 +535,6 @@
         self._schedule_tick()
 
     def _on_durable(self, states: list[tuple[rows.JobRow, rows.JobState]]) -> None:
-        self._announce_targets()
         for row, state in states:
             if state not in rows.ENDED_STATES:
                 # A cancellation made since this write is not durable yet.
