Changes are followed from a listing's first page on, so that a long listing is made once

An owner on a thin link with many jobs heard neither new jobs nor cancellations while it listed all of them again without end. Cause: the watch of the intake began after the listing, the progress of jobs, the known targets and the model were read, with the revision of the first page. If that took longer than the store keeps its history, the watch was refused, and the new listing took as long. Change: fleet.change_feed watches from the first page's revision while later pages are read, and holds the changes until the listing is applied. Only a history that is lost while the feed follows it leads to a new listing. Test: test_listing_that_takes_longer_than_the_history_is_made_once_and_later_changes_are_applied (pages of 3.5 s, a history of 20 s) failed before: a cancellation stored during the listing wasn't applied 40 s later. The test of the parts of a recovery counts listings and reads, and not the watch.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/listing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/listing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 from ebonyhatch.fleet import clocks, decision_log, store
 from ebonyhatch.node import coroutines
@@ -52,8 +54,15 @@
         """Time at which the last page was read, seconds; before the first one, of the creation."""
         return self._progressed_at
 
-    async def read(self, prefix: str) -> Listed:
-        """Reads all items under a prefix; retries until the group is closed."""
+    async def read(
+        self, prefix: str, *, on_first_page: Callable[[int], None] | None = None
+    ) -> Listed:
+        """Reads all items under a prefix; retries until the group is closed.
+
+        Args:
+            prefix: The prefix.
+            on_first_page: Called with the listing's revision once the first page has arrived.
+        """
         items: list[store.Item] = []
         as_of = pages = failures = 0
         after = ""
@@ -63,6 +72,8 @@
             items += page.items
             pages += 1
             as_of = as_of or page.as_of
+            if pages == 1 and on_first_page is not None:
+                on_first_page(as_of)
             if not page.has_more or not page.items:
                 return Listed(items=tuple(items), as_of=as_of, failures=failures)
             after = page.items[-1].key
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -11,6 +11,7 @@
 
 import msgspec
 from ebonyhatch.fleet import (
+    change_feed,
     clocks,
     commands,
     decision_log,
@@ -33,12 +34,6 @@
 from returns import result
 from twisted.internet import defer
 
-WATCH_TIMEOUT_S = 3.0
-"""Timeout of one watch, seconds."""
-
-RETRY_DELAY_S = 0.15
-"""Delay before a failed call to the store is retried, seconds."""
-
 MIN_TICK_INTERVAL_S = 0.008
 """Minimum time between two ticks, seconds. Events that arrive together are handled in one tick."""
 
@@ -260,16 +255,15 @@
 
     async def _follow_intake(self) -> None:
         """Recovers, then watches submissions and cancellations."""
-        as_of = await self._recover()
+        changes = await self._recover()
         while True:
-            await self._watch_intake(as_of)
-            listed = await self._recovery.read_intake()
+            await self._apply_changes(changes)
+            listed, changes = await self._recovery.read_intake()
             await self._add_intake(listed.items, {}, inherited=False)
             self._schedule_tick()
-            as_of = listed.as_of
 
-    async def _recover(self) -> int:
-        """Restores the stored state; returns the revision from which the intake is watched."""
+    async def _recover(self) -> change_feed.ChangeFeed:
+        """Restores the stored state; returns the changes of the intake since then."""
         stored = await self._recovery.read()
         self._inherited_targets = stored.targets
         self._known_records.restore(stored.targets)
@@ -290,7 +284,7 @@
             if number % ITEMS_PER_TURN == 0:
                 await self._group.sleep(0.0)
         self._schedule_tick()
-        return stored.as_of
+        return stored.changes
 
     async def _add_intake(
         self, items: tuple[store.Item, ...], stored_progress: dict[str, bytes], *, inherited: bool
@@ -304,28 +298,17 @@
             if item.key.startswith(keys.CANCELS):
                 self._apply_cancellation(item.key)
 
-    async def _watch_intake(self, as_of: int) -> None:
-        """Follows the intake until the history is compacted, since a new listing is expensive."""
-        while True:
-            watched = await self._store.watch(
-                prefix=keys.INTAKE, after=as_of, wait_s=WATCH_TIMEOUT_S
-            )
-            if isinstance(watched, result.Failure):
-                if isinstance(watched.failure(), store.CompactedError):
-                    return
-                await self._group.sleep(RETRY_DELAY_S)
-                continue
-            changes = watched.unwrap()
-            as_of = changes.as_of
-            for change in changes.changes:
+    async def _apply_changes(self, feed: change_feed.ChangeFeed) -> None:
+        """Applies changes of the intake until the history is compacted."""
+        while changes := await feed.take():
+            for change in changes:
                 if change.item is None:
                     continue
                 if change.key.startswith(keys.JOBS):
                     self._add_job(change.item, {}, inherited=False)
                 else:
                     self._apply_cancellation(change.key)
-            if changes.changes:
-                self._schedule_tick()
+            self._schedule_tick()
 
     def _add_job(
         self, item: store.Item, stored_progress: dict[str, bytes], *, inherited: bool
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/recovery.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/recovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import msgspec
-from ebonyhatch.fleet import clocks, decision_log, keys, known_targets, listing, store
+from ebonyhatch.fleet import change_feed, clocks, decision_log, keys, known_targets, listing, store
 from ebonyhatch.node import coroutines
 from returns import result
 
@@ -14,6 +14,7 @@
     Attributes:
         intake: Submissions and cancellations.
         as_of: Revision from which a watch reports all later submissions and cancellations.
+        changes: The changes from that revision on.
         progress: Encoded progress of jobs, by job id.
         targets: Targets of the last owner.
         model: Encoded model that the last owner learned; None if there is none.
@@ -21,6 +22,7 @@
 
     intake: tuple[store.Item, ...]
     as_of: int
+    changes: change_feed.ChangeFeed
     progress: dict[str, bytes]
     targets: known_targets.KnownTargets
     model: bytes | None
@@ -47,19 +49,24 @@
         """Time at which the last page was read, seconds."""
         return self._listings.progressed_at
 
-    async def read_intake(self) -> listing.Listed:
-        """Reads all submissions and cancellations."""
-        return await self._listings.read(keys.INTAKE)
+    async def read_intake(self) -> tuple[listing.Listed, change_feed.ChangeFeed]:
+        """Reads all submissions and cancellations; the feed holds the changes made meanwhile."""
+        changes = change_feed.ChangeFeed(
+            store_port=self._store, group=self._group, prefix=keys.INTAKE
+        )
+        listed = await self._listings.read(keys.INTAKE, on_first_page=changes.start)
+        return listed, changes
 
     async def read(self) -> StoredState:
         """Reads the whole state; retries until the group is closed."""
-        intake = await self.read_intake()
+        intake, changes = await self.read_intake()
         progress_listed = await self._listings.read(keys.PROGRESS)
         targets_listed = await self._listings.read(keys.TARGETS)
         model = await self._read_model()
         return StoredState(
             intake=intake.items,
             as_of=intake.as_of,
+            changes=changes,
             progress={
                 item.key.removeprefix(keys.PROGRESS): item.value for item in progress_listed.items
             },
--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -7,6 +7,9 @@
 from twisted.internet import task
 
 ANSWER_S = 0.15
+HISTORY_S = 20.0
+PAGE_S = 3.5
+CANCEL_S = 4.0
 ONE_TASK = jobs.Step(count=1, cpu_millis=1000, estimate_s=30.0)
 
 
@@ -116,6 +119,52 @@
     assert [len(world.starts(job.job_id)) for job in (missed, later)] == [1, 1]
 
 
+def _run_with_history(world: world_module.World, seconds: float) -> None:
+    """Advances a world whose store keeps its history for `HISTORY_S`."""
+    for _ in range(round(seconds)):
+        revision = world.store.revision
+        world.clock.callLater(HISTORY_S, _forget, world, revision)
+        world.run(1.0)
+
+
+def _forget(world: world_module.World, revision: int) -> None:
+    world.store.compacted = revision
+    world.store.changes = [one for one in world.store.changes if one.revision > revision]
+
+
+def test_listing_that_takes_longer_than_the_history_is_made_once_and_later_changes_are_applied():
+    world = world_module.World(entries=0)
+    listed = [world.job(ONE_TASK, work_s=300.0) for _ in range(8)]
+    world.store_jobs(*listed)
+    member = world.start("slow")
+    calls = IntakeCalls(member)
+    member.store._page_items = 1
+    list_page = member.store.list_page
+
+    async def list_slowly(**arguments):
+        outcome = await list_page(**arguments)
+        if arguments["prefix"] == keys.INTAKE:
+            await task.deferLater(world.clock, PAGE_S)
+        return outcome
+
+    member.store.list_page = list_slowly
+    _run_with_history(world, 2 * PAGE_S)
+    later = world.job(ONE_TASK, work_s=300.0)
+    world.store_jobs(later)
+    cancel = store.Put(key=keys.cancel(listed[0].job_id), value=b"{}")
+    world.store.commit((), (cancel,), ())
+    _run_with_history(world, 2 * HISTORY_S)
+    assert world.owner.node.owner.recovered
+    assert len(world.starts(later.job_id)) == 1
+    assert world.state(listed[0].job_id) == "cancelled"
+    cancel = store.Put(key=keys.cancel(later.job_id), value=b"{}")
+    world.store.commit((), (cancel,), ())
+    _run_with_history(world, CANCEL_S)
+    assert world.state(later.job_id) == "cancelled"
+    assert calls.listings <= len(listed) + 2
+    world_module.check_all(world)
+
+
 def test_cancellation_that_a_failed_watch_missed_is_applied():
     world = _ready()
     job = world.job(ONE_TASK, work_s=60.0)
--- a/packages/ebonyhatch-fleet/tests/test_recovery.py
+++ b/packages/ebonyhatch-fleet/tests/test_recovery.py
@@ -69,9 +69,11 @@
     def subject(call: scripted.Call) -> str:
         return call.arguments.get("prefix") or call.arguments["key"]
 
-    case.store.fails = lambda call: subject(call) == prefix and next(failures)
+    case.store.fails = lambda call: (
+        call.name != "watch" and subject(call) == prefix and next(failures)
+    )
     _check(case.read(), as_of=case.engine.revision)
-    subjects = [subject(call) for call in case.store.calls]
+    subjects = [subject(call) for call in case.store.calls if call.name != "watch"]
     assert {name: subjects.count(name) for name in set(subjects)} == {
         name: 3 if name == prefix else 1
         for name in (keys.INTAKE, keys.PROGRESS, keys.TARGETS, keys.MODEL_SNAPSHOT)
