The record of known targets that entries of the former code write is read, and emptied once the groups hold its targets

An owner that took over from an entry of the code before didn't contact targets that only that entry's record named, and its records of groups could say of a target that it takes no runs, though the former owner had ordered runs there since: tasks could run twice. Cause: stores known targets under new keys and doesn't read the former one. Change: both records are read. As it isn't known which kind the last owner wrote, a target may take runs if either record says so, and otherwise has the tasks of both. The new owner compares with the records of groups alone, so that it writes those that lack targets, and empties the former record as the last one of that set of writes: one that stayed would make each later takeover wait for targets that left. Not solved: an entry of the former code that takes over finds the former record empty, and not what the groups hold. It waits for the reports of all listed targets, but doesn't contact those that aren't listed. Keeping the former record current would write all targets, about 0.4 kB each, with each change of one, which is what the groups avoid on thin links. Tests: with the former recovery, known targets and owner both failed: the unlisted target wasn't polled, and the tasks of the former record were missing.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/keys.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/keys.py
@@ -26,6 +26,9 @@
 """Prefix of the targets that the owner has sessions with, for the next owner; a key holds a group of
 them. The list of registered targets is empty for seconds after an outage."""
 
+FORMER_TARGETS = ROOT + "targets"
+"""Record of all known targets as entries before the groups write it; see `known_targets.merge`."""
+
 HEAD = ROOT + "head"
 """Term and number of the owner's last write. Each write replaces it on condition of its revision."""
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
@@ -65,6 +65,21 @@
     return known
 
 
+def merge(grouped: KnownTargets, former: KnownTargets) -> KnownTargets:
+    """Returns the targets of both kinds of record, for a fleet that is being updated.
+
+    It isn't known which kind the last owner wrote. So a target may take runs if either record says
+    so, and otherwise has the tasks of both.
+    """
+    merged = former | grouped
+    for name in grouped.keys() & former.keys():
+        takes_runs = grouped[name].takes_runs or former[name].takes_runs
+        tasks = () if takes_runs else {*grouped[name].tasks, *former[name].tasks}
+        newer = max(grouped[name].target, former[name].target, key=lambda target: target.born)
+        merged[name] = KnownTarget(target=newer, takes_runs=takes_runs, tasks=tuple(sorted(tasks)))
+    return merged
+
+
 class Records:
     """The stored records of known targets; only groups that changed are written again.
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -140,6 +140,7 @@
         self._known_records = known_targets.Records()
         self._inherited_targets: known_targets.KnownTargets = {}
         self._unannounced: set[str] = set()
+        self._former_targets_stored = False
         self._targets_compared_at = 0.0
         self._cancel_waiters: dict[str, list[defer.Deferred[None]]] = {}
 
@@ -266,7 +267,8 @@
         """Restores the stored state; returns the changes of the intake since then."""
         stored = await self._recovery.read()
         self._inherited_targets = stored.targets
-        self._known_records.restore(stored.targets)
+        self._known_records.restore(stored.grouped_targets)
+        self._former_targets_stored = stored.former_targets
         self._targets.restore_known({name: known.target for name, known in stored.targets.items()})
         if stored.model is not None:
             self._scheduler.restore_model(stored.model)
@@ -366,6 +368,11 @@
             auxiliary_records.append(
                 store.Put(key=keys.MODEL_SNAPSHOT, value=self._scheduler.model_snapshot())
             )
+        if self._former_targets_stored:
+            # It is emptied last: the groups must hold its targets before.
+            self._former_targets_stored = False
+            empty = known_targets.encode({})
+            auxiliary_records.append(store.Put(key=keys.FORMER_TARGETS, value=empty))
         return auxiliary_records
 
     def _row_of(self, target_id: str) -> rows.TargetRow | None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/recovery.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/recovery.py
@@ -17,6 +17,8 @@
         changes: The changes from that revision on.
         progress: Encoded progress of jobs, by job id.
         targets: Targets of the last owner.
+        grouped_targets: Those of them that are stored in the records of groups.
+        former_targets: Whether a record of entries before the groups has to be emptied.
         model: Encoded model that the last owner learned; None if there is none.
     """
 
@@ -25,6 +27,8 @@
     changes: change_feed.ChangeFeed
     progress: dict[str, bytes]
     targets: known_targets.KnownTargets
+    grouped_targets: known_targets.KnownTargets
+    former_targets: bool
     model: bytes | None
 
 
@@ -62,7 +66,10 @@
         intake, changes = await self.read_intake()
         progress_listed = await self._listings.read(keys.PROGRESS)
         targets_listed = await self._listings.read(keys.TARGETS)
-        model = await self._read_model()
+        grouped = known_targets.decode_groups(item.value for item in targets_listed.items)
+        former_item = await self._read_key(keys.FORMER_TARGETS)
+        former = known_targets.decode_groups(() if former_item is None else (former_item.value,))
+        model = await self._read_key(keys.MODEL_SNAPSHOT)
         return StoredState(
             intake=intake.items,
             as_of=intake.as_of,
@@ -70,13 +77,15 @@
             progress={
                 item.key.removeprefix(keys.PROGRESS): item.value for item in progress_listed.items
             },
-            targets=known_targets.decode_groups(item.value for item in targets_listed.items),
+            targets=known_targets.merge(grouped, former),
+            grouped_targets=grouped,
+            former_targets=bool(former),
             model=None if model is None else model.value,
         )
 
-    async def _read_model(self) -> store.Item | None:
+    async def _read_key(self, key: str) -> store.Item | None:
         while True:
-            outcome = await self._store.get(key=keys.MODEL_SNAPSHOT)
+            outcome = await self._store.get(key=key)
             if isinstance(outcome, result.Success):
                 return outcome.unwrap()
             decision_log.write("recovery.retry", reason=str(outcome.failure()))
--- a/packages/ebonyhatch-fleet/tests/test_known_targets.py
+++ b/packages/ebonyhatch-fleet/tests/test_known_targets.py
@@ -5,7 +5,17 @@
 import msgspec
 import pytest
 import world as world_module
-from ebonyhatch.fleet import jobs, known_targets, owner, progress, queues, rows, targets
+from ebonyhatch.fleet import (
+    jobs,
+    keys,
+    known_targets,
+    owner,
+    progress,
+    queues,
+    rows,
+    store,
+    targets,
+)
 from placed import run_on
 
 QUEUE = queues.Queue(name="q", host="h", prefix="/q/", pool="p")
@@ -215,3 +225,31 @@
     again = subject.scheduler.tables.targets["t0"]
     assert again is not first
     world.run_until(lambda: again.announced)
+
+
+def test_targets_that_only_an_owner_of_the_former_code_recorded_are_contacted_and_move_to_the_groups():
+    world = world_module.World(entries=0, target_count=2)
+    world.unregister("t1")
+    known = {
+        name: known_targets.KnownTarget(target=engine.target, takes_runs=True)
+        for name, engine in world.engines.items()
+    }
+    record = store.Put(key=keys.FORMER_TARGETS, value=known_targets.encode(known))
+    world.store.commit((), (record,), ())
+    grouped: list = []
+    commit = world.store.commit
+
+    def record_groups(conditions, puts, removes):
+        outcome = commit(conditions, puts, removes)
+        if keys.FORMER_TARGETS in {put.key for put in puts}:
+            values = [item.value for item in world.store.list_prefix(keys.TARGETS)]
+            grouped.append(known_targets.decode_groups(values))
+        return outcome
+
+    world.store.commit = record_groups
+    world.start("new")
+    world.run(3.0)
+    assert world.engines["t1"].polls
+    assert [set(one) for one in grouped] == [{"t0", "t1"}]
+    emptied = world.store.items[keys.FORMER_TARGETS].value
+    assert known_targets.decode_groups([emptied]) == {}
--- a/packages/ebonyhatch-fleet/tests/test_recovery.py
+++ b/packages/ebonyhatch-fleet/tests/test_recovery.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import msgspec
 import pytest
 import scripted
 from ebonyhatch.fleet import clocks, keys, known_targets, memory_store, recovery, store, targets
@@ -61,7 +62,10 @@
     assert (stored.intake, stored.progress, stored.targets, stored.model) == ((), {}, {}, None)
 
 
-@pytest.mark.parametrize("prefix", [keys.INTAKE, keys.PROGRESS, keys.TARGETS, keys.MODEL_SNAPSHOT])
+@pytest.mark.parametrize(
+    "prefix",
+    [keys.INTAKE, keys.PROGRESS, keys.TARGETS, keys.FORMER_TARGETS, keys.MODEL_SNAPSHOT],
+)
 def test_part_that_fails_is_read_again_and_the_others_once(prefix):
     case = RecoveryCase()
     failures = iter((True, True, False))
@@ -76,7 +80,13 @@
     subjects = [subject(call) for call in case.store.calls if call.name != "watch"]
     assert {name: subjects.count(name) for name in set(subjects)} == {
         name: 3 if name == prefix else 1
-        for name in (keys.INTAKE, keys.PROGRESS, keys.TARGETS, keys.MODEL_SNAPSHOT)
+        for name in (
+            keys.INTAKE,
+            keys.PROGRESS,
+            keys.TARGETS,
+            keys.FORMER_TARGETS,
+            keys.MODEL_SNAPSHOT,
+        )
     }
 
 
@@ -105,3 +115,17 @@
     watch = case.store.watch(prefix=keys.INTAKE, after=stored.as_of, wait_s=0.1)
     changes = scripted.finish(case.clock, watch).unwrap()
     assert [change.key for change in changes.changes] == [later]
+
+
+def test_targets_of_an_owner_of_the_former_code_are_read_and_may_take_runs():
+    case = RecoveryCase()
+    leaving = known_targets.KnownTarget(target=_known("a").target, takes_runs=False, tasks=("t",))
+    also = msgspec.structs.replace(leaving, tasks=("u",))
+    case.put(keys.targets(1), known_targets.encode({"a": leaving, "d": leaving}))
+    former = {"a": _known("a"), "c": _known("c"), "d": also}
+    case.put(keys.FORMER_TARGETS, known_targets.encode(former))
+    stored = case.read()
+    both = msgspec.structs.replace(leaving, tasks=("t", "u"))
+    assert stored.targets == {name: _known(name) for name in "abc"} | {"d": both}
+    assert stored.grouped_targets == {"a": leaving, "b": _known("b"), "d": leaving}
+    assert stored.former_targets
