--- a/packages/ebonyhatch-fleet/tests/test_known_targets.py
+++ b/packages/ebonyhatch-fleet/tests/test_known_targets.py
@@ -5,7 +5,17 @@
 import msgspec
 import pytest
 import world as world_module
-from ebonyhatch.fleet import jobs, known_targets, owner, progress, queues, rows, targets
+from ebonyhatch.fleet import (
+    jobs,
+    keys,
+    known_targets,
+    owner,
+    progress,
+    queues,
+    rows,
+    store,
+    targets,
+)
 from placed import run_on
 
 QUEUE = queues.Queue(name="q", host="h", prefix="/q/", pool="p")
@@ -135,12 +145,14 @@
         self.announced = 0
         self.differences: list = []
         self._changed = known_targets.Records.changed
-        self._on_durable = owner.Owner._on_durable
+        self._announce = owner.Owner._announce_targets
         comparison = self
         monkeypatch.setattr(
             known_targets.Records, "changed", lambda *args: comparison.changed(*args)
         )
-        monkeypatch.setattr(owner.Owner, "_on_durable", lambda *args: comparison.on_durable(*args))
+        monkeypatch.setattr(
+            owner.Owner, "_announce_targets", lambda subject: comparison.announce(subject)
+        )
 
     def changed(self, records, row_of):
         sessions = row_of.__self__._sessions
@@ -155,14 +167,14 @@
         self.compared += bool(found)
         return found
 
-    def on_durable(self, subject, states):
+    def announce(self, subject):
         recorded = subject._known_records.targets
         expected = {
             name: session.row.announced or (name in recorded and recorded[name].takes_runs)
             for name, session in subject._sessions.items()
         }
         before = [session.row.announced for session in subject._sessions.values()]
-        self._on_durable(subject, states)
+        self._announce(subject)
         found = {name: session.row.announced for name, session in subject._sessions.items()}
         if found != expected:
             self.differences.append((found, expected))
@@ -213,3 +225,31 @@
     again = subject.scheduler.tables.targets["t0"]
     assert again is not first
     world.run_until(lambda: again.announced)
+
+
+def test_targets_that_only_an_owner_of_the_former_code_recorded_are_contacted_and_move_to_the_groups():
+    world = world_module.World(entries=0, target_count=2)
+    world.unregister("t1")
+    known = {
+        name: known_targets.KnownTarget(target=engine.target, takes_runs=True)
+        for name, engine in world.engines.items()
+    }
+    record = store.Put(key=keys.FORMER_TARGETS, value=known_targets.encode(known))
+    world.store.commit((), (record,), ())
+    grouped: list = []
+    commit = world.store.commit
+
+    def record_groups(conditions, puts, removes):
+        outcome = commit(conditions, puts, removes)
+        if keys.FORMER_TARGETS in {put.key for put in puts}:
+            values = [item.value for item in world.store.list_prefix(keys.TARGETS)]
+            grouped.append(known_targets.decode_groups(values))
+        return outcome
+
+    world.store.commit = record_groups
+    world.start("new")
+    world.run(3.0)
+    assert world.engines["t1"].polls
+    assert [set(one) for one in grouped] == [{"t0", "t1"}]
+    emptied = world.store.items[keys.FORMER_TARGETS].value
+    assert known_targets.decode_groups([emptied]) == {}
