An entry whose registration is refused registers again

What callers saw: an entry without a key is linked by no peer. As the owner it makes `pending` fail with 503 on all other entries, and each state and cancellation takes the path through the store, until its lease ends.

Cause: the outcome of the write of the entry's key was ignored, and only a new lease led to another one. All entries write their keys at once at the start of a fleet and after an outage that ends the leases, where the store refuses calls beyond its rate. The write also held up the first renewals of the new lease for as long as its time limit.

Change: the key is written again with each renewal until that succeeds, and renewals don't wait for it. A refused write is logged (entry.not_registered).

test_entry_whose_registration_is_refused_registers_again failed before: the key was missing a second after the store accepted writes again, though the entry had become the owner.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -121,6 +121,8 @@
             store_port=store_port, all_clocks=all_clocks, group=self._group
         )
         self._lease = 0
+        self._registered_lease = 0
+        self._registering = False
         self._lease_lost_at = float("-inf")
         self._joined_at = all_clocks.now()
         self._valid_until = 0.0
@@ -258,12 +260,13 @@
             if isinstance(granted, result.Success):
                 self._lease = granted.unwrap().lease
                 self._valid_until = sent_at + granted.unwrap().ttl_s - LEASE_MARGIN_S
-                await self._register()
+                self._start_registration()
             self._record_renewal(granted)
             return
         renewed = await self._store.renew(lease=self._lease)
         if isinstance(renewed, result.Success):
             self._valid_until = sent_at + renewed.unwrap() - LEASE_MARGIN_S
+            self._start_registration()
         elif isinstance(renewed.failure(), store.NoLeaseError):
             decision_log.write("lease.ended", lease=self._lease, owner=self.is_owner)
             self._lease = 0
@@ -281,12 +284,25 @@
             decision_log.write(event, dependency="store", reason=reason)
         self._last_renewal_succeeded = succeeded
 
+    def _start_registration(self) -> None:
+        """Writes the entry's key unless it is written; renewals don't wait for that."""
+        if self._registered_lease != self._lease and not self._registering:
+            self._group.spawn(self._register())
+
     async def _register(self) -> None:
         """Writes the entry's key, and the owner's key if this entry acts as the owner."""
+        lease = self._lease
         value = msgspec.json.encode(self._entry)
-        key = keys.entry(self._entry.name)
-        puts = (store.Put(key=key, value=value, lease=self._lease),)
-        await self._store.commit(puts=puts)
+        put = store.Put(key=keys.entry(self._entry.name), value=value, lease=lease)
+        self._registering = True
+        try:
+            written = await self._store.commit(puts=(put,))
+        finally:
+            self._registering = False
+        if isinstance(written, result.Success):
+            self._registered_lease = lease
+        else:
+            decision_log.write("entry.not_registered", reason=str(written.failure()))
         if self._term:
             await self._reclaim_ownership()
 
--- a/packages/ebonyhatch-fleet/tests/test_ownership.py
+++ b/packages/ebonyhatch-fleet/tests/test_ownership.py
@@ -98,6 +98,25 @@
     assert one.owner_writes() == 1 and one.members.is_owner
 
 
+def test_entry_whose_registration_is_refused_registers_again():
+    fleet = Fleet()
+    one = fleet.join("a", 1.0)
+    until = 2.0
+    one.store.fails = lambda call: call.name == "commit" and call.at < until
+    fleet.advance(until)
+    assert keys.entry("a") not in fleet.engine.items
+    fleet.advance(1.0)
+    assert keys.entry("a") in fleet.engine.items
+
+
+def test_registered_entry_does_not_write_its_key_again():
+    fleet = Fleet()
+    one = fleet.join("a", 1.0)
+    fleet.advance(5 * SETTLED_S)
+    written = [put.key for call in one.store.of("commit") for put in call.arguments["puts"]]
+    assert written.count(keys.entry("a")) == 1
+
+
 def test_owner_that_a_read_before_the_takeover_finds_is_not_written_over():
     fleet = Fleet()
     one = fleet.join("a", 1.0)
