Ends are acknowledged only to a target that answered the last poll

What callers could see: a task that had ended as done is started again.

Cause: numbers of ends begin at 1 in each incarnation of a target. The first polls after a restart acknowledged the highest number of the incarnation before, so that ends of the new one with lower numbers were forgotten before any owner had read them. Orders reach a new incarnation before its first report, as a target counts as unreachable only after two failed polls.

Change: while polls fail nothing is acknowledged, as nothing is renewed; the next answered poll tells the incarnation. A target that restarts between two answered polls isn't covered.

test_ends_are_not_acknowledged_to_a_target_that_may_have_restarted_meanwhile failed before: the first poll that the new incarnation received acknowledged number 1.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -291,7 +291,8 @@
         return await self._port.renew_and_poll(
             target=self._row.target,
             fence=self._fence,
-            acknowledged=self._acknowledged,
+            # The target may have restarted since, and its new ends have the same numbers.
+            acknowledged=0 if self._failures else self._acknowledged,
             deadline_s=self._renew_lease(),
             wait_s=wait_s,
         )
--- a/packages/ebonyhatch-fleet/tests/test_target_session.py
+++ b/packages/ebonyhatch-fleet/tests/test_target_session.py
@@ -31,6 +31,7 @@
         self.lost: list[str] = []
         self.changed: list[target_session.TargetSession] = []
         self.stopping = False
+        self.durable = 0
         target = targets.Target(
             target_id="t", address="t:1", pool="p", failure_domain="a", born=BORN
         )
@@ -44,7 +45,7 @@
             on_runs_lost=lambda session, why: self.lost.append(why),
             on_fenced=lambda reason: None,
             on_changed=self.changed.append,
-            durable=lambda: 0,
+            durable=lambda: self.durable,
             ticket=lambda: 1,
             pause_s=lambda: PAUSE_S,
             scan_slots=self.slots,
@@ -329,3 +330,35 @@
     case.advance(LEASE_S / 2)
     assert case.session.row.reachable and case.session.row.target.born == BORN + 1
     assert case.changed == [case.session] * 3
+
+
+def test_ends_are_not_acknowledged_to_a_target_that_may_have_restarted_meanwhile():
+    case = SessionCase()
+    case.ready = True
+    case.target.respond = case.report
+    case.session.start()
+    case.advance(1.0)
+    case.durable = 1
+    case.advance(0.5)
+    assert case.target.polls[-1].acknowledged == 1
+    case.target.respond = lambda poll: UNKNOWN
+    case.advance(1.0)
+    case.target.respond = lambda poll: case.report(poll, born=BORN + 1)
+    first_after = len(case.target.polls)
+    case.advance(1.0)
+    assert case.target.polls[first_after].acknowledged == 0
+
+
+def test_ends_are_acknowledged_again_once_the_same_incarnation_answers():
+    case = SessionCase()
+    case.ready = True
+    case.target.respond = case.report
+    case.session.start()
+    case.advance(1.0)
+    case.durable = 1
+    case.target.respond = lambda poll: UNKNOWN
+    case.advance(1.0)
+    assert all(poll.acknowledged == 0 for poll in case.target.polls[-2:])
+    case.target.respond = case.report
+    case.advance(1.0)
+    assert case.target.polls[-1].acknowledged == 1
