An unchanged registration doesn't set a restarted target back

What callers saw: a task ran twice at the same time; runs were counted as lost on targets that were up.

Cause: a restarted target reports its new incarnation before the list of targets names it. Each change of any other target applied the whole list again, which set the target back to its earlier incarnation. Its next report then counted as that of a restart: all its runs were lost and placed again, also those whose start was still on its way. The more targets there are, the more often any of them changes.

Change: a registration that is the same as in the last list isn't applied again. A list that arrives late with a different registration of the earlier incarnation is applied as before: refusing an earlier time of start would keep a target out whose clock was set back.

test_late_list_of_targets_does_not_set_a_restarted_target_back_and_lose_its_runs failed before with a lost run (new-life), and test_start_in_flight_on_a_restarted_target_is_not_repeated_after_a_late_list with tasks that were started twice.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -119,6 +119,7 @@
         self._scheduler.begin_term(term)
         self._configuration = queues.Configuration(version=0)
         self._sessions: dict[str, target_session.TargetSession] = {}
+        self._listed: dict[str, targets.Target] = {}
         self._targets = target_list.TargetList(
             store_port=store_port,
             target_codec=target_codec,
@@ -473,12 +474,17 @@
             self._known_records.mark(target_id)
         for target in listed.values():
             session = self._sessions.get(target.target_id)
+            if session is not None and self._listed.get(target.target_id) == target:
+                # The target may have reported a newer incarnation than the unchanged list names.
+                session.row.listed = True
+                continue
             restarted = session is not None and session.row.target.born < target.born
             row = self._scheduler.set_target(target, now=now)
             if session is None:
                 self._open_session(row)
             elif restarted:
                 session.reset_for_new_incarnation()
+        self._listed = listed
         for target_id, session in list(self._sessions.items()):
             if target_id not in listed:
                 session.row.listed = False
--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
+import msgspec
 import pytest
+import scripted
 import world as world_module
 from ebonyhatch.fleet import jobs, keys, memory_targets, owner, store
 from returns import result
@@ -128,3 +130,45 @@
     assert calls.listings == 0
     world.run(0.5)
     assert not any(engine.runs for engine in world.engines.values())
+
+
+def test_late_list_of_targets_does_not_set_a_restarted_target_back_and_lose_its_runs():
+    world = _ready(target_count=2)
+    session_row = world.owner.node.owner.scheduler.tables.targets["t0"]
+    world.engines["t0"].restart()
+    world.run_until(lambda: session_row.target.born == 2)
+    job = world.job(jobs.Step(count=2, cpu_millis=4000, estimate_s=3.0), work_s=3.0)
+    with scripted.logged() as lines:
+        world.submit(job)
+        world.run(0.5)
+        world.add_target("t9")
+        world.run(2.0)
+    assert session_row.target.born == 2
+    assert [line for line in lines if line["message_type"] == "run.lost"] == []
+    world.run_until(lambda: world.state(job.job_id) == "completed")
+    assert len(world.starts(job.job_id)) == 2
+    world_module.check_all(world)
+
+
+def test_start_in_flight_on_a_restarted_target_is_not_repeated_after_a_late_list(monkeypatch):
+    world = _ready(target_count=2)
+    row = world.owner.node.owner.scheduler.tables.targets["t0"]
+    world.engines["t0"].restart()
+    world.run_until(lambda: row.target.born == 2)
+    monkeypatch.setattr(memory_targets, "CALL_LATENCY_S", ANSWER_S)
+    step = jobs.Step(count=1, cpu_millis=500, estimate_s=0.5)
+    for _ in range(20):
+        world.store_jobs(world.job(step, work_s=0.5))
+        world.run(0.1)
+        world.register(world.engines["t1"].target)
+    world.run(5.0)
+    assert [len(world.starts(job_id)) for job_id in world.accepted] == [1] * 20
+    world_module.check_all(world)
+
+
+def test_target_whose_registration_changes_is_updated():
+    world = _ready(target_count=2)
+    row = world.owner.node.owner.scheduler.tables.targets["t0"]
+    world.register(msgspec.structs.replace(row.target, cpu_millis=9000))
+    world.run(0.5)
+    assert row.target.cpu_millis == row.free_cpu == 9000
