The watch of targets continues after a failed call

Cause: any failed watch made the owner list all targets anew, on the link and at the rate limit of the store that it shares with renewals, for as long as calls failed. The listing grows with the targets.

Change: the watch continues from its last revision until the history is compacted, as that of the intake does. Registrations that vanish in the first changes after a failure are retained for a while, as those missing in the listing were.

test_failed_watches_do_not_make_the_targets_be_listed_anew failed before: 8 pages were read in an outage of 5 s instead of 1. The other tests of the new file, of what is retained, passed before and pass.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
@@ -105,19 +105,26 @@
         self._on_change(dict(self._listed))
 
     async def _watch(self, as_of: int) -> None:
+        """Follows the changes until the history is compacted, since a new listing is expensive."""
         while True:
             watched = await self._store.watch(
                 prefix=self._target_codec.prefix, after=as_of, wait_s=WATCH_TIMEOUT_S
             )
             if isinstance(watched, result.Failure):
-                self._failed = not isinstance(watched.failure(), store.CompactedError)
-                if self._failed:
-                    await self._group.sleep(listing.RETRY_DELAY_S)
-                return
+                if isinstance(watched.failure(), store.CompactedError):
+                    return
+                self._failed = True
+                await self._group.sleep(listing.RETRY_DELAY_S)
+                continue
             changes = watched.unwrap()
             as_of = changes.as_of
+            retained = dict(self._listed) if self._failed else {}
             for change in changes.changes:
                 self._apply(change.key, change.item)
+            missing = {name: retained[name] for name in retained if name not in self._listed}
+            if missing:
+                self._retain_temporarily(missing)
+            self._failed = False
             if changes.changes:
                 self._on_change(dict(self._listed))
 
