The watch of the configuration continues after a failed call

Cause: any failed watch made each entry read the whole configuration anew, all entries at once in an outage and at the store's return.

Change: the watch continues from its last revision until the history is compacted.

test_failed_watches_do_not_make_the_configuration_be_read_anew failed before: 11 calls in an outage of 5 s instead of 1.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
@@ -84,13 +84,16 @@
             await self._watch(listed.as_of)
 
     async def _watch(self, as_of: int) -> None:
+        """Follows the key until the history is compacted; a listing transfers the whole version."""
         while True:
             watched = await self._store.watch(
                 prefix=self._codec.key, after=as_of, wait_s=WATCH_TIMEOUT_S
             )
             if isinstance(watched, result.Failure):
+                if isinstance(watched.failure(), store.CompactedError):
+                    return
                 await self._group.sleep(RETRY_DELAY_S)
-                return
+                continue
             as_of = watched.unwrap().as_of
             for change in watched.unwrap().changes:
                 if change.item is not None:
