An owner that reaches few targets yields

What callers saw: an owner that the store answers and the targets don't keeps the role; nothing is started and all runs are lost with their leases.

Change: an owner that reaches under a quarter of the listed targets for 4 s, while the store renews its lease, gives its term up as one does whose recovery stands still: only if there are other entries, and at most every 20 s. If the targets themselves are at fault, no entry does better; so that the role doesn't pass through all entries, an owner yields for this reason only if its term or the one before lasted 20 s, which makes two times in a row at most.

Ruled out: asking a peer to probe a few targets first. It would be more certain, but each look at a target is priced, and a call of an entry that is not the owner would reach the target with a lower fence.

test_owner_that_reaches_no_targets_gives_up_and_work_goes_on failed before: the owner was the same after 20 s. The other three tests bound when it keeps the role; with 6 entries and no target that answers there were 3 terms or fewer in 20 s.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -47,6 +47,13 @@
 PAGE_BYTES = 1_400_000
 """Largest page of a listing on the link, bytes."""
 
+MIN_REACHED_FRACTION = 0.25
+"""Fraction of the targets below which an owner takes its own connection to be at fault."""
+
+FEW_TARGETS_S = 4.0
+"""Time for which an owner reaches fewer targets before it yields, seconds: longer than a fault of
+the links that ends by itself, and much longer than polls take to time out."""
+
 FLUSH_TIMEOUT_S = 1.0
 """Timeout of the last write of an owner that hands over, seconds."""
 
@@ -123,6 +130,7 @@
         )
         self._owner: owner_module.Owner | None = None
         self._closing = False
+        self._few_targets_since: float | None = None
         self._members = ownership.Ownership(
             entry=ownership.EntryRecord(
                 name=settings.name,
@@ -247,6 +255,7 @@
         return state if self._owner is None else state | self._owner.gauges()
 
     def _on_gained(self, head: ownership.Head, revision: int) -> None:
+        self._few_targets_since = None
         new_owner = owner_module.Owner(
             term=head.term,
             head_revision=revision,
@@ -267,16 +276,20 @@
         new_owner.start(configuration=configuration)
 
     async def _review_ownership(self) -> None:
-        """Yields the ownership to a larger entry, or if the recovery makes no progress."""
+        """Yields the ownership to a larger entry, or if this owner makes no progress."""
         while True:
             await self._group.sleep(OWNER_REVIEW_INTERVAL_S)
             local_owner = self._owner
             if local_owner is None or self._closing:
+                self._few_targets_since = None
                 continue
+            few_targets_s = self._few_targets_s(local_owner)
             if self._members.should_yield():
                 reason, gives_up = "an entry of more capacity is present", False
             elif self._members.may_yield and local_owner.stalled_s > self._no_progress_s:
                 reason, gives_up = "the recovery makes no progress", True
+            elif self._members.may_yield_for_targets and few_targets_s > FEW_TARGETS_S:
+                reason, gives_up = "few targets can be reached", True
             else:
                 continue
             decision_log.write("owner.yields", term=local_owner.term, reason=reason)
@@ -284,6 +297,15 @@
             if local_owner is self._owner:
                 await self._members.yield_ownership(reason, gives_up=gives_up)
 
+    def _few_targets_s(self, local_owner: owner_module.Owner) -> float:
+        """Returns for how long the owner has reached few targets, seconds."""
+        now = self._clocks.now()
+        if local_owner.reached_fraction >= MIN_REACHED_FRACTION:
+            self._few_targets_since = None
+        elif self._few_targets_since is None:
+            self._few_targets_since = now
+        return 0.0 if self._few_targets_since is None else now - self._few_targets_since
+
     def _on_superseded(self, owner: owner_module.Owner, reason: str) -> None:
         """Stops the current owner; a late report about an earlier owner has no effect."""
         if owner is self._owner:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -179,6 +179,12 @@
             return 0.0
         return self._clocks.now() - max(self._began_at, self._recovery.progressed_at)
 
+    @property
+    def reached_fraction(self) -> float:
+        """Fraction of the listed targets that answer; 1 if none is listed."""
+        listed = [one.row for one in self._sessions.values() if one.row.listed]
+        return sum(row.reachable for row in listed) / len(listed) if listed else 1.0
+
     @property
     def scheduler(self) -> scheduler.Scheduler:
         """Scheduler of this term."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -135,6 +135,9 @@
         self._leaving = False
         self._term = 0
         self._last_term = 0
+        self._seen_term = 0
+        self._seen_term_at = 0.0
+        self._former_term_s = 0.0
         self._last_renewal_succeeded = False
         self._store_answered_at = all_clocks.now()
 
@@ -182,6 +185,21 @@
             and self._clocks.now() - self._yielded_at >= MIN_YIELD_INTERVAL_S
         )
 
+    @property
+    def may_yield_for_targets(self) -> bool:
+        """Whether this owner may yield because it reaches few targets.
+
+        If the targets themselves are at fault, no entry does better: after two short terms the
+        ownership stays where it is for a while.
+        """
+        term_s = self._clocks.now() - self._seen_term_at
+        return (
+            self.may_yield
+            and self.lease_valid
+            and self.store_reachable
+            and max(term_s, self._former_term_s) >= MIN_YIELD_INTERVAL_S
+        )
+
     def start(self) -> None:
         """Joins the membership as a candidate."""
         self._store_answered_at = self._joined_at = self._clocks.now()
@@ -444,6 +462,7 @@
         if self._term:
             self._on_lost("a new term begins")
         self._term = self._last_term = head.term
+        self._note_term(head.term)
         decision_log.write("owner.gained", term=head.term, head_revision=revision)
         self._on_gained(head, revision)
 
@@ -497,11 +516,21 @@
                 term=0 if record is None else record.term,
             )
         self._owner = record
+        if record is not None:
+            self._note_term(record.term)
         if record is None or not self._term:
             return
         if record.incarnation != self._entry.incarnation:
             self.relinquish(f"{record.name} is the owner of term {record.term}", term=self._term)
 
+    def _note_term(self, term: int) -> None:
+        """Notes when a term was first seen, and how long the one before it lasted."""
+        if term == self._seen_term:
+            return
+        now = self._clocks.now()
+        self._former_term_s = now - self._seen_term_at if self._seen_term else 0.0
+        self._seen_term, self._seen_term_at = term, now
+
     def _report_entries(self) -> None:
         self._on_entries(tuple(self._entries.values()))
 
--- a/packages/ebonyhatch-fleet/tests/test_ownership.py
+++ b/packages/ebonyhatch-fleet/tests/test_ownership.py
@@ -312,3 +312,57 @@
     assert world.owner is only and only.node.owner.term == 1
     only.store.faults.silent_prefix = ""
     world.run_until(lambda: only.node.owner.recovered, 3.0)
+
+
+def _owner_for(world: world_module.World, seconds: float) -> world_module.Member:
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(seconds)
+    return world.owner
+
+
+def test_owner_that_reaches_no_targets_gives_up_and_work_goes_on():
+    world = world_module.World(entries=3)
+    cut_off = _owner_for(world, ownership.MIN_YIELD_INTERVAL_S)
+    job = world.job(work_s=3.0)
+    cut_off.targets.partitioned = True
+    world.submit(job, at=cut_off.name)
+    world.run_until(lambda: world.owner is not None and world.owner is not cut_off)
+    world.run_until(lambda: world.state(job.job_id) == "completed", limit_s=15.0)
+    assert len(world.starts(job.job_id)) == 2
+    world_module.check_all(world)
+
+
+def test_owner_that_reaches_no_targets_for_a_short_time_keeps_its_role():
+    world = world_module.World(entries=3)
+    cut_off = _owner_for(world, ownership.MIN_YIELD_INTERVAL_S)
+    cut_off.targets.partitioned = True
+    world.run(node.FEW_TARGETS_S - 1.0)
+    cut_off.targets.partitioned = False
+    world.run(3 * node.FEW_TARGETS_S)
+    assert world.owner is cut_off
+
+
+def test_ownership_does_not_pass_through_all_entries_when_no_target_answers():
+    world = world_module.World(entries=6)
+    _owner_for(world, ownership.MIN_YIELD_INTERVAL_S)
+    for engine in world.engines.values():
+        engine.faults.partitioned = True
+    gained = set()
+
+    def note_owner() -> bool:
+        if world.owner is not None:
+            gained.add(world.owner.node.owner.term)
+        return False
+
+    until = world.clock.seconds() + ownership.MIN_YIELD_INTERVAL_S
+    world.run_until(lambda: note_owner() or world.clock.seconds() > until, limit_s=60.0)
+    assert len(gained) <= 3
+
+
+def test_only_entry_that_reaches_no_targets_keeps_its_role():
+    world = world_module.World(entries=1)
+    only = _owner_for(world, ownership.MIN_YIELD_INTERVAL_S)
+    only.targets.partitioned = True
+    term = only.node.owner.term
+    world.run(3 * node.FEW_TARGETS_S)
+    assert only.node.owner is not None and only.node.owner.term == term
