--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/messages.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/messages.py
@@ -84,6 +84,15 @@
     value: bytes
 
 
+class ConfigurationCall(messages.Message, frozen=True, kw_only=True):
+    """Asks a peer for a configuration newer than a version; the answer is a `ConfigurationNotice`.
+
+    Its value is empty if the peer has no newer one.
+    """
+
+    version: int
+
+
 class LoadNotice(messages.Message, frozen=True, kw_only=True):
     """The owner's report of the load of each queue.
 
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -267,6 +267,15 @@
     assert world.members["e1"].node.configuration.version == 9
 
 
+@pytest.mark.parametrize("refused_s", [3.0, 10.0])
+def test_an_entry_whose_lease_ended_receives_a_version_from_a_peer(refused_s):
+    world = _ready()
+    world.members["e1"].store.faults.refuse = True
+    world.run(refused_s)
+    world.configure(queues.Configuration(version=9, queues=(), pools=()))
+    world.run_until(lambda: world.members["e1"].node.configuration.version == 9, limit_s=2.0)
+
+
 def test_a_planned_stop_hands_ownership_over_at_once():
     world = _ready()
     job = world.job(*TWO_STEPS, work_s=2.0)
