Copies of a configuration don't grow with the square of the entries

Cause: each entry that received a version sent the whole of it to all others. With 41 entries that is 40 copies on the link of each, sent at once and again received, beside the renewals of its lease. Traffic between entries isn't counted in the use of the link, so that nothing slows down for it.

Change: an entry passes a version on to the entries at distances of 1, 2, 4 and so on in the circle of names: 6 of 40. Each entry still receives it from as many others, and all pass it on.

test_copies_of_a_version_do_not_grow_with_the_square_of_the_entries failed before: 272 copies for 17 entries, where 85 are allowed.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -339,8 +339,20 @@
         if self._owner is not None:
             self._owner.set_configuration(configuration)
         notice = messages.ConfigurationNotice(version=configuration.version, value=value)
-        for peer in self._network.peers:
-            self._network.send(entry_id=peer.entry_id, message=notice)
+        for name in self._relay_peers():
+            self._network.send(entry_id=name, message=notice)
+
+    def _relay_peers(self) -> list[str]:
+        """Returns the peers at distances of 1, 2, 4 and so on in the circle of all names.
+
+        A version is large, and each entry passes it on: sent to all peers by all, its copies would
+        grow with the square of the number of entries.
+        """
+        name = self._settings.name
+        names = sorted({name, *(peer.entry_id for peer in self._network.peers)})
+        position = names.index(name)
+        distances = [1 << bit for bit in range((len(names) - 1).bit_length())]
+        return [names[(position + distance) % len(names)] for distance in distances]
 
     async def _query_configuration(self) -> None:
         """Asks peers for newer versions while the store doesn't serve this entry.
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -2,7 +2,7 @@
 
 import pytest
 import world as world_module
-from ebonyhatch.fleet import entry, jobs, node, queues, targets
+from ebonyhatch.fleet import entry, jobs, memory_peers, messages, node, queues, targets
 
 TWO_STEPS = (
     jobs.Step(count=3, cpu_millis=1000, estimate_s=0.5),
@@ -276,6 +276,33 @@
     world.run_until(lambda: world.members["e1"].node.configuration.version == 9, limit_s=2.0)
 
 
+def test_copies_of_a_version_do_not_grow_with_the_square_of_the_entries(monkeypatch):
+    world = _ready(entries=17)
+    sent = []
+    send = memory_peers.MemoryPeers.send
+
+    def count(port, *, entry_id, message):
+        if isinstance(message, messages.ConfigurationNotice):
+            sent.append(entry_id)
+        return send(port, entry_id=entry_id, message=message)
+
+    monkeypatch.setattr(memory_peers.MemoryPeers, "send", count)
+    world.members["e7"].store.faults.refuse = True
+    world.configure(queues.Configuration(version=9, queues=(), pools=()))
+    world.run(0.3)
+    assert all(member.node.configuration.version == 9 for member in world.members.values())
+    assert len(sent) <= 17 * 5
+
+
+@pytest.mark.parametrize("entries", [1, 2, 3, 5])
+def test_each_entry_passes_a_version_on_to_other_entries_only(entries):
+    world = _ready(entries=entries)
+    for name, member in world.members.items():
+        passed_on = member.node._relay_peers()
+        assert name not in passed_on and len(set(passed_on)) == len(passed_on)
+        assert passed_on or entries == 1
+
+
 def test_a_planned_stop_hands_ownership_over_at_once():
     world = _ready()
     job = world.job(*TWO_STEPS, work_s=2.0)
