--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import time
 
 import msgspec
@@ -27,10 +28,15 @@
 )
 from ebonyhatch.fleet import owner as owner_module
 from ebonyhatch.node import coroutines, peers
+from returns import result
 
 LOAD_NOTICE_INTERVAL_S = 0.25
 """Time between two load notices of the owner, seconds."""
 
+CONFIGURATION_QUERY_INTERVAL_S = 0.5
+"""Time between two queries for a newer configuration while the store refuses this entry, seconds;
+also their timeout."""
+
 LINK_BYTES_PER_CORE = 3_000_000
 """Traffic of an owner that keeps one core busy, bytes a second."""
 
@@ -48,6 +54,13 @@
 PAGE_BYTES = 1_400_000
 """Largest page of a listing on the link, bytes."""
 
+MIN_REACHED_FRACTION = 0.25
+"""Fraction of the targets below which an owner takes its own connection to be at fault."""
+
+FEW_TARGETS_S = 4.0
+"""Time for which an owner reaches fewer targets before it yields, seconds: longer than a fault of
+the links that ends by itself, and much longer than polls take to time out."""
+
 FLUSH_TIMEOUT_S = 1.0
 """Timeout of the last write of an owner that hands over, seconds."""
 
@@ -124,6 +137,9 @@
         )
         self._owner: owner_module.Owner | None = None
         self._closing = False
+        self._few_targets_since: float | None = None
+        self._random = random.Random(int.from_bytes(os.urandom(8), "big"))
+        self._configuration_value = b""
         self._members = ownership.Ownership(
             entry=ownership.EntryRecord(
                 name=settings.name,
@@ -207,12 +223,14 @@
         self._loop_delay.start()
         self._load_report.start()
         self._network.handle(messages.ConfigurationNotice, self._on_configuration_notice)
+        self._network.handle(messages.ConfigurationCall, self._on_configuration_call)
         self._network.handle(messages.LoadNotice, self._on_load_notice)
         self._network.start()
         self._entry.start()
         self._configuration.start()
         self._members.start()
         self._group.spawn(self._report_load())
+        self._group.spawn(self._query_configuration())
         self._group.spawn(self._review_ownership())
 
     async def hand_over(self) -> None:
@@ -252,6 +270,7 @@
         return state if self._owner is None else state | self._owner.gauges()
 
     def _on_gained(self, head: ownership.Head, revision: int) -> None:
+        self._few_targets_since = None
         new_owner = owner_module.Owner(
             term=head.term,
             head_revision=revision,
@@ -261,7 +280,7 @@
             all_clocks=self._clocks,
             lease_s=self._settings.lease_s,
             keep_ended_s=self._settings.keep_ended_s,
-            lease_valid=lambda: self._members.lease_valid,
+            lease_valid=lambda: self._members.term_valid,
             store_reachable=lambda: self._members.store_reachable,
             on_superseded=lambda reason: self._on_superseded(new_owner, reason),
             poll_pause_s=self._poll_pace.pause_s,
@@ -272,16 +291,20 @@
         new_owner.start(configuration=configuration)
 
     async def _review_ownership(self) -> None:
-        """Yields the ownership to a larger entry, or if the recovery makes no progress."""
+        """Yields the ownership to a larger entry, or if this owner makes no progress."""
         while True:
             await self._group.sleep(OWNER_REVIEW_INTERVAL_S)
             local_owner = self._owner
             if local_owner is None or self._closing:
+                self._few_targets_since = None
                 continue
+            few_targets_s = self._few_targets_s(local_owner)
             if self._members.should_yield():
                 reason, gives_up = "an entry of more capacity is present", False
             elif self._members.may_yield and local_owner.stalled_s > self._no_progress_s:
                 reason, gives_up = "the recovery makes no progress", True
+            elif self._members.may_yield_for_targets and few_targets_s > FEW_TARGETS_S:
+                reason, gives_up = "few targets can be reached", True
             else:
                 continue
             decision_log.write("owner.yields", term=local_owner.term, reason=reason)
@@ -289,6 +312,15 @@
             if local_owner is self._owner:
                 await self._members.yield_ownership(reason, gives_up=gives_up)
 
+    def _few_targets_s(self, local_owner: owner_module.Owner) -> float:
+        """Returns for how long the owner has reached few targets, seconds."""
+        now = self._clocks.now()
+        if local_owner.reached_fraction >= MIN_REACHED_FRACTION:
+            self._few_targets_since = None
+        elif self._few_targets_since is None:
+            self._few_targets_since = now
+        return 0.0 if self._few_targets_since is None else now - self._few_targets_since
+
     def _on_superseded(self, owner: owner_module.Owner, reason: str) -> None:
         """Stops the current owner; a late report about an earlier owner has no effect."""
         if owner is self._owner:
@@ -308,11 +340,55 @@
         )
 
     def _on_configuration_changed(self, configuration: queues.Configuration, value: bytes) -> None:
+        self._configuration_value = value
         if self._owner is not None:
             self._owner.set_configuration(configuration)
         notice = messages.ConfigurationNotice(version=configuration.version, value=value)
-        for peer in self._network.peers:
-            self._network.send(entry_id=peer.entry_id, message=notice)
+        for name in self._relay_peers():
+            self._network.send(entry_id=name, message=notice)
+
+    def _relay_peers(self) -> list[str]:
+        """Returns the peers at distances of 1, 2, 4 and so on in the circle of all names.
+
+        A version is large, and each entry passes it on: sent to all peers by all, its copies would
+        grow with the square of the number of entries.
+        """
+        name = self._settings.name
+        names = sorted({name, *(peer.entry_id for peer in self._network.peers)})
+        position = names.index(name)
+        distances = [1 << bit for bit in range((len(names) - 1).bit_length())]
+        return [names[(position + distance) % len(names)] for distance in distances]
+
+    async def _query_configuration(self) -> None:
+        """Asks peers for newer versions while the store doesn't serve this entry.
+
+        Peers send it none, as its key vanishes with its lease.
+        """
+        while True:
+            await self._group.sleep(CONFIGURATION_QUERY_INTERVAL_S)
+            linked = self._network.peers
+            if self._members.store_reachable or not linked:
+                continue
+            peer = self._random.choice(linked)
+            current = self._configuration.current
+            reply = await self._network.call(
+                entry_id=peer.entry_id,
+                message=messages.ConfigurationCall(
+                    version=0 if current is None else current.version
+                ),
+                timeout_s=CONFIGURATION_QUERY_INTERVAL_S,
+            )
+            notice = reply.unwrap() if isinstance(reply, result.Success) else None
+            if isinstance(notice, messages.ConfigurationNotice) and notice.value:
+                self._on_configuration_notice(peer.entry_id, notice)
+
+    def _on_configuration_call(
+        self, sender: str, call: messages.ConfigurationCall
+    ) -> messages.ConfigurationNotice:
+        current = self._configuration.current
+        version = 0 if current is None else current.version
+        value = self._configuration_value if version > call.version else b""
+        return messages.ConfigurationNotice(version=version, value=value)
 
     def _on_configuration_notice(self, sender: str, notice: messages.ConfigurationNotice) -> None:
         current = self._configuration.current
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -62,6 +62,17 @@
 MAX_SCANS_IN_FLIGHT = 32
 """Maximum number of polls that ask for an immediate answer, over all targets."""
 
+MIN_ANSWERING_FRACTION = 0.8
+"""Fraction of the listed targets that have to answer an owner without a valid lease. With fewer it
+may be cut off together with them, while another entry takes over and reaches the rest."""
+
+ANSWER_AGE_S = 3.0
+"""Longest time since a target's last answer for which it counts as answering, seconds: more than a
+poll with its pause."""
+
+ANSWERS_COUNTED_INTERVAL_S = 0.1
+"""Minimum time between two counts of the answering targets, seconds."""
+
 MIN_SUSPENSION_S = 0.5
 """Minimum suspension between two ticks after which the lease has to be renewed first, seconds."""
 
@@ -108,6 +119,7 @@
         self._scheduler.begin_term(term)
         self._configuration = queues.Configuration(version=0)
         self._sessions: dict[str, target_session.TargetSession] = {}
+        self._listed: dict[str, targets.Target] = {}
         self._targets = target_list.TargetList(
             store_port=store_port,
             target_codec=target_codec,
@@ -141,6 +153,9 @@
         self._ticked_at = all_clocks.now()
         self._ticked_boottime = all_clocks.boottime()
         self._lease_renewal_required = False
+        self._without_lease_since: float | None = None
+        self._answers_counted_at = 0.0
+        self._most_targets_answer = False
         self._model_saved_at = all_clocks.now()
         self._known_records = known_targets.Records()
         self._inherited_targets: known_targets.KnownTargets = {}
@@ -166,6 +181,12 @@
             return 0.0
         return self._clocks.now() - max(self._began_at, self._recovery.progressed_at)
 
+    @property
+    def reached_fraction(self) -> float:
+        """Fraction of the listed targets that answer; 1 if none is listed."""
+        listed = [one.row for one in self._sessions.values() if one.row.listed]
+        return sum(row.reachable for row in listed) / len(listed) if listed else 1.0
+
     @property
     def scheduler(self) -> scheduler.Scheduler:
         """Scheduler of this term."""
@@ -461,12 +482,17 @@
             self._known_records.mark(target_id)
         for target in listed.values():
             session = self._sessions.get(target.target_id)
+            if session is not None and self._listed.get(target.target_id) == target:
+                # The target may have reported a newer incarnation than the unchanged list names.
+                session.row.listed = True
+                continue
             restarted = session is not None and session.row.target.born < target.born
             row = self._scheduler.set_target(target, now=now)
             if session is None:
                 self._open_session(row)
             elif restarted:
                 session.reset_for_new_incarnation()
+        self._listed = listed
         for target_id, session in list(self._sessions.items()):
             if target_id not in listed:
                 session.row.listed = False
@@ -494,6 +520,7 @@
             pause_s=self._poll_pause_s,
             scan_slots=self._scan_slots,
             stopping=lambda: self._closed,
+            may_renew=self._may_renew_leases,
         )
         self._sessions[row.target_id] = session
         self._unannounced.add(row.target_id)
@@ -621,14 +648,37 @@
     def _may_order_runs(self) -> bool:
         """Returns whether new runs may be ordered.
 
-        Without a valid lease they may be ordered while the store is unreachable: no other entry can
-        take over during a full outage, and targets refuse the orders of a superseded owner. After a
-        suspension of this process, a renewed lease is required in any case.
+        Without a valid lease they may be ordered while the store is unreachable and most targets
+        answer: no other entry can take over during a full outage, and targets refuse the orders of
+        a superseded owner. After a suspension of this process, a renewed lease is required in any
+        case.
         """
-        return self._lease_valid() or (
-            not self._store_reachable() and not self._lease_renewal_required
+        return self._may_renew_leases() and (
+            self._lease_valid()
+            or (not self._store_reachable() and not self._lease_renewal_required)
         )
 
+    def _may_renew_leases(self) -> bool:
+        """Returns whether the leases of targets may be renewed.
+
+        The next owner takes runs on targets that it can't reach as ended once the leases which were
+        valid at its takeover have expired. Only answers since the end of the own lease count.
+        """
+        now = self._clocks.now()
+        if self._lease_valid():
+            self._without_lease_since = None
+            return True
+        if self._without_lease_since is None:
+            self._without_lease_since = now
+            self._most_targets_answer = False
+        if now - self._answers_counted_at >= ANSWERS_COUNTED_INTERVAL_S:
+            self._answers_counted_at = now
+            since = max(self._without_lease_since, now - ANSWER_AGE_S)
+            listed = [one for one in self._sessions.values() if one.row.listed]
+            answering = sum(one.answered_at > since for one in listed)
+            self._most_targets_answer = answering >= MIN_ANSWERING_FRACTION * len(listed)
+        return self._most_targets_answer
+
     def _execute(self, command: commands.Command) -> None:
         if isinstance(command, commands.StartRun):
             self._group.spawn(self._start_run(command))
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -121,6 +121,9 @@
             store_port=store_port, all_clocks=all_clocks, group=self._group
         )
         self._lease = 0
+        self._registered_lease = 0
+        self._owner_key_lease = 0
+        self._registering = False
         self._lease_lost_at = float("-inf")
         self._joined_at = all_clocks.now()
         self._valid_until = 0.0
@@ -133,6 +136,9 @@
         self._leaving = False
         self._term = 0
         self._last_term = 0
+        self._seen_term = 0
+        self._seen_term_at = 0.0
+        self._former_term_s = 0.0
         self._last_renewal_succeeded = False
         self._store_answered_at = all_clocks.now()
 
@@ -161,6 +167,14 @@
         """Whether the lease is certainly valid, by the clock that counts suspensions."""
         return self._clocks.boottime() < self._valid_until
 
+    @property
+    def term_valid(self) -> bool:
+        """Whether the lease is certainly valid and the owner's key is known to be under it.
+
+        After the end of a lease another entry may be the owner until the key is written again.
+        """
+        return self.lease_valid and self._owner_key_lease == self._lease
+
     @property
     def store_reachable(self) -> bool:
         """Whether the last renewal succeeded."""
@@ -180,6 +194,21 @@
             and self._clocks.now() - self._yielded_at >= MIN_YIELD_INTERVAL_S
         )
 
+    @property
+    def may_yield_for_targets(self) -> bool:
+        """Whether this owner may yield because it reaches few targets.
+
+        If the targets themselves are at fault, no entry does better: after two short terms the
+        ownership stays where it is for a while.
+        """
+        term_s = self._clocks.now() - self._seen_term_at
+        return (
+            self.may_yield
+            and self.term_valid
+            and self.store_reachable
+            and max(term_s, self._former_term_s) >= MIN_YIELD_INTERVAL_S
+        )
+
     def start(self) -> None:
         """Joins the membership as a candidate."""
         self._store_answered_at = self._joined_at = self._clocks.now()
@@ -258,12 +287,13 @@
             if isinstance(granted, result.Success):
                 self._lease = granted.unwrap().lease
                 self._valid_until = sent_at + granted.unwrap().ttl_s - LEASE_MARGIN_S
-                await self._register()
+                self._start_registration()
             self._record_renewal(granted)
             return
         renewed = await self._store.renew(lease=self._lease)
         if isinstance(renewed, result.Success):
             self._valid_until = sent_at + renewed.unwrap() - LEASE_MARGIN_S
+            self._start_registration()
         elif isinstance(renewed.failure(), store.NoLeaseError):
             decision_log.write("lease.ended", lease=self._lease, owner=self.is_owner)
             self._lease = 0
@@ -281,31 +311,51 @@
             decision_log.write(event, dependency="store", reason=reason)
         self._last_renewal_succeeded = succeeded
 
+    def _start_registration(self) -> None:
+        """Writes the entry's key unless it is written; renewals don't wait for that."""
+        if self._registered_lease != self._lease and not self._registering:
+            self._group.spawn(self._register())
+
     async def _register(self) -> None:
         """Writes the entry's key, and the owner's key if this entry acts as the owner."""
+        lease = self._lease
         value = msgspec.json.encode(self._entry)
-        key = keys.entry(self._entry.name)
-        puts = (store.Put(key=key, value=value, lease=self._lease),)
-        await self._store.commit(puts=puts)
+        put = store.Put(key=keys.entry(self._entry.name), value=value, lease=lease)
+        self._registering = True
+        try:
+            written = await self._store.commit(puts=(put,))
+        finally:
+            self._registering = False
+        if isinstance(written, result.Success):
+            self._registered_lease = lease
+        else:
+            decision_log.write("entry.not_registered", reason=str(written.failure()))
         if self._term:
             await self._reclaim_ownership()
 
     async def _reclaim_ownership(self) -> None:
         """Writes the owner's key again after its lease ended, unless the key exists."""
-        if not self._lease:
+        lease = self._lease
+        if not lease:
             return
-        put = store.Put(key=keys.OWNER, value=self._owner_value(self._term), lease=self._lease)
+        put = store.Put(key=keys.OWNER, value=self._owner_value(self._term), lease=lease)
         absent = store.Condition(key=keys.OWNER, revision=store.ABSENT)
         claimed = await self._store.commit(conditions=(absent,), puts=(put,))
-        if isinstance(claimed, result.Failure) and isinstance(
-            claimed.failure(), store.ConflictError
-        ):
-            self._check_competing_owner(claimed.failure().items)
+        if isinstance(claimed, result.Success):
+            self._owner_key_lease = lease
+            return
+        error = claimed.failure()
+        if isinstance(error, store.ConflictError):
+            self._check_competing_owner(error.items)
 
     def _check_competing_owner(self, items: tuple[store.Item, ...]) -> None:
         for item in items:
             record = _decode_owner(item.value) if item.key == keys.OWNER else None
-            if record is not None and record.incarnation != self._entry.incarnation:
+            if record is None:
+                continue
+            if record.incarnation == self._entry.incarnation:
+                self._owner_key_lease = item.lease
+            else:
                 self.relinquish("another entry is the owner", term=self._term)
 
     async def _follow(self) -> None:
@@ -383,6 +433,7 @@
             await self._group.sleep(RETRY_DELAY_S)
             return False
         self._owner = _decode_owner(self._owner_value(term))
+        self._owner_key_lease = lease
         self._begin_term(head, committed.unwrap())
         return True
 
@@ -428,6 +479,7 @@
         if self._term:
             self._on_lost("a new term begins")
         self._term = self._last_term = head.term
+        self._note_term(head.term)
         decision_log.write("owner.gained", term=head.term, head_revision=revision)
         self._on_gained(head, revision)
 
@@ -459,7 +511,10 @@
 
     def _apply_item(self, key: str, item: store.Item | None) -> None:
         if key == keys.OWNER:
-            self._apply_owner(None if item is None else _decode_owner(item.value))
+            owner = None if item is None else _decode_owner(item.value)
+            if item is not None and owner and owner.incarnation == self._entry.incarnation:
+                self._owner_key_lease = item.lease
+            self._apply_owner(owner)
         elif key.startswith(keys.ENTRIES):
             name = key.removeprefix(keys.ENTRIES)
             record = None if item is None else _decode_entry(item.value)
@@ -481,11 +536,21 @@
                 term=0 if record is None else record.term,
             )
         self._owner = record
+        if record is not None:
+            self._note_term(record.term)
         if record is None or not self._term:
             return
         if record.incarnation != self._entry.incarnation:
             self.relinquish(f"{record.name} is the owner of term {record.term}", term=self._term)
 
+    def _note_term(self, term: int) -> None:
+        """Notes when a term was first seen, and how long the one before it lasted."""
+        if term == self._seen_term:
+            return
+        now = self._clocks.now()
+        self._former_term_s = now - self._seen_term_at if self._seen_term else 0.0
+        self._seen_term, self._seen_term_at = term, now
+
     def _report_entries(self) -> None:
         self._on_entries(tuple(self._entries.values()))
 
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -2,7 +2,18 @@
 
 import pytest
 import world as world_module
-from ebonyhatch.fleet import entry, jobs, node, queues, targets
+from ebonyhatch.fleet import (
+    entry,
+    jobs,
+    keys,
+    memory_peers,
+    messages,
+    node,
+    queues,
+    store,
+    targets,
+)
+from returns import result
 
 TWO_STEPS = (
     jobs.Step(count=3, cpu_millis=1000, estimate_s=0.5),
@@ -108,6 +119,46 @@
     world_module.check_all(world)
 
 
+@pytest.mark.parametrize("reached", [1, 2, 3])
+def test_tasks_of_an_owner_that_is_cut_off_with_some_targets_are_not_run_twice(reached):
+    world = _ready()
+    job = world.job(jobs.Step(count=8, cpu_millis=1000, estimate_s=40.0), work_s=40.0)
+    world.submit(job)
+    world.run(1.0)
+    cut_off = world.owner
+    names = sorted(world.engines)
+    cut_off.store.faults.silent = True
+    world.network.partitioned.add(cut_off.name)
+    cut_off.targets.unreached = frozenset(names[reached:])
+    for member in world.members.values():
+        if member is not cut_off:
+            member.targets.unreached = frozenset(names[:reached])
+    world.run(20.0)
+    assert any(m.node.owner for m in world.members.values() if m is not cut_off)
+    world_module.check_single_execution(world)
+
+
+def test_owner_with_a_new_lease_acts_only_once_the_owner_s_key_is_under_it():
+    world = _ready()
+    job = world.job(jobs.Step(count=8, cpu_millis=1000, estimate_s=40.0), work_s=40.0)
+    world.submit(job)
+    world.run(1.0)
+    former = world.owner
+    names = sorted(world.engines)
+    world.network.partitioned.add(former.name)
+    for member in world.members.values():
+        member.targets.unreached = frozenset(names[2:] if member is former else names[:2])
+
+    async def refuse(**arguments):
+        return result.Failure(store.NotDoneError(call="any", reason="refused"))
+
+    former.store.commit = former.store.watch = former.store.list_page = refuse
+    world.store.revoke(world.store.items[keys.OWNER].lease)
+    world.run(20.0)
+    assert any(m.node.owner for m in world.members.values() if m is not former)
+    world_module.check_single_execution(world)
+
+
 def test_running_work_goes_on_while_the_store_is_down():
     world = _ready()
     job = world.job(*TWO_STEPS, work_s=2.0)
@@ -248,6 +299,42 @@
     assert world.members["e1"].node.configuration.version == 9
 
 
+@pytest.mark.parametrize("refused_s", [3.0, 10.0])
+def test_an_entry_whose_lease_ended_receives_a_version_from_a_peer(refused_s):
+    world = _ready()
+    world.members["e1"].store.faults.refuse = True
+    world.run(refused_s)
+    world.configure(queues.Configuration(version=9, queues=(), pools=()))
+    world.run_until(lambda: world.members["e1"].node.configuration.version == 9, limit_s=2.0)
+
+
+def test_copies_of_a_version_do_not_grow_with_the_square_of_the_entries(monkeypatch):
+    world = _ready(entries=17)
+    sent = []
+    send = memory_peers.MemoryPeers.send
+
+    def count(port, *, entry_id, message):
+        if isinstance(message, messages.ConfigurationNotice):
+            sent.append(entry_id)
+        return send(port, entry_id=entry_id, message=message)
+
+    monkeypatch.setattr(memory_peers.MemoryPeers, "send", count)
+    world.members["e7"].store.faults.refuse = True
+    world.configure(queues.Configuration(version=9, queues=(), pools=()))
+    world.run(0.3)
+    assert all(member.node.configuration.version == 9 for member in world.members.values())
+    assert len(sent) <= 17 * 5
+
+
+@pytest.mark.parametrize("entries", [1, 2, 3, 5])
+def test_each_entry_passes_a_version_on_to_other_entries_only(entries):
+    world = _ready(entries=entries)
+    for name, member in world.members.items():
+        passed_on = member.node._relay_peers()
+        assert name not in passed_on and len(set(passed_on)) == len(passed_on)
+        assert passed_on or entries == 1
+
+
 def test_a_planned_stop_hands_ownership_over_at_once():
     world = _ready()
     job = world.job(*TWO_STEPS, work_s=2.0)
