Changes that arrive during the recovery are applied before anything is started

Cause: a recovery of 700 jobs on 5 Mbit/s takes longer than cancel_ms. Jobs and cancellations that were stored after their page of the listing were applied only after the recovery was declared done and the held reports had been applied, over many turns of the loop, in which a tick may start runs.

Change: what has arrived by then is applied first.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/change_feed.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/change_feed.py
@@ -40,6 +40,10 @@
         while not self._held and not self._ended:
             self._arrived = defer.Deferred()
             await self._arrived
+        return self.take_held()
+
+    def take_held(self) -> tuple[store.Change, ...]:
+        """Returns the changes that have arrived since the last ones were taken."""
         held, self._held = tuple(self._held), []
         return held
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -305,6 +305,8 @@
         if stored.model is not None:
             self._scheduler.restore_model(stored.model)
         await self._add_intake(stored.intake, stored.progress, inherited=True)
+        # A job that was cancelled meanwhile must not be started.
+        self._apply_intake_changes(stored.changes.take_held())
         self._recovered = True
         decision_log.write(
             "recovery.done",
@@ -335,15 +337,18 @@
     async def _apply_changes(self, feed: change_feed.ChangeFeed) -> None:
         """Applies changes of the intake until the history is compacted."""
         while changes := await feed.take():
-            for change in changes:
-                if change.item is None:
-                    continue
-                if change.key.startswith(keys.JOBS):
-                    self._add_job(change.item, {}, inherited=False)
-                else:
-                    self._apply_cancellation(change.key)
+            self._apply_intake_changes(changes)
             self._schedule_tick()
 
+    def _apply_intake_changes(self, changes: tuple[store.Change, ...]) -> None:
+        for change in changes:
+            if change.item is None:
+                continue
+            if change.key.startswith(keys.JOBS):
+                self._add_job(change.item, {}, inherited=False)
+            else:
+                self._apply_cancellation(change.key)
+
     def _add_job(
         self, item: store.Item, stored_progress: dict[str, bytes], *, inherited: bool
     ) -> None:
--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -5,6 +5,7 @@
 import scripted
 import world as world_module
 from ebonyhatch.fleet import jobs, keys, memory_targets, owner, progress, rows, store
+from ebonyhatch.node import coroutines
 from returns import result
 from twisted.internet import task
 
@@ -12,6 +13,10 @@
 HISTORY_S = 20.0
 PAGE_S = 3.5
 CANCEL_S = 4.0
+LARGE_TARGET_COUNT = 120
+TURN_S = 0.3
+"""Time of one turn of a loop that has much to do, seconds."""
+
 ONE_TASK = jobs.Step(count=1, cpu_millis=1000, estimate_s=30.0)
 
 
@@ -134,12 +139,8 @@
     world.store.changes = [one for one in world.store.changes if one.revision > revision]
 
 
-def test_listing_that_takes_longer_than_the_history_is_made_once_and_later_changes_are_applied():
-    world = world_module.World(entries=0)
-    listed = [world.job(ONE_TASK, work_s=300.0) for _ in range(8)]
-    world.store_jobs(*listed)
-    member = world.start("slow")
-    calls = IntakeCalls(member)
+def _list_slowly(world: world_module.World, member: world_module.Member) -> None:
+    """Makes each page of the intake hold one item and take `PAGE_S`."""
     member.store._page_items = 1
     list_page = member.store.list_page
 
@@ -150,6 +151,15 @@
         return outcome
 
     member.store.list_page = list_slowly
+
+
+def test_listing_that_takes_longer_than_the_history_is_made_once_and_later_changes_are_applied():
+    world = world_module.World(entries=0)
+    listed = [world.job(ONE_TASK, work_s=300.0) for _ in range(8)]
+    world.store_jobs(*listed)
+    member = world.start("slow")
+    calls = IntakeCalls(member)
+    _list_slowly(world, member)
     _run_with_history(world, 2 * PAGE_S)
     later = world.job(ONE_TASK, work_s=300.0)
     world.store_jobs(later)
@@ -167,6 +177,26 @@
     world_module.check_all(world)
 
 
+def test_job_that_is_cancelled_during_a_long_recovery_is_not_started_after_it(monkeypatch):
+    sleep = coroutines.CoroutineGroup.sleep
+    monkeypatch.setattr(
+        coroutines.CoroutineGroup, "sleep", lambda group, delay_s: sleep(group, delay_s or TURN_S)
+    )
+    world = world_module.World(entries=0, target_count=LARGE_TARGET_COUNT)
+    listed = [world.job(ONE_TASK, work_s=300.0) for _ in range(4)]
+    world.store_jobs(*listed)
+    member = world.start("slow")
+    _list_slowly(world, member)
+    world.run(3 * PAGE_S)
+    cancel = store.Put(key=keys.cancel(listed[0].job_id), value=b"{}")
+    world.store.commit((), (cancel,), ())
+    world.run_until(lambda: world.starts(listed[1].job_id), 10 * PAGE_S)
+    world.run(1.0)
+    assert world.state(listed[0].job_id) == "cancelled"
+    assert world.starts(listed[0].job_id) == []
+    world_module.check_all(world)
+
+
 def test_cancellation_that_a_failed_watch_missed_is_applied():
     world = _ready()
     job = world.job(ONE_TASK, work_s=60.0)
