A hung run on a target that missed a tick is stopped once it answers again

Callers saw nothing yet; found by comparing decisions over wider drawn histories.

Cause: only targets with a new status report are examined for hung runs, and a tick that found such a target unreachable dropped it. Its hung run was then noticed only after a further report.

Change: an unreachable target stays among those to examine until it answers or is removed. The histories of test_decisions_equal_those_of_the_plain_computation now also register targets again with other capacities, pools and incarnations, take them off the list, add and remove them, and compare which targets are reserved; the plain reserve computes these by itself.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -288,7 +288,12 @@
             for target_id, row in self._reported.items()
             if row.reachable and any(self._is_hung(run) for run in row.runs.values())
         }
-        self._reported.clear()
+        # A target that doesn't answer is looked at once it answers again.
+        self._reported = {
+            target_id: row
+            for target_id, row in self._reported.items()
+            if not row.reachable and self._tables.targets.get(target_id) is row
+        }
         if not suspects:
             return
         for target_id, row in self._tables.targets.items():
--- a/packages/ebonyhatch-fleet/tests/test_candidates.py
+++ b/packages/ebonyhatch-fleet/tests/test_candidates.py
@@ -76,6 +76,8 @@
 class PlainReserve(reserve.Reserve):
     """Counts all runs and sorts all targets each time."""
 
+    reserved_ids = frozenset()
+
     def observe(self, *, elapsed_s):
         demand = {}
         runs = [run for row in self._tables.targets.values() for run in row.runs.values()]
@@ -91,8 +93,24 @@
             self._peaks[pool] = max(decayed, float(demand.get(pool, 0)))
 
     def choose_targets(self):
-        self._sorted_for = []
-        super().choose_targets()
+        self.reserved_ids = set()
+        pools = {}
+        for row in self._tables.targets.values():
+            if row.listed and not row.target.draining:
+                pools.setdefault(row.target.pool, []).append(row)
+        for pool, members in pools.items():
+            total = sum(row.target.cpu_millis for row in members)
+            demand_cpu = reserve.PEAK_FACTOR * self._peaks.get(pool, 0.0)
+            remaining_cpu = max(reserve.MIN_FRACTION * total, demand_cpu)
+            remaining_cpu = min(reserve.MAX_FRACTION * total, remaining_cpu)
+            for row in sorted(members, key=lambda row: (row.long_running_cpu, row.target_id)):
+                if remaining_cpu <= 0:
+                    break
+                self.reserved_ids.add(row.target_id)
+                remaining_cpu -= row.target.cpu_millis
+
+    def is_reserved(self, row):
+        return row.target_id in self.reserved_ids
 
 
 class PlainScheduler(scheduler.Scheduler):
@@ -213,6 +231,31 @@
             )
             self.subject.apply_report(row, report, now=now)
 
+    def _reserved(self) -> list[str]:
+        is_reserved = self.subject._reserve.is_reserved
+        return [row.target_id for row in self.subject.tables.targets.values() if is_reserved(row)]
+
+    def _change_targets(self, tick: int, now: float) -> None:
+        """Registers targets again, takes them off the list, and replaces or removes empty ones."""
+        chance, pick = self.random.random, self.random.choice
+        row = pick(list(self.subject.tables.targets.values()))
+        if chance() < 0.1:
+            row.listed = not row.listed
+        if chance() < 0.1:
+            changed = msgspec.structs.replace(
+                row.target,
+                born=row.target.born + int(chance() < 0.3),
+                cpu_millis=pick((8000, 12000, 16000)),
+                pool=pick("pq"),
+                draining=chance() < 0.3,
+            )
+            row = self.subject.set_target(changed, now=now)
+            row.confirmed = row.confirmed or chance() < 0.7
+        if chance() < 0.2:
+            self._add_target(100 + tick)
+        if chance() < 0.2 and not row.runs and len(self.subject.tables.targets) > 2:
+            self.subject.remove_target(row)
+
     def play(self) -> list:
         number = 0
         for tick in range(1, 40):
@@ -228,11 +271,13 @@
             if self.random.random() < 0.1:
                 row = self.random.choice(list(self.subject.tables.targets.values()))
                 row.reachable = not row.reachable
+            self._change_targets(tick, now)
             if self.random.random() < 0.1:
                 pool = self.random.choice("pq")
                 moved = tuple(msgspec.structs.replace(queue, pool=pool) for queue in QUEUES[1:])
                 self.subject.configure(queues.Configuration(version=tick, queues=moved))
             self.decisions.append(len(self.subject.tick(now=now, wall=now)))
+            self.decisions.append(self._reserved())
             self.decisions.append(self.subject.next_wake_s(now=now, wall=now))
             self.decisions.append(
                 [[t.name for t in step.waiting] for step in self.subject.tables.waiting.values()]
