A tick no longer visits every target for the reserve of short work

Callers saw tasks start late on small owners: a tick costs processor time in proportion to the targets.

Cause: each tick summed the short work of every target, compared the state of every target with that of the last sort, and counted the reserved targets one by one.

Change: the short work is one sum for each pool of a table, which reservations update. Targets report assignments to the fields on which decisions depend to observers of their table, so that only changed ones are compared.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import bisect
+import itertools
+
 from ebonyhatch.fleet import rows, tables, targets
 
 MIN_FRACTION = 0.12
@@ -28,16 +31,15 @@
     def __init__(self, *, all_tables: tables.Tables) -> None:
         self._tables = all_tables
         self._peaks: dict[str, float] = {}
-        self._reserved_ids: set[str] = set()
-        self._sorted_for: list[tuple[rows.TargetRow, targets.Target, bool, int]] = []
-        self._pools: dict[str, tuple[int, list[rows.TargetRow]]] = {}
+        self._changed = all_tables.observe_targets()
+        self._sorted_for: dict[int, tuple[targets.Target, bool, int]] = {}
+        self._sums: dict[str, list[int]] = {}
+        self._ranks: dict[str, tuple[str, int]] = {}
+        self._counts: dict[str, int] = {}
 
     def observe(self, *, elapsed_s: float) -> None:
         """Updates the peaks with the present demand."""
-        demand: dict[str, int] = {}
-        for row in self._tables.targets.values():
-            for pool, cpu_millis in row.short_cpu.items():
-                demand[pool] = demand.get(pool, 0) + cpu_millis
+        demand = dict(self._tables.short_cpu)
         for step in self._tables.waiting.values():
             spec = step.step
             if not (spec.long_running or spec.filler):
@@ -53,41 +55,48 @@
 
         Whole targets are reserved, since scattered capacity fits no wide or large task.
         """
-        self._reserved_ids.clear()
-        self._sort_members()
-        for pool, (total, members) in self._pools.items():
+        if self._order_changed():
+            self._sort_members()
+        for pool, sums in self._sums.items():
+            total = sums[-1]
             demand_cpu = PEAK_FACTOR * self._peaks.get(pool, 0.0)
-            remaining_cpu = min(MAX_FRACTION * total, max(MIN_FRACTION * total, demand_cpu))
-            for row in members:
-                if remaining_cpu <= 0:
-                    break
-                self._reserved_ids.add(row.target_id)
-                remaining_cpu -= row.target.cpu_millis
+            reserved_cpu = min(MAX_FRACTION * total, max(MIN_FRACTION * total, demand_cpu))
+            self._counts[pool] = bisect.bisect_left(sums, reserved_cpu)
+
+    def _order_changed(self) -> bool:
+        """Returns whether anything that the order of the targets depends on has changed."""
+        order_changed = False
+        for key, row in self._changed.items():
+            if self._tables.targets.get(row.target_id) is not row:
+                order_changed |= self._sorted_for.pop(key, None) is not None
+                continue
+            state = (row.target, row.listed, row.long_running_cpu)
+            if state != self._sorted_for.get(key):
+                self._sorted_for[key] = state
+                order_changed = True
+        self._changed.clear()
+        return order_changed
 
     def _sort_members(self) -> None:
-        """Sorts the targets of each pool, if anything that the order depends on has changed."""
-        state = [
-            (row, row.target, row.listed, row.long_running_cpu)
-            for row in self._tables.targets.values()
-        ]
-        if state == self._sorted_for:
-            return
-        self._sorted_for = state
+        """Sorts the targets of each pool, and sums their processor time in this order."""
         pools: dict[str, list[rows.TargetRow]] = {}
         for row in self._tables.targets.values():
             if row.listed and not row.target.draining:
                 pools.setdefault(row.target.pool, []).append(row)
-        self._pools = {
-            pool: (
-                sum(row.target.cpu_millis for row in members),
-                sorted(members, key=lambda row: (row.long_running_cpu, row.target_id)),
+        self._sums.clear()
+        self._ranks.clear()
+        for pool, members in pools.items():
+            members.sort(key=lambda row: (row.long_running_cpu, row.target_id))
+            self._sums[pool] = list(
+                itertools.accumulate((row.target.cpu_millis for row in members), initial=0)
             )
-            for pool, members in pools.items()
-        }
+            for rank, row in enumerate(members):
+                self._ranks[row.target_id] = (pool, rank)
 
     def is_reserved(self, row: rows.TargetRow) -> bool:
         """Returns whether a target is reserved for short work."""
-        return row.target_id in self._reserved_ids
+        pool, rank = self._ranks.get(row.target_id, ("", 0))
+        return rank < self._counts.get(pool, 0)
 
     def allows(self, task: rows.TaskRow, row: rows.TargetRow) -> bool:
         """Returns whether a task may be placed on a target.
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -48,11 +48,32 @@
     STOPPING = "stopping"
 
 
+OBSERVED_FIELDS = frozenset(
+    {
+        "target",
+        "free_cpu",
+        "filler_cpu",
+        "serving_cpu",
+        "long_running_cpu",
+        "confirmed",
+        "announced",
+        "reachable",
+        "listed",
+        "suspicion_score",
+        "quarantined_until",
+        "leaves_at",
+    }
+)
+"""Fields of a target of which each assignment is reported to the observers of its table."""
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class TargetRow:
     """A target and the reservations on it.
 
     Attributes:
+        observers: Collections of changed targets, by `id()` of the row; each assignment to one of
+            `OBSERVED_FIELDS` adds the row to all of them.
         target: Registration of the target.
         free_cpu: Processor time that is not reserved, thousandths of a core.
         free_memory: Memory that is not reserved, megabytes.
@@ -60,8 +81,9 @@
         filler_cpu: Processor time that fillers ask for, thousandths of a core.
         serving_cpu: Processor time that long-running serving tasks reserve, thousandths of a core.
         long_running_cpu: Processor time that long-running tasks reserve, thousandths of a core.
-        short_cpu: Processor time of the short runs by pool of their queue, thousandths of a core;
-            short runs are neither fillers nor long-running.
+        short_cpu: Processor time of the short runs by pool of their queue, thousandths of a core,
+            as a sum over all targets of a table, which share it; short runs are neither fillers nor
+            long-running.
         runs: Runs that hold a reservation.
         serving: Those of serving tasks among them.
         fillers: Those of fillers among them.
@@ -78,6 +100,7 @@
         leaves_at: Earliest time of its departure, seconds; 0 while it is not draining.
     """
 
+    observers: list[dict[int, TargetRow]] = dataclasses.field(default_factory=list, repr=False)
     target: targets.Target
     free_cpu: int = 0
     free_memory: int = 0
@@ -99,11 +122,22 @@
     quarantined_until: float = 0.0
     leaves_at: float = 0.0
 
+    def __setattr__(self, name: str, value: object) -> None:
+        """Sets a field, and reports the change if the field is observed."""
+        object.__setattr__(self, name, value)
+        if name in OBSERVED_FIELDS:
+            self.mark_changed()
+
     @property
     def target_id(self) -> str:
         """Id of the target."""
         return self.target.target_id
 
+    def mark_changed(self) -> None:
+        """Adds the row to the changed targets of all observers."""
+        for changed in self.observers:
+            changed[id(self)] = self
+
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class RunRow:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -178,7 +178,7 @@
 
     def remove_target(self, row: rows.TargetRow) -> None:
         """Removes a target without runs."""
-        self._tables.targets.pop(row.target_id, None)
+        self._tables.remove_target(row)
 
     def drain_changed_jobs(self) -> list[rows.JobRow]:
         """Returns the jobs whose progress changed since the last call."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
@@ -12,6 +12,8 @@
         jobs: All jobs by id.
         timed: Jobs with timed occurrences that have not ended, by id.
         targets: Targets by id.
+        short_cpu: Processor time of the short runs on all targets by pool of their queue,
+            thousandths of a core; short runs are neither fillers nor long-running.
         waiting: Steps with waiting tasks, by `id()` of the row.
         retries: Tasks with a delay before their next start, by name; some delays may be over.
     """
@@ -20,8 +22,20 @@
         self.jobs: dict[str, rows.JobRow] = {}
         self.timed: dict[str, rows.JobRow] = {}
         self.targets: dict[str, rows.TargetRow] = {}
+        self.short_cpu: dict[str, int] = {}
         self.waiting: dict[int, rows.StepRow] = {}
         self.retries: dict[str, rows.TaskRow] = {}
+        self._observers: list[dict[int, rows.TargetRow]] = []
+
+    def observe_targets(self) -> dict[int, rows.TargetRow]:
+        """Returns a collection to which targets are added when they change, by `id()` of the row.
+
+        New targets are added to it in the order in which they come to the table, and removed ones
+        as well. The observer clears it.
+        """
+        changed = {id(row): row for row in self.targets.values()}
+        self._observers.append(changed)
+        return changed
 
     def add_job(self, row: rows.JobRow) -> None:
         """Adds a job."""
@@ -48,8 +62,8 @@
 
     def recount_short_cpu(self) -> None:
         """Counts the short work of all targets anew, after the pools of queues have changed."""
+        self.short_cpu.clear()
         for row in self.targets.values():
-            row.short_cpu.clear()
             for run in row.runs.values():
                 if not (run.task.step.step.filler or run.task.step.step.long_running):
                     _add_short_cpu(run, 1)
@@ -70,7 +84,7 @@
         """Adds a target, or applies its present registration."""
         row = self.targets.get(target.target_id)
         if row is None:
-            row = rows.TargetRow(target=target)
+            row = rows.TargetRow(observers=self._observers, target=target, short_cpu=self.short_cpu)
             row.free_cpu = target.cpu_millis
             row.free_memory = target.memory_mb
             row.free_accelerators = target.accelerators
@@ -83,6 +97,11 @@
         row.listed = True
         return row
 
+    def remove_target(self, row: rows.TargetRow) -> None:
+        """Removes a target without runs."""
+        self.targets.pop(row.target_id, None)
+        row.mark_changed()
+
 
 def reserve(run: rows.RunRow) -> None:
     """Reserves the resources of a run on its target."""
