A pass of placement updates its view of the targets instead of building it

Callers saw tasks start late on small owners: a tick costs processor time in proportion to the targets.

Cause: each pass with a waiting step examined all targets, scored all of them and built a heap.

Change: an index keeps the usable targets sorted by free processor time and by their scores for short steps, and is updated with the targets that changed. A pass copies a ranking, which is a valid heap.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
@@ -7,11 +7,10 @@
 
 import heapq
 
-from ebonyhatch.fleet import jobs, rows
-from ebonyhatch.fleet.constraints import registry, resource_fit, usable
+from ebonyhatch.fleet import jobs, rows, target_index
+from ebonyhatch.fleet.constraints import registry, resource_fit
 
 _Amounts = tuple[int, int, int]
-_Entry = tuple[float, int, rows.TargetRow]
 
 
 class Candidates:
@@ -20,26 +19,29 @@
     def __init__(
         self,
         *,
-        target_rows: list[rows.TargetRow],
+        index: target_index.TargetIndex,
         step: rows.StepRow,
         context: registry.Context,
     ) -> None:
         self._context = context
+        self._index = index
+        self._step = step
+        index.refresh(step, context)
         self._pools: dict[str, list[rows.TargetRow]] = {}
-        for row in target_rows:
-            if usable.is_usable(step, row, context):
-                self._pools.setdefault(row.target.pool, []).append(row)
         self._free_cpu: tuple[dict[str, float], dict[str, float]] = ({}, {})
-        for pool in self._pools:
+        for pool in index.pools():
             self._look(pool, False)
             self._look(pool, True)
         self._least_cpu: dict[tuple[str, bool], int] = {}
-        self._rankings: dict[tuple[str, str, str], list[_Entry]] = {}
+        self._rankings: dict[target_index.RankingKey, list[target_index.Entry]] = {}
         self._rejected: dict[tuple[str, str, bool, str], list[_Amounts]] = {}
 
     def targets(self, pool: str) -> list[rows.TargetRow]:
         """Returns the usable targets of a pool."""
-        return self._pools.get(pool, [])
+        pool_targets = self._pools.get(pool)
+        if pool_targets is None:
+            pool_targets = self._pools[pool] = self._index.targets(pool)
+        return pool_targets
 
     def may_fit(self, step: rows.StepRow) -> bool:
         """Returns False if no target had enough free processor time when last looked at."""
@@ -64,6 +66,7 @@
 
     def exhausted(self) -> bool:
         """Looks at all targets again; returns whether the least demand of each pool fits nowhere."""
+        self._index.refresh(self._step, self._context)
         return all(
             cpu_millis > self._look(pool, filler)
             for (pool, filler), cpu_millis in self._least_cpu.items()
@@ -107,27 +110,24 @@
             heapq.heappush(ranking, entry)
         return best
 
-    def _ranking(self, step: rows.StepRow, selection: registry.Selection) -> list[_Entry]:
+    def _ranking(
+        self, step: rows.StepRow, selection: registry.Selection
+    ) -> list[target_index.Entry]:
+        """Returns the targets as a heap; a sorted list is one."""
         spec = step.step
         key = (step.job.queue.pool, spec.label, spec.data_rack)
         ranking = self._rankings.get(key)
         if ranking is None:
-            ranking = [
-                (-selection.score(step, row, self._context), position, row)
-                for position, row in enumerate(self.targets(key[0]))
-                if not spec.label or spec.label in row.target.labels
-            ]
-            heapq.heapify(ranking)
-            self._rankings[key] = ranking
+            self._index.refresh(step, self._context)
+            ranking = self._rankings[key] = self._index.ranking(step, selection, self._context)
         return ranking
 
     def _look(self, pool: str, filler: bool) -> float:
         """Returns the most free processor time that a target of a pool has, and remembers it."""
-        pool_targets = self.targets(pool)
         if filler:
-            free_cpu = max(map(resource_fit.leftover_cpu, pool_targets), default=-1.0)
+            free_cpu = self._index.most_leftover_cpu(pool)
         else:
-            free_cpu = max([row.free_cpu for row in pool_targets], default=-1)
+            free_cpu = self._index.most_free_cpu(pool)
         self._free_cpu[filler][pool] = free_cpu
         return free_cpu
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -15,6 +15,7 @@
     reserve,
     rows,
     tables,
+    target_index,
     targets,
 )
 from ebonyhatch.fleet.constraints import registry
@@ -50,6 +51,7 @@
         self._model = model
         self._reserve = reserved
         self._tables = all_tables
+        self._index = target_index.TargetIndex(all_tables=all_tables)
         self._emit = emit
         self._decide = decide
         self.run_number_base = 0
@@ -117,9 +119,7 @@
         self, steps: list[rows.StepRow], context: registry.Context, wall: float
     ) -> None:
         """Places steps in their order until nothing fits or the limit of orders is reached."""
-        usable = candidates.Candidates(
-            target_rows=list(self._tables.targets.values()), step=steps[0], context=context
-        )
+        usable = candidates.Candidates(index=self._index, step=steps[0], context=context)
         fitting = usable.fitting(steps)
         orders_seen = self._orders_left
         for number, step in enumerate(ordering.in_order(fitting, wall=wall)):
