A tick visits only suspected and leaving targets

Cause: each tick looked at all targets for suspicion scores that decay and for targets that leave.

Change: the scheduler keeps both kinds in collections, updated with the targets that changed. The plain computation of test_decisions_equal_those_of_the_plain_computation still visits all.

All fleet and platform tests pass.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -80,6 +80,9 @@
         )
         self._evacuation = evacuation.Evacuation(all_tables=self._tables, stop=self._ends.stop)
         self._reported: dict[str, rows.TargetRow] = {}
+        self._changed_targets = self._tables.observe_targets()
+        self._suspected: dict[int, rows.TargetRow] = {}
+        self._leaving: dict[int, rows.TargetRow] = {}
         self._now = 0.0
         self._wall = 0.0
         self.reconciled = False
@@ -207,9 +210,9 @@
         """Decides what is due; returns the commands since the last tick, in order."""
         elapsed_s = max(0.0, now - self._now)
         self._now, self._wall = now, wall
-        for row in self._tables.targets.values():
-            if row.suspicion_score:
-                target_health.decay(row, elapsed_s=elapsed_s)
+        self._follow_targets()
+        for row in self._suspected.values():
+            target_health.decay(row, elapsed_s=elapsed_s)
         for job in list(self._tables.timed.values()):
             if job.ended:
                 del self._tables.timed[job.job.job_id]
@@ -219,7 +222,8 @@
         self._model.advance_to(now)
         self._reserve.observe(elapsed_s=elapsed_s)
         if self.may_place:
-            self._evacuation.review(self._placement.context(now))
+            if self._leaving:
+                self._evacuation.review(self._placement.context(now))
             self._placement.place(
                 now=now,
                 wall=wall,
@@ -249,6 +253,20 @@
                 due.append(max(due_at - wall, 0.0))
         return min(due, default=None)
 
+    def _follow_targets(self) -> None:
+        """Applies the changes of targets to the collections of suspected and leaving ones."""
+        for key, row in self._changed_targets.items():
+            present = self._tables.targets.get(row.target_id) is row
+            if present and row.suspicion_score:
+                self._suspected[key] = row
+            else:
+                self._suspected.pop(key, None)
+            if present and row.leaves_at:
+                self._leaving[key] = row
+            else:
+                self._leaving.pop(key, None)
+        self._changed_targets.clear()
+
     def _resume_steps(self, row: rows.JobRow) -> None:
         """Sets expectations for restored steps and finishes the occurrences that were complete."""
         for steps in row.occurrences.values():
--- a/packages/ebonyhatch-fleet/tests/test_candidates.py
+++ b/packages/ebonyhatch-fleet/tests/test_candidates.py
@@ -114,7 +114,7 @@
 
 
 class PlainScheduler(scheduler.Scheduler):
-    """Looks at all runs and all waiting tasks each time."""
+    """Looks at all targets, all runs and all waiting tasks each time."""
 
     def __init__(self, *, decide):
         super().__init__(decide=decide)
@@ -128,6 +128,9 @@
             decide=fast._decide,
         )
 
+    def _follow_targets(self):
+        self._suspected = self._leaving = {id(row): row for row in self._tables.targets.values()}
+
     def _stop_hung_runs(self, now):
         for row in self._tables.targets.values():
             for run in list(row.runs.values()) if row.reachable else ():
