A tick with a backlog visits only steps that fit and targets that can hold them

Callers saw that an overloaded owner starts fewer runs than fit: with all targets full each tick still examined every waiting step four times, and every target for each filler that waited.

Change: waiting steps are sorted by the processor time that they need once they have outlasted a pass, and their demand is a sum that changes with them; targets are examined only if they have enough free processor time. Steps keep the order in which they were added. The histories of test_decisions_equal_those_of_the_plain_computation now also hold inherited jobs, cancellations, adopted runs, and spans in which nothing may be placed; the plain computation counts anew.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
@@ -7,7 +7,7 @@
 
 import heapq
 
-from ebonyhatch.fleet import jobs, rows, target_index
+from ebonyhatch.fleet import jobs, rows, target_index, waiting_steps
 from ebonyhatch.fleet.constraints import registry, resource_fit
 
 _Amounts = tuple[int, int, int]
@@ -43,19 +43,32 @@
             pool_targets = self._pools[pool] = self._index.targets(pool)
         return pool_targets
 
+    def targets_for(self, step: rows.StepRow) -> list[rows.TargetRow]:
+        """Returns the usable targets of a step's pool with enough processor time for one task."""
+        self._index.refresh(step, self._context)
+        return self._index.targets_with(
+            step.job.queue.pool, cpu_millis=step.step.cpu_millis, filler=step.step.filler
+        )
+
     def may_fit(self, step: rows.StepRow) -> bool:
         """Returns False if no target had enough free processor time when last looked at."""
         spec = step.step
         return spec.cpu_millis <= self._free_cpu[spec.filler].get(step.job.queue.pool, -1)
 
-    def fitting(self, steps: list[rows.StepRow]) -> list[rows.StepRow]:
-        """Returns the steps that may fit; the pass may place no others."""
+    def fitting(
+        self, waiting: waiting_steps.WaitingSteps, *, reconciled: bool
+    ) -> list[rows.StepRow]:
+        """Returns the steps that may fit; the pass may place no others.
+
+        Args:
+            waiting: All steps with waiting tasks.
+            reconciled: Whether those of inherited jobs may be placed.
+        """
         free_cpu, leftover_cpu = self._free_cpu
         fitting = [
             step
-            for step in steps
-            if step.step.cpu_millis
-            <= (leftover_cpu if step.step.filler else free_cpu).get(step.job.queue.pool, -1)
+            for step in waiting.fitting(free_cpu=free_cpu, leftover_cpu=leftover_cpu)
+            if reconciled or not step.job.inherited
         ]
         for step in fitting:
             key = (step.job.queue.pool, step.step.filler)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -83,14 +83,11 @@
             order_limit: Number of runs after which no more are ordered; a gang isn't divided.
         """
         self._blocked_tasks = blocked_tasks
-        self._tables.drop_empty_steps()
-        steps = [
-            step for step in self._tables.waiting.values() if self._may_place(step, reconciled)
-        ]
+        self._tables.waiting.drop_empty()
         self._reserve.choose_targets()
         self._orders_left = min(MAX_ORDERS_PER_PASS, order_limit)
-        if steps and self._orders_left > 0:
-            self._place_steps(steps, self.context(now), wall)
+        if self._tables.waiting and self._orders_left > 0:
+            self._place_steps(self.context(now), wall, reconciled)
 
     def context(self, now: float) -> registry.Context:
         """Returns the context of the constraints at a time in seconds."""
@@ -101,6 +98,7 @@
         self._orders_left -= 1
         task.state = rows.TaskState.PLACED
         task.last_run = run
+        self._tables.waiting.touch(task.step)
         run_row = rows.RunRow(
             key=targets.RunKey(task=task.name, run=run),
             task=task,
@@ -115,12 +113,11 @@
         """Returns a number above that of every run of the tasks that any owner may have ordered."""
         return max(self.run_number_base, *(task.last_run for task in tasks)) + 1
 
-    def _place_steps(
-        self, steps: list[rows.StepRow], context: registry.Context, wall: float
-    ) -> None:
+    def _place_steps(self, context: registry.Context, wall: float, reconciled: bool) -> None:
         """Places steps in their order until nothing fits or the limit of orders is reached."""
-        usable = candidates.Candidates(index=self._index, step=steps[0], context=context)
-        fitting = usable.fitting(steps)
+        waiting = self._tables.waiting
+        usable = candidates.Candidates(index=self._index, step=waiting.first(), context=context)
+        fitting = usable.fitting(waiting, reconciled=reconciled)
         orders_seen = self._orders_left
         for number, step in enumerate(ordering.in_order(fitting, wall=wall)):
             if step.step.gang:
@@ -128,7 +125,7 @@
             else:
                 self._place_tasks(step, context, usable)
             if not step.waiting:
-                self._tables.waiting.pop(id(step), None)
+                self._tables.waiting.discard(step)
             if self._orders_left <= 0:
                 return
             if self._orders_left < orders_seen and len(fitting) - number > LOOK_AGAIN_STEPS:
@@ -136,9 +133,6 @@
                 if usable.exhausted():
                     return
 
-    def _may_place(self, step: rows.StepRow, reconciled: bool) -> bool:
-        return reconciled or not step.job.inherited
-
     def _place_tasks(
         self, step: rows.StepRow, context: registry.Context, usable: candidates.Candidates
     ) -> None:
@@ -183,7 +177,7 @@
         now = context.now
         scores = {
             row.target_id: selection.score(step, row, context)
-            for row in usable.targets(step.job.queue.pool)
+            for row in usable.targets_for(step)
             if selection.allows(step, row, context)
         }
         if not scores:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
@@ -123,6 +123,7 @@
         )
         if task.state == rows.TaskState.WAITING:
             task.step.waiting.remove(task)
+            self._tables.waiting.touch(task.step)
         task.state = rows.TaskState.PLACED
         task.last_run = max(task.last_run, running.key.run)
         tables.reserve(run)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
@@ -40,11 +40,8 @@
     def observe(self, *, elapsed_s: float) -> None:
         """Updates the peaks with the present demand."""
         demand = dict(self._tables.short_cpu)
-        for step in self._tables.waiting.values():
-            spec = step.step
-            if not (spec.long_running or spec.filler):
-                pool = step.job.queue.pool
-                demand[pool] = demand.get(pool, 0) + len(step.waiting) * spec.cpu_millis
+        for pool, cpu_millis in self._tables.waiting.short_cpu().items():
+            demand[pool] = demand.get(pool, 0) + cpu_millis
         decay = 0.5 ** (elapsed_s / PEAK_HALF_LIFE_S)
         for pool in {*self._peaks, *demand}:
             decayed = self._peaks.get(pool, 0.0) * decay
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -245,7 +245,7 @@
         due = [
             task.retry_at - now
             for task in retries.values()
-            if task.state == rows.TaskState.WAITING and id(task.step) in self._tables.waiting
+            if task.state == rows.TaskState.WAITING and task.step in self._tables.waiting
         ]
         for row in self._tables.timed.values():
             due_at = graph.next_due_at(row)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhatch.fleet import rows, targets
+from ebonyhatch.fleet import rows, targets, waiting_steps
 
 
 class Tables:
@@ -14,7 +14,7 @@
         targets: Targets by id.
         short_cpu: Processor time of the short runs on all targets by pool of their queue,
             thousandths of a core; short runs are neither fillers nor long-running.
-        waiting: Steps with waiting tasks, by `id()` of the row.
+        waiting: Steps with waiting tasks.
         retries: Tasks with a delay before their next start, by name; some delays may be over.
     """
 
@@ -23,7 +23,7 @@
         self.timed: dict[str, rows.JobRow] = {}
         self.targets: dict[str, rows.TargetRow] = {}
         self.short_cpu: dict[str, int] = {}
-        self.waiting: dict[int, rows.StepRow] = {}
+        self.waiting = waiting_steps.WaitingSteps()
         self.retries: dict[str, rows.TaskRow] = {}
         self._observers: list[dict[int, rows.TargetRow]] = []
 
@@ -46,22 +46,18 @@
     def add_waiting(self, step: rows.StepRow) -> None:
         """Adds a step to those with waiting tasks, if it has any."""
         if step.waiting:
-            self.waiting[id(step)] = step
-
-    def drop_empty_steps(self) -> None:
-        """Drops steps without waiting tasks, such as those that ended without being placed."""
-        for key in [key for key, step in self.waiting.items() if not step.waiting]:
-            del self.waiting[key]
+            self.waiting.add(step)
 
     def forget_waiting(self, row: rows.JobRow) -> None:
         """Drops the waiting tasks of a job."""
         for steps in row.occurrences.values():
             for step in steps:
                 step.waiting.clear()
-                self.waiting.pop(id(step), None)
+                self.waiting.discard(step)
 
     def recount_short_cpu(self) -> None:
-        """Counts the short work of all targets anew, after the pools of queues have changed."""
+        """Counts all short work anew, after the pools of queues have changed."""
+        self.waiting.recount()
         self.short_cpu.clear()
         for row in self.targets.values():
             for run in row.runs.values():
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_index.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_index.py
@@ -108,6 +108,16 @@
         members = self._pools[pool].members
         return [members[position] for position in sorted(members)]
 
+    def targets_with(self, pool: str, *, cpu_millis: int, filler: bool) -> list[rows.TargetRow]:
+        """Returns the usable targets that have enough processor time, in the order of the table."""
+        if pool not in self._pools:
+            return []
+        members = self._pools[pool].members
+        amounts = self._pools[pool].leftover_cpu if filler else self._pools[pool].free_cpu
+        first = bisect.bisect_left(amounts, (cpu_millis, -1))
+        positions = sorted(position for _, position in amounts[first:])
+        return [members[position] for position in positions]
+
     def most_free_cpu(self, pool: str) -> float:
         """Returns the most free processor time of a target; -1 without a target."""
         return self._pools[pool].free_cpu[-1][0] if pool in self._pools else -1
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -172,6 +172,7 @@
             return
         if task.state == rows.TaskState.WAITING:
             task.step.waiting.remove(task)
+            self._tables.waiting.touch(task.step)
         task.state = rows.TaskState.DONE
         task.step.remaining_count -= 1
         for run in list(task.runs.values()):
--- a/packages/ebonyhatch-fleet/tests/test_candidates.py
+++ b/packages/ebonyhatch-fleet/tests/test_candidates.py
@@ -26,15 +26,17 @@
 class PlainPlacement(placement.Placement):
     """Scores every target with all constraints, for each step in its order."""
 
-    def _place_steps(self, steps, context, wall):
+    def _place_steps(self, context, wall, reconciled):
         self._orders_left = 10**9
+        waiting = self._tables.waiting.values()
+        steps = [step for step in waiting if reconciled or not step.job.inherited]
         for step in sorted(steps, key=lambda step: ordering.key(step, wall=wall)):
             if step.step.gang:
                 self._place_all_members(step, context)
             else:
                 self._place_each(step, context)
             if not step.waiting:
-                self._tables.waiting.pop(id(step), None)
+                self._tables.waiting.discard(step)
 
     def _place_each(self, step, context):
         deferred = []
@@ -206,7 +208,19 @@
         )
         queue = pick(QUEUES)
         job = jobs.Job(job_id=f"{number:016x}", queue=queue.name, spec="", steps=(step,))
-        self.subject.add_job(rows.JobRow(job=job, queue=queue), now=number / 9, wall=number / 9)
+        row = rows.JobRow(job=job, queue=queue, inherited=chance() < 0.1)
+        self.subject.add_job(row, now=number / 9, wall=number / 9)
+
+    def _unknown_runs(self) -> tuple[targets.Running, ...]:
+        """Returns a run of a waiting task that a former owner may have ordered, or none."""
+        steps = list(self.subject.tables.waiting.values())
+        if not steps or self.random.random() < 0.8:
+            return ()
+        tasks = list(self.random.choice(steps).waiting)
+        if not tasks:
+            return ()
+        task = self.random.choice(tasks)
+        return (targets.Running(key=targets.RunKey(task=task.name, run=task.last_run + 1)),)
 
     def report_all(self, now: float) -> None:
         kinds = (targets.EndKind.DONE, targets.EndKind.DONE, targets.EndKind.FAILED)
@@ -230,7 +244,8 @@
                     )
                     for key in row.runs
                     if key not in ended
-                ),
+                )
+                + self._unknown_runs(),
             )
             self.subject.apply_report(row, report, now=now)
 
@@ -275,6 +290,10 @@
                 row = self.random.choice(list(self.subject.tables.targets.values()))
                 row.reachable = not row.reachable
             self._change_targets(tick, now)
+            self.subject.reconciled = tick % 20 > 5
+            self.subject.may_place = tick % 15 > 2
+            if self.random.random() < 0.2 and number:
+                self.subject.cancel(f"{self.random.randint(1, number):016x}", now=now)
             if self.random.random() < 0.1:
                 pool = self.random.choice("pq")
                 moved = tuple(msgspec.structs.replace(queue, pool=pool) for queue in QUEUES[1:])
