Reports, ends and selections of constraints compute less

Cause: a report hashed the key of each run three times and confirmed runs that were confirmed; each end created rows of history that were mostly dropped; each step built its selection of constraints anew.

Change: reports compare runs by identity, history rows are created when they are missing, and selections are kept by the conditions that hold for a step. Decisions are the same: test_decisions_equal_those_of_the_plain_computation passes.

All fleet and platform tests pass.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/registry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/registry.py
@@ -35,6 +35,8 @@
 PREDICATES: dict[str, Predicate] = {}
 SCORERS: dict[str, Scorer] = {}
 _APPLIES: dict[Predicate | Scorer, Applies] = {}
+_CONDITIONS: list[Applies] = []
+_SELECTIONS: dict[tuple[bool, ...], Selection] = {}
 
 
 class Selection(msgspec.Struct, frozen=True, kw_only=True):
@@ -71,7 +73,7 @@
 
     def register(function: Predicate) -> Predicate:
         PREDICATES[name] = function
-        _APPLIES[function] = applies or _always
+        _register(function, applies)
         return function
 
     return register
@@ -87,7 +89,7 @@
 
     def register(function: Scorer) -> Scorer:
         SCORERS[name] = function
-        _APPLIES[function] = applies or _always
+        _register(function, applies)
         return function
 
     return register
@@ -95,10 +97,21 @@
 
 def select(step: jobs.Step) -> Selection:
     """Returns the constraints that concern a step."""
-    return Selection(
-        predicates=tuple(one for one in PREDICATES.values() if _APPLIES[one](step)),
-        scorers=tuple(one for one in SCORERS.values() if _APPLIES[one](step)),
-    )
+    key = tuple([bool(applies(step)) for applies in _CONDITIONS])
+    selection = _SELECTIONS.get(key)
+    if selection is None:
+        selection = _SELECTIONS[key] = Selection(
+            predicates=tuple(one for one in PREDICATES.values() if _APPLIES[one](step)),
+            scorers=tuple(one for one in SCORERS.values() if _APPLIES[one](step)),
+        )
+    return selection
+
+
+def _register(function: Predicate | Scorer, applies: Applies | None) -> None:
+    _APPLIES[function] = applies or _always
+    if applies is not None:
+        _CONDITIONS.append(applies)
+    _SELECTIONS.clear()
 
 
 def _always(step: jobs.Step) -> bool:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
@@ -31,14 +31,15 @@
         row.last_report_at = now
         for ended in report.ended:
             self._ends.apply_end(row, ended, now=now)
-        listed = {running.key for running in report.running}
+        listed: set[rows.RunRow | None] = set()
         for running in report.running:
             run = row.runs.get(running.key)
             if run is None:
-                self._adopt_or_stop(row, running, clock_s=report.clock_s, now=now)
+                run = self._adopt_or_stop(row, running, clock_s=report.clock_s, now=now)
             else:
                 self._update_run(run, running, clock_s=report.clock_s, now=now)
-        for run in [run for key, run in row.runs.items() if key not in listed]:
+            listed.add(run)
+        for run in [run for run in row.runs.values() if run not in listed]:
             self._resolve_missing(run, clock_s=report.clock_s, now=now)
 
     def start_confirmed(self, run: rows.RunRow, *, clock_s: float, now: float) -> None:
@@ -83,12 +84,18 @@
     def _update_run(
         self, run: rows.RunRow, running: targets.Running, *, clock_s: float, now: float
     ) -> None:
-        self.start_confirmed(run, clock_s=clock_s, now=now)
-        run.seen_s = max(run.seen_s, clock_s)
+        if run.state is not rows.RunState.RUNNING:
+            self.start_confirmed(run, clock_s=clock_s, now=now)
+        if clock_s > run.seen_s:
+            run.seen_s = clock_s
         if running.percent != run.percent:
             run.progressed_at = now
         run.percent = running.percent
-        run.reading = _reading(run, running)
+        reading = running.reading
+        if reading is not None and run.task.step.step.tail_limit_s:
+            # Tails are reported in milliseconds.
+            reading /= 1000
+        run.reading = reading
         if running.checkpoint:
             run.task.checkpoint = running.checkpoint
         if run.state == rows.RunState.STOPPING and now - run.stop_sent_at > STOP_RETRY_S:
@@ -97,8 +104,11 @@
 
     def _adopt_or_stop(
         self, row: rows.TargetRow, running: targets.Running, *, clock_s: float, now: float
-    ) -> None:
-        """Adopts a run that a former owner ordered, or stops one that is not needed."""
+    ) -> rows.RunRow | None:
+        """Adopts a run that a former owner ordered, or stops one that is not needed.
+
+        Returns the run if it was adopted.
+        """
         task = self._tables.task(running.key.task)
         job = None if task is None else task.step.job
         is_needed = (
@@ -110,7 +120,7 @@
         )
         if task is None or not is_needed:
             self._emit(commands.StopRun(target=row, key=running.key, reason="not-wanted"))
-            return
+            return None
         run = rows.RunRow(
             key=running.key,
             task=task,
@@ -130,6 +140,7 @@
         self._mark_started(run)
         self._decide("run.adopted", run, percent=running.percent)
         self._update_run(run, running, clock_s=clock_s, now=now)
+        return run
 
     def _resolve_missing(self, run: rows.RunRow, *, clock_s: float, now: float) -> None:
         """Requeues a run that a later status report doesn't list, once it surely isn't running."""
@@ -145,10 +156,3 @@
         self._decide("run.missing", run, clock_s=clock_s, seen_s=run.seen_s)
         run.task.avoid_target = run.target.target_id
         self._ends.release_and_requeue(run, now=now)
-
-
-def _reading(run: rows.RunRow, running: targets.Running) -> float | None:
-    """Returns a serving run's tail in seconds, and any other run's processor time unchanged."""
-    if running.reading is None or not run.task.step.step.tail_limit_s:
-        return running.reading
-    return running.reading / 1000
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/run_times.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/run_times.py
@@ -82,12 +82,15 @@
 
     def learn(self, *, queue: str, image: str, estimate_s: float, run_s: float) -> None:
         """Adds the run time of a task that was done, seconds."""
+        run = math.log(max(run_s, MIN_DURATION_S))
+        error = math.log(max(estimate_s, MIN_DURATION_S)) - run
         for key in {(queue, image), (queue, "")}:
-            kind = self._task_kinds.setdefault(key, _TaskKind())
-            run = math.log(max(run_s, MIN_DURATION_S))
+            kind = self._task_kinds.get(key)
+            if kind is None:
+                kind = self._task_kinds[key] = _TaskKind()
             kind.runs.add(run)
             if estimate_s > 0:
-                kind.errors.add(math.log(max(estimate_s, MIN_DURATION_S)) - run)
+                kind.errors.add(error)
 
     def expected_s(self, *, queue: str, image: str, estimate_s: float) -> float:
         """Returns the expected run time of a task, seconds; 0 if nothing is known."""
