--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
@@ -7,12 +7,10 @@
 
 import heapq
 
-from ebonyhatch.fleet import jobs, rows
+from ebonyhatch.fleet import jobs, rows, target_index, waiting_steps
 from ebonyhatch.fleet.constraints import registry, resource_fit, usable
 
 _Amounts = tuple[int, int, int]
-_Entry = tuple[float, int, rows.TargetRow]
-
 
 _CHECKED: frozenset[registry.Predicate] = frozenset({usable.is_usable, resource_fit.has_capacity})
 """Predicates that hold for the usable targets with free capacity."""
@@ -24,33 +22,40 @@
     def __init__(
         self,
         *,
-        target_rows: list[rows.TargetRow],
+        index: target_index.TargetIndex,
         step: rows.StepRow,
         context: registry.Context,
     ) -> None:
         self._context = context
+        self._index = index
+        self._step = step
+        index.refresh(step, context)
         self._pools: dict[str, list[rows.TargetRow]] = {}
-        for row in target_rows:
-            if usable.is_usable(step, row, context):
-                self._pools.setdefault(row.target.pool, []).append(row)
         self._free_cpu: tuple[dict[str, float], dict[str, float]] = ({}, {})
-        for pool in self._pools:
+        for pool in index.pools():
             self._look(pool, False)
             self._look(pool, True)
         self._least_cpu: dict[tuple[str, bool], int] = {}
-        self._rankings: dict[tuple[str, str, str], list[_Entry]] = {}
+        self._rankings: dict[target_index.RankingKey, list[target_index.Entry]] = {}
         self._rejected: dict[tuple[str, str, bool, str], list[_Amounts]] = {}
 
     def targets(self, pool: str) -> list[rows.TargetRow]:
         """Returns the usable targets of a pool."""
-        return self._pools.get(pool, [])
+        pool_targets = self._pools.get(pool)
+        if pool_targets is None:
+            pool_targets = self._pools[pool] = self._index.targets(pool)
+        return pool_targets
 
     def scores(self, step: rows.StepRow, selection: registry.Selection) -> dict[str, float]:
         """Returns the scores of the targets that a step may use, by target id."""
         context = self._context
+        self._index.refresh(step, context)
+        with_processor_time = self._index.targets_with(
+            step.job.queue.pool, cpu_millis=step.step.cpu_millis, filler=step.step.filler
+        )
         return {
             row.target_id: selection.score(step, row, context)
-            for row in self.targets(step.job.queue.pool)
+            for row in with_processor_time
             if resource_fit.has_capacity(step, row, context)
             and selection.allows_beyond(_CHECKED, step, row, context)
         }
@@ -60,14 +65,20 @@
         spec = step.step
         return spec.cpu_millis <= self._free_cpu[spec.filler].get(step.job.queue.pool, -1)
 
-    def fitting(self, steps: list[rows.StepRow]) -> list[rows.StepRow]:
-        """Returns the steps that may fit; the pass may place no others."""
+    def fitting(
+        self, waiting: waiting_steps.WaitingSteps, *, reconciled: bool
+    ) -> list[rows.StepRow]:
+        """Returns the steps that may fit; the pass may place no others.
+
+        Args:
+            waiting: All steps with waiting tasks.
+            reconciled: Whether those of inherited jobs may be placed.
+        """
         free_cpu, leftover_cpu = self._free_cpu
         fitting = [
             step
-            for step in steps
-            if step.step.cpu_millis
-            <= (leftover_cpu if step.step.filler else free_cpu).get(step.job.queue.pool, -1)
+            for step in waiting.fitting(free_cpu=free_cpu, leftover_cpu=leftover_cpu)
+            if reconciled or not step.job.inherited
         ]
         for step in fitting:
             key = (step.job.queue.pool, step.step.filler)
@@ -78,6 +89,7 @@
 
     def exhausted(self) -> bool:
         """Looks at all targets again; returns whether the least demand of each pool fits nowhere."""
+        self._index.refresh(self._step, self._context)
         return all(
             cpu_millis > self._look(pool, filler)
             for (pool, filler), cpu_millis in self._least_cpu.items()
@@ -121,27 +133,24 @@
             heapq.heappush(ranking, entry)
         return best
 
-    def _ranking(self, step: rows.StepRow, selection: registry.Selection) -> list[_Entry]:
+    def _ranking(
+        self, step: rows.StepRow, selection: registry.Selection
+    ) -> list[target_index.Entry]:
+        """Returns the targets as a heap; a sorted list is one."""
         spec = step.step
         key = (step.job.queue.pool, spec.label, spec.data_rack)
         ranking = self._rankings.get(key)
         if ranking is None:
-            ranking = [
-                (-selection.score(step, row, self._context), position, row)
-                for position, row in enumerate(self.targets(key[0]))
-                if not spec.label or spec.label in row.target.labels
-            ]
-            heapq.heapify(ranking)
-            self._rankings[key] = ranking
+            self._index.refresh(step, self._context)
+            ranking = self._rankings[key] = self._index.ranking(step, selection, self._context)
         return ranking
 
     def _look(self, pool: str, filler: bool) -> float:
         """Returns the most free processor time that a target of a pool has, and remembers it."""
-        pool_targets = self.targets(pool)
         if filler:
-            free_cpu = max(map(resource_fit.leftover_cpu, pool_targets), default=-1.0)
+            free_cpu = self._index.most_leftover_cpu(pool)
         else:
-            free_cpu = max([row.free_cpu for row in pool_targets], default=-1)
+            free_cpu = self._index.most_free_cpu(pool)
         self._free_cpu[filler][pool] = free_cpu
         return free_cpu
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -15,6 +15,7 @@
     reserve,
     rows,
     tables,
+    target_index,
     targets,
 )
 from ebonyhatch.fleet.constraints import registry
@@ -51,6 +52,7 @@
         self._margins = interference.KeptMargins(model=model)
         self._reserve = reserved
         self._tables = all_tables
+        self._index = target_index.TargetIndex(all_tables=all_tables)
         self._emit = emit
         self._decide = decide
         self.run_number_base = 0
@@ -82,14 +84,11 @@
             order_limit: Number of runs after which no more are ordered; a gang isn't divided.
         """
         self._blocked_tasks = blocked_tasks
-        self._tables.drop_empty_steps()
-        steps = [
-            step for step in self._tables.waiting.values() if self._may_place(step, reconciled)
-        ]
+        self._tables.waiting.drop_empty()
         self._reserve.choose_targets()
         self._orders_left = min(MAX_ORDERS_PER_PASS, order_limit)
-        if steps and self._orders_left > 0:
-            self._place_steps(steps, self.context(now), wall)
+        if self._tables.waiting and self._orders_left > 0:
+            self._place_steps(self.context(now), wall, reconciled)
 
     def context(self, now: float) -> registry.Context:
         """Returns the context of the constraints at a time in seconds, for one pass."""
@@ -101,6 +100,7 @@
         self._orders_left -= 1
         task.state = rows.TaskState.PLACED
         task.last_run = run
+        self._tables.waiting.touch(task.step)
         run_row = rows.RunRow(
             key=targets.RunKey(task=task.name, run=run),
             task=task,
@@ -116,14 +116,11 @@
         """Returns a number above that of every run of the tasks that any owner may have ordered."""
         return max(self.run_number_base, *(task.last_run for task in tasks)) + 1
 
-    def _place_steps(
-        self, steps: list[rows.StepRow], context: registry.Context, wall: float
-    ) -> None:
+    def _place_steps(self, context: registry.Context, wall: float, reconciled: bool) -> None:
         """Places steps in their order until nothing fits or the limit of orders is reached."""
-        usable = candidates.Candidates(
-            target_rows=list(self._tables.targets.values()), step=steps[0], context=context
-        )
-        fitting = usable.fitting(steps)
+        waiting = self._tables.waiting
+        usable = candidates.Candidates(index=self._index, step=waiting.first(), context=context)
+        fitting = usable.fitting(waiting, reconciled=reconciled)
         orders_seen = self._orders_left
         for number, step in enumerate(ordering.in_order(fitting, wall=wall)):
             if step.step.gang:
@@ -131,7 +128,7 @@
             else:
                 self._place_tasks(step, context, usable)
             if not step.waiting:
-                self._tables.waiting.pop(id(step), None)
+                self._tables.waiting.discard(step)
             if self._orders_left <= 0:
                 return
             if self._orders_left < orders_seen and len(fitting) - number > LOOK_AGAIN_STEPS:
@@ -139,9 +136,6 @@
                 if usable.exhausted():
                     return
 
-    def _may_place(self, step: rows.StepRow, reconciled: bool) -> bool:
-        return reconciled or not step.job.inherited
-
     def _place_tasks(
         self, step: rows.StepRow, context: registry.Context, usable: candidates.Candidates
     ) -> None:
--- a/packages/ebonyhatch-fleet/tests/test_candidates.py
+++ b/packages/ebonyhatch-fleet/tests/test_candidates.py
@@ -29,15 +29,17 @@
     def context(self, now):
         return registry.Context(now=now, tails=self._model, kept=self._reserve.is_reserved)
 
-    def _place_steps(self, steps, context, wall):
+    def _place_steps(self, context, wall, reconciled):
         self._orders_left = 10**9
+        waiting = self._tables.waiting.values()
+        steps = [step for step in waiting if reconciled or not step.job.inherited]
         for step in sorted(steps, key=lambda step: ordering.key(step, wall=wall)):
             if step.step.gang:
                 self._place_all_members(step, context)
             else:
                 self._place_each(step, context)
             if not step.waiting:
-                self._tables.waiting.pop(id(step), None)
+                self._tables.waiting.discard(step)
 
     def _place_each(self, step, context):
         deferred = []
@@ -79,6 +81,8 @@
 class PlainReserve(reserve.Reserve):
     """Counts all runs and sorts all targets each time."""
 
+    reserved_ids = frozenset()
+
     def observe(self, *, elapsed_s):
         demand = {}
         runs = [run for row in self._tables.targets.values() for run in row.runs.values()]
@@ -94,12 +98,28 @@
             self._peaks[pool] = max(decayed, float(demand.get(pool, 0)))
 
     def choose_targets(self):
-        self._sorted_for = []
-        super().choose_targets()
+        self.reserved_ids = set()
+        pools = {}
+        for row in self._tables.targets.values():
+            if row.listed and not row.target.draining:
+                pools.setdefault(row.target.pool, []).append(row)
+        for pool, members in pools.items():
+            total = sum(row.target.cpu_millis for row in members)
+            demand_cpu = reserve.PEAK_FACTOR * self._peaks.get(pool, 0.0)
+            remaining_cpu = max(reserve.MIN_FRACTION * total, demand_cpu)
+            remaining_cpu = min(reserve.MAX_FRACTION * total, remaining_cpu)
+            for row in sorted(members, key=lambda row: (row.long_running_cpu, row.target_id)):
+                if remaining_cpu <= 0:
+                    break
+                self.reserved_ids.add(row.target_id)
+                remaining_cpu -= row.target.cpu_millis
+
+    def is_reserved(self, row):
+        return row.target_id in self.reserved_ids
 
 
 class PlainScheduler(scheduler.Scheduler):
-    """Looks at all runs and all waiting tasks each time."""
+    """Looks at all targets, all runs and all waiting tasks each time."""
 
     def __init__(self, *, decide):
         super().__init__(decide=decide)
@@ -113,6 +133,9 @@
             decide=fast._decide,
         )
 
+    def _follow_targets(self):
+        self._suspected = self._leaving = {id(row): row for row in self._tables.targets.values()}
+
     def _stop_hung_runs(self, now):
         for row in self._tables.targets.values():
             for run in list(row.runs.values()) if row.reachable else ():
@@ -188,7 +211,19 @@
         )
         queue = pick(QUEUES)
         job = jobs.Job(job_id=f"{number:016x}", queue=queue.name, spec="", steps=(step,))
-        self.subject.add_job(rows.JobRow(job=job, queue=queue), now=number / 9, wall=number / 9)
+        row = rows.JobRow(job=job, queue=queue, inherited=chance() < 0.1)
+        self.subject.add_job(row, now=number / 9, wall=number / 9)
+
+    def _unknown_runs(self) -> tuple[targets.Running, ...]:
+        """Returns a run of a waiting task that a former owner may have ordered, or none."""
+        steps = list(self.subject.tables.waiting.values())
+        if not steps or self.random.random() < 0.8:
+            return ()
+        tasks = list(self.random.choice(steps).waiting)
+        if not tasks:
+            return ()
+        task = self.random.choice(tasks)
+        return (targets.Running(key=targets.RunKey(task=task.name, run=task.last_run + 1)),)
 
     def report_all(self, now: float) -> None:
         kinds = (targets.EndKind.DONE, targets.EndKind.DONE, targets.EndKind.FAILED)
@@ -212,10 +247,36 @@
                     )
                     for key in row.runs
                     if key not in ended
-                ),
+                )
+                + self._unknown_runs(),
             )
             self.subject.apply_report(row, report, now=now)
 
+    def _reserved(self) -> list[str]:
+        is_reserved = self.subject._reserve.is_reserved
+        return [row.target_id for row in self.subject.tables.targets.values() if is_reserved(row)]
+
+    def _change_targets(self, tick: int, now: float) -> None:
+        """Registers targets again, takes them off the list, and replaces or removes empty ones."""
+        chance, pick = self.random.random, self.random.choice
+        row = pick(list(self.subject.tables.targets.values()))
+        if chance() < 0.1:
+            row.listed = not row.listed
+        if chance() < 0.1:
+            changed = msgspec.structs.replace(
+                row.target,
+                born=row.target.born + int(chance() < 0.3),
+                cpu_millis=pick((8000, 12000, 16000)),
+                pool=pick("pq"),
+                draining=chance() < 0.3,
+            )
+            row = self.subject.set_target(changed, now=now)
+            row.confirmed = row.confirmed or chance() < 0.7
+        if chance() < 0.2:
+            self._add_target(100 + tick)
+        if chance() < 0.2 and not row.runs and len(self.subject.tables.targets) > 2:
+            self.subject.remove_target(row)
+
     def play(self) -> list:
         number = 0
         for tick in range(1, 40):
@@ -231,11 +292,17 @@
             if self.random.random() < 0.1:
                 row = self.random.choice(list(self.subject.tables.targets.values()))
                 row.reachable = not row.reachable
+            self._change_targets(tick, now)
+            self.subject.reconciled = tick % 20 > 5
+            self.subject.may_place = tick % 15 > 2
+            if self.random.random() < 0.2 and number:
+                self.subject.cancel(f"{self.random.randint(1, number):016x}", now=now)
             if self.random.random() < 0.1:
                 pool = self.random.choice("pq")
                 moved = tuple(msgspec.structs.replace(queue, pool=pool) for queue in QUEUES[1:])
                 self.subject.configure(queues.Configuration(version=tick, queues=moved))
             self.decisions.append(len(self.subject.tick(now=now, wall=now)))
+            self.decisions.append(self._reserved())
             self.decisions.append(self.subject.next_wake_s(now=now, wall=now))
             self.decisions.append(
                 [[t.name for t in step.waiting] for step in self.subject.tables.waiting.values()]
