Targets that were down before an outage of the store don't count against its owner

What callers would see: in an outage of the store longer than the targets' lease, with more than a fifth of the listed targets crashed or cut off at the time, all runs on the others were lost.

Cause: an owner without a valid lease renewed leases only once four fifths of all listed targets had answered.

Change: four fifths of those that answered in the last 3 s before the end of its lease have to. What is cut off together with the owner answers no more, what was down before doesn't count. The count moves from the owner to a module of its own, `fleet.reach`.

The new test failed before: no run was left after 10 s with two of four targets down. The tests of owners that are cut off with 1 to 3 of 4 targets pass unchanged.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -21,6 +21,7 @@
     model_snapshot,
     progress,
     queues,
+    reach,
     recovery,
     retention,
     rows,
@@ -62,17 +63,6 @@
 MAX_SCANS_IN_FLIGHT = 32
 """Maximum number of polls that ask for an immediate answer, over all targets."""
 
-MIN_ANSWERING_FRACTION = 0.8
-"""Fraction of the listed targets that have to answer an owner without a valid lease. With fewer it
-may be cut off together with them, while another entry takes over and reaches the rest."""
-
-ANSWER_AGE_S = 3.0
-"""Longest time since a target's last answer for which it counts as answering, seconds: more than a
-poll with its pause."""
-
-ANSWERS_COUNTED_INTERVAL_S = 0.1
-"""Minimum time between two counts of the answering targets, seconds."""
-
 MIN_SUSPENSION_S = 0.5
 """Minimum suspension between two ticks after which the lease has to be renewed first, seconds."""
 
@@ -153,9 +143,7 @@
         self._ticked_at = all_clocks.now()
         self._ticked_boottime = all_clocks.boottime()
         self._lease_renewal_required = False
-        self._without_lease_since: float | None = None
-        self._answers_counted_at = 0.0
-        self._most_targets_answer = False
+        self._reach = reach.Reach(all_clocks=all_clocks, sessions=self._sessions.values)
         self._model_saved_at = all_clocks.now()
         self._known_records = known_targets.Records()
         self._inherited_targets: known_targets.KnownTargets = {}
@@ -664,25 +652,8 @@
         )
 
     def _may_renew_leases(self) -> bool:
-        """Returns whether the leases of targets may be renewed.
-
-        The next owner takes runs on targets that it can't reach as ended once the leases which were
-        valid at its takeover have expired. Only answers since the end of the own lease count.
-        """
-        now = self._clocks.now()
-        if self._lease_valid():
-            self._without_lease_since = None
-            return True
-        if self._without_lease_since is None:
-            self._without_lease_since = now
-            self._most_targets_answer = False
-        if now - self._answers_counted_at >= ANSWERS_COUNTED_INTERVAL_S:
-            self._answers_counted_at = now
-            since = max(self._without_lease_since, now - ANSWER_AGE_S)
-            listed = [one for one in self._sessions.values() if one.row.listed]
-            answering = sum(one.answered_at > since for one in listed)
-            self._most_targets_answer = answering >= MIN_ANSWERING_FRACTION * len(listed)
-        return self._most_targets_answer
+        """Returns whether the leases of targets may be renewed."""
+        return self._reach.suffices(lease_valid=self._lease_valid())
 
     def _execute(self, command: commands.Command) -> None:
         if isinstance(command, commands.StartRun):
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -175,6 +175,23 @@
     world_module.check_all(world)
 
 
+def test_outage_of_the_store_while_some_targets_are_down_loses_no_run_on_the_others():
+    world = _ready()
+    job = world.job(jobs.Step(count=8, cpu_millis=1000, estimate_s=60.0), work_s=60.0)
+    world.submit(job)
+    world.run(1.0)
+    names = sorted(world.engines)
+    for name in names[:2]:
+        world.engines[name].faults.down = True
+    world.run(4.0)
+    running = {key for name in names[2:] for key in world.engines[name].runs}
+    for member in world.members.values():
+        member.store.faults.silent = True
+    world.run(10.0)
+    assert running <= {key for name in names[2:] for key in world.engines[name].runs}
+    world_module.check_single_execution(world)
+
+
 @pytest.mark.parametrize("fault", ["silent", "refuse"])
 def test_submissions_are_refused_at_once_while_the_store_is_down_or_unresponsive(fault):
     """The refused jobs never run, and Retry-After sends the callers back near the outage's end."""
