The retention of ended jobs goes on over changes of the owner

What operators would see: a store that keeps all jobs ever submitted, and recoveries that take longer with each, where owners change more often than ended jobs are kept.

Cause: the time of a job's end was set after its record had been encoded, so that no record held one, and each owner began the retention of all ended jobs anew.

Change: the time is set before the record is written, and the next owner counts from it. Ended jobs are removed in the order of these times, not in that of the listing.

The new test failed before: the records of a job were there after three owners and 1.6 times the retention period.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -127,7 +127,7 @@
             all_clocks=all_clocks,
             term=term,
             head_revision=head_revision,
-            collect_changed=self._scheduler.drain_changed_jobs,
+            collect_changed=self._collect_changed_jobs,
             collect_auxiliary_records=self._collect_auxiliary_records,
             collect_expired=lambda: self._retention.pop_due(now=all_clocks.now()),
             on_removed=self._on_removed,
@@ -365,7 +365,16 @@
         )
         self._scheduler.add_job(row, now=self._clocks.now(), wall=self._clocks.wall())
         if row.visible_state in rows.ENDED_STATES:
-            self._retention.add(job_id, now=self._clocks.now())
+            since_end_s = self._clocks.wall() - row.ended_at if row.ended_at else 0.0
+            self._retention.add(job_id, now=self._clocks.now() - max(0.0, since_end_s))
+
+    def _collect_changed_jobs(self) -> list[rows.JobRow]:
+        """Returns the jobs whose progress is to be written; those that ended get their time."""
+        changed = self._scheduler.drain_changed_jobs()
+        for row in changed:
+            if row.ended and not row.ended_at:
+                row.ended_at = self._clocks.wall()
+        return changed
 
     def _collect_auxiliary_records(self) -> list[store.Put]:
         """Returns the records to write with the jobs: changed targets, and the learned model."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/retention.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/retention.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
-import collections
+import heapq
 
 MAX_REMOVED_PER_WRITE = 10
 """Maximum number of jobs removed in one write: three keys each, and the head, fit the store's limit."""
 
 
 class Retention:
-    """Ended jobs, in the order in which their ends became visible to callers."""
+    """Ended jobs, from the one that ended first on."""
 
     def __init__(self, *, keep_s: float) -> None:
         self._keep_s = keep_s
-        self._ended: collections.deque[tuple[float, str]] = collections.deque()
+        self._ended: list[tuple[float, str]] = []
 
     @property
     def count(self) -> int:
@@ -22,7 +22,7 @@
 
     def add(self, job_id: str, *, now: float) -> None:
         """Adds a job whose end callers see from `now` on, in seconds of the monotonic clock."""
-        self._ended.append((now, job_id))
+        heapq.heappush(self._ended, (now, job_id))
 
     def is_due(self, *, now: float) -> bool:
         """Returns whether the retention period of any job is over."""
@@ -32,5 +32,5 @@
         """Removes and returns the due jobs that fit into one write."""
         due: list[str] = []
         while len(due) < MAX_REMOVED_PER_WRITE and self.is_due(now=now):
-            due.append(self._ended.popleft()[1])
+            due.append(heapq.heappop(self._ended)[1])
         return due
--- a/packages/ebonyhatch-fleet/tests/test_retention.py
+++ b/packages/ebonyhatch-fleet/tests/test_retention.py
@@ -60,3 +60,18 @@
     world.submit(job)
     world.run(3 * KEEP_S)
     assert world.show(job.job_id).state == "running"
+
+
+def test_retention_goes_on_over_changes_of_the_owner_that_come_more_often_than_it_lasts():
+    world = world_module.World(keep_ended_s=KEEP_S)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    job = world.job(*SHORT, work_s=0.2)
+    world.submit(job)
+    world.run_until(lambda: world.state(job.job_id) == "completed")
+    for number in range(3):
+        world.run(KEEP_S / 2)
+        world.kill(world.owner.name)
+        world.start(f"n{number}")
+        world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(1.0)
+    assert _keys(world, job.job_id) == []
