The names of messages between entries are unique over both packages

Cause: a message of the fleet had the name of one of the node's. Messages are told apart by their names, and the decoder is built from all that are imported, so that no process of the users' platform could have read a message of a peer. The tests of the fleet use peers in memory and didn't notice.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/messages.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/messages.py
@@ -84,7 +84,7 @@
     value: bytes
 
 
-class ConfigurationCall(messages.Message, frozen=True, kw_only=True):
+class NewerConfigurationCall(messages.Message, frozen=True, kw_only=True):
     """Asks a peer for a configuration newer than a version; the answer is a `ConfigurationNotice`.
 
     Its value is empty if the peer has no newer one.
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -223,7 +223,7 @@
         self._loop_delay.start()
         self._load_report.start()
         self._network.handle(messages.ConfigurationNotice, self._on_configuration_notice)
-        self._network.handle(messages.ConfigurationCall, self._on_configuration_call)
+        self._network.handle(messages.NewerConfigurationCall, self._on_configuration_call)
         self._network.handle(messages.LoadNotice, self._on_load_notice)
         self._network.start()
         self._entry.start()
@@ -373,7 +373,7 @@
             current = self._configuration.current
             reply = await self._network.call(
                 entry_id=peer.entry_id,
-                message=messages.ConfigurationCall(
+                message=messages.NewerConfigurationCall(
                     version=0 if current is None else current.version
                 ),
                 timeout_s=CONFIGURATION_QUERY_INTERVAL_S,
@@ -383,7 +383,7 @@
                 self._on_configuration_notice(peer.entry_id, notice)
 
     def _on_configuration_call(
-        self, sender: str, call: messages.ConfigurationCall
+        self, sender: str, call: messages.NewerConfigurationCall
     ) -> messages.ConfigurationNotice:
         current = self._configuration.current
         version = 0 if current is None else current.version
