Log lines are written in parts that a pipe takes whole

Change: a write holds whole lines of at most 4,096 bytes together, and while the reader holds up the output no line tries to write.

The new form of the test of many lines failed before, with one write of over 4,096 bytes.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decision_log.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decision_log.py
@@ -26,8 +26,9 @@
 """Longest time for which a line waits for others before they are written together, seconds: a
 system call for each line would cost a busy owner more than the lines."""
 
-FLUSH_BYTES = 32_000
-"""Number of buffered bytes that are written without that delay."""
+WRITE_BYTES = 4_096
+"""Number of buffered bytes that are written without that delay, and the most that one write holds if
+its lines are shorter: a pipe takes as much at once, so that its reader gets whole lines."""
 
 _OMITTED_FIELDS = frozenset({"task_uuid", "task_level"})
 
@@ -45,6 +46,7 @@
         self._common = dict(common)
         self._buffer = bytearray()
         self._timer: timing.Timer | None = None
+        self._held_up = False
         self._tokens = MAX_BURST_LINES
         self._refilled_at = 0.0
         self._dropped = 0
@@ -84,9 +86,9 @@
         if len(self._buffer) + len(encoded) > BUFFER_LIMIT_BYTES:
             self._dropped += 1
             return
-        self._buffer += encoded
-        if len(self._buffer) >= FLUSH_BYTES:
+        if not self._held_up and len(self._buffer) + len(encoded) > WRITE_BYTES:
             self._flush()
+        self._buffer += encoded
         self._schedule_flush()
 
     def _consume_token(self) -> bool:
@@ -109,15 +111,19 @@
         self._schedule_flush()
 
     def _flush(self) -> None:
-        """Writes as much of the buffer as the reader accepts."""
-        try:
-            written = os.write(self._descriptor, self._buffer) if self._buffer else 0
-        except BlockingIOError:
-            return
-        except OSError:
-            # The reader has closed the output, and no other place exists to report it.
-            written = len(self._buffer)
-        del self._buffer[:written]
+        """Writes as much of the buffer as the reader accepts, in whole lines."""
+        self._held_up = False
+        while self._buffer:
+            end = self._buffer.rfind(b"\n", 0, WRITE_BYTES) + 1 or len(self._buffer)
+            try:
+                written = os.write(self._descriptor, self._buffer[:end])
+            except BlockingIOError:
+                self._held_up = True
+                return
+            except OSError:
+                # The reader has closed the output, and no other place exists to report it.
+                written = len(self._buffer)
+            del self._buffer[:written]
 
 
 def write(event: str, **fields: Any) -> None:
--- a/packages/ebonyhatch-fleet/tests/test_decision_log.py
+++ b/packages/ebonyhatch-fleet/tests/test_decision_log.py
@@ -65,25 +65,33 @@
     clock = task.Clock()
     log = decision_log.DecisionLog(descriptor=pipe[1], clock=clock, common={})
     log.start()
-    for number in range(64):
+    for number in range(30):
         decision_log.write("run.order", number=number)
     assert writes == []
     clock.advance(decision_log.FLUSH_DELAY_S)
     assert len(writes) == 1
-    assert [line["number"] for line in lines(pipe[0])] == list(range(64))
-    decision_log.write("run.order", number=64)
+    assert [line["number"] for line in lines(pipe[0])] == list(range(30))
+    decision_log.write("run.order", number=30)
     clock.advance(decision_log.FLUSH_DELAY_S)
-    assert [line["number"] for line in lines(pipe[0])] == [64]
+    assert [line["number"] for line in lines(pipe[0])] == [30]
     log.close()
 
 
-def test_many_lines_are_written_before_the_delay(pipe):
-    log = decision_log.DecisionLog(descriptor=pipe[1], clock=task.Clock(), common={})
+def test_many_lines_are_written_before_the_delay_and_each_write_holds_whole_lines(
+    pipe, monkeypatch
+):
+    written = []
+    write = os.write
+    monkeypatch.setattr(os, "write", lambda end, data: written.append(data) or write(end, data))
+    clock = task.Clock()
+    log = decision_log.DecisionLog(descriptor=pipe[1], clock=clock, common={})
     log.start()
-    text = "t" * 1000
-    for number in range(decision_log.FLUSH_BYTES // len(text)):
-        decision_log.write("run.order", number=number, text=text)
-    assert lines(pipe[0])[0]["number"] == 0
+    for number in range(300):
+        decision_log.write("run.order", number=number, text="t" * (number % 90))
+    assert 8 < len(written) < 30
+    clock.advance(decision_log.FLUSH_DELAY_S)
+    assert all(part.endswith(b"\n") and len(part) <= decision_log.WRITE_BYTES for part in written)
+    assert [line["number"] for line in lines(pipe[0])] == list(range(300))
     log.close()
 
 
