Heartbeats of targets no longer make the owner go through all targets

Callers saw work wait on fleets of small entries.

Cause: targets write their registrations again with each heartbeat. The cost grows with the square of the targets.

Change: only changes of what a registration says are reported.

The new test failed before: 41 reports instead of 1.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -498,10 +498,15 @@
         for target_id, session in list(self._sessions.items()):
             if target_id not in listed:
                 session.row.listed = False
-                self._close_session_if_empty(session)
+        self._close_unlisted_sessions()
         self._journal.request_write()
         self._schedule_tick()
 
+    def _close_unlisted_sessions(self) -> None:
+        for session in list(self._sessions.values()):
+            if not session.row.listed:
+                self._close_session_if_empty(session)
+
     def _open_session(self, row: rows.TargetRow) -> None:
         """Starts the session with a newly listed target.
 
@@ -632,6 +637,7 @@
         self._schedule_tick_in(max(wake_s, self._min_tick_interval_s))
         if now - self._targets_compared_at > MAX_TICK_INTERVAL_S:
             self._targets_compared_at = now
+            self._close_unlisted_sessions()
             if self._targets.loaded and (
                 self._known_records.changed(self._row_of) or self._retention.is_due(now=now)
             ):
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
@@ -119,22 +119,24 @@
             changes = watched.unwrap()
             as_of = changes.as_of
             retained = dict(self._listed) if self._failed else {}
-            for change in changes.changes:
-                self._apply(change.key, change.item)
+            changed = [self._apply(change.key, change.item) for change in changes.changes]
             missing = {name: retained[name] for name in retained if name not in self._listed}
             if missing:
                 self._retain_temporarily(missing)
             self._failed = False
-            if changes.changes:
+            # Heartbeats of targets write registrations that hold nothing new.
+            if any(changed):
                 self._on_change(dict(self._listed))
 
-    def _apply(self, key: str, item: store.Item | None) -> None:
+    def _apply(self, key: str, item: store.Item | None) -> bool:
+        """Applies a registration or its removal; returns whether the list has changed."""
         name = key.removeprefix(self._target_codec.prefix)
         target = None if item is None else self._target_codec.decode(item)
         if target is None:
-            if self._listed.pop(name, None) is not None:
-                decision_log.write("target.unlisted", target=name, gone=item is None)
-            return
+            if self._listed.pop(name, None) is None:
+                return False
+            decision_log.write("target.unlisted", target=name, gone=item is None)
+            return True
         before = self._listed.get(name)
         if before is None or (before.draining, before.born) != (target.draining, target.born):
             decision_log.write(
@@ -145,3 +147,4 @@
                 revision=0 if item is None else item.revision,
             )
         self._listed[name] = target
+        return target != before
--- a/packages/ebonyhatch-fleet/tests/test_target_list.py
+++ b/packages/ebonyhatch-fleet/tests/test_target_list.py
@@ -101,3 +101,16 @@
     case.advance(1.0)
     assert len(case.store.of("list_page")) == 2
     assert len(case.reported[-1]) == 7
+
+
+def test_registrations_that_hold_nothing_new_are_not_reported():
+    case = ListCase()
+    for _ in range(20):
+        case.put("t0")
+        case.put("t1")
+        case.advance(0.1)
+    assert len(case.reported) == 1
+    case.put("t2")
+    case.remove("t0")
+    case.advance(1.0)
+    assert case.reported[-1] == {"t1", "t2"}
