Margins for fillers are estimated once for each image on a target

Callers saw work wait on fleets of small entries, where decisions take a quarter of the owner's loop.

Cause: the margins of the serving tasks on a target were estimated by each pair of a serving task and a filler, though they depend on the images and on what the fillers of an image request together.

Change: one estimate for each pair of images. The upper cost of a filler, which only tests asked the model for, is computed there from the margins.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/interference.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/interference.py
@@ -216,25 +216,30 @@
         """Returns the margin that one more task of a filler step would take from a serving run."""
         return self._cost(run, step.step.image, full_fraction(run.target, step))
 
-    def cautious_cost(self, run: rows.RunRow, step: rows.StepRow) -> float:
-        """Returns an upper estimate of `extra_cost`, see `CAUTION_DEVIATIONS`."""
-        pair = (run.task.step.step.image, step.step.image)
-        return self._upper_interference(pair) * full_fraction(run.target, step)
-
     def margins(self, row: rows.TargetRow, image: str) -> tuple[ServingMargin, ...]:
         """Returns the margins of the serving runs on a target for a filler image."""
-        fillers = filler_runs(row)
+        requested = _requested_fractions(row)
+        by_image: dict[str, tuple[float, float, float]] = {}
         margins = []
         for run in serving_runs(row):
             step = run.task.step
             serving = step.step.image
-            present_cost = sum(self.cautious_cost(run, filler.task.step) for filler in fillers)
+            estimates = by_image.get(serving)
+            if estimates is None:
+                estimates = by_image[serving] = (
+                    self.interference(serving=serving, filler=image),
+                    self._upper_interference((serving, image)),
+                    sum(
+                        self._upper_interference((serving, name)) * fraction
+                        for name, fraction in requested.items()
+                    ),
+                )
             margins.append(
                 ServingMargin(
-                    interference=self.interference(serving=serving, filler=image),
-                    upper_interference=self._upper_interference((serving, image)),
+                    interference=estimates[0],
+                    upper_interference=estimates[1],
                     baseline=self.baseline_margin(step.job.job.job_id),
-                    present_cost=present_cost,
+                    present_cost=estimates[2],
                 )
             )
         return tuple(margins)
@@ -330,6 +335,16 @@
     return step.step.cpu_millis / (row.target.cpu_millis or 1)
 
 
+def _requested_fractions(row: rows.TargetRow) -> dict[str, float]:
+    """Returns the fraction of a target's processors that its fillers request, by image."""
+    requested: dict[str, float] = {}
+    for filler in row.fillers.values():
+        step = filler.task.step
+        image = step.step.image
+        requested[image] = requested.get(image, 0.0) + full_fraction(row, step)
+    return requested
+
+
 def _paced_fraction(filler: rows.RunRow) -> float:
     return full_fraction(filler.target, filler.task.step) * filler.pace / 100
 
--- a/packages/ebonyhatch-fleet/tests/test_interference.py
+++ b/packages/ebonyhatch-fleet/tests/test_interference.py
@@ -142,15 +142,22 @@
     assert fleet.model.interference(serving="t", filler="loud") < before + 3.0
 
 
+def _cautious_cost(model, run, step):
+    """Returns the upper estimate of what one more task of a filler step would cost a serving run."""
+    serving = interference.serving_runs(run.target)
+    margin = model.margins(run.target, step.step.image)[serving.index(run)]
+    return margin.upper_interference * interference.full_fraction(run.target, step)
+
+
 def test_a_pair_needs_observation_until_it_is_known():
     fleet = Fleet(3)
     run, step = fleet.serving[0], fleet.fillers["quiet"]
     assert fleet.model.needs_observation(run, step)
-    assert fleet.model.cautious_cost(run, step) > fleet.model.extra_cost(run, step)
-    uncertain = fleet.model.cautious_cost(run, step) - fleet.model.extra_cost(run, step)
+    assert _cautious_cost(fleet.model, run, step) > fleet.model.extra_cost(run, step)
+    uncertain = _cautious_cost(fleet.model, run, step) - fleet.model.extra_cost(run, step)
     fleet.simulate(20.0)
     assert not fleet.model.needs_observation(run, step)
-    certain = fleet.model.cautious_cost(run, step) - fleet.model.extra_cost(run, step)
+    certain = _cautious_cost(fleet.model, run, step) - fleet.model.extra_cost(run, step)
     assert certain < uncertain / 3
 
 
@@ -176,7 +183,7 @@
                 upper = model.interference(serving=pair[0], filler=pair[1])
                 upper += interference.CAUTION_DEVIATIONS * deviation
                 expected = upper * filler.step.cpu_millis / CPU_MILLIS
-                assert model.cautious_cost(run, filler) == pytest.approx(expected, rel=1e-12)
+                assert _cautious_cost(model, run, filler) == pytest.approx(expected, rel=1e-12)
 
 
 @pytest.mark.parametrize("seed", range(4))
@@ -192,3 +199,16 @@
             kept.forget(row)
         for image in ("loud", "quiet", "unknown"):
             assert kept.margins(row, image) == fleet.model.margins(row, image)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_present_cost_is_that_of_all_fillers_at_full_pace(seed):
+    fleet = Fleet(seed)
+    fleet.simulate(5.0)
+    for row in fleet.rows:
+        serving = interference.serving_runs(row)
+        margins = fleet.model.margins(row, "unknown")
+        for run, margin in zip(serving, margins, strict=True):
+            fillers = [filler.task.step for filler in interference.filler_runs(row)]
+            expected = sum(_cautious_cost(fleet.model, run, step) for step in fillers)
+            assert margin.present_cost == pytest.approx(expected, rel=1e-12)
