An owner decides for up to two fifths of its loop, and polls slowly only on a full link

Callers saw batch work wait, and ends of urgent tasks noticed half a second late, on fleets of small entries.

Polls were up to a second apart as soon as half of the link was in use. Orders with their specs take most of that (0.4 MB/s of 0.625), polls a tenth, so that polling slowly saved little.

Change: 0.4 of the loop, and 0.8 of the link. Decisions are cheaper than when the limit was set, so that a tick is not longer.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -48,7 +48,7 @@
 """Time after the start of a filler (a task that uses processor time left over by others) until the
 target is polled for its effect, seconds. Readings cover half a second."""
 
-MAX_TICK_SHARE = 0.25
+MAX_TICK_SHARE = 0.4
 """Maximum share of the loop's time that decisions take, so that renewals and answers are not held
 up; the orders that follow from them are limited by `MAX_ORDERS_IN_FLIGHT`."""
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/poll_pace.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/poll_pace.py
@@ -18,7 +18,7 @@
 MAX_LOOP_DELAY_S = 0.15
 """Delay of the loop's callbacks above which the instance counts as overloaded, seconds."""
 
-MAX_LINK_SHARE = 0.5
+MAX_LINK_SHARE = 0.8
 """Share of the link in use above which the instance counts as overloaded."""
 
 GROWTH = 1.5
