A log line longer than a write takes no other lines along

Operators would see lines cut in two after a traceback that was held up by the reader of the output.

Cause: where no line ended within 4,096 bytes, everything buffered was written at once. Found in review.

Change: a write ends with the long line. The new test failed before: one write for all 21 lines.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decision_log.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decision_log.py
@@ -114,7 +114,7 @@
         """Writes as much of the buffer as the reader accepts, in whole lines."""
         self._held_up = False
         while self._buffer:
-            end = self._buffer.rfind(b"\n", 0, WRITE_BYTES) + 1 or len(self._buffer)
+            end = self._buffer.rfind(b"\n", 0, WRITE_BYTES) + 1 or self._buffer.find(b"\n") + 1
             try:
                 written = os.write(self._descriptor, self._buffer[:end])
             except BlockingIOError:
--- a/packages/ebonyhatch-fleet/tests/test_decision_log.py
+++ b/packages/ebonyhatch-fleet/tests/test_decision_log.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import contextlib
 import os
 
 import eliot
@@ -109,3 +110,26 @@
     decoded = [msgspec.json.decode(line) for line in received.splitlines()]
     assert [line["number"] for line in decoded] == list(range(200))
     log.close()
+
+
+def test_line_longer_than_a_write_does_not_take_the_lines_after_it_along(pipe, monkeypatch):
+    clock = task.Clock()
+    log = decision_log.DecisionLog(descriptor=pipe[1], clock=clock, common={})
+    log.start()
+    filled = 0
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            filled += os.write(pipe[1], b"x" * decision_log.WRITE_BYTES)
+    decision_log.write("run.order", number=-1)
+    clock.advance(decision_log.FLUSH_DELAY_S)
+    decision_log.write("tick.failed", reason="r" * 2 * decision_log.WRITE_BYTES)
+    for number in range(20):
+        decision_log.write("run.order", number=number)
+    assert len(os.read(pipe[0], filled)) == filled
+    written = []
+    write = os.write
+    monkeypatch.setattr(os, "write", lambda end, data: written.append(data) or write(end, data))
+    clock.advance(decision_log.FLUSH_DELAY_S)
+    log.close()
+    assert [part.count(b"\n") for part in written] == [1, 1, 20]
+    assert len(lines(pipe[0])) == 22
