A term is not valid once the owner's key is seen to vanish

What callers would see: two runs of one task, where an owner goes on although its key is gone and another entry may take over at once.

Cause: the lease of the owner's key was noted when the key was seen or written, and not forgotten when it was seen to vanish or to belong to another entry.

Change: it is forgotten then, and before a listing of the membership is applied. The new test failed before. The duration of the lease becomes readable, for the next change.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -162,6 +162,11 @@
         """Whether this entry acts as the owner."""
         return self._term > 0
 
+    @property
+    def lease_ttl_s(self) -> float:
+        """Duration of this entry's lease, seconds."""
+        return self._lease_ttl_s
+
     @property
     def lease_valid(self) -> bool:
         """Whether the lease is certainly valid, by the clock that counts suspensions."""
@@ -504,6 +509,7 @@
         for name in [name for name in self._entries if name not in listed_names]:
             del self._entries[name]
         self._owner = None
+        self._owner_key_lease = 0
         for item in listed.items:
             self._apply_item(item.key, item)
         self._membership_read = True
@@ -512,8 +518,8 @@
     def _apply_item(self, key: str, item: store.Item | None) -> None:
         if key == keys.OWNER:
             owner = None if item is None else _decode_owner(item.value)
-            if item is not None and owner and owner.incarnation == self._entry.incarnation:
-                self._owner_key_lease = item.lease
+            is_own = owner is not None and owner.incarnation == self._entry.incarnation
+            self._owner_key_lease = item.lease if item is not None and is_own else 0
             self._apply_owner(owner)
         elif key.startswith(keys.ENTRIES):
             name = key.removeprefix(keys.ENTRIES)
--- a/packages/ebonyhatch-fleet/tests/test_ownership.py
+++ b/packages/ebonyhatch-fleet/tests/test_ownership.py
@@ -366,3 +366,15 @@
     term = only.node.owner.term
     world.run(3 * node.FEW_TARGETS_S)
     assert only.node.owner is not None and only.node.owner.term == term
+
+
+def test_term_is_not_valid_once_the_owner_s_key_is_seen_to_vanish():
+    world = world_module.World(entries=1)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(1.0)
+    members = world.owner.node._members
+    assert members.term_valid
+    world.owner.store.faults.lose_answers = True
+    world.store.commit((), (), (keys.OWNER,))
+    world.run_until(lambda: members.owner is None, 1.0)
+    assert not members.term_valid
