Tests of the metrics collect what earlier tests left behind first

Suspected, not shown, are entries of earlier tests in the same process that log when they are collected. Its assertion is the same.

--- a/packages/ebonyhatch-fleet/tests/test_metrics.py
+++ b/packages/ebonyhatch-fleet/tests/test_metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import random
 
 import prometheus_client
@@ -12,6 +13,8 @@
 
 @pytest.fixture
 def started_metrics():
+    # Entries of earlier tests may log when they are collected.
+    gc.collect()
     entry_metrics = metrics.Metrics(gauges=lambda: {"jobs": 7})
     entry_metrics.start()
     yield entry_metrics
