--- a/packages/ebonyhatch-fleet/tests/test_metrics.py
+++ b/packages/ebonyhatch-fleet/tests/test_metrics.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import random
 
 import prometheus_client
@@ -13,8 +12,6 @@
 
 @pytest.fixture
 def started_metrics():
-    # Entries of earlier tests may log when they are collected.
-    gc.collect()
     entry_metrics = metrics.Metrics(gauges=lambda: {"jobs": 7})
     entry_metrics.start()
     yield entry_metrics
