--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/interference.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/interference.py
@@ -131,13 +131,13 @@
     def __init__(self) -> None:
         self._baselines: dict[str, _Estimate] = {}
         self._interferences: dict[tuple[str, str], _Estimate] = {}
-        self._cautious_interferences: dict[tuple[str, str], float] = {}
+        self._upper_interferences: dict[tuple[str, str], float] = {}
         self._now = 0.0
 
     def advance_to(self, now: float) -> None:
         """Sets the model's time, seconds."""
         self._now = now
-        self._cautious_interferences.clear()
+        self._upper_interferences.clear()
 
     def interference(self, *, serving: str, filler: str) -> float:
         """Returns the interference of a filler image with a serving image."""
@@ -168,7 +168,7 @@
 
         Their variances aren't stored, so a quarter of the prior's is assumed.
         """
-        self._cautious_interferences.clear()
+        self._upper_interferences.clear()
         for serving, filler, interference in interferences:
             self._interferences[(serving, filler)] = _Estimate(
                 mean=interference, variance=PRIOR_INTERFERENCE_VARIANCE / 4, at=self._now
@@ -183,7 +183,7 @@
         step = run.task.step
         if not run.reading:
             return
-        self._cautious_interferences.clear()
+        self._upper_interferences.clear()
         margin = min(step.step.tail_limit_s / run.reading, MAX_MARGIN)
         baseline = self._baseline_estimate(step.job.job.job_id)
         pairs = [
@@ -254,11 +254,11 @@
 
     def _upper_interference(self, pair: tuple[str, str]) -> float:
         """Returns an upper estimate of an interference, see `CAUTION_DEVIATIONS`."""
-        upper = self._cautious_interferences.get(pair)
+        upper = self._upper_interferences.get(pair)
         if upper is None:
             uncertainty = CAUTION_DEVIATIONS * math.sqrt(self._variance(pair))
             upper = self.interference(serving=pair[0], filler=pair[1]) + uncertainty
-            self._cautious_interferences[pair] = upper
+            self._upper_interferences[pair] = upper
         return upper
 
     def _variance(self, pair: tuple[str, str]) -> float:
