--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
@@ -42,6 +42,9 @@
         on_change: Callable[[queues.Configuration, bytes], None],
     ) -> None:
         self._store = store_port
+        self._clocks = all_clocks
+        self._answered_at = all_clocks.now()
+        self._watch_failing = False
         self._listings = listing.ListingReader(
             store_port=store_port, all_clocks=all_clocks, group=group
         )
@@ -55,6 +58,11 @@
         """Configuration in force; None before the first one."""
         return self._current
 
+    @property
+    def silent_s(self) -> float:
+        """Time for which the store has answered no listing or watch of the key, seconds."""
+        return self._clocks.now() - self._answered_at
+
     def start(self) -> None:
         """Starts to watch the operators' key."""
         self._group.spawn(self._follow())
@@ -71,7 +79,9 @@
             version=decoded.version,
             before=0 if self._current is None else self._current.version,
             queues=len(decoded.queues),
+            bytes=len(value),
             source=source,
+            store_silent_s=round(self.silent_s, 3),
         )
         self._current = decoded
         self._on_change(decoded, value)
@@ -79,6 +89,7 @@
     async def _follow(self) -> None:
         while True:
             listed = await self._listings.read(self._codec.key)
+            self._record_answer()
             for item in listed.items:
                 self._apply_item(item)
             await self._watch(listed.as_of)
@@ -92,13 +103,32 @@
             if isinstance(watched, result.Failure):
                 if isinstance(watched.failure(), store.CompactedError):
                     return
+                self._record_failure(watched.failure())
                 await self._group.sleep(RETRY_DELAY_S)
                 continue
+            self._record_answer()
             as_of = watched.unwrap().as_of
             for change in watched.unwrap().changes:
                 if change.item is not None:
                     self._apply_item(change.item)
 
+    def _record_answer(self) -> None:
+        if self._watch_failing:
+            decision_log.write("configuration.watch_answered", silent_s=round(self.silent_s, 3))
+        self._answered_at = self._clocks.now()
+        self._watch_failing = False
+
+    def _record_failure(self, error: store.StoreError) -> None:
+        """Logs the first of several failed watches in a row."""
+        if not self._watch_failing:
+            decision_log.write(
+                "configuration.watch_failed",
+                version=0 if self._current is None else self._current.version,
+                reason=str(error),
+                silent_s=round(self.silent_s, 3),
+            )
+        self._watch_failing = True
+
     def _apply_item(self, item: store.Item) -> None:
         if item.key == self._codec.key:
             self.apply(item.value, source=f"store revision {item.revision}")
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -261,6 +261,7 @@
             "is_owner": float(self._owner is not None),
             "term": 0 if self._owner is None else self._owner.term,
             "configuration_version": 0 if current is None else current.version,
+            "configuration_silent_seconds": self._configuration.silent_s,
             "store_silent_seconds": self._members.store_unresponsive_s,
             "entries": len(self._members.entries),
             "poll_pause_seconds": self._poll_pace.pause_s(),
