The follower of the configuration goes on after an unexpected error

Cause: the loop that follows the operators' key calls the decoder and, through on_change, the owner and the relays. What they raise ended the loop, and CoroutineGroup.spawn only logs it. The decoder raises RecursionError, which is no DecodeError, on a deeply nested unknown field.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
@@ -5,7 +5,14 @@
 import abc
 from collections.abc import Callable
 
-from ebonyhatch.fleet import clocks, decision_log, listing, queues, store
+from ebonyhatch.fleet import (
+    clocks,
+    decision_log,
+    listing,
+    queues,
+    store,
+    supervision,
+)
 from ebonyhatch.node import coroutines
 from returns import result
 
@@ -52,6 +59,8 @@
         self._group = group
         self._on_change = on_change
         self._current: queues.Configuration | None = None
+        self._value = b""
+        self._announced = True
 
     @property
     def current(self) -> queues.Configuration | None:
@@ -65,7 +74,7 @@
 
     def start(self) -> None:
         """Starts to watch the operators' key."""
-        self._group.spawn(self._follow())
+        supervision.spawn(self._group, "configuration", self._follow)
 
     def apply(self, value: bytes, *, source: str) -> None:
         """Applies a version from the store or from a peer, if it is newer than the current one."""
@@ -73,6 +82,7 @@
         if decoded is None:
             return
         if self._current is not None and decoded.version <= self._current.version:
+            self._announce()
             return
         decision_log.write(
             "configuration.in_force",
@@ -83,8 +93,15 @@
             source=source,
             store_silent_s=round(self.silent_s, 3),
         )
-        self._current = decoded
-        self._on_change(decoded, value)
+        self._current, self._value = decoded, value
+        self._announced = False
+        self._announce()
+
+    def _announce(self) -> None:
+        """Calls `on_change` with the current version, unless that has succeeded before."""
+        if self._current is not None and not self._announced:
+            self._on_change(self._current, self._value)
+            self._announced = True
 
     async def _follow(self) -> None:
         while True:
--- a/packages/ebonyhatch-fleet/tests/test_configuration_source.py
+++ b/packages/ebonyhatch-fleet/tests/test_configuration_source.py
@@ -69,3 +69,67 @@
     assert in_force["source"] == "peer e2"
     assert in_force["bytes"] == len(value)
     assert in_force["store_silent_s"] > 3.0
+
+
+class FailingCodec(world_module.Codec):
+    """Fails with an error that no decoder documents on one version."""
+
+    def __init__(self, *, version: int) -> None:
+        self._version = version
+
+    def decode(self, value: bytes) -> queues.Configuration | None:
+        configuration = super().decode(value)
+        if configuration is not None and configuration.version == self._version:
+            raise RecursionError("maximum recursion depth exceeded")
+        return configuration
+
+
+def _follow(engine, *, codec=None, on_change=lambda configuration, value: None):
+    clock = engine.clock
+    source = configuration_source.ConfigurationSource(
+        store_port=memory_store.MemoryStore(engine=engine),
+        codec=codec or world_module.Codec(),
+        all_clocks=clocks.MemoryClocks(clock=clock),
+        group=coroutines.CoroutineGroup(clock=clock),
+        on_change=on_change,
+    )
+    source.start()
+    return source
+
+
+def _configure(engine, version: int) -> None:
+    value = msgspec.json.encode(queues.Configuration(version=version))
+    engine.commit((), (store.Put(key=world_module.CONFIGURATION_KEY, value=value),), ())
+
+
+def test_entry_still_receives_versions_after_an_unexpected_error_of_the_decoder():
+    clock = task.Clock()
+    engine = memory_store.StoreEngine(clock=clock)
+    _configure(engine, 1)
+    source = _follow(engine, codec=FailingCodec(version=2))
+    scripted.advance(clock, 1.0)
+    _configure(engine, 2)
+    scripted.advance(clock, 5.0)
+    _configure(engine, 3)
+    scripted.advance(clock, 2.0)
+    assert source.current.version == 3
+
+
+def test_version_whose_announcement_failed_is_announced_again():
+    clock = task.Clock()
+    engine = memory_store.StoreEngine(clock=clock)
+    announced: list[int] = []
+
+    def announce(configuration: queues.Configuration, value: bytes) -> None:
+        announced.append(configuration.version)
+        if len(announced) == 1:
+            raise RuntimeError("the owner failed")
+
+    _configure(engine, 1)
+    source = _follow(engine, on_change=announce)
+    scripted.advance(clock, 1.0)
+    assert announced == [1, 1]
+    _configure(engine, 2)
+    scripted.advance(clock, 1.0)
+    assert announced == [1, 1, 2]
+    assert source.current.version == 2
