Entries ask peers for a newer configuration at all times

Cause: peers were asked only while the last renewal of the lease had failed. An entry whose renewals pass while its watch hangs on a silent connection, or whose key was taken away so that peers send it nothing, had the watch alone.

Change: configuration_exchange asks one peer each 0.4 s, whatever the store does, and doesn't wait for the answer of an unresponsive peer before it asks the next one. An answer without a newer version has a few dozen bytes. The test of relays observes what is sent, as it read a private method that has moved; it checks the same.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
@@ -67,6 +67,11 @@
         """Configuration in force; None before the first one."""
         return self._current
 
+    @property
+    def value(self) -> bytes:
+        """Encoded configuration in force; empty before the first one."""
+        return self._value
+
     @property
     def silent_s(self) -> float:
         """Time for which the store has answered no listing or watch of the key, seconds."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_store.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_store.py
@@ -47,6 +47,7 @@
         lose_answers: Writes are carried out and get no answer.
         delay_s: With `lose_answers`, delay after which writes are carried out, seconds.
         silent_prefix: Listings under this prefix get no answer; empty for none.
+        silent_watches: Watches of this prefix get no answer; empty for none.
     """
 
     latency_s: float = 0.004
@@ -55,6 +56,7 @@
     lose_answers: bool = False
     delay_s: float = 0.0
     silent_prefix: str = ""
+    silent_watches: str = ""
 
 
 class StoreEngine:
@@ -228,6 +230,12 @@
             failure = await self._simulate_call("watch")
             if failure is not None:
                 return failure
+            if self.faults.silent_watches and prefix.startswith(self.faults.silent_watches):
+                remaining_s = until + WATCH_TIMEOUT_MARGIN_S - self._engine.clock.seconds()
+                await task.deferLater(self._engine.clock, max(0.0, remaining_s))
+                return result.Failure(
+                    store.UnknownOutcomeError(call="watch", reason="the call timed out")
+                )
             self._engine.expire_leases()
             if after < self._engine.compacted:
                 return result.Failure(store.CompactedError(after=after))
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import random
 import time
 
 import msgspec
@@ -11,6 +10,7 @@
     admission,
     call_counts,
     clocks,
+    configuration_exchange,
     configuration_source,
     decision_log,
     entry,
@@ -28,15 +28,10 @@
 )
 from ebonyhatch.fleet import owner as owner_module
 from ebonyhatch.node import coroutines, peers
-from returns import result
 
 LOAD_NOTICE_INTERVAL_S = 0.25
 """Time between two load notices of the owner, seconds."""
 
-CONFIGURATION_QUERY_INTERVAL_S = 0.5
-"""Time between two queries for a newer configuration while the store refuses this entry, seconds;
-also their timeout."""
-
 LINK_BYTES_PER_CORE = 3_000_000
 """Traffic of an owner that keeps one core busy, bytes a second."""
 
@@ -138,8 +133,6 @@
         self._owner: owner_module.Owner | None = None
         self._closing = False
         self._few_targets_since: float | None = None
-        self._random = random.Random(int.from_bytes(os.urandom(8), "big"))
-        self._configuration_value = b""
         self._members = ownership.Ownership(
             entry=ownership.EntryRecord(
                 name=settings.name,
@@ -162,6 +155,13 @@
             group=self._group,
             on_change=self._on_configuration_changed,
         )
+        self._exchange = configuration_exchange.ConfigurationExchange(
+            name=settings.name,
+            network=self._network,
+            group=self._group,
+            source=self._configuration,
+            seed=int.from_bytes(os.urandom(8), "big"),
+        )
         self._loop_delay = loop_delay.LoopDelay(all_clocks=all_clocks)
         self._metrics = metrics.Metrics(gauges=self._gauges, calls=calls)
         self._load_report = load_report.LoadReport(
@@ -222,15 +222,13 @@
         self._metrics.start()
         self._loop_delay.start()
         self._load_report.start()
-        self._network.handle(messages.ConfigurationNotice, self._on_configuration_notice)
-        self._network.handle(messages.NewerConfigurationCall, self._on_configuration_call)
         self._network.handle(messages.LoadNotice, self._on_load_notice)
         self._network.start()
         self._entry.start()
+        self._exchange.start()
         self._configuration.start()
         self._members.start()
         self._group.spawn(self._report_load())
-        self._group.spawn(self._query_configuration())
         self._group.spawn(self._review_ownership())
 
     async def hand_over(self) -> None:
@@ -342,60 +340,9 @@
         )
 
     def _on_configuration_changed(self, configuration: queues.Configuration, value: bytes) -> None:
-        self._configuration_value = value
         if self._owner is not None:
             self._owner.set_configuration(configuration)
-        notice = messages.ConfigurationNotice(version=configuration.version, value=value)
-        for name in self._relay_peers():
-            self._network.send(entry_id=name, message=notice)
-
-    def _relay_peers(self) -> list[str]:
-        """Returns the peers at distances of 1, 2, 4 and so on in the circle of all names.
-
-        A version is large, and each entry passes it on: sent to all peers by all, its copies would
-        grow with the square of the number of entries.
-        """
-        name = self._settings.name
-        names = sorted({name, *(peer.entry_id for peer in self._network.peers)})
-        position = names.index(name)
-        distances = [1 << bit for bit in range((len(names) - 1).bit_length())]
-        return [names[(position + distance) % len(names)] for distance in distances]
-
-    async def _query_configuration(self) -> None:
-        """Asks peers for newer versions while the store doesn't serve this entry.
-
-        Peers send it none, as its key vanishes with its lease.
-        """
-        while True:
-            await self._group.sleep(CONFIGURATION_QUERY_INTERVAL_S)
-            linked = self._network.peers
-            if self._members.store_reachable or not linked:
-                continue
-            peer = self._random.choice(linked)
-            current = self._configuration.current
-            reply = await self._network.call(
-                entry_id=peer.entry_id,
-                message=messages.NewerConfigurationCall(
-                    version=0 if current is None else current.version
-                ),
-                timeout_s=CONFIGURATION_QUERY_INTERVAL_S,
-            )
-            notice = reply.unwrap() if isinstance(reply, result.Success) else None
-            if isinstance(notice, messages.ConfigurationNotice) and notice.value:
-                self._on_configuration_notice(peer.entry_id, notice)
-
-    def _on_configuration_call(
-        self, sender: str, call: messages.NewerConfigurationCall
-    ) -> messages.ConfigurationNotice:
-        current = self._configuration.current
-        version = 0 if current is None else current.version
-        value = self._configuration_value if version > call.version else b""
-        return messages.ConfigurationNotice(version=version, value=value)
-
-    def _on_configuration_notice(self, sender: str, notice: messages.ConfigurationNotice) -> None:
-        current = self._configuration.current
-        if current is None or notice.version > current.version:
-            self._configuration.apply(notice.value, source=f"peer {sender}")
+        self._exchange.announce(configuration, value)
 
     def _on_load_notice(self, sender: str, notice: messages.LoadNotice) -> None:
         self._load.update(term=notice.term, waits_s=notice.waits_s, now=self._clocks.now())
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -325,6 +325,18 @@
     world.run_until(lambda: world.members["e1"].node.configuration.version == 9, limit_s=2.0)
 
 
+@pytest.mark.parametrize("entries", [3, 41])
+def test_an_entry_whose_watch_is_silent_receives_a_version_while_its_lease_is_renewed(entries):
+    world = world_module.World(entries=entries, target_count=1, large=entries > 3)
+    world.run(6.0)
+    lagging = world.members["e1"]
+    lagging.store.faults.silent_watches = world_module.CONFIGURATION_KEY
+    world.network.members["e1"].handle(messages.ConfigurationNotice, lambda sender, message: None)
+    world.run(3.0)
+    world.configure(queues.Configuration(version=9, queues=(), pools=()))
+    assert world.run_until(lambda: lagging.node.configuration.version == 9, limit_s=4.0) < 1.2
+
+
 def test_copies_of_a_version_do_not_grow_with_the_square_of_the_entries(monkeypatch):
     world = _ready(entries=17)
     sent = []
@@ -344,12 +356,22 @@
 
 
 @pytest.mark.parametrize("entries", [1, 2, 3, 5])
-def test_each_entry_passes_a_version_on_to_other_entries_only(entries):
+def test_each_entry_passes_a_version_on_to_other_entries_only(entries, monkeypatch):
     world = _ready(entries=entries)
-    for name, member in world.members.items():
-        passed_on = member.node._relay_peers()
-        assert name not in passed_on and len(set(passed_on)) == len(passed_on)
-        assert passed_on or entries == 1
+    passed_on = {name: [] for name in world.members}
+    names = {id(world.network.members[name]): name for name in world.members}
+
+    def count(port, *, entry_id, message):
+        if isinstance(message, messages.ConfigurationNotice):
+            passed_on[names[id(port)]].append(entry_id)
+        return True
+
+    monkeypatch.setattr(memory_peers.MemoryPeers, "send", count)
+    world.configure(queues.Configuration(version=9, queues=(), pools=()))
+    world.run(0.3)
+    for name, receivers in passed_on.items():
+        assert name not in receivers and len(set(receivers)) == len(receivers)
+        assert receivers or entries == 1
 
 
 def test_a_planned_stop_hands_ownership_over_at_once():
