The watch of the configuration goes on after the version that a peer sent

Cause: the store answers a watch with every version since its revision, each of them whole. Once a transfer takes longer than the time between two changes, the next answer holds more versions than the last one, and the entry falls behind further. A version that a peer sent meanwhile didn't help the watch, which transferred all versions up to it.

Change: answers of peers name the store's revision of their version; the watch that is under way is cancelled and goes on after it. Of several versions in one answer only the last readable one is decoded and announced.

Red before: test_watch_on_a_thin_link_goes_on_after_the_version_of_a_peer (version 13, expected 14) and test_last_readable_version_of_several_is_in_force ([1, 2, 3], expected [1, 3]).

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_exchange.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_exchange.py
@@ -110,13 +110,15 @@
         if value is None:
             decision_log.write("configuration.damaged", sender=peer, version=notice.version)
             return
-        self._source.apply(value, source=f"peer {peer}")
+        self._source.apply_from_peer(value, revision=notice.revision, peer=peer)
 
     def _on_call(
         self, sender: str, call: messages.NewerConfigurationCall
     ) -> messages.ConfigurationNotice:
         deflated = self._deflated_value() if self._version > call.version else b""
-        return messages.ConfigurationNotice(version=self._version, deflated=deflated)
+        return messages.ConfigurationNotice(
+            version=self._version, revision=self._source.revision, deflated=deflated
+        )
 
     def _deflated_value(self) -> bytes:
         """Returns the compressed configuration in force; it is compressed once for each version."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ebonyhatch.fleet import (
     clocks,
@@ -15,6 +15,7 @@
 )
 from ebonyhatch.node import coroutines
 from returns import result
+from twisted.internet import defer
 
 WATCH_TIMEOUT_S = 1.5
 """Timeout of one watch, seconds; bounds how long an unresponsive connection hides a version."""
@@ -22,6 +23,9 @@
 RETRY_DELAY_S = 0.15
 """Delay before a failed call to the store is retried, seconds."""
 
+Watched = result.Result[store.Changes, store.StoreError]
+"""Outcome of one watch."""
+
 
 class Codec(abc.ABC):
     """Location and encoding of the operators' configuration."""
@@ -60,7 +64,9 @@
         self._on_change = on_change
         self._current: queues.Configuration | None = None
         self._value = b""
+        self._revision = 0
         self._announced = True
+        self._watching: defer.Deferred[Watched] | None = None
 
     @property
     def current(self) -> queues.Configuration | None:
@@ -72,6 +78,11 @@
         """Encoded configuration in force; empty before the first one."""
         return self._value
 
+    @property
+    def revision(self) -> int:
+        """Store revision of the configuration in force; 0 before the first one."""
+        return self._revision
+
     @property
     def silent_s(self) -> float:
         """Time for which the store has answered no listing or watch of the key, seconds."""
@@ -81,14 +92,25 @@
         """Starts to watch the operators' key."""
         supervision.spawn(self._group, "configuration", self._follow)
 
-    def apply(self, value: bytes, *, source: str) -> None:
-        """Applies a version from the store or from a peer, if it is newer than the current one."""
+    def apply_from_peer(self, value: bytes, *, revision: int, peer: str) -> None:
+        """Applies a version that a peer received first, if it is newer than the current one.
+
+        The watch goes on after its revision. On a thin link the watch would otherwise transfer all
+        versions up to this one, each of them whole.
+        """
+        before = self._revision
+        self._apply(value, revision=revision, source=f"peer {peer}")
+        if self._revision > before and self._watching is not None:
+            self._watching.cancel()
+
+    def _apply(self, value: bytes, *, revision: int, source: str) -> bool:
+        """Applies a version that is newer than the current one; returns whether it is readable."""
         decoded = self._codec.decode(value)
         if decoded is None:
-            return
+            return False
         if self._current is not None and decoded.version <= self._current.version:
             self._announce()
-            return
+            return True
         decision_log.write(
             "configuration.in_force",
             version=decoded.version,
@@ -98,9 +120,10 @@
             source=source,
             store_silent_s=round(self.silent_s, 3),
         )
-        self._current, self._value = decoded, value
+        self._current, self._value, self._revision = decoded, value, revision
         self._announced = False
         self._announce()
+        return True
 
     def _announce(self) -> None:
         """Calls `on_change` with the current version, unless that has succeeded before."""
@@ -112,16 +135,16 @@
         while True:
             listed = await self._listings.read(self._codec.key)
             self._record_answer()
-            for item in listed.items:
-                self._apply_item(item)
+            self._apply_newest(listed.items)
             await self._watch(listed.as_of)
 
     async def _watch(self, as_of: int) -> None:
         """Follows the key until the history is compacted; a listing transfers the whole version."""
         while True:
-            watched = await self._store.watch(
-                prefix=self._codec.key, after=as_of, wait_s=WATCH_TIMEOUT_S
-            )
+            as_of = max(as_of, self._revision)
+            watched = await self._watch_once(as_of)
+            if watched is None:
+                continue
             if isinstance(watched, result.Failure):
                 if isinstance(watched.failure(), store.CompactedError):
                     return
@@ -130,9 +153,21 @@
                 continue
             self._record_answer()
             as_of = watched.unwrap().as_of
-            for change in watched.unwrap().changes:
-                if change.item is not None:
-                    self._apply_item(change.item)
+            changes = watched.unwrap().changes
+            self._apply_newest([change.item for change in changes if change.item is not None])
+
+    async def _watch_once(self, as_of: int) -> Watched | None:
+        """Returns the outcome of one watch; None if a peer's version made it superfluous."""
+        call = self._store.watch(prefix=self._codec.key, after=as_of, wait_s=WATCH_TIMEOUT_S)
+        self._watching = defer.Deferred.fromCoroutine(call)
+        try:
+            return await self._watching
+        except defer.CancelledError:
+            if self._group.closed:
+                raise
+            return None
+        finally:
+            self._watching = None
 
     def _record_answer(self) -> None:
         if self._watch_failing:
@@ -151,6 +186,11 @@
             )
         self._watch_failing = True
 
-    def _apply_item(self, item: store.Item) -> None:
-        if item.key == self._codec.key:
-            self.apply(item.value, source=f"store revision {item.revision}")
+    def _apply_newest(self, items: Iterable[store.Item]) -> None:
+        """Applies the last readable version; those before it are superseded."""
+        for item in sorted(items, key=lambda item: -item.revision):
+            source = f"store revision {item.revision}"
+            if item.key == self._codec.key and self._apply(
+                item.value, revision=item.revision, source=source
+            ):
+                return
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/messages.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/messages.py
@@ -82,11 +82,13 @@
 
     Attributes:
         version: Version in force at the sender.
+        revision: Revision of the store that wrote the version; 0 in an announcement.
         deflated: Compressed encoding that the operators wrote; empty in an announcement, and in an
             answer to a peer that has the version.
     """
 
     version: int
+    revision: int = 0
     deflated: bytes = b""
 
 
--- a/packages/ebonyhatch-fleet/tests/test_configuration_source.py
+++ b/packages/ebonyhatch-fleet/tests/test_configuration_source.py
@@ -3,7 +3,14 @@
 import msgspec
 import scripted
 import world as world_module
-from ebonyhatch.fleet import clocks, configuration_source, memory_store, queues, store
+from ebonyhatch.fleet import (
+    clocks,
+    configuration_source,
+    memory_link,
+    memory_store,
+    queues,
+    store,
+)
 from ebonyhatch.node import coroutines
 from twisted.internet import task
 
@@ -58,7 +65,7 @@
         scripted.advance(clock, 5.0)
         assert source.silent_s > 3.0
         value = msgspec.json.encode(queues.Configuration(version=3))
-        source.apply(value, source="peer e2")
+        source.apply_from_peer(value, revision=7, peer="e2")
         port.fails = lambda call: False
         scripted.advance(clock, 2.5)
     assert source.silent_s < 2.0
@@ -97,8 +104,18 @@
     return source
 
 
-def _configure(engine, version: int) -> None:
-    value = msgspec.json.encode(queues.Configuration(version=version))
+class PaddedCodec(world_module.Codec):
+    """Reads versions that are padded to a size, and none of other bytes."""
+
+    def decode(self, value: bytes) -> queues.Configuration | None:
+        try:
+            return super().decode(value.rstrip())
+        except msgspec.DecodeError:
+            return None
+
+
+def _configure(engine, version: int, *, padding: int = 0) -> None:
+    value = msgspec.json.encode(queues.Configuration(version=version)) + b" " * padding
     engine.commit((), (store.Put(key=world_module.CONFIGURATION_KEY, value=value),), ())
 
 
@@ -133,3 +150,48 @@
     scripted.advance(clock, 1.0)
     assert announced == [1, 1, 2]
     assert source.current.version == 2
+
+
+def test_watch_on_a_thin_link_goes_on_after_the_version_of_a_peer():
+    clock = task.Clock()
+    engine = memory_store.StoreEngine(clock=clock)
+    link = memory_link.Link(clock=clock, bytes_per_s=250_000)
+    _configure(engine, 1)
+    source = configuration_source.ConfigurationSource(
+        store_port=memory_store.MemoryStore(engine=engine, link=link),
+        codec=PaddedCodec(),
+        all_clocks=clocks.MemoryClocks(clock=clock),
+        group=coroutines.CoroutineGroup(clock=clock),
+        on_change=lambda configuration: None,
+    )
+    source.start()
+    scripted.advance(clock, 1.0)
+    for version in range(2, 14):
+        _configure(engine, version, padding=200_000)
+        scripted.advance(clock, 0.33)
+    item = engine.items[world_module.CONFIGURATION_KEY]
+    source.apply_from_peer(item.value, revision=item.revision, peer="e2")
+    scripted.advance(clock, 0.5)
+    _configure(engine, 14)
+    scripted.advance(clock, 1.0)
+    assert source.current.version == 14
+    assert link.received_bytes < 1_500_000
+
+
+def test_last_readable_version_of_several_is_in_force():
+    clock = task.Clock()
+    engine = memory_store.StoreEngine(clock=clock)
+    applied: list[int] = []
+    _configure(engine, 1)
+    source = _follow(
+        engine,
+        codec=PaddedCodec(),
+        on_change=lambda configuration: applied.append(configuration.version),
+    )
+    scripted.advance(clock, 1.0)
+    _configure(engine, 2)
+    _configure(engine, 3)
+    engine.commit((), (store.Put(key=world_module.CONFIGURATION_KEY, value=b"{"),), ())
+    scripted.advance(clock, 1.0)
+    assert source.current.version == 3
+    assert applied == [1, 3]
