--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/queues.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/queues.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+
 import msgspec
 
 
@@ -61,7 +63,7 @@
     standby: bool = False
 
 
-class Configuration(msgspec.Struct, frozen=True, kw_only=True):
+class Configuration(msgspec.Struct, frozen=True, kw_only=True, dict=True):
     """One accepted version of the configuration; versions only grow.
 
     Attributes:
@@ -78,7 +80,7 @@
 
     def queue(self, name: str) -> Queue | None:
         """Returns a queue by name, or None."""
-        return next((queue for queue in self.queues if queue.name == name), None)
+        return self._queues_by_name.get(name)
 
     def pool(self, name: str) -> Pool | None:
         """Returns a pool by name, or None."""
@@ -86,7 +88,17 @@
 
     def queue_at(self, *, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest prefix that matches a path on a host, or None."""
-        matching = [
-            queue for queue in self.queues if queue.host == host and path.startswith(queue.prefix)
-        ]
+        on_host = self._queues_by_host.get(host, ())
+        matching = [queue for queue in on_host if path.startswith(queue.prefix)]
         return max(matching, key=lambda queue: len(queue.prefix), default=None)
+
+    @functools.cached_property
+    def _queues_by_name(self) -> dict[str, Queue]:
+        return {queue.name: queue for queue in reversed(self.queues)}
+
+    @functools.cached_property
+    def _queues_by_host(self) -> dict[str, list[Queue]]:
+        by_host: dict[str, list[Queue]] = {}
+        for queue in self.queues:
+            by_host.setdefault(queue.host, []).append(queue)
+        return by_host
