A job isn't placed by a version that is older than the one it was accepted under

Cause: the owner looked the queue up in its own configuration, whichever was newer. Change: the record of an accepted job holds the version of its queue. The owner uses the queue of the record until it has that version or a newer one; records without a version are read as before.

Red before: test_job_accepted_under_a_newer_version_is_not_run_as_the_older_one_of_the_owner_says (5 starts, expected 0).

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -125,7 +125,9 @@
         """Cancels all calls in progress."""
         self._group.close()
 
-    async def submit(self, job: jobs.Job, *, queue: queues.Queue, until: float) -> Answer:
+    async def submit(
+        self, job: jobs.Job, *, queue: queues.Queue, version: int, until: float
+    ) -> Answer:
         """Accepts a job once it is durable.
 
         Returns whether it was accepted, refused (it then never runs), or has an unknown outcome.
@@ -133,6 +135,7 @@
         Args:
             job: The validated job.
             queue: Queue of the job.
+            version: Version of the configuration that the queue is from.
             until: Monotonic time by which the caller has to be answered, seconds.
         """
         started_at = self._clocks.now()
@@ -143,7 +146,8 @@
             return Answer(
                 verdict=Verdict.OVERLOADED, retry_after_s=retry_after_s, reason=refusal.reason
             )
-        verdict, reason = await self._make_durable(job, queue=queue, until=until)
+        record = progress.encode_accepted(job=job, queue=queue, version=version)
+        verdict, reason = await self._make_durable(job, record, until=until)
         self._log_submit(job, verdict, reason, started_at=started_at)
         return Answer(verdict=verdict, retry_after_s=self.outage_retry_after_s(), reason=reason)
 
@@ -185,9 +189,8 @@
         return bool(await self._owner_state(job_id))
 
     async def _make_durable(
-        self, job: jobs.Job, *, queue: queues.Queue, until: float
+        self, job: jobs.Job, record: bytes, *, until: float
     ) -> tuple[Verdict, str]:
-        record = progress.encode_accepted(job=job, queue=queue)
         verdict, reason = Verdict.NOT_DONE, "the store is not responding"
         if not self._store_unresponsive:
             verdict, reason = await self._create(job.job_id, record, until=until)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
@@ -45,10 +45,17 @@
 
 
 class Accepted(msgspec.Struct, frozen=True, kw_only=True):
-    """An accepted job with its queue at that time, as operators may remove the queue later."""
+    """An accepted job with its queue at that time, as operators may remove the queue later.
+
+    Attributes:
+        job: The job.
+        queue: Its queue at the entry that accepted it.
+        version: Version of the configuration that the queue is from; 0 where it is unknown.
+    """
 
     job: jobs.Job
     queue: queues.Queue
+    version: int = 0
 
 
 _ENCODER = msgspec.json.Encoder()
@@ -56,9 +63,9 @@
 _ACCEPTED_DECODER = msgspec.json.Decoder(Accepted)
 
 
-def encode_accepted(*, job: jobs.Job, queue: queues.Queue) -> bytes:
-    """Returns the encoded record of an accepted job."""
-    return _ENCODER.encode(Accepted(job=job, queue=queue))
+def encode_accepted(*, job: jobs.Job, queue: queues.Queue, version: int = 0) -> bytes:
+    """Returns the encoded record of an accepted job; `version` is that of the queue."""
+    return _ENCODER.encode(Accepted(job=job, queue=queue, version=version))
 
 
 def decode_accepted(value: bytes) -> Accepted:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -253,6 +253,8 @@
     Attributes:
         job: Accepted specification.
         queue: Queue as in the present configuration, or as last known if it was removed.
+        queue_version: Version of the configuration that the queue was accepted with; older ones
+            don't apply to the job.
         state: State as decided by the scheduler; callers see an end only once it is durable.
         visible_state: State that callers see.
         begun: Whether one of its tasks has started; named as the durable field is.
@@ -267,6 +269,7 @@
 
     job: jobs.Job
     queue: queues.Queue
+    queue_version: int = 0
     state: JobState = JobState.QUEUED
     visible_state: JobState = JobState.QUEUED
     begun: bool = False
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -112,7 +112,8 @@
     def configure(self, configuration: queues.Configuration) -> None:
         """Applies the configuration in force; jobs of a removed queue keep its last settings."""
         for row in self._tables.jobs.values():
-            row.queue = configuration.queue(row.job.queue) or row.queue
+            if configuration.version >= row.queue_version:
+                row.queue = configuration.queue(row.job.queue) or row.queue
         self._tables.recount_short_cpu()
 
     def add_job(self, row: rows.JobRow, *, now: float, wall: float) -> None:
@@ -346,7 +347,10 @@
 ) -> rows.JobRow:
     """Returns a job's row built from its records; raises `msgspec.DecodeError`."""
     done = None if durable is None else progress.decode(durable)
-    queue = configuration.queue(accepted.queue.name) or accepted.queue
+    queue = accepted.queue
+    if configuration.version >= accepted.version:
+        queue = configuration.queue(queue.name) or queue
     row = progress.restore(job=accepted.job, queue=queue, progress=done)
+    row.queue_version = accepted.version
     row.inherited = inherited
     return row
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import msgspec
 import pytest
 import world as world_module
 from ebonyhatch.fleet import (
@@ -224,7 +225,7 @@
     job = world.job(*TWO_STEPS)
     world.members["e0"].store.faults.lose_answers = True
     pending = world.members["e0"].node.entry.submit(
-        job, queue=world_module.QUEUE, until=world.clock.seconds() + 2.5
+        job, queue=world_module.QUEUE, version=1, until=world.clock.seconds() + 2.5
     )
     world.clock.callLater(0.95, setattr, world.members["e0"].store.faults, "lose_answers", False)
     assert world.wait(pending).verdict == entry.Verdict.DONE
@@ -337,6 +338,22 @@
     assert world.run_until(lambda: lagging.node.configuration.version == 9, limit_s=4.0) < 1.2
 
 
+def test_job_accepted_under_a_newer_version_is_not_run_as_the_older_one_of_the_owner_says():
+    world = _ready()
+    moved = msgspec.structs.replace(world_module.QUEUE, pool="other")
+    job = world.job(*TWO_STEPS)
+    world.submit(job, queue=moved, version=5)
+    world.run(1.0)
+    between = queues.Configuration(
+        version=3, queues=(world_module.QUEUE,), pools=(world_module.POOL_ROW,)
+    )
+    world.configure(between)
+    world.run(1.0)
+    assert not world.starts(job.job_id)
+    world.configure(msgspec.structs.replace(between, version=6))
+    world.run_until(lambda: world.state(job.job_id) == "completed", limit_s=5.0)
+
+
 def test_copies_of_a_version_do_not_grow_with_the_square_of_the_entries(monkeypatch):
     world = _ready(entries=17)
     sent = []
--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -245,10 +245,14 @@
             accepted_at=clocks.WALL_START_S + self.clock.seconds(),
         )
 
-    def submit(self, job: jobs.Job, *, at: str = "") -> entry.Answer:
+    def submit(
+        self, job: jobs.Job, *, at: str = "", queue: queues.Queue = QUEUE, version: int = 1
+    ) -> entry.Answer:
         name = at or next(iter(self.members))
         answer = self.wait(
-            self.members[name].node.entry.submit(job, queue=QUEUE, until=self.clock.seconds() + 2.5)
+            self.members[name].node.entry.submit(
+                job, queue=queue, version=version, until=self.clock.seconds() + 2.5
+            )
         )
         if answer.verdict == entry.Verdict.DONE:
             self.accepted[job.job_id] = job
