A fresh entry is ready only after it has read the configuration from the store

Readiness asked for the store's answer about the members only.

Red before: test_fresh_entry_is_not_ready_with_a_version_of_a_peer_before_it_has_read_the_store.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_source.py
@@ -54,6 +54,7 @@
     ) -> None:
         self._store = store_port
         self._clocks = all_clocks
+        self._listed = False
         self._answered_at = all_clocks.now()
         self._watch_failing = False
         self._listings = listing.ListingReader(
@@ -83,6 +84,11 @@
         """Store revision of the configuration in force; 0 before the first one."""
         return self._revision
 
+    @property
+    def listed(self) -> bool:
+        """Whether the store has answered a listing of the key, even if it holds no version."""
+        return self._listed
+
     @property
     def silent_s(self) -> float:
         """Time for which the store has answered no listing or watch of the key, seconds."""
@@ -136,6 +142,7 @@
             listed = await self._listings.read(self._codec.key)
             self._record_answer()
             self._apply_newest(listed.items)
+            self._listed = True
             await self._watch(listed.as_of)
 
     async def _watch(self, as_of: int) -> None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -199,6 +199,7 @@
         return (
             not self._closing
             and self._configuration.current is not None
+            and self._configuration.listed
             and self._members.membership_read
         )
 
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -308,6 +308,17 @@
     assert all(member.node.configuration.version == 9 for member in world.members.values())
 
 
+def test_fresh_entry_is_not_ready_with_a_version_of_a_peer_before_it_has_read_the_store():
+    world = _ready()
+    fresh = world.start("e9")
+    fresh.store.faults.silent_prefix = world_module.CONFIGURATION_KEY
+    world.run(3.0)
+    assert fresh.node.configuration.version == 1
+    assert not fresh.node.ready
+    fresh.store.faults.silent_prefix = ""
+    world.run_until(lambda: fresh.node.ready, limit_s=3.0)
+
+
 def test_an_entry_that_the_store_refuses_receives_a_version_from_a_peer():
     world = _ready()
     world.run(1.0)
