Crashes of targets are counted for their tasks, and a task at fault is isolated and given up

Other jobs lost their runs each time, up to five times.

Cause: a run that was lost with its target was queued again without a count, at the head of its step and together with all other runs of the target. The class: a retry without a budget that is shared between the fault and its victims.

Change: when a target that wasn't draining starts anew, each task that may have been there gets a crash, and the one whose run was ordered last gets the blame. Tasks with a crash are spread over the targets. From the second crash on a task is placed only where no other suspect is, and nothing is placed beside it for 2 s. Its job fails after two crashes with blame, after three with one, and after four in any case. The counts are stored with the progress of the job. A lapsed lease is no crash, and tasks of targets that lose power together are not given up. On-call sees task.crashed_target, and the reason of job.failed.

The plain computation in test_candidates uses the same choice among scores as before, now with the targets.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
@@ -119,6 +119,9 @@
         best = None
         while ranking:
             cost, position, row = ranking[0]
+            if row.closed_until > self._context.now:
+                heapq.heappop(ranking)
+                continue
             present_cost = -selection.score(step, row, self._context)
             if present_cost != cost:
                 heapq.heapreplace(ranking, (present_cost, position, row))
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/usable.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/usable.py
@@ -11,7 +11,7 @@
     """Returns whether a target may get new runs.
 
     It has sent a status report, takes runs by the owner's durable record, answers, is listed, isn't
-    draining and isn't quarantined.
+    draining, isn't quarantined and doesn't run an isolated task.
     """
     return (
         row.confirmed
@@ -19,7 +19,7 @@
         and row.reachable
         and row.listed
         and not row.target.draining
-        and row.quarantined_until <= context.now
+        and row.closed_until <= context.now
     )
 
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from ebonyhatch.fleet import (
     candidates,
     commands,
+    crash_blame,
     interference,
     ordering,
     reserve,
@@ -108,6 +109,7 @@
             progressed_at=now,
         )
         tables.reserve(run_row)
+        crash_blame.note_order(run_row, now=now)
         self._margins.forget(row)
         self._decide("run.order", run_row, waited_s=round(now - task.waiting_since, 3))
         self._emit(commands.StartRun(run=run_row))
@@ -142,7 +144,9 @@
         if not usable.may_fit(step) or usable.rejected(step):
             return
         selection = registry.select(step.step)
-        if candidates.ranks_alike(step.step) and not any(t.avoid_target for t in step.waiting):
+        if candidates.ranks_alike(step.step) and not any(
+            task.avoid_target or task.crashes for task in step.waiting
+        ):
             self._place_ranked(step, context, usable, selection)
         else:
             self._place_scored(step, context, usable, selection)
@@ -187,10 +191,11 @@
             if task.retry_at > now or task.name in self._blocked_tasks:
                 deferred.append(task)
                 continue
-            row = self._tables.targets[_best_target(scores, task)]
-            if not self._reserve.allows(task, row):
+            name = _best_target(scores, task, self._tables.targets, now=now)
+            if not name or not self._reserve.allows(task, self._tables.targets[name]):
                 deferred.append(task)
                 continue
+            row = self._tables.targets[name]
             self.order_run(task, row, run=self.next_run_number([task]), now=now)
             if selection.allows(step, row, context):
                 scores[row.target_id] = selection.score(step, row, context)
@@ -224,11 +229,23 @@
             self.order_run(task, row, run=run, now=now)
 
 
-def _best_target(scores: dict[str, float], task: rows.TaskRow) -> str:
-    if not task.avoid_target:
+def _best_target(
+    scores: dict[str, float],
+    task: rows.TaskRow,
+    all_targets: Mapping[str, rows.TargetRow],
+    *,
+    now: float,
+) -> str:
+    """Returns the target with the best score for a task; empty if none is allowed."""
+    if not (task.avoid_target or task.crashes):
         return max(scores, key=scores.__getitem__)
+    suspects = {name for name in scores if task.crashes and all_targets[name].suspect_until > now}
+    isolated = crash_blame.is_isolated(task)
     return max(
-        scores, key=lambda name: scores[name] - AVOIDED_TARGET_PENALTY * (name == task.avoid_target)
+        (name for name in scores if not (isolated and name in suspects)),
+        key=lambda name: scores[name]
+        - AVOIDED_TARGET_PENALTY * (name == task.avoid_target or name in suspects),
+        default="",
     )
 
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
@@ -12,12 +12,15 @@
     Attributes:
         done: Indexes of the tasks that are done.
         failures: Numbers of the failed runs of each task that has any.
+        crashes: Number of crashes of targets under each task that has any, and number of those for
+            which it is blamed.
         checkpoints: Last checkpoint of each task that is not done and has one.
         runs: Highest known run number of each task that is not done and had a run.
     """
 
     done: list[int] = []
     failures: dict[int, list[int]] = {}
+    crashes: dict[int, tuple[int, int]] = {}
     checkpoints: dict[int, str] = {}
     runs: dict[int, int] = {}
 
@@ -138,13 +141,15 @@
 
 
 def _step_progress(step: rows.StepRow) -> StepProgress:
-    progress = StepProgress(done=[], failures={}, checkpoints={}, runs={})
+    progress = StepProgress(done=[], failures={}, crashes={}, checkpoints={}, runs={})
     for task in step.tasks:
         if task.state == rows.TaskState.DONE:
             progress.done.append(task.index)
             continue
         if task.failed_runs:
             progress.failures[task.index] = sorted(task.failed_runs)
+        if task.crashes:
+            progress.crashes[task.index] = (task.crashes, task.blamed_crashes)
         if task.checkpoint:
             progress.checkpoints[task.index] = task.checkpoint
         if task.last_run:
@@ -158,6 +163,8 @@
         step.remaining_count -= 1
     for index, failures in progress.failures.items():
         step.tasks[index].failed_runs = set(failures)
+    for index, (crashes, blamed) in progress.crashes.items():
+        step.tasks[index].crashes, step.tasks[index].blamed_crashes = crashes, blamed
     for index, checkpoint in progress.checkpoints.items():
         step.tasks[index].checkpoint = checkpoint
     for index, run in progress.runs.items():
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -61,6 +61,7 @@
         "listed",
         "suspicion_score",
         "quarantined_until",
+        "isolated_until",
         "leaves_at",
     }
 )
@@ -97,6 +98,9 @@
         listed: Whether the store still lists it.
         suspicion_score: Decaying score of failures; see `target_health`.
         quarantined_until: End of its quarantine, before which nothing is placed on it, seconds.
+        isolated_until: End of the time in which nothing is placed on it beside an isolated task,
+            seconds; see `crash_blame`.
+        suspect_until: End of the probation of the last run there whose task saw a crash, seconds.
         leaves_at: Earliest time of its departure, seconds; 0 while it is not draining.
     """
 
@@ -120,6 +124,8 @@
     listed: bool = True
     suspicion_score: float = 0.0
     quarantined_until: float = 0.0
+    isolated_until: float = 0.0
+    suspect_until: float = 0.0
     leaves_at: float = 0.0
 
     def __setattr__(self, name: str, value: object) -> None:
@@ -133,6 +139,11 @@
         """Id of the target."""
         return self.target.target_id
 
+    @property
+    def closed_until(self) -> float:
+        """Time before which nothing is placed on it for a failure or a crash, seconds."""
+        return max(self.quarantined_until, self.isolated_until)
+
     def mark_changed(self) -> None:
         """Adds the row to the changed targets of all observers."""
         for changed in self.observers:
@@ -151,6 +162,7 @@
         order_deadline_s: Time on the target's clock after which the order is refused, seconds.
         seen_s: Latest time on the target's clock at which the target confirmed the run, seconds; 0
             before the first confirmation.
+        ordered_at: Time of its order, seconds; 0 for a run that a former owner ordered.
         started_at: Time at which it was first known to run, seconds.
         percent: Progress in percent.
         reading: Of a serving run the tail of its response times, seconds; of any other its
@@ -169,6 +181,7 @@
     state: RunState = RunState.ORDERED
     order_deadline_s: float = 0.0
     seen_s: float = 0.0
+    ordered_at: float = 0.0
     started_at: float = 0.0
     percent: float = 0.0
     reading: float | None = None
@@ -192,6 +205,8 @@
         runs: Runs that may be in progress, by number; more than one only for speculative copies.
         last_run: Highest run number used so far.
         failed_runs: Numbers of the runs that failed.
+        crashes: Number of crashes of targets on which it was running.
+        blamed_crashes: Number of those for which it is taken to be at fault.
         checkpoint: Last checkpoint; empty for none.
         retry_at: Earliest time of the next start, seconds.
         avoid_target: Id of the target where its last run failed; empty for none.
@@ -205,6 +220,8 @@
     runs: dict[int, RunRow] = dataclasses.field(default_factory=dict)
     last_run: int = 0
     failed_runs: set[int] = dataclasses.field(default_factory=set)
+    crashes: int = 0
+    blamed_crashes: int = 0
     checkpoint: str = ""
     retry_at: float = 0.0
     avoid_target: str = ""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhatch.fleet import rows, targets, waiting_steps
+from ebonyhatch.fleet import crash_blame, rows, targets, waiting_steps
 
 
 class Tables:
@@ -114,6 +114,7 @@
     """Releases the resources of a run."""
     if run.target.runs.pop(run.key, None) is None:
         return
+    crash_blame.note_end(run)
     run.target.serving.pop(run.key, None)
     run.target.fillers.pop(run.key, None)
     run.task.runs.pop(run.key.run, None)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_index.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_index.py
@@ -84,14 +84,14 @@
         self._next_position = 0
         self._pool_names: dict[int, str] = {}
         self._pools: dict[str, _Pool] = {}
-        self._quarantined: dict[int, rows.TargetRow] = {}
+        self._closed: dict[int, rows.TargetRow] = {}
         self._rankings: collections.OrderedDict[RankingKey, _Ranking] = collections.OrderedDict()
 
     def refresh(self, step: rows.StepRow, context: registry.Context) -> None:
         """Applies the changes since the last call; whether a target is usable depends on no step."""
-        if self._quarantined:
-            for key, row in list(self._quarantined.items()):
-                if row.quarantined_until <= context.now:
+        if self._closed:
+            for key, row in list(self._closed.items()):
+                if row.closed_until <= context.now:
                     self._changed[key] = row
         for key, row in self._changed.items():
             self._update(key, row, step, context)
@@ -147,7 +147,7 @@
         self, key: int, row: rows.TargetRow, step: rows.StepRow, context: registry.Context
     ) -> None:
         self._remove(key)
-        self._quarantined.pop(key, None)
+        self._closed.pop(key, None)
         if self._tables.targets.get(row.target_id) is not row:
             self._positions.pop(key, None)
             return
@@ -155,8 +155,8 @@
         if position is None:
             position = self._positions[key] = self._next_position
             self._next_position += 1
-        if row.quarantined_until > context.now:
-            self._quarantined[key] = row
+        if row.closed_until > context.now:
+            self._closed[key] = row
         if not usable.is_usable(step, row, context):
             return
         name = self._pool_names[key] = row.target.pool
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -6,6 +6,7 @@
 
 from ebonyhatch.fleet import (
     commands,
+    crash_blame,
     graph,
     rows,
     run_times,
@@ -21,6 +22,9 @@
 """Delay before each later run per failure so far, seconds: long enough that a target that fails
 runs immediately does not use up the attempts of a task within one fault."""
 
+CRASH_REASONS = frozenset({"new-life", "other-life"})
+"""Reasons of a loss of runs that show that the target has started anew."""
+
 
 class TaskEnds:
     """Applies ends of runs and collects the jobs whose durable progress changed.
@@ -83,9 +87,35 @@
 
     def mark_runs_lost(self, row: rows.TargetRow, *, why: str, now: float) -> None:
         """Releases and requeues all runs of a target on which nothing can be running any more."""
-        for run in list(row.runs.values()):
-            self._decide("run.lost", run, reason=why)
-            self.release_and_requeue(run, now=now)
+        runs = list(row.runs.values())
+        crashed = why in CRASH_REASONS and not row.target.draining
+        tasks = crash_blame.record_crash(row, now=now) if crashed else []
+        for run in runs:
+            self._decide("run.lost", run, reason=why, crashes=run.task.crashes)
+            tables.release(run)
+        self._apply_crash(row, tasks, now=now)
+        for run in runs:
+            self.requeue(run.task, now=now)
+
+    def _apply_crash(self, row: rows.TargetRow, tasks: list[rows.TaskRow], *, now: float) -> None:
+        """Fails the jobs of the tasks that a crash of their target shows to be at fault."""
+        for task in tasks:
+            job = task.step.job
+            if job.ended:
+                continue
+            self._decide(
+                "task.crashed_target",
+                None,
+                job_id=job.job.job_id,
+                task=task.name,
+                target=row.target_id,
+                crashes=task.crashes,
+                blamed=task.blamed_crashes,
+            )
+            self.mark_changed(job)
+            if crash_blame.is_given_up(task):
+                reason = f"{task.crashes} targets crashed under task {task.name}"
+                self.fail_job(job, reason=reason, now=now)
 
     def requeue(self, task: rows.TaskRow, *, now: float) -> None:
         """Requeues a task, unless another run of it is in progress or its job has ended."""
--- a/packages/ebonyhatch-fleet/tests/test_candidates.py
+++ b/packages/ebonyhatch-fleet/tests/test_candidates.py
@@ -55,10 +55,11 @@
             if task.retry_at > context.now or task.name in self._blocked_tasks:
                 deferred.append(task)
                 continue
-            row = self._tables.targets[placement._best_target(scores, task)]
-            if not self._reserve.allows(task, row):
+            name = placement._best_target(scores, task, self._tables.targets, now=context.now)
+            if not name or not self._reserve.allows(task, self._tables.targets[name]):
                 deferred.append(task)
                 continue
+            row = self._tables.targets[name]
             self.order_run(task, row, run=self.next_run_number([task]), now=context.now)
         step.waiting.extendleft(reversed(deferred))
 
--- /dev/null
+++ b/packages/ebonyhatch-fleet/tests/test_crash_blame.py
@@ -0,0 +1,128 @@
+from __future__ import annotations
+
+import pytest
+import world as world_module
+from ebonyhatch.fleet import entry, jobs, rows
+
+MAX_STARTS = 5
+
+
+def _ready(*, targets: int = 8, entries: int = 3) -> world_module.World:
+    world = world_module.World(entries=entries, target_count=targets)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(2.0)
+    return world
+
+
+def _submit(world: world_module.World, count: int, *, tasks: int = 4, work_s: float = 1.0):
+    step = jobs.Step(count=tasks, cpu_millis=500, estimate_s=work_s)
+    submitted = [world.job(step, work_s=work_s) for _ in range(count)]
+    for job in submitted:
+        assert world.submit(job).verdict == entry.Verdict.DONE
+    return submitted
+
+
+def _mark_deadly(world: world_module.World, job: jobs.Job) -> str:
+    task = rows.task_name(job_id=job.job_id, occurrence=0, step=0, index=0)
+    world.deadly.add(task)
+    return task
+
+
+def _starts(world: world_module.World, task: str) -> int:
+    return sum(name == task for _, name, _, _ in world.starts(task.partition(".")[0]))
+
+
+@pytest.mark.parametrize("deadly", [1, 4])
+def test_task_that_crashes_its_targets_is_given_up_and_the_tasks_beside_it_are_done(deadly):
+    world = _ready()
+    step = jobs.Step(count=4, cpu_millis=500, estimate_s=1.0)
+    culprits = [world.job(step, work_s=1.0) for _ in range(deadly)]
+    names = [_mark_deadly(world, job) for job in culprits]
+    others = _submit(world, 6)
+    for job in culprits:
+        world.submit(job)
+    others += _submit(world, 6)
+    world.run_until(
+        lambda: all(world.state(job.job_id) == "failed" for job in culprits), limit_s=40.0
+    )
+    world.run_until(
+        lambda: all(world.state(job.job_id) == "completed" for job in others), limit_s=40.0
+    )
+    assert all(_starts(world, name) <= MAX_STARTS for name in names)
+    assert len(world.crashes) <= 3 * deadly
+    world_module.check_all(world)
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.5])
+def test_count_of_crashes_outlives_the_owner_that_counted_them(delay_s):
+    world = _ready(entries=5)
+    job = world.job(jobs.Step(count=1, cpu_millis=500, estimate_s=1.0), work_s=1.0)
+    name = _mark_deadly(world, job)
+    world.submit(job)
+    for _ in range(3):
+        crashes = len(world.crashes)
+        world.run_until(
+            lambda before=crashes: len(world.crashes) > before
+            or world.state(job.job_id) == "failed",
+            limit_s=30.0,
+        )
+        world.run(delay_s)
+        if world.owner is not None and world.state(job.job_id) != "failed":
+            world.kill(world.owner.name)
+            world.run_until(lambda: world.owner is not None, limit_s=10.0)
+    world.run_until(lambda: world.state(job.job_id) == "failed", limit_s=40.0)
+    assert _starts(world, name) <= MAX_STARTS
+
+
+def test_tasks_of_targets_that_lose_power_together_are_not_given_up():
+    world = _ready()
+    submitted = _submit(world, 8, work_s=3.0)
+    for _ in range(3):
+        world.run(0.6)
+        for number in range(4):
+            world.crash_target(f"t{number}", down_s=1.0)
+        world.run(1.5)
+    world.run_until(
+        lambda: all(world.state(job.job_id) == "completed" for job in submitted), limit_s=60.0
+    )
+
+
+def test_loss_of_a_target_that_is_cut_off_is_no_crash():
+    world = _ready(targets=2)
+    submitted = _submit(world, 2, work_s=2.0)
+    for _ in range(4):
+        world.run(0.5)
+        world.engines["t0"].faults.partitioned = True
+        world.run(7.0)
+        world.engines["t0"].faults.partitioned = False
+        world.run(1.0)
+    owner = world.owner.node.owner
+    for job in submitted:
+        for step in owner.job(job.job_id).occurrences.get(0, []):
+            assert not any(task.crashes for task in step.tasks)
+        assert world.state(job.job_id) == "completed"
+
+
+def test_gang_whose_member_crashes_its_targets_is_given_up():
+    world = _ready()
+    job = world.job(jobs.Step(count=3, cpu_millis=500, estimate_s=1.0, gang=True), work_s=1.0)
+    name = _mark_deadly(world, job)
+    others = _submit(world, 4)
+    world.submit(job)
+    world.run_until(lambda: world.state(job.job_id) == "failed", limit_s=60.0)
+    assert _starts(world, name) <= MAX_STARTS
+    assert all(world.state(other.job_id) == "completed" for other in others)
+
+
+def test_job_that_was_given_up_says_why():
+    world = _ready()
+    job = world.job(jobs.Step(count=1, cpu_millis=500), work_s=1.0)
+    name = _mark_deadly(world, job)
+    world.submit(job)
+    world.run_until(lambda: world.state(job.job_id) == "failed", limit_s=40.0)
+    assert name in world.owner.node.owner.job(job.job_id).reason
+    world.kill(world.owner.name)
+    world.run_until(lambda: world.state(job.job_id) == "failed", limit_s=10.0)
+    starts = _starts(world, name)
+    world.run(5.0)
+    assert _starts(world, name) == starts
--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -31,6 +31,7 @@
 TARGETS_PREFIX = "targets/"
 LEASE_S = 6.0
 THIN_BYTES_PER_S = 625_000
+CRASH_DOWN_S = 1.5
 LARGE_STEP_S = 0.05
 """Step of a large fleet, and interval at which its waiting calls check for changes, seconds."""
 
@@ -104,6 +105,8 @@
         self.engines: dict[str, memory_targets.TargetEngine] = {}
         self.members: dict[str, Member] = {}
         self.accepted: dict[str, jobs.Job] = {}
+        self.deadly: set[str] = set()
+        self.crashes: list[tuple[float, str, tuple[str, ...]]] = []
         self._ids = itertools.count(1)
         for number in range(target_count):
             self.add_target(f"t{number}", rack=f"r{number % 2}")
@@ -140,6 +143,20 @@
         engine.restart()
         self.register(engine.target)
 
+    def crash_target(self, target_id: str, *, down_s: float = CRASH_DOWN_S) -> None:
+        """Crashes a target; it is back after a while as a new incarnation."""
+        engine = self.engines[target_id]
+        tasks = tuple(sorted({key.task for key in engine.runs}))
+        self.crashes.append((self.clock.seconds(), target_id, tasks))
+        engine.restart()
+        engine.faults.partitioned = True
+
+        def come_back() -> None:
+            engine.faults.partitioned = False
+            self.register(engine.target)
+
+        self.clock.callLater(down_s, come_back)
+
     def unregister(self, target_id: str) -> None:
         self.store.commit((), (), (TARGETS_PREFIX + target_id,))
 
@@ -211,6 +228,8 @@
             self.clock.advance(self.step_s)
             for engine in self.engines.values():
                 engine.advance()
+                if self.deadly and any(key.task in self.deadly for key in engine.runs):
+                    self.crash_target(engine.target.target_id)
 
     def run_until(self, condition, limit_s: float = 20.0) -> float:
         """Advances the clock until a condition holds; returns the time that it took."""
