The crash of a suspect's target counts when the owner doesn't live to see it

Cause: the count of a crash was written with the next batch, up to 0.1 s later, and a crash after the last owner's end was counted by nobody, as the new owner had never seen the run. The class: state that one owner needs and only the former one held.

Change: counts of crashes, and the target and incarnation of each order of a task that saw a crash, are written at once. The new owner counts a crash for such a task if no target reports its run and the target has started anew or is gone. What remains: a first crash that no owner sees is not counted, as orders of other tasks aren't recorded.

Red before: test_count_of_crashes_outlives_the_owner_that_counted_them[1.6] (8 starts, bound 5).

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
@@ -47,6 +47,21 @@
     return [run.task for run in running]
 
 
+def resolve_trial(task: rows.TaskRow, row: rows.TargetRow | None) -> bool:
+    """Ends the trial of a task that no target runs; returns whether its target has crashed.
+
+    Args:
+        task: Task with a trial, which a former owner ordered.
+        row: Present incarnation of the trial's target; None if it is gone.
+    """
+    trial, task.trial = task.trial, None
+    if trial is None or (row is not None and row.target.born <= trial.born):
+        return False
+    task.crashes += 1
+    task.blamed_crashes += trial.isolated
+    return True
+
+
 def is_given_up(task: rows.TaskRow) -> bool:
     """Returns whether a task must not be started again."""
     return (
@@ -64,10 +79,18 @@
 def note_order(run: rows.RunRow, *, now: float) -> None:
     """Records the order of a run; one of an isolated task keeps other runs off its target."""
     run.ordered_at = now
-    if run.task.crashes:
-        run.target.suspect_until = now + PROBATION_S
-    if is_isolated(run.task):
+    if not run.task.crashes:
+        return
+    isolated = is_isolated(run.task)
+    run.target.suspect_until = now + PROBATION_S
+    if isolated:
         run.target.isolated_until = now + PROBATION_S
+    run.task.trial = rows.Trial(
+        run=run.key.run,
+        target_id=run.target.target_id,
+        born=run.target.target.born,
+        isolated=isolated,
+    )
 
 
 def note_end(run: rows.RunRow) -> None:
@@ -75,6 +98,8 @@
     row = run.target
     if not run.task.crashes:
         return
+    if run.task.trial is not None and run.task.trial.run == run.key.run:
+        run.task.trial = None
     others = [other for other in row.runs.values() if other is not run and other.task.crashes]
     if not others:
         row.suspect_until = 0.0
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -442,10 +442,13 @@
         while self._unconfirmed_targets() and self._clocks.boottime() < until:
             self._scheduler.blocked_tasks = self._blocked_tasks()
             if not self._unconfirmed_targets_taking_runs():
+                if not self._scheduler.reconciled:
+                    self._scheduler.resolve_trials(now=self._clocks.now())
                 self._scheduler.reconciled = True
                 self._schedule_tick()
             await self._group.sleep(0.02)
         self._scheduler.blocked_tasks = frozenset()
+        self._scheduler.resolve_trials(now=self._clocks.now())
         decision_log.write(
             "recovery.settled", term=self._term, unheard=len(self._unconfirmed_targets())
         )
@@ -556,7 +559,7 @@
         session.row.confirmed = True
         self._scheduler.apply_report(session.row, report, now=self._clocks.now())
         if report.ended:
-            self._journal.request_write(urgent=self._scheduler.has_ended_changes())
+            self._journal.request_write(urgent=self._scheduler.has_urgent_changes())
         self._schedule_tick()
         return True
 
@@ -646,7 +649,7 @@
             ):
                 self._journal.request_write()
         if self._scheduler.has_changes():
-            self._journal.request_write(urgent=self._scheduler.has_ended_changes())
+            self._journal.request_write(urgent=self._scheduler.has_urgent_changes())
 
     def _decide(self, *, now: float, wall: float) -> list[commands.Command]:
         """Ticks the scheduler; an exception in one tick is logged and must not end the ticking."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
@@ -14,6 +14,7 @@
         failures: Numbers of the failed runs of each task that has any.
         crashes: Number of crashes of targets under each task that has any, and number of those for
             which it is blamed.
+        trials: Last run of each task that saw a crash, if its end isn't known.
         checkpoints: Last checkpoint of each task that is not done and has one.
         runs: Highest known run number of each task that is not done and had a run.
     """
@@ -21,6 +22,7 @@
     done: list[int] = []
     failures: dict[int, list[int]] = {}
     crashes: dict[int, tuple[int, int]] = {}
+    trials: dict[int, rows.Trial] = {}
     checkpoints: dict[int, str] = {}
     runs: dict[int, int] = {}
 
@@ -141,7 +143,7 @@
 
 
 def _step_progress(step: rows.StepRow) -> StepProgress:
-    progress = StepProgress(done=[], failures={}, crashes={}, checkpoints={}, runs={})
+    progress = StepProgress(done=[], failures={}, crashes={}, trials={}, checkpoints={}, runs={})
     for task in step.tasks:
         if task.state == rows.TaskState.DONE:
             progress.done.append(task.index)
@@ -150,6 +152,8 @@
             progress.failures[task.index] = sorted(task.failed_runs)
         if task.crashes:
             progress.crashes[task.index] = (task.crashes, task.blamed_crashes)
+        if task.trial is not None:
+            progress.trials[task.index] = task.trial
         if task.checkpoint:
             progress.checkpoints[task.index] = task.checkpoint
         if task.last_run:
@@ -165,6 +169,8 @@
         step.tasks[index].failed_runs = set(failures)
     for index, (crashes, blamed) in progress.crashes.items():
         step.tasks[index].crashes, step.tasks[index].blamed_crashes = crashes, blamed
+    for index, trial in progress.trials.items():
+        step.tasks[index].trial = trial
     for index, checkpoint in progress.checkpoints.items():
         step.tasks[index].checkpoint = checkpoint
     for index, run in progress.runs.items():
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -10,6 +10,7 @@
 import dataclasses
 import enum
 
+import msgspec
 from ebonyhatch.fleet import jobs, queues, targets
 
 TASK_NAME_PARTS = 4
@@ -193,6 +194,22 @@
     stop_sent_at: float = 0.0
 
 
+class Trial(msgspec.Struct, frozen=True, array_like=True):
+    """The last run of a task that saw a crash, recorded for the next owner.
+
+    Attributes:
+        run: Number of the run.
+        target_id: Target that it was ordered on.
+        born: Start of the target's incarnation, milliseconds since 1970.
+        isolated: Whether the task was isolated there.
+    """
+
+    run: int
+    target_id: str
+    born: int
+    isolated: bool
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class TaskRow:
     """A task of a step.
@@ -207,6 +224,7 @@
         failed_runs: Numbers of the runs that failed.
         crashes: Number of crashes of targets on which it was running.
         blamed_crashes: Number of those for which it is taken to be at fault.
+        trial: Its last run since a crash, if the end of that run isn't known.
         checkpoint: Last checkpoint; empty for none.
         retry_at: Earliest time of the next start, seconds.
         avoid_target: Id of the target where its last run failed; empty for none.
@@ -222,6 +240,7 @@
     failed_runs: set[int] = dataclasses.field(default_factory=set)
     crashes: int = 0
     blamed_crashes: int = 0
+    trial: Trial | None = None
     checkpoint: str = ""
     retry_at: float = 0.0
     avoid_target: str = ""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -77,6 +77,7 @@
             reserved=self._reserve,
             emit=self._commands.append,
             decide=decide,
+            mark_changed=self._ends.mark_changed,
         )
         self._evacuation = evacuation.Evacuation(all_tables=self._tables, stop=self._ends.stop)
         self._reported: dict[str, rows.TargetRow] = {}
@@ -188,6 +189,7 @@
         """Returns the jobs whose progress changed since the last call."""
         changed = list(self._ends.changed.values())
         self._ends.changed.clear()
+        self._ends.urgent = False
         return changed
 
     def model_snapshot(self) -> bytes:
@@ -203,9 +205,16 @@
         """Returns whether a job's progress changed since the last `drain_changed_jobs`."""
         return bool(self._ends.changed)
 
-    def has_ended_changes(self) -> bool:
-        """Returns whether a job ended since the last `drain_changed_jobs`."""
-        return any(row.ended for row in self._ends.changed.values())
+    def has_urgent_changes(self) -> bool:
+        """Returns whether a job ended or a task saw a crash since the last `drain_changed_jobs`."""
+        return self._ends.urgent
+
+    def resolve_trials(self, *, now: float) -> None:
+        """Counts the crashes that no owner has seen, once the runs of former owners are known.
+
+        The tasks of `blocked_tasks` may still be running and are left out.
+        """
+        self._ends.resolve_trials(self.blocked_tasks, now=now)
 
     def tick(self, *, now: float, wall: float) -> list[commands.Command]:
         """Decides what is due; returns the commands since the last tick, in order."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -31,6 +31,7 @@
 
     Attributes:
         changed: Jobs whose progress has to be written, by id.
+        urgent: Whether one of them has to be written without delay.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         self._decide = decide
         self._release_steps = release_steps
         self.changed: dict[str, rows.JobRow] = {}
+        self.urgent = False
 
     def apply_end(self, row: rows.TargetRow, ended: targets.Ended, *, now: float) -> None:
         """Applies an end; one that was applied before has no effect."""
@@ -93,11 +95,11 @@
         for run in runs:
             self._decide("run.lost", run, reason=why, crashes=run.task.crashes)
             tables.release(run)
-        self._apply_crash(row, tasks, now=now)
+        self._apply_crash(row.target_id, tasks, now=now)
         for run in runs:
             self.requeue(run.task, now=now)
 
-    def _apply_crash(self, row: rows.TargetRow, tasks: list[rows.TaskRow], *, now: float) -> None:
+    def _apply_crash(self, target_id: str, tasks: list[rows.TaskRow], *, now: float) -> None:
         """Fails the jobs of the tasks that a crash of their target shows to be at fault."""
         for task in tasks:
             job = task.step.job
@@ -108,11 +110,11 @@
                 None,
                 job_id=job.job.job_id,
                 task=task.name,
-                target=row.target_id,
+                target=target_id,
                 crashes=task.crashes,
                 blamed=task.blamed_crashes,
             )
-            self.mark_changed(job)
+            self.mark_changed(job, urgent=True)
             if crash_blame.is_given_up(task):
                 reason = f"{task.crashes} targets crashed under task {task.name}"
                 self.fail_job(job, reason=reason, now=now)
@@ -142,9 +144,29 @@
                 until_s=round(row.quarantined_until - now, 2),
             )
 
-    def mark_changed(self, job: rows.JobRow) -> None:
+    def mark_changed(self, job: rows.JobRow, *, urgent: bool = False) -> None:
         """Marks a job's progress for writing."""
         self.changed[job.job.job_id] = job
+        self.urgent = self.urgent or urgent or job.ended
+
+    def resolve_trials(self, blocked_tasks: frozenset[str], *, now: float) -> None:
+        """Counts the crashes under tasks whose last run a former owner ordered and nobody reports."""
+        for job in self._tables.jobs.values():
+            if job.ended:
+                continue
+            for steps in job.occurrences.values():
+                for step in steps:
+                    self._resolve_trials_of(step, blocked_tasks, now=now)
+
+    def _resolve_trials_of(
+        self, step: rows.StepRow, blocked_tasks: frozenset[str], *, now: float
+    ) -> None:
+        for task in step.tasks:
+            if task.trial is None or task.runs or task.name in blocked_tasks:
+                continue
+            target_id = task.trial.target_id
+            if crash_blame.resolve_trial(task, self._tables.targets.get(target_id)):
+                self._apply_crash(target_id, [task], now=now)
 
     def stop_job_runs(self, job: rows.JobRow, *, reason: str, now: float) -> None:
         """Stops all runs of a job and drops its waiting tasks."""
--- a/packages/ebonyhatch-fleet/tests/test_candidates.py
+++ b/packages/ebonyhatch-fleet/tests/test_candidates.py
@@ -132,6 +132,7 @@
             reserved=self._reserve,
             emit=fast._emit,
             decide=fast._decide,
+            mark_changed=fast._mark_changed,
         )
 
     def _follow_targets(self):
--- a/packages/ebonyhatch-fleet/tests/test_crash_blame.py
+++ b/packages/ebonyhatch-fleet/tests/test_crash_blame.py
@@ -53,7 +53,7 @@
     world_module.check_all(world)
 
 
-@pytest.mark.parametrize("delay_s", [0.0, 0.5])
+@pytest.mark.parametrize("delay_s", [0.0, 0.5, 1.55, 1.6, 1.7])
 def test_count_of_crashes_outlives_the_owner_that_counted_them(delay_s):
     world = _ready(entries=5)
     job = world.job(jobs.Step(count=1, cpu_millis=500, estimate_s=1.0), work_s=1.0)
