A target that refuses a run for lack of capacity gets no other for half a second

A target whose capacity had shrunk, and whose registration didn't show it yet, got the same run again at once, 300 times a second, and the task never came to another target.

Cause: a refused run was queued again at the head of its step, and the table still counted the capacity as free. Change: a target is closed for 0.5 s after such a refusal; its registration is at most a heartbeat late.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/usable.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/usable.py
@@ -11,7 +11,8 @@
     """Returns whether a target may get new runs.
 
     It has sent a status report, takes runs by the owner's durable record, answers, is listed, isn't
-    draining, isn't quarantined and doesn't run an isolated task.
+    draining or quarantined, doesn't run an isolated task, and hasn't just refused a run for lack of
+    capacity.
     """
     return (
         row.confirmed
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
@@ -42,6 +42,7 @@
         fail_runs: Every run that starts fails after `fail_after_s`.
         fail_after_s: Time until such a run fails, seconds.
         hang: Runs make no progress.
+        max_runs: Number of runs from which it refuses further ones for lack of capacity.
     """
 
     down: bool = False
@@ -52,6 +53,7 @@
     fail_runs: bool = False
     fail_after_s: float = 0.05
     hang: bool = False
+    max_runs: int = 1_000_000
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -87,6 +89,7 @@
         self.ended: list[tuple[float, targets.RunKey, targets.EndKind]] = []
         self.acknowledged: list[tuple[float, targets.RunKey]] = []
         self.polls = 0
+        self.refused_for_capacity = 0
         self._last_end_number = 0
         self._started_at = clock.seconds()
         self._lease_expires_s = 0.0
@@ -149,6 +152,9 @@
             return None
         if order.key.run <= self.highest_runs.get(order.key.task, 0):
             return targets.RefusalReason.STALE_RUN
+        if len(self.runs) >= self.faults.max_runs:
+            self.refused_for_capacity += 1
+            return targets.RefusalReason.NO_CAPACITY
         self.highest_runs[order.key.task] = order.key.run
         work_s = self.work_s(order.key.task)
         self.runs[order.key] = MemoryRun(key=order.key, work_s=abs(work_s), long_running=work_s < 0)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
@@ -7,6 +7,10 @@
 STOP_RETRY_S = 1.0
 """Time after which a stop order without effect is sent again, seconds."""
 
+FULL_S = 0.5
+"""Time for which a target that refused a run for lack of capacity gets no other, seconds. Targets
+register a changed capacity within about three times as long."""
+
 
 class Reconciler:
     """Applies status reports and the answers to single orders."""
@@ -57,6 +61,9 @@
         if run.key not in run.target.runs or run.state == rows.RunState.RUNNING:
             return
         self._decide("run.refused", run, reason=reason)
+        if reason == targets.RefusalReason.NO_CAPACITY:
+            # Its registration is late; until the next one it would refuse the same run again.
+            run.target.full_until = now + FULL_S
         if reason == targets.RefusalReason.UNHEALTHY:
             self._ends.record_failure(run.target, target_health.FAILURE_WEIGHT, why=reason, now=now)
         self._ends.release_and_requeue(run, now=now)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -63,6 +63,7 @@
         "suspicion_score",
         "quarantined_until",
         "isolated_until",
+        "full_until",
         "leaves_at",
     }
 )
@@ -101,6 +102,8 @@
         quarantined_until: End of its quarantine, before which nothing is placed on it, seconds.
         isolated_until: End of the time in which nothing is placed on it beside an isolated task,
             seconds; see `crash_blame`.
+        full_until: End of the time in which nothing is placed on it after it refused a run for lack of
+            capacity, seconds.
         suspect_until: End of the probation of the last run there whose task saw a crash, seconds.
         leaves_at: Earliest time of its departure, seconds; 0 while it is not draining.
     """
@@ -126,6 +129,7 @@
     suspicion_score: float = 0.0
     quarantined_until: float = 0.0
     isolated_until: float = 0.0
+    full_until: float = 0.0
     suspect_until: float = 0.0
     leaves_at: float = 0.0
 
@@ -142,8 +146,8 @@
 
     @property
     def closed_until(self) -> float:
-        """Time before which nothing is placed on it for a failure or a crash, seconds."""
-        return max(self.quarantined_until, self.isolated_until)
+        """Time before which nothing is placed on it for a failure, crash or refusal, seconds."""
+        return max(self.quarantined_until, self.isolated_until, self.full_until)
 
     def mark_changed(self) -> None:
         """Adds the row to the changed targets of all observers."""
