One odd registration among those of the targets hides no others

Another writer's entry, nested 5,000 deep in an unknown field, ended the list of targets of every entry for good: no target was ever listed again.

Cause: msgspec raises RecursionError, which is no DecodeError, and the loop that follows the registrations ended on it.

TargetList decodes each entry by itself, and its loop is started again after an unexpected error of what it calls.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
@@ -5,7 +5,7 @@
 import abc
 from collections.abc import Callable
 
-from ebonyhatch.fleet import clocks, decision_log, listing, store, targets
+from ebonyhatch.fleet import clocks, decision_log, listing, store, supervision, targets
 from ebonyhatch.node import coroutines
 from returns import result
 
@@ -64,7 +64,7 @@
 
     def start(self) -> None:
         """Starts following the registrations."""
-        self._group.spawn(self._follow())
+        supervision.spawn(self._group, "targets", self._follow)
 
     def restore_known(self, before: dict[str, targets.Target]) -> None:
         """Adds the targets that the last owner knew; unregistered ones are retained for a while."""
@@ -128,10 +128,20 @@
             if any(changed):
                 self._on_change(dict(self._listed))
 
+    def _decode(self, name: str, item: store.Item) -> targets.Target | None:
+        """Decodes a registration; an unexpected error must not hide the other targets."""
+        try:
+            return self._target_codec.decode(item)
+        except Exception as error:
+            decision_log.write(
+                "target.unreadable", target=name, reason=f"{type(error).__name__}: {error}"
+            )
+            return None
+
     def _apply(self, key: str, item: store.Item | None) -> bool:
         """Applies a registration or its removal; returns whether the list has changed."""
         name = key.removeprefix(self._target_codec.prefix)
-        target = None if item is None else self._target_codec.decode(item)
+        target = None if item is None else self._decode(name, item)
         if target is None:
             if self._listed.pop(name, None) is None:
                 return False
--- a/packages/ebonyhatch-fleet/tests/test_target_list.py
+++ b/packages/ebonyhatch-fleet/tests/test_target_list.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 import scripted
 import world as world_module
@@ -8,28 +10,46 @@
 from twisted.internet import task
 
 
+class FailingCodec(world_module.JsonTargetCodec):
+    """Fails with an error that no decoder documents on one registration."""
+
+    def decode(self, item: store.Item) -> targets.Target | None:
+        if item.key.endswith("odd"):
+            raise RecursionError("maximum recursion depth exceeded")
+        return super().decode(item)
+
+
 class ListCase:
     """A list of two targets, and the names that it reported."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, odd_from_start: bool = False, on_change: Callable[[int], None] = lambda count: None
+    ) -> None:
         self.clock = task.Clock()
         self.engine = memory_store.StoreEngine(clock=self.clock)
         self.store = scripted.ScriptedStore(engine=self.engine)
         self.reported: list[set[str]] = []
         self.put("t0")
         self.put("t1")
+        if odd_from_start:
+            self.put("odd")
+        self.on_change = on_change
         self.group = coroutines.CoroutineGroup(clock=self.clock)
         self.list = target_list.TargetList(
             store_port=self.store,
-            target_codec=world_module.JsonTargetCodec(),
+            target_codec=FailingCodec(),
             all_clocks=clocks.MemoryClocks(clock=self.clock),
             group=self.group,
-            on_change=lambda listed: self.reported.append(set(listed)),
+            on_change=self._report,
         )
         self.list.start()
         self.advance(1.0)
         assert self.reported == [{"t0", "t1"}]
 
+    def _report(self, listed: dict[str, targets.Target]) -> None:
+        self.reported.append(set(listed))
+        self.on_change(len(self.reported))
+
     def put(self, name: str) -> None:
         target = targets.Target(
             target_id=name, address=f"{name}:1", pool="p", failure_domain="a", born=1
@@ -49,6 +69,36 @@
         scripted.advance(self.clock, seconds)
 
 
+def test_one_registration_that_fails_the_decoder_does_not_hide_the_others():
+    case = ListCase(odd_from_start=True)
+    assert case.list.loaded
+    case.put("t2")
+    case.advance(1.0)
+    assert case.reported[-1] == {"t0", "t1", "t2"}
+
+
+def test_registration_that_fails_the_decoder_later_does_not_end_the_watch():
+    case = ListCase()
+    case.put("odd")
+    case.advance(1.0)
+    case.put("t2")
+    case.advance(1.0)
+    assert case.reported[-1] == {"t0", "t1", "t2"}
+
+
+def test_targets_are_still_followed_after_an_unexpected_error_of_the_owner():
+    def fail_once(count: int) -> None:
+        if count == 2:
+            raise RuntimeError("the owner failed")
+
+    case = ListCase(on_change=fail_once)
+    case.put("t2")
+    case.advance(1.0)
+    case.put("t3")
+    case.advance(1.0)
+    assert case.reported[-1] == {"t0", "t1", "t2", "t3"}
+
+
 def test_failed_watches_do_not_make_the_targets_be_listed_anew():
     case = ListCase()
     case.fail_for(5.0)
