A target that was replaced at its address counts as heard by a new owner, and as crashed

Cause: a target that answers as another incarnation was only marked as lost. The owner waited for its lease, though nothing can run there any more, and took the unchanged registration for the same incarnation. Change: such an answer is recorded on the target's row; both questions use it.

Red before: test_crash_of_a_target_that_another_one_replaces_at_its_address_outlives_the_owner (failed after 8.4 s for both delays, bound 8 s).

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
@@ -52,10 +52,12 @@
 
     Args:
         task: Task with a trial, which a former owner ordered.
-        row: Present incarnation of the trial's target; None if it is gone.
+        row: The trial's target; None if it is gone.
     """
     trial, task.trial = task.trial, None
-    if trial is None or (row is not None and row.target.born <= trial.born):
+    if trial is None:
+        return False
+    if row is not None and not row.replaced and row.target.born <= trial.born:
         return False
     task.crashes += 1
     task.blamed_crashes += trial.isolated
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
@@ -42,6 +42,7 @@
         fail_runs: Every run that starts fails after `fail_after_s`.
         fail_after_s: Time until such a run fails, seconds.
         hang: Runs make no progress.
+        replaced: Another incarnation with an id of its own answers at its address.
         max_runs: Number of runs from which it refuses further ones for lack of capacity.
     """
 
@@ -53,6 +54,7 @@
     fail_runs: bool = False
     fail_after_s: float = 0.05
     hang: bool = False
+    replaced: bool = False
     max_runs: int = 1_000_000
 
 
@@ -361,6 +363,9 @@
         if engine is None or engine.faults.down or engine.faults.partitioned or unreached:
             await task.deferLater(self._clock, CALL_TIMEOUT_S)
             return result.Failure(_unknown(target))
+        if engine.faults.replaced:
+            other = targets.RefusalReason.OTHER_INCARNATION
+            return result.Failure(targets.RefusedError(target_id=target.target_id, reason=other))
         if engine.faults.delay_s and is_order:
             self._clock.callLater(
                 engine.faults.delay_s, engine.carry_out_delayed, carry_out, born=engine.target.born
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -459,7 +459,7 @@
         return [
             name
             for name, session in self._sessions.items()
-            if not session.row.confirmed and not session.lease_expired
+            if not session.row.confirmed and not session.runs_ended
         ]
 
     def _unconfirmed_targets_taking_runs(self) -> list[str]:
@@ -541,7 +541,7 @@
 
     def _close_session_if_empty(self, session: target_session.TargetSession) -> None:
         row = session.row
-        if row.listed or row.runs or not (row.confirmed or session.lease_expired):
+        if row.listed or row.runs or not (row.confirmed or session.runs_ended):
             return
         session.close()
         self._sessions.pop(row.target_id, None)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -95,6 +95,7 @@
         announced: Whether the owner's durable record says that it may take runs.
         reachable: Whether it answers polls; False after consecutive polls without an answer, see
             `target_session.FAILURES_UNTIL_UNREACHABLE`.
+        replaced: Whether another incarnation answered at its address, so that nothing runs there.
         last_report_at: Arrival of its last status report, seconds.
         frequent_polling: Whether its readings are polled more often than usual.
         listed: Whether the store still lists it.
@@ -123,6 +124,7 @@
     confirmed: bool = False
     announced: bool = False
     reachable: bool = True
+    replaced: bool = False
     last_report_at: float = 0.0
     frequent_polling: bool = False
     listed: bool = True
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -146,6 +146,11 @@
         """Whether every run on the target has lost its lease."""
         return self._clocks.boottime() > self._lease_expires_at
 
+    @property
+    def runs_ended(self) -> bool:
+        """Whether nothing that a former owner ordered can be running on the target."""
+        return self._row.replaced or self.lease_expired
+
     @property
     def answered_at(self) -> float:
         """Time of the last report that was not superseded, seconds; 0 before the first."""
@@ -356,6 +361,7 @@
         if self._failures >= FAILURES_UNTIL_UNREACHABLE:
             decision_log.write("target.back", target=self._row.target_id, failures=self._failures)
         self._failures = 0
+        self._row.replaced = False
         self._set_reachable(True)
         self._deliver(report)
 
@@ -381,6 +387,7 @@
                 return
             if error.reason == targets.RefusalReason.OTHER_INCARNATION:
                 self._held_report = None
+                self._row.replaced = True
                 self._on_runs_lost(self, "other-life")
         if self._failures == FAILURES_UNTIL_UNREACHABLE:
             decision_log.write("target.lost", target=self._row.target_id, reason=str(error))
--- a/packages/ebonyhatch-fleet/tests/test_crash_blame.py
+++ b/packages/ebonyhatch-fleet/tests/test_crash_blame.py
@@ -126,3 +126,20 @@
     starts = _starts(world, name)
     world.run(5.0)
     assert _starts(world, name) == starts
+
+
+@pytest.mark.parametrize("delay_s", [0.5, 1.6])
+def test_crash_of_a_target_that_another_one_replaces_at_its_address_outlives_the_owner(delay_s):
+    world = _ready(entries=5)
+    world.replace_crashed = True
+    job = world.job(jobs.Step(count=1, cpu_millis=500, estimate_s=1.0), work_s=1.0)
+    name = _mark_deadly(world, job)
+    world.submit(job)
+    world.run_until(lambda: len(world.crashes) == 2, limit_s=30.0)
+    world.run(delay_s)
+    world.kill(world.owner.name)
+    world.run_until(lambda: world.owner is not None, limit_s=10.0)
+    before_s = world.clock.seconds()
+    world.run_until(lambda: world.state(job.job_id) == "failed", limit_s=40.0)
+    assert _starts(world, name) <= 3
+    assert world.clock.seconds() - before_s < 8.0
--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -32,6 +32,7 @@
 LEASE_S = 6.0
 THIN_BYTES_PER_S = 625_000
 CRASH_DOWN_S = 1.5
+EXPIRY_S = 3.0
 LARGE_STEP_S = 0.05
 """Step of a large fleet, and interval at which its waiting calls check for changes, seconds."""
 
@@ -106,6 +107,7 @@
         self.members: dict[str, Member] = {}
         self.accepted: dict[str, jobs.Job] = {}
         self.deadly: set[str] = set()
+        self.replace_crashed = False
         self.crashes: list[tuple[float, str, tuple[str, ...]]] = []
         self._ids = itertools.count(1)
         for number in range(target_count):
@@ -144,7 +146,10 @@
         self.register(engine.target)
 
     def crash_target(self, target_id: str, *, down_s: float = CRASH_DOWN_S) -> None:
-        """Crashes a target; it is back after a while as a new incarnation."""
+        """Crashes a target; it is back after a while as a new incarnation.
+
+        With `replace_crashed` that has an id of its own, and the old registration expires later.
+        """
         engine = self.engines[target_id]
         tasks = tuple(sorted({key.task for key in engine.runs}))
         self.crashes.append((self.clock.seconds(), target_id, tasks))
@@ -153,7 +158,12 @@
 
         def come_back() -> None:
             engine.faults.partitioned = False
-            self.register(engine.target)
+            if not self.replace_crashed:
+                self.register(engine.target)
+                return
+            engine.faults.replaced = True
+            self.add_target(f"{target_id}+", rack=engine.target.rack)
+            self.clock.callLater(EXPIRY_S, self.unregister, target_id)
 
         self.clock.callLater(down_s, come_back)
 
@@ -226,7 +236,7 @@
         until = self.clock.seconds() + seconds
         while self.clock.seconds() < until - 1e-9:
             self.clock.advance(self.step_s)
-            for engine in self.engines.values():
+            for engine in list(self.engines.values()):
                 engine.advance()
                 if self.deadly and any(key.task in self.deadly for key in engine.runs):
                     self.crash_target(engine.target.target_id)
