Of runs that were ordered together the one that saw crashes before is blamed

Red before: two cases of test_the_last_ordered_run_is_blamed_and_of_several_the_one_with_most_crashes.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
@@ -33,17 +33,20 @@
 def record_crash(row: rows.TargetRow, *, now: float) -> list[rows.TaskRow]:
     """Counts a crash of a target for the tasks that may have been running there; returns them.
 
-    A task is blamed if its run was the last one that was ordered there.
+    A task is blamed if its run was the last one that was ordered there; of those that were ordered
+    together, the one that saw the most crashes before.
     """
     running = [run for run in row.runs.values() if _may_be_responsible(run, now=now)]
     if not running:
         return []
     last_at = max(run.ordered_at for run in running)
     last = [run for run in running if last_at - run.ordered_at < ORDERED_TOGETHER_S]
+    most_crashes = max(run.task.crashes for run in last)
+    suspects = [run for run in last if run.task.crashes == most_crashes]
     for run in running:
         run.task.crashes += 1
-    if len(last) == 1 and last_at:
-        last[0].task.blamed_crashes += 1
+    if len(suspects) == 1 and last_at:
+        suspects[0].task.blamed_crashes += 1
     return [run.task for run in running]
 
 
--- a/packages/ebonyhatch-fleet/tests/test_crash_blame.py
+++ b/packages/ebonyhatch-fleet/tests/test_crash_blame.py
@@ -2,13 +2,13 @@
 
 import pytest
 import world as world_module
-from ebonyhatch.fleet import entry, jobs, rows
+from ebonyhatch.fleet import crash_blame, entry, jobs, rows, targets
 
 MAX_STARTS = 5
 
 
-def _ready(*, targets: int = 8, entries: int = 3) -> world_module.World:
-    world = world_module.World(entries=entries, target_count=targets)
+def _ready(*, target_count: int = 8, entries: int = 3) -> world_module.World:
+    world = world_module.World(entries=entries, target_count=target_count)
     world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
     world.run(2.0)
     return world
@@ -88,7 +88,7 @@
 
 
 def test_loss_of_a_target_that_is_cut_off_is_no_crash():
-    world = _ready(targets=2)
+    world = _ready(target_count=2)
     submitted = _submit(world, 2, work_s=2.0)
     for _ in range(4):
         world.run(0.5)
@@ -103,6 +103,51 @@
         assert world.state(job.job_id) == "completed"
 
 
+def _row_with(*tasks: tuple[int, float]) -> rows.TargetRow:
+    """Returns a target with a run for each task, given by its crashes and the time of its order."""
+    target = targets.Target(target_id="t", address="t:1", pool="p", failure_domain="a", born=1)
+    row = rows.TargetRow(target=target)
+    for number, (crashes, ordered_at) in enumerate(tasks):
+        task = rows.TaskRow(step=None, index=number, name=f"task{number}", crashes=crashes)
+        key = targets.RunKey(task=task.name, run=1)
+        row.runs[key] = rows.RunRow(
+            key=key,
+            task=task,
+            target=row,
+            state=rows.RunState.RUNNING,
+            ordered_at=ordered_at,
+            started_at=ordered_at,
+        )
+    return row
+
+
+@pytest.mark.parametrize(
+    ("tasks", "blamed"),
+    [
+        ([(0, 1.0), (0, 2.0)], [0, 1]),
+        ([(0, 2.0), (0, 2.01)], [0, 0]),
+        ([(1, 2.0), (0, 2.01), (0, 2.02)], [1, 0, 0]),
+        ([(1, 2.0), (1, 2.01)], [0, 0]),
+        ([(2, 2.0), (1, 2.01)], [1, 0]),
+        ([(3, 1.0), (0, 2.0)], [0, 1]),
+        ([(0, 0.0)], [0]),
+    ],
+)
+def test_the_last_ordered_run_is_blamed_and_of_several_the_one_with_most_crashes(tasks, blamed):
+    row = _row_with(*tasks)
+    counted = crash_blame.record_crash(row, now=3.0)
+    assert [task.blamed_crashes for task in counted] == blamed
+    assert [task.crashes for task in counted] == [crashes + 1 for crashes, _ in tasks]
+
+
+def test_runs_without_an_answer_and_old_runs_are_not_held_responsible():
+    row = _row_with((0, 1.0), (0, 50.0), (0, 60.0))
+    unanswered = list(row.runs.values())[2]
+    unanswered.state, unanswered.started_at = rows.RunState.ORDERED, 0.0
+    counted = crash_blame.record_crash(row, now=61.5)
+    assert [(task.name, task.blamed_crashes) for task in counted] == [("task1", 1)]
+
+
 def test_gang_whose_member_crashes_its_targets_is_given_up():
     world = _ready()
     job = world.job(jobs.Step(count=3, cpu_millis=500, estimate_s=1.0, gang=True), work_s=1.0)
