Odd records, replies and submissions are unreadable instead of an unexpected error

The same class as the odd registration: a submission with a deeply nested unknown field was answered with 502, as if it might run; a reply of a target nested so ended the poll of that target for good, and with it the target for this owner; a record of a job, of an entry or of the learned model written by somebody else ended the recovery or the membership. A job with a number such as 10**400 would have failed each tick of the owner with an overflow.

Numbers of a job are checked against generous limits, so that an odd one is refused with 400 before anything is stored. A record of a job that can't be restored is logged, and the others are restored.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/jobs.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/jobs.py
@@ -16,6 +16,18 @@
 TASKS_LIMIT = 20_000
 """Largest number of tasks of one job; keeps the job's record within one value of the store."""
 
+OCCURRENCES_LIMIT = 10_000_000
+"""Largest number of occurrences of one job."""
+
+AMOUNT_LIMIT = 10**9
+"""Largest amount of a resource, or of tasks: a million cores or a petabyte."""
+
+DURATION_LIMIT_S = 10**9
+"""Longest duration, seconds: 31 years."""
+
+TIME_LIMIT_S = 10**11
+"""Latest time of day, seconds since 1970: the year 5138."""
+
 
 class InvalidJobError(errors.EbonyhatchError):
     """A submitted job contradicts itself; none of it is accepted."""
@@ -119,6 +131,10 @@
         raise InvalidJobError(
             problem="the number of occurrences is negative, or several have no interval above 0"
         )
+    if job.occurrences > OCCURRENCES_LIMIT:
+        raise InvalidJobError(problem=f"the job has over {OCCURRENCES_LIMIT} occurrences")
+    if not 0 <= job.first_at <= TIME_LIMIT_S or not 0 <= job.interval_s <= DURATION_LIMIT_S:
+        raise InvalidJobError(problem="the first time or the interval is out of range")
     for index, step in enumerate(job.steps):
         _check_step(index, step)
     if sum(step.count for step in job.steps) > TASKS_LIMIT:
@@ -139,6 +155,8 @@
     )
     if any(amount < 0 for amount in amounts):
         raise InvalidJobError(problem=f"step {index} has a negative amount")
+    if max(amounts) > AMOUNT_LIMIT or step.count > AMOUNT_LIMIT:
+        raise InvalidJobError(problem=f"step {index} has an amount out of range")
     for earlier in step.after:
         if not 0 <= earlier < index:
             raise InvalidJobError(
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
-from ebonyhatch.fleet import decision_log, rows, targets
+from ebonyhatch.fleet import decision_log, decoding, rows, targets
 
 GROUPS = 64
 """Number of groups of targets with a record each; a few targets a record at today's sizes, and about
@@ -59,8 +59,8 @@
     known: KnownTargets = {}
     for value in values:
         try:
-            known.update(msgspec.json.decode(value, type=KnownTargets))
-        except msgspec.DecodeError as error:
+            known.update(decoding.decode(value, KnownTargets))
+        except decoding.UnreadableError as error:
             decision_log.write("record.unreadable", kind="KnownTargets", reason=str(error))
     return known
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/model_snapshot.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/model_snapshot.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import msgspec
-from ebonyhatch.fleet import decision_log, interference, run_times
+from ebonyhatch.fleet import decision_log, decoding, interference, run_times
 
 MIN_SAVE_INTERVAL_S = 4.0
 """Minimum time between two writes, seconds: the model changes within seconds, and a write costs one
@@ -34,8 +34,8 @@
 ) -> None:
     """Loads an earlier owner's model; one that can't be decoded is ignored and learned again."""
     try:
-        snapshot = msgspec.json.decode(value, type=ModelSnapshot)
-    except msgspec.DecodeError as error:
+        snapshot = decoding.decode(value, ModelSnapshot)
+    except decoding.UnreadableError as error:
         decision_log.write("learnt.unreadable", reason=str(error))
         return
     model.restore(snapshot.harms)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -9,7 +9,6 @@
 import traceback
 from collections.abc import Callable
 
-import msgspec
 from ebonyhatch.fleet import (
     change_feed,
     clocks,
@@ -353,8 +352,10 @@
                 configuration=self._configuration,
                 inherited=inherited,
             )
-        except msgspec.DecodeError as error:
-            decision_log.write("record.unreadable", key=item.key, reason=str(error))
+        except Exception as error:
+            # One record that can't be restored must not hold up the others.
+            reason = f"{type(error).__name__}: {error}"
+            decision_log.write("record.unreadable", key=item.key, reason=reason)
             return
         decision_log.write(
             "job.known",
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -10,7 +10,7 @@
 from typing import TypeVar
 
 import msgspec
-from ebonyhatch.fleet import clocks, decision_log, keys, listing, store
+from ebonyhatch.fleet import clocks, decision_log, decoding, keys, listing, store
 from ebonyhatch.node import coroutines
 from returns import result
 
@@ -584,7 +584,7 @@
 
 def _decode(value: bytes, kind: type[T]) -> T | None:
     try:
-        return msgspec.json.decode(value, type=kind)
-    except msgspec.DecodeError as error:
+        return decoding.decode(value, kind)
+    except decoding.UnreadableError as error:
         decision_log.write("record.unreadable", kind=kind.__name__, reason=str(error))
         return None
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import msgspec
-from ebonyhatch.fleet import jobs, queues, rows
+from ebonyhatch.fleet import decoding, jobs, queues, rows
 
 
 class StepProgress(msgspec.Struct, kw_only=True, omit_defaults=True):
@@ -64,8 +64,8 @@
 
 
 _ENCODER = msgspec.json.Encoder()
-_PROGRESS_DECODER = msgspec.json.Decoder(JobProgress)
-_ACCEPTED_DECODER = msgspec.json.Decoder(Accepted)
+_PROGRESS_DECODER = decoding.Decoder(JobProgress)
+_ACCEPTED_DECODER = decoding.Decoder(Accepted)
 
 
 def encode_accepted(*, job: jobs.Job, queue: queues.Queue, version: int = 0) -> bytes:
@@ -74,7 +74,7 @@
 
 
 def decode_accepted(value: bytes) -> Accepted:
-    """Returns the decoded record of an accepted job; raises `msgspec.DecodeError`."""
+    """Returns the decoded record of an accepted job; raises `decoding.UnreadableError`."""
     return _ACCEPTED_DECODER.decode(value)
 
 
@@ -97,7 +97,7 @@
 
 
 def decode(value: bytes) -> JobProgress:
-    """Returns the decoded progress of a job; raises `msgspec.DecodeError`."""
+    """Returns the decoded progress of a job; raises `decoding.UnreadableError`."""
     return _PROGRESS_DECODER.decode(value)
 
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -354,7 +354,7 @@
     configuration: queues.Configuration,
     inherited: bool,
 ) -> rows.JobRow:
-    """Returns a job's row built from its records; raises `msgspec.DecodeError`."""
+    """Returns a job's row built from its records; raises `decoding.UnreadableError`."""
     done = None if durable is None else progress.decode(durable)
     queue = accepted.queue
     if configuration.version >= accepted.version:
