All loops that follow or renew something go on after an unexpected error

An entry whose membership loop had ended never took over, an owner whose intake had ended took no jobs, and one whose stabilization had ended placed no inherited work.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/change_feed.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/change_feed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhatch.fleet import store
+from ebonyhatch.fleet import store, supervision
 from ebonyhatch.node import coroutines
 from returns import result
 from twisted.internet import defer
@@ -27,13 +27,15 @@
         self._store = store_port
         self._group = group
         self._prefix = prefix
+        self._after = 0
         self._held: list[store.Change] = []
         self._ended = False
         self._arrived: defer.Deferred[None] | None = None
 
     def start(self, after: int) -> None:
         """Starts to follow the changes after a revision."""
-        self._group.spawn(self._follow(after))
+        self._after = after
+        supervision.spawn(self._group, f"changes of {self._prefix}", self._follow)
 
     async def take(self) -> tuple[store.Change, ...]:
         """Waits for changes and returns them; returns none once the history was compacted."""
@@ -47,14 +49,14 @@
         held, self._held = tuple(self._held), []
         return held
 
-    async def _follow(self, after: int) -> None:
+    async def _follow(self) -> None:
         while not self._ended:
             watched = await self._store.watch(
-                prefix=self._prefix, after=after, wait_s=WATCH_TIMEOUT_S
+                prefix=self._prefix, after=self._after, wait_s=WATCH_TIMEOUT_S
             )
             if isinstance(watched, result.Success):
                 changes = watched.unwrap()
-                after = changes.as_of
+                self._after = changes.as_of
                 self._held += changes.changes
             elif isinstance(watched.failure(), store.CompactedError):
                 self._ended = True
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -17,6 +17,7 @@
     progress,
     rows,
     store,
+    supervision,
 )
 from ebonyhatch.node import coroutines
 from returns import result
@@ -181,11 +182,11 @@
         self._urgent = self._urgent or urgent
         if self._write_requested:
             if urgent and not self._writing:
-                self._group.spawn(self._write_rounds())
+                supervision.spawn(self._group, "journal", self._write_rounds)
             return
         self._write_requested = True
         if not self._writing:
-            self._group.spawn(self._write_rounds())
+            supervision.spawn(self._group, "journal", self._write_rounds)
 
     async def _write_rounds(self) -> None:
         if not self._urgent:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/load_report.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/load_report.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Mapping
 
-from ebonyhatch.fleet import call_counts, clocks, decision_log
+from ebonyhatch.fleet import call_counts, clocks, decision_log, supervision
 from ebonyhatch.node import coroutines
 
 INTERVAL_S = 1.0
@@ -62,7 +62,7 @@
 
     def start(self) -> None:
         """Starts the report."""
-        self._group.spawn(self._run())
+        supervision.spawn(self._group, "load-report", self._run)
 
     async def _run(self) -> None:
         while True:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -23,6 +23,7 @@
     poll_pace,
     queues,
     store,
+    supervision,
     target_list,
     targets,
 )
@@ -229,8 +230,8 @@
         self._exchange.start()
         self._configuration.start()
         self._members.start()
-        self._group.spawn(self._report_load())
-        self._group.spawn(self._review_ownership())
+        supervision.spawn(self._group, "load-notices", self._report_load)
+        supervision.spawn(self._group, "ownership-review", self._review_ownership)
 
     async def hand_over(self) -> None:
         """Reports this entry as not ready and hands its ownership over; calls are still served."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -26,6 +26,7 @@
     rows,
     scheduler,
     store,
+    supervision,
     target_list,
     target_session,
     targets,
@@ -214,8 +215,8 @@
         self._configuration = configuration
         self._scheduler.configure(configuration)
         self._targets.start()
-        self._group.spawn(self._follow_intake())
-        self._group.spawn(self._stabilize())
+        supervision.spawn(self._group, "intake", self._follow_intake)
+        supervision.spawn(self._group, "stabilization", self._stabilize)
 
     def close(self) -> None:
         """Stops the owner; drops changes that are not durable yet, as no caller relies on them."""
@@ -277,10 +278,11 @@
         return waiter
 
     async def _follow_intake(self) -> None:
-        """Recovers, then watches submissions and cancellations."""
-        changes = await self._recover()
+        """Recovers unless that is done, then watches submissions and cancellations."""
+        changes = None if self._recovered else await self._recover()
         while True:
-            await self._apply_changes(changes)
+            if changes is not None:
+                await self._apply_changes(changes)
             listed, changes = await self._recovery.read_intake()
             await self._add_intake(listed.items, {}, inherited=False)
             self._schedule_tick()
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -10,7 +10,15 @@
 from typing import TypeVar
 
 import msgspec
-from ebonyhatch.fleet import clocks, decision_log, decoding, keys, listing, store
+from ebonyhatch.fleet import (
+    clocks,
+    decision_log,
+    decoding,
+    keys,
+    listing,
+    store,
+    supervision,
+)
 from ebonyhatch.node import coroutines
 from returns import result
 
@@ -217,8 +225,8 @@
     def start(self) -> None:
         """Joins the membership as a candidate."""
         self._store_answered_at = self._joined_at = self._clocks.now()
-        self._group.spawn(self._maintain_lease())
-        self._group.spawn(self._follow())
+        supervision.spawn(self._group, "lease", self._maintain_lease)
+        supervision.spawn(self._group, "membership", self._follow)
 
     def close(self) -> None:
         """Stops all work; the lease expires at the end of its duration."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 import msgspec
-from ebonyhatch.fleet import clocks, commands, decision_log, rows, targets
+from ebonyhatch.fleet import clocks, commands, decision_log, rows, supervision, targets
 from ebonyhatch.node import coroutines
 from returns import result
 from twisted.internet import defer
@@ -167,7 +167,7 @@
 
     def start(self) -> None:
         """Starts polling the target."""
-        self._group.spawn(self._poll_reports())
+        supervision.spawn(self._group, f"polls of {self._row.target_id}", self._poll_reports)
 
     def close(self) -> None:
         """Stops polling; the lease runs on until it expires."""
@@ -290,6 +290,7 @@
         timer = self._clocks.loop.callLater(SCAN_SLOT_S, slot.release)
         try:
             if self._stopping():
+                self._group.close()
                 raise defer.CancelledError
             return await self._send_poll(wait_s)
         finally:
