Bytes of a page that arrive count as progress of an owner's recovery

Change: list_page reports each part of its answer, and an owner yields when no part has arrived for the time limit.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/listing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/listing.py
@@ -51,7 +51,7 @@
 
     @property
     def progressed_at(self) -> float:
-        """Time at which the last page was read, seconds; before the first one, of the creation."""
+        """Time at which a part of a page last arrived, seconds; before the first, of the creation."""
         return self._progressed_at
 
     async def read(
@@ -78,6 +78,9 @@
                 return Listed(items=tuple(items), as_of=as_of, failures=failures)
             after = page.items[-1].key
 
+    def _note_progress(self) -> None:
+        self._progressed_at = self._clocks.now()
+
     async def _read_page(
         self, prefix: str, after: str, *, number: int
     ) -> tuple[store.ListingPage, int]:
@@ -85,10 +88,12 @@
         retry_delay_s = RETRY_DELAY_S
         started_at = self._clocks.now()
         while True:
-            outcome = await self._store.list_page(prefix=prefix, after=after)
+            outcome = await self._store.list_page(
+                prefix=prefix, after=after, on_bytes=self._note_progress
+            )
             if isinstance(outcome, result.Success):
                 page = outcome.unwrap()
-                self._progressed_at = self._clocks.now()
+                self._note_progress()
                 if failures or number > 1 or page.has_more:
                     decision_log.write(
                         "listing.page",
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_link.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_link.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 from twisted.internet import defer
@@ -89,9 +89,11 @@
         await self._pass(self._outgoing, size_bytes)
         self.sent_bytes += size_bytes
 
-    async def receive(self, size_bytes: int) -> None:
-        """Waits until an answer has passed the link and is processed."""
-        await self._pass(self._incoming, size_bytes)
+    async def receive(
+        self, size_bytes: int, *, on_bytes: Callable[[], None] = lambda: None
+    ) -> None:
+        """Waits until an answer has passed the link and is processed; reports each segment."""
+        await self._pass(self._incoming, size_bytes, on_bytes)
         self.received_bytes += size_bytes
         await self._process()
 
@@ -105,9 +107,12 @@
         if self.call_cost_s:
             await self._processor.occupy(self.call_cost_s / 2)
 
-    async def _pass(self, channel: Channel, size_bytes: int) -> None:
+    async def _pass(
+        self, channel: Channel, size_bytes: int, on_bytes: Callable[[], None] = lambda: None
+    ) -> None:
         remaining = size_bytes
         while remaining > 0:
             segment = min(remaining, SEGMENT_BYTES)
             remaining -= segment
             await channel.occupy(segment / self.bytes_per_s)
+            on_bytes()
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_store.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_store.py
@@ -188,11 +188,14 @@
         return result.Success(self._engine.items.get(key))
 
     async def list_page(
-        self, *, prefix: str, after: str = ""
+        self, *, prefix: str, after: str = "", on_bytes: store.OnBytes = store.ignore_bytes
     ) -> result.Result[store.ListingPage, store.StoreError]:
         """Reads the first keys under a prefix that come after a key."""
         return await self._over_link(
-            "list", lambda: self._list_page(prefix, after), timeout_s=self.page_timeout_s
+            "list",
+            lambda: self._list_page(prefix, after),
+            timeout_s=self.page_timeout_s,
+            on_bytes=on_bytes,
         )
 
     async def _list_page(
@@ -321,6 +324,7 @@
         *,
         request_bytes: int = memory_link.REQUEST_BYTES,
         timeout_s: float | None = None,
+        on_bytes: store.OnBytes = store.ignore_bytes,
     ) -> result.Result[T, store.StoreError]:
         """Carries out a call; one whose answer has not passed the link in time fails."""
         link = self._link
@@ -330,7 +334,7 @@
         async def pass_link() -> result.Result[T, store.StoreError]:
             await link.send(request_bytes)
             outcome = await carry_out()
-            await link.receive(_answer_bytes(outcome))
+            await link.receive(_answer_bytes(outcome), on_bytes=on_bytes)
             return outcome
 
         try:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -44,8 +44,8 @@
 """Time between two checks of whether this owner should yield, seconds."""
 
 NO_PROGRESS_S = 4.0
-"""Time without a page of its recovery after which an owner yields, seconds, beside the time that a
-page takes on half of the link."""
+"""Time in which no part of its recovery arrives after which an owner yields, seconds, beside the time
+that a page takes on half of the link: the store may be slow to begin an answer."""
 
 PAGE_BYTES = 1_400_000
 """Largest page of a listing on the link, bytes."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/store.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+from collections.abc import Callable
 
 import msgspec
 from ebonyhatch.core import errors
@@ -147,6 +148,14 @@
     ttl_s: float
 
 
+OnBytes = Callable[[], None]
+"""Called whenever a part of an answer arrives."""
+
+
+def ignore_bytes() -> None:
+    """Does nothing when a part of an answer arrives."""
+
+
 class Store(abc.ABC):
     """Calls to one store; each is bounded by a timeout and returns the store's errors as results."""
 
@@ -156,9 +165,15 @@
 
     @abc.abstractmethod
     async def list_page(
-        self, *, prefix: str, after: str = ""
+        self, *, prefix: str, after: str = "", on_bytes: OnBytes = ignore_bytes
     ) -> result.Result[ListingPage, StoreError]:
-        """Reads the first keys under a prefix that come after a key; the store limits their number."""
+        """Reads the first keys under a prefix that come after a key; the store limits their number.
+
+        Args:
+            prefix: The prefix.
+            after: The key.
+            on_bytes: Called whenever a part of the answer arrives.
+        """
 
     async def list(self, *, prefix: str) -> result.Result[Listing, StoreError]:
         """Reads all keys under a prefix, page by page; the pages are not one snapshot.
