An entry that gave its term up publishes no capacity until its targets answer it again

Cause: only the entry itself knew that it had given up; smaller owners saw its capacity.

A second test shows that the role returns once the targets can be reached.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import time
 
 import msgspec
@@ -29,6 +30,7 @@
 )
 from ebonyhatch.fleet import owner as owner_module
 from ebonyhatch.node import coroutines, peers
+from returns import result
 
 LOAD_NOTICE_INTERVAL_S = 0.25
 """Time between two load notices of the owner, seconds."""
@@ -57,6 +59,12 @@
 """Time for which an owner reaches fewer targets before it yields, seconds: longer than a fault of
 the links that ends by itself, and much longer than polls take to time out."""
 
+PROBED_TARGETS = 5
+"""Number of targets that an entry polls before it accepts the ownership again."""
+
+PROBE_INTERVAL_S = 5.0
+"""Time between two such attempts, seconds."""
+
 FLUSH_TIMEOUT_S = 1.0
 """Timeout of the last write of an owner that hands over, seconds."""
 
@@ -134,6 +142,9 @@
         self._owner: owner_module.Owner | None = None
         self._closing = False
         self._few_targets_since: float | None = None
+        self._probed_targets: tuple[targets.Target, ...] = ()
+        self._next_probe_at = 0.0
+        self._random = random.Random(int.from_bytes(os.urandom(8), "big"))
         self._members = ownership.Ownership(
             entry=ownership.EntryRecord(
                 name=settings.name,
@@ -299,14 +310,19 @@
             local_owner = self._owner
             if local_owner is None or self._closing:
                 self._few_targets_since = None
+                if self._members.may_accept and self._clocks.now() >= self._next_probe_at:
+                    self._next_probe_at = self._clocks.now() + PROBE_INTERVAL_S
+                    self._group.spawn(self._review_decline())
                 continue
             few_targets_s = self._few_targets_s(local_owner)
             if self._members.should_yield():
                 reason, gives_up = "an entry of more capacity is present", False
             elif self._members.may_yield and local_owner.stalled_s > self._no_progress_s:
                 reason, gives_up = "the recovery makes no progress", True
+                self._probed_targets = ()
             elif self._members.may_yield_for_targets and few_targets_s > FEW_TARGETS_S:
                 reason, gives_up = "few targets can be reached", True
+                self._probed_targets = self._sample(local_owner.listed_targets)
             else:
                 continue
             decision_log.write("owner.yields", term=local_owner.term, reason=reason)
@@ -314,6 +330,25 @@
             if local_owner is self._owner:
                 await self._members.yield_ownership(reason, gives_up=gives_up)
 
+    def _sample(self, listed: tuple[targets.Target, ...]) -> tuple[targets.Target, ...]:
+        return tuple(self._random.sample(listed, min(len(listed), PROBED_TARGETS)))
+
+    async def _review_decline(self) -> None:
+        """Accepts the ownership again if most of some targets of the last term answer."""
+        probed = self._probed_targets
+        answered = [await self._answers(target) for target in probed]
+        if probed is self._probed_targets and 2 * sum(answered) >= len(answered):
+            self._members.accept_again()
+
+    async def _answers(self, target: targets.Target) -> bool:
+        """Returns whether a target answers; the poll changes nothing under an outdated token."""
+        polled = await self._targets.renew_and_poll(
+            target=target, fence=0, acknowledged=0, deadline_s=0.0, wait_s=0.0
+        )
+        return isinstance(polled, result.Success) or isinstance(
+            polled.failure(), targets.RefusedError
+        )
+
     def _few_targets_s(self, local_owner: owner_module.Owner) -> float:
         """Returns for how long the owner has reached few targets, seconds."""
         now = self._clocks.now()
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -178,6 +178,12 @@
         listed = [one.row for one in self._sessions.values() if one.row.listed]
         return sum(row.reachable for row in listed) / len(listed) if listed else 1.0
 
+    @property
+    def listed_targets(self) -> tuple[targets.Target, ...]:
+        """Targets that are listed and not draining."""
+        rows_now = (session.row for session in self._sessions.values())
+        return tuple(row.target for row in rows_now if row.listed and not row.target.draining)
+
     @property
     def scheduler(self) -> scheduler.Scheduler:
         """Scheduler of this term."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -62,6 +62,10 @@
 """Minimum time between two times that an entry yields, seconds. An entry to which the ownership
 returns sooner keeps it: the others didn't do better."""
 
+MAX_DECLINE_S = 160.0
+"""Longest time for which an entry that gave its term up publishes no capacity, seconds. The time
+begins at `MIN_YIELD_INTERVAL_S` and doubles with each term that is given up."""
+
 
 T = TypeVar("T")
 
@@ -118,6 +122,9 @@
         link_delay_s: float = 0.0,
     ) -> None:
         self._entry = entry
+        self._published = entry
+        self._declined_until = float("-inf")
+        self._decline_s = MIN_YIELD_INTERVAL_S
         self._store = store_port
         self._clocks = all_clocks
         self._on_gained = on_gained
@@ -138,7 +145,6 @@
         self._entries: dict[str, EntryRecord] = {}
         self._entry_seen_at: dict[str, float] = {}
         self._yielded_at = float("-inf")
-        self._gave_up_at = float("-inf")
         self._owner: OwnerRecord | None = None
         self._membership_read = False
         self._leaving = False
@@ -222,6 +228,16 @@
             and max(term_s, self._former_term_s) >= MIN_YIELD_INTERVAL_S
         )
 
+    @property
+    def declines(self) -> bool:
+        """Whether this entry has given its term up and lets all others go first."""
+        return self._published is not self._entry
+
+    @property
+    def may_accept(self) -> bool:
+        """Whether an entry that declines has done so for long enough."""
+        return self.declines and self._clocks.now() >= self._declined_until
+
     def start(self) -> None:
         """Joins the membership as a candidate."""
         self._store_answered_at = self._joined_at = self._clocks.now()
@@ -252,14 +268,34 @@
     async def yield_ownership(self, reason: str, *, gives_up: bool) -> None:
         """Stops acting as the owner and removes the owner's key; another entry takes over.
 
-        An entry that gives up lets all others go first for a while.
+        An entry that gives up lets all others go first until `accept_again`: it publishes no
+        capacity, so that no smaller entry yields to it.
         """
         self._yielded_at = self._clocks.now()
         if gives_up:
-            self._gave_up_at = self._yielded_at
+            self._decline()
         self.relinquish(reason, term=self._term)
         await self._remove_owner_key()
 
+    def _decline(self) -> None:
+        now = self._clocks.now()
+        if now - self._declined_until > MAX_DECLINE_S:
+            self._decline_s = MIN_YIELD_INTERVAL_S
+        self._declined_until = now + self._decline_s
+        self._decline_s = min(2 * self._decline_s, MAX_DECLINE_S)
+        self._publish(msgspec.structs.replace(self._entry, capacity=0.0))
+
+    def accept_again(self) -> None:
+        """Publishes the entry's capacity again; what made it give its term up has passed."""
+        if self.declines:
+            decision_log.write("owner.accepts_again", capacity=self._entry.capacity)
+            self._publish(self._entry)
+
+    def _publish(self, record: EntryRecord) -> None:
+        """Writes a record under the entry's key, with the next renewal of the lease."""
+        self._published = record
+        self._registered_lease = 0
+
     async def _remove_owner_key(self) -> None:
         """Removes the owner's key if it is this entry's."""
         read = await self._store.get(key=keys.OWNER)
@@ -332,7 +368,8 @@
     async def _register(self) -> None:
         """Writes the entry's key, and the owner's key if this entry acts as the owner."""
         lease = self._lease
-        value = msgspec.json.encode(self._entry)
+        published = self._published
+        value = msgspec.json.encode(published)
         put = store.Put(key=keys.entry(self._entry.name), value=value, lease=lease)
         self._registering = True
         try:
@@ -340,7 +377,7 @@
         finally:
             self._registering = False
         if isinstance(written, result.Success):
-            self._registered_lease = lease
+            self._registered_lease = lease if published is self._published else 0
         else:
             decision_log.write("entry.not_registered", reason=str(written.failure()))
         if self._term:
@@ -497,13 +534,13 @@
         self._on_gained(head, revision)
 
     def _takeover_delay_s(self) -> float:
-        if self._clocks.now() - self._gave_up_at < MIN_YIELD_INTERVAL_S:
+        if self.declines:
             return MAX_TAKEOVER_DELAY_S
         return min(MAX_TAKEOVER_DELAY_S, TAKEOVER_STAGGER_S * self._candidate_position())
 
     def _candidate_position(self) -> int:
         """Returns this entry's position: larger candidates first, equal ones by their names' hashes."""
-        candidates = {**self._entries, self._entry.name: self._entry}
+        candidates = {**self._entries, self._entry.name: self._published}
         names = sorted(
             candidates, key=lambda name: (-candidates[name].capacity, _candidate_hash(name))
         )
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -639,3 +639,22 @@
     world.owner.targets.partitioned = True
     world.run(70.0)
     assert len(world.starts(job.job_id)) == 8
+
+
+def test_large_entry_gets_the_role_back_once_it_reaches_targets_again():
+    world = world_module.World(entries=0)
+    world.start("large", capacity=2.0)
+    for number in range(3):
+        world.start(f"small{number}", capacity=0.3)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    job = world.job(jobs.Step(count=8, cpu_millis=1000, estimate_s=200.0), work_s=200.0)
+    world.submit(job)
+    world.run(25.0)
+    world.members["large"].targets.partitioned = True
+    world.run_until(lambda: world.owner is not None and world.owner.name != "large")
+    world.run(10.0)
+    world.members["large"].targets.partitioned = False
+    world.run_until(lambda: world.owner is not None and world.owner.name == "large", limit_s=30.0)
+    world.run(5.0)
+    assert len(world.starts(job.job_id)) == 8
+    world_module.check_all(world)
