A silent connection hides changes of targets and of jobs for 2.3 s and the link's time at most

Change: both wait 1.5 s, as the watch of the configuration does. Only the owner makes these two.

Red before: test_silent_connection_hides_a_change_of_a_target_for_less_than_the_bounds and test_silent_connection_hides_a_change_for_less_than_the_bounds (not seen 2.5 s after the change).

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/change_feed.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/change_feed.py
@@ -7,8 +7,8 @@
 from returns import result
 from twisted.internet import defer
 
-WATCH_TIMEOUT_S = 3.0
-"""Timeout of one watch, seconds."""
+WATCH_TIMEOUT_S = 1.5
+"""Timeout of one watch, seconds; bounds how long an unresponsive connection hides a cancellation."""
 
 RETRY_DELAY_S = 0.15
 """Delay before a failed watch is repeated, seconds."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_list.py
@@ -9,8 +9,9 @@
 from ebonyhatch.node import coroutines
 from returns import result
 
-WATCH_TIMEOUT_S = 3.0
-"""Timeout of one watch, seconds."""
+WATCH_TIMEOUT_S = 1.5
+"""Timeout of one watch, seconds; bounds how long an unresponsive connection hides that a target
+drains or that its capacity has shrunk."""
 
 REREGISTRATION_S = 2.2
 """Time after the store's return within which registrations that expired in the outage are expected
--- a/packages/ebonyhatch-fleet/tests/test_change_feed.py
+++ b/packages/ebonyhatch-fleet/tests/test_change_feed.py
@@ -35,6 +35,16 @@
     assert case.take() == [f"p/{number}" for number in range(5)]
 
 
+def test_silent_connection_hides_a_change_for_less_than_the_bounds():
+    case = FeedCase()
+    case.store.faults.silent_watches = "p/"
+    scripted.advance(case.clock, 4.0)
+    case.put("p/1")
+    case.store.faults.silent_watches = ""
+    scripted.advance(case.clock, 2.5)
+    assert [change.key for change in case.feed.take_held()] == ["p/1"]
+
+
 def test_waiting_consumer_gets_a_change_that_arrives():
     case = FeedCase()
     taken: list = []
--- a/packages/ebonyhatch-fleet/tests/test_target_list.py
+++ b/packages/ebonyhatch-fleet/tests/test_target_list.py
@@ -99,6 +99,16 @@
     assert case.reported[-1] == {"t0", "t1", "t2", "t3"}
 
 
+def test_silent_connection_hides_a_change_of_a_target_for_less_than_the_bounds():
+    case = ListCase()
+    case.store.faults.silent_watches = world_module.TARGETS_PREFIX
+    case.advance(4.0)
+    case.put("t2")
+    case.store.faults.silent_watches = ""
+    case.advance(2.5)
+    assert case.reported[-1] == {"t0", "t1", "t2"}
+
+
 def test_failed_watches_do_not_make_the_targets_be_listed_anew():
     case = ListCase()
     case.fail_for(5.0)
