--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -142,6 +142,8 @@
 
     def restart_target(self, target_id: str) -> None:
         engine = self.engines[target_id]
+        tasks = tuple(sorted({key.task for key in engine.runs}))
+        self.crashes.append((self.clock.seconds(), target_id, tasks))
         engine.restart()
         self.register(engine.target)
 
