--- a/packages/ebonyhatch-fleet/tests/test_crash_blame.py
+++ b/packages/ebonyhatch-fleet/tests/test_crash_blame.py
@@ -188,3 +188,17 @@
     world.run_until(lambda: world.state(job.job_id) == "failed", limit_s=40.0)
     assert _starts(world, name) <= 3
     assert world.clock.seconds() - before_s < 8.0
+
+
+def test_tasks_of_targets_that_lose_power_together_five_times_are_not_given_up():
+    world = _ready()
+    submitted = _submit(world, 8, work_s=5.0)
+    for wave in range(5):
+        world.run(1.0)
+        for number in range(4):
+            world.crash_target(f"t{(number + 4 * wave) % 8}", down_s=1.0)
+        world.run(2.0)
+    world.run_until(
+        lambda: all(world.state(job.job_id) in rows.ENDED_STATES for job in submitted), limit_s=90.0
+    )
+    assert [world.state(job.job_id) for job in submitted] == ["completed"] * len(submitted)
