The end of a job is written without delay again

Cause: has_ended_changes looked at the states of all changed jobs when it was asked; its successor kept a flag that was set when a job was marked as changed, which for a completed job is before its state changes. Change: the states are looked at when asked again; the flag stands for crashes only.

Red before: test_end_of_a_job_is_written_without_delay_and_the_end_of_one_of_its_tasks_is_not.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -207,7 +207,7 @@
 
     def has_urgent_changes(self) -> bool:
         """Returns whether a job ended or a task saw a crash since the last `drain_changed_jobs`."""
-        return self._ends.urgent
+        return self._ends.urgent or any(row.ended for row in self._ends.changed.values())
 
     def resolve_trials(self, *, now: float) -> None:
         """Counts the crashes that no owner has seen, once the runs of former owners are known.
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -31,7 +31,7 @@
 
     Attributes:
         changed: Jobs whose progress has to be written, by id.
-        urgent: Whether one of them has to be written without delay.
+        urgent: Whether one of them saw a crash and has to be written without delay.
     """
 
     def __init__(
@@ -147,7 +147,7 @@
     def mark_changed(self, job: rows.JobRow, *, urgent: bool = False) -> None:
         """Marks a job's progress for writing."""
         self.changed[job.job.job_id] = job
-        self.urgent = self.urgent or urgent or job.ended
+        self.urgent = self.urgent or urgent
 
     def resolve_trials(self, blocked_tasks: frozenset[str], *, now: float) -> None:
         """Counts the crashes under tasks whose last run a former owner ordered and nobody reports."""
--- a/packages/ebonyhatch-fleet/tests/test_scheduler.py
+++ b/packages/ebonyhatch-fleet/tests/test_scheduler.py
@@ -66,6 +66,18 @@
     assert subject.tick(now=1.0, wall=1.0) == []
 
 
+def test_end_of_a_job_is_written_without_delay_and_the_end_of_one_of_its_tasks_is_not():
+    subject = _scheduler()
+    _add(subject, jobs.Step(count=2, cpu_millis=1000))
+    target = subject.tables.targets["t0"]
+    subject.apply_report(target, _report(ended=(_done(1, f"{JOB_ID}.0.0.0"),)), now=1.0)
+    assert subject.has_changes() and not subject.has_urgent_changes()
+    subject.apply_report(target, _report(ended=(_done(2, f"{JOB_ID}.0.0.1"),)), now=1.1)
+    assert subject.has_urgent_changes()
+    subject.drain_changed_jobs()
+    assert not subject.has_urgent_changes()
+
+
 def test_a_run_of_a_former_owner_is_adopted_with_its_reservation():
     subject = _scheduler()
     _add(subject, jobs.Step(count=1, cpu_millis=3000))
