decoding is one function

The class beside it repeated its call and its handling of errors, and the function built a decoder for each value: 3.9 us for a registration, 1.5 us without, 1.4 us with a decoder that is kept; a status report of 10 runs 3.7 and 3.5 us. So kept decoders aren't worth a second way.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decoding.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decoding.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Generic, TypeVar
+from typing import TypeVar
 
 import msgspec
 
@@ -13,27 +13,14 @@
     """The bytes can't be decoded, whatever the decoder raised."""
 
 
-class Decoder(Generic[T]):
-    """Decodes values of one type."""
-
-    __slots__ = ("_decoder",)
-
-    def __init__(self, kind: type[T]) -> None:
-        self._decoder = msgspec.json.Decoder(kind)
-
-    def decode(self, value: bytes) -> T:
-        """Returns a decoded value.
-
-        Raises:
-            UnreadableError: Also for what `msgspec` reports by other exceptions: deep nesting,
-                numbers out of range and bytes that aren't UTF-8.
-        """
-        try:
-            return self._decoder.decode(value)
-        except (msgspec.DecodeError, RecursionError, ValueError, OverflowError) as error:
-            raise UnreadableError(f"{type(error).__name__}: {error}") from error
-
-
 def decode(value: bytes, kind: type[T]) -> T:
-    """Returns a decoded value; raises `UnreadableError`."""
-    return Decoder(kind).decode(value)
+    """Returns a decoded value.
+
+    Raises:
+        UnreadableError: Also for what `msgspec` reports by other exceptions: deep nesting, numbers
+            out of range and bytes that aren't UTF-8.
+    """
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except (msgspec.DecodeError, RecursionError, ValueError, OverflowError) as error:
+        raise UnreadableError(f"{type(error).__name__}: {error}") from error
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
@@ -64,8 +64,6 @@
 
 
 _ENCODER = msgspec.json.Encoder()
-_PROGRESS_DECODER = decoding.Decoder(JobProgress)
-_ACCEPTED_DECODER = decoding.Decoder(Accepted)
 
 
 def encode_accepted(*, job: jobs.Job, queue: queues.Queue, version: int = 0) -> bytes:
@@ -75,7 +73,7 @@
 
 def decode_accepted(value: bytes) -> Accepted:
     """Returns the decoded record of an accepted job; raises `decoding.UnreadableError`."""
-    return _ACCEPTED_DECODER.decode(value)
+    return decoding.decode(value, Accepted)
 
 
 def encode(row: rows.JobRow) -> bytes:
@@ -98,7 +96,7 @@
 
 def decode(value: bytes) -> JobProgress:
     """Returns the decoded progress of a job; raises `decoding.UnreadableError`."""
-    return _PROGRESS_DECODER.decode(value)
+    return decoding.decode(value, JobProgress)
 
 
 def restore(*, job: jobs.Job, queue: queues.Queue, progress: JobProgress | None) -> rows.JobRow:
