--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_link.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_link.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any, TypeVar
 
+from ebonyhatch.fleet import store
 from twisted.internet import defer
 
 SEGMENT_BYTES = 14_600
@@ -90,7 +91,7 @@
         self.sent_bytes += size_bytes
 
     async def receive(
-        self, size_bytes: int, *, on_bytes: Callable[[], None] = lambda: None
+        self, size_bytes: int, *, on_bytes: store.OnBytes = store.ignore_bytes
     ) -> None:
         """Waits until an answer has passed the link and is processed; reports each segment."""
         await self._pass(self._incoming, size_bytes, on_bytes)
@@ -108,7 +109,7 @@
             await self._processor.occupy(self.call_cost_s / 2)
 
     async def _pass(
-        self, channel: Channel, size_bytes: int, on_bytes: Callable[[], None] = lambda: None
+        self, channel: Channel, size_bytes: int, on_bytes: store.OnBytes = store.ignore_bytes
     ) -> None:
         remaining = size_bytes
         while remaining > 0:
