--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/jobs.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/jobs.py
@@ -20,7 +20,7 @@
 """Largest number of occurrences of one job."""
 
 AMOUNT_LIMIT = 10**9
-"""Largest amount of a resource, or of tasks: a million cores or a petabyte."""
+"""Largest amount of a resource or a duration: a million cores, a petabyte or 31 years."""
 
 DURATION_LIMIT_S = 10**9
 """Longest duration, seconds: 31 years."""
@@ -155,7 +155,7 @@
     )
     if any(amount < 0 for amount in amounts):
         raise InvalidJobError(problem=f"step {index} has a negative amount")
-    if max(amounts) > AMOUNT_LIMIT or step.count > AMOUNT_LIMIT:
+    if max(amounts) > AMOUNT_LIMIT:
         raise InvalidJobError(problem=f"step {index} has an amount out of range")
     for earlier in step.after:
         if not 0 <= earlier < index:
