--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -5,8 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
-from typing import Protocol
+from collections.abc import Callable, Iterable, Mapping
 
 from ebonyhatch.fleet import (
     candidates,
@@ -34,13 +33,6 @@
 """Number of remaining steps above which the free capacity is looked at again after an order."""
 
 
-class MarkChanged(Protocol):
-    """Marks a job's progress for writing."""
-
-    def __call__(self, job: rows.JobRow, *, urgent: bool = False) -> None:
-        """Marks a job; an urgent change is written without delay."""
-
-
 class Placement:
     """Reserves capacity for waiting tasks and orders their runs.
 
@@ -56,7 +48,7 @@
         reserved: reserve.Reserve,
         emit: commands.Emit,
         decide: commands.Decide,
-        mark_changed: MarkChanged,
+        mark_urgent: Callable[[rows.JobRow], None],
     ) -> None:
         self._model = model
         self._margins = interference.KeptMargins(model=model)
@@ -65,7 +57,7 @@
         self._index = target_index.TargetIndex(all_tables=all_tables)
         self._emit = emit
         self._decide = decide
-        self._mark_changed = mark_changed
+        self._mark_urgent = mark_urgent
         self.run_number_base = 0
         self._blocked_tasks: frozenset[str] = frozenset()
         self._orders_left = MAX_ORDERS_PER_PASS
@@ -122,7 +114,7 @@
         crash_blame.note_order(run_row, now=now)
         if task.crashes:
             # The next owner has to know where the task ran, if the target crashes meanwhile.
-            self._mark_changed(task.step.job, urgent=True)
+            self._mark_urgent(task.step.job)
         self._margins.forget(row)
         self._decide("run.order", run_row, waited_s=round(now - task.waiting_since, 3))
         self._emit(commands.StartRun(run=run_row))
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -77,7 +77,7 @@
             reserved=self._reserve,
             emit=self._commands.append,
             decide=decide,
-            mark_changed=self._ends.mark_changed,
+            mark_urgent=self._ends.mark_urgent,
         )
         self._evacuation = evacuation.Evacuation(all_tables=self._tables, stop=self._ends.stop)
         self._reported: dict[str, rows.TargetRow] = {}
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -114,7 +114,7 @@
                 crashes=task.crashes,
                 blamed=task.blamed_crashes,
             )
-            self.mark_changed(job, urgent=True)
+            self.mark_urgent(job)
             if crash_blame.is_given_up(task):
                 reason = f"{task.crashes} targets crashed under task {task.name}"
                 self.fail_job(job, reason=reason, now=now)
@@ -144,10 +144,14 @@
                 until_s=round(row.quarantined_until - now, 2),
             )
 
-    def mark_changed(self, job: rows.JobRow, *, urgent: bool = False) -> None:
+    def mark_changed(self, job: rows.JobRow) -> None:
         """Marks a job's progress for writing."""
         self.changed[job.job.job_id] = job
-        self.urgent = self.urgent or urgent
+
+    def mark_urgent(self, job: rows.JobRow) -> None:
+        """Marks a job's progress for writing without delay."""
+        self.mark_changed(job)
+        self.urgent = True
 
     def resolve_trials(self, blocked_tasks: frozenset[str], *, now: float) -> None:
         """Counts the crashes under tasks whose last run a former owner ordered and nobody reports."""
--- a/packages/ebonyhatch-fleet/tests/test_candidates.py
+++ b/packages/ebonyhatch-fleet/tests/test_candidates.py
@@ -132,7 +132,7 @@
             reserved=self._reserve,
             emit=fast._emit,
             decide=fast._decide,
-            mark_changed=fast._mark_changed,
+            mark_urgent=fast._mark_urgent,
         )
 
     def _follow_targets(self):
