--- a/packages/ebonyhatch-fleet/tests/test_configuration_source.py
+++ b/packages/ebonyhatch-fleet/tests/test_configuration_source.py
@@ -51,15 +51,8 @@
     clock = task.Clock()
     engine = memory_store.StoreEngine(clock=clock)
     port = scripted.ScriptedStore(engine=engine)
-    source = configuration_source.ConfigurationSource(
-        store_port=port,
-        codec=world_module.Codec(),
-        all_clocks=clocks.MemoryClocks(clock=clock),
-        group=coroutines.CoroutineGroup(clock=clock),
-        on_change=lambda configuration: None,
-    )
     with scripted.logged() as lines:
-        source.start()
+        source = _follow(engine, port=port)
         scripted.advance(clock, 1.0)
         port.fails = lambda call: True
         scripted.advance(clock, 5.0)
@@ -91,10 +84,10 @@
         return configuration
 
 
-def _follow(engine, *, codec=None, on_change=lambda configuration: None):
+def _follow(engine, *, port=None, codec=None, on_change=lambda configuration: None):
     clock = engine.clock
     source = configuration_source.ConfigurationSource(
-        store_port=memory_store.MemoryStore(engine=engine),
+        store_port=port or memory_store.MemoryStore(engine=engine),
         codec=codec or world_module.Codec(),
         all_clocks=clocks.MemoryClocks(clock=clock),
         group=coroutines.CoroutineGroup(clock=clock),
@@ -157,14 +150,8 @@
     engine = memory_store.StoreEngine(clock=clock)
     link = memory_link.Link(clock=clock, bytes_per_s=250_000)
     _configure(engine, 1)
-    source = configuration_source.ConfigurationSource(
-        store_port=memory_store.MemoryStore(engine=engine, link=link),
-        codec=PaddedCodec(),
-        all_clocks=clocks.MemoryClocks(clock=clock),
-        group=coroutines.CoroutineGroup(clock=clock),
-        on_change=lambda configuration: None,
-    )
-    source.start()
+    port = memory_store.MemoryStore(engine=engine, link=link)
+    source = _follow(engine, port=port, codec=PaddedCodec())
     scripted.advance(clock, 1.0)
     for version in range(2, 14):
         _configure(engine, version, padding=200_000)
--- a/packages/ebonyhatch-fleet/tests/test_crash_blame.py
+++ b/packages/ebonyhatch-fleet/tests/test_crash_blame.py
@@ -28,6 +28,14 @@
     return task
 
 
+def _submit_deadly(world: world_module.World) -> tuple[jobs.Job, str]:
+    """Submits a job of one task that crashes its targets; returns it and the task's name."""
+    job = world.job(jobs.Step(count=1, cpu_millis=500, estimate_s=1.0), work_s=1.0)
+    name = _mark_deadly(world, job)
+    assert world.submit(job).verdict == entry.Verdict.DONE
+    return job, name
+
+
 def _starts(world: world_module.World, task: str) -> int:
     return sum(name == task for _, name, _, _ in world.starts(task.partition(".")[0]))
 
@@ -56,9 +64,7 @@
 @pytest.mark.parametrize("delay_s", [0.0, 0.5, 1.55, 1.6, 1.7])
 def test_count_of_crashes_outlives_the_owner_that_counted_them(delay_s):
     world = _ready(entries=5)
-    job = world.job(jobs.Step(count=1, cpu_millis=500, estimate_s=1.0), work_s=1.0)
-    name = _mark_deadly(world, job)
-    world.submit(job)
+    job, name = _submit_deadly(world)
     for _ in range(3):
         crashes = len(world.crashes)
         world.run_until(
@@ -161,9 +167,7 @@
 
 def test_job_that_was_given_up_says_why():
     world = _ready()
-    job = world.job(jobs.Step(count=1, cpu_millis=500), work_s=1.0)
-    name = _mark_deadly(world, job)
-    world.submit(job)
+    job, name = _submit_deadly(world)
     world.run_until(lambda: world.state(job.job_id) == "failed", limit_s=40.0)
     assert name in world.owner.node.owner.job(job.job_id).reason
     world.kill(world.owner.name)
@@ -177,9 +181,7 @@
 def test_crash_of_a_target_that_another_one_replaces_at_its_address_outlives_the_owner(delay_s):
     world = _ready(entries=5)
     world.replace_crashed = True
-    job = world.job(jobs.Step(count=1, cpu_millis=500, estimate_s=1.0), work_s=1.0)
-    name = _mark_deadly(world, job)
-    world.submit(job)
+    job, name = _submit_deadly(world)
     world.run_until(lambda: len(world.crashes) == 2, limit_s=30.0)
     world.run(delay_s)
     world.kill(world.owner.name)
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -626,7 +626,8 @@
     assert settings.link_delay_s == pytest.approx(link_delay_s, rel=1e-3)
 
 
-def test_large_entry_that_reaches_no_targets_does_not_get_the_role_back_so_that_runs_are_lost():
+def _large_owner_with_small_entries() -> tuple[world_module.World, jobs.Job]:
+    """Returns a fleet whose largest entry is the owner, and a job of 8 tasks that it runs."""
     world = world_module.World(entries=0)
     world.start("large", capacity=2.0)
     for number in range(3):
@@ -636,20 +637,18 @@
     world.submit(job)
     world.run(25.0)
     assert world.owner.name == "large"
+    return world, job
+
+
+def test_large_entry_that_reaches_no_targets_does_not_get_the_role_back_so_that_runs_are_lost():
+    world, job = _large_owner_with_small_entries()
     world.owner.targets.partitioned = True
     world.run(70.0)
     assert len(world.starts(job.job_id)) == 8
 
 
 def test_large_entry_gets_the_role_back_once_it_reaches_targets_again():
-    world = world_module.World(entries=0)
-    world.start("large", capacity=2.0)
-    for number in range(3):
-        world.start(f"small{number}", capacity=0.3)
-    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
-    job = world.job(jobs.Step(count=8, cpu_millis=1000, estimate_s=200.0), work_s=200.0)
-    world.submit(job)
-    world.run(25.0)
+    world, job = _large_owner_with_small_entries()
     world.members["large"].targets.partitioned = True
     world.run_until(lambda: world.owner is not None and world.owner.name != "large")
     world.run(10.0)
