Targets that are lost together for a common cause convict no task

Cause: each crash counted alone, so that waves of power loss that hit one task three or four times looked like a task at fault. Class: evidence that is counted without its context; the count of crashes that no owner saw (trials) had it too.

A loss is now an interval from the last sign of life to the first unanswered poll. Two other targets lost in it without a suspect that had just started there make it a common cause: the tasks become suspects (up to the count from which they are isolated), and nobody is blamed. If each had one, blame alone gives a task up, unless it was the only run there. A suspect's target is polled 0.35 s after its start, to show that it survived. The work per crash grows with the number of targets; it happens only at crashes.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
@@ -2,10 +2,17 @@
 
 A crash takes all runs of its target along. A task that is at fault crashes the next target too; those
 beside it don't, once they run on other targets.
+
+Targets that lose power together have a common cause, which is no evidence against any task. Tasks at
+fault that run at the same time crash several targets at once too: each of these then has a suspect
+that had just started, while a common cause also takes targets without one.
 """
 
 from __future__ import annotations
 
+import enum
+from collections.abc import Iterable, Sequence
+
 from ebonyhatch.fleet import rows
 
 ISOLATION_CRASHES = 2
@@ -20,21 +27,71 @@
 TOTAL_CRASHES_LIMIT = 4
 """Number of crashes after which a task is given up in any case."""
 
+SHARED_CRASHES_LIMIT = ISOLATION_CRASHES
+"""Number of crashes up to which those of several targets at one moment count: they make a task a
+suspect, but only blame is a reason to give it up."""
+
+JOINT_LOSS_TARGETS = 2
+"""Number of other targets lost at the same moment from which a crash is one of several, and number of
+those without a suspect of their own from which it has a common cause."""
+
+SAME_MOMENT_S = 0.1
+"""Time between two losses up to which they count as one moment, seconds."""
+
+SUDDEN_CRASH_S = 0.25
+"""Time from the start of a suspect to the last sign of life of its target below which the suspect
+explains the loss, seconds."""
+
 PROBATION_S = 2.0
 """Time after its order in which a run of a task that saw a crash is kept apart, seconds."""
 
 ORDERED_TOGETHER_S = 0.05
 """Difference of the times of two orders below which either run may have started last, seconds."""
 
+SURVIVAL_POLL_S = SUDDEN_CRASH_S + 0.1
+"""Time after the start of a suspect at which its target is polled, seconds: an answer shows that the
+suspect didn't crash it at once."""
+
 CLEARED_AFTER_S = 60.0
 """Time after which a run isn't held responsible for a crash, seconds."""
 
 
-def record_crash(row: rows.TargetRow, *, now: float) -> list[rows.TaskRow]:
+class JointLoss(enum.Enum):
+    """Whether a target was lost together with others.
+
+    `SUSPECTS` stands for targets that had a suspect each, which had just started there.
+    """
+
+    ALONE = "alone"
+    SUSPECTS = "suspects"
+    COMMON_CAUSE = "common-cause"
+
+
+def joint_loss(row: rows.TargetRow, all_targets: Iterable[rows.TargetRow]) -> JointLoss:
+    """Returns whether a target was lost together with others, and whether suspects explain that."""
+    loss = row.loss
+    if loss is None:
+        return JointLoss.ALONE
+    # Determined before the runs are released, for the targets whose crash is found later.
+    _is_explained(row, loss)
+    together = unexplained = 0
+    for other in all_targets:
+        if other is row or other.loss is None or not _overlap(loss, other.loss):
+            continue
+        together += 1
+        unexplained += not _is_explained(other, other.loss)
+        if unexplained >= JOINT_LOSS_TARGETS:
+            return JointLoss.COMMON_CAUSE
+    return JointLoss.SUSPECTS if together >= JOINT_LOSS_TARGETS else JointLoss.ALONE
+
+
+def record_crash(
+    row: rows.TargetRow, *, now: float, joint: JointLoss = JointLoss.ALONE
+) -> list[rows.TaskRow]:
     """Counts a crash of a target for the tasks that may have been running there; returns them.
 
     A task is blamed if its run was the last one that was ordered there; of those that were ordered
-    together, the one that saw the most crashes before.
+    together, the one that saw the most crashes before. Nobody is blamed for a common cause.
     """
     running = [run for run in row.runs.values() if _may_be_responsible(run, now=now)]
     if not running:
@@ -43,15 +100,18 @@
     last = [run for run in running if last_at - run.ordered_at < ORDERED_TOGETHER_S]
     most_crashes = max(run.task.crashes for run in last)
     suspects = [run for run in last if run.task.crashes == most_crashes]
+    if joint == JointLoss.SUSPECTS and len(running) == 1:
+        # No other task can be at fault.
+        joint = JointLoss.ALONE
     for run in running:
-        run.task.crashes += 1
-    if len(suspects) == 1 and last_at:
+        _count_crash(run.task, joint)
+    if len(suspects) == 1 and last_at and joint != JointLoss.COMMON_CAUSE:
         suspects[0].task.blamed_crashes += 1
     return [run.task for run in running]
 
 
-def resolve_trial(task: rows.TaskRow, row: rows.TargetRow | None) -> bool:
-    """Ends the trial of a task that no target runs; returns whether its target has crashed.
+def resolve_trial(task: rows.TaskRow, row: rows.TargetRow | None) -> rows.Trial | None:
+    """Ends the trial of a task that no target runs; returns it if its target has crashed.
 
     Args:
         task: Task with a trial, which a former owner ordered.
@@ -59,12 +119,32 @@
     """
     trial, task.trial = task.trial, None
     if trial is None:
-        return False
+        return None
     if row is not None and not row.replaced and row.target.born <= trial.born:
-        return False
-    task.crashes += 1
-    task.blamed_crashes += trial.isolated
-    return True
+        return None
+    return trial
+
+
+def record_unseen_crashes(
+    crashed: Sequence[tuple[rows.TaskRow, rows.Trial]],
+) -> dict[str, JointLoss]:
+    """Counts the crashes under trials that no owner saw, as `record_crash` does.
+
+    When the targets were lost is unknown, so that all of them count as one moment. Only an isolated
+    task explains a loss.
+
+    Returns:
+        By target, whether it was lost together with others.
+    """
+    lost = {trial.target_id for _, trial in crashed}
+    unexplained = lost - {trial.target_id for _, trial in crashed if trial.isolated}
+    joint = {name: _joint_loss_among(name, lost, unexplained) for name in lost}
+    for task, trial in crashed:
+        kind = joint[trial.target_id]
+        _count_crash(task, kind)
+        if trial.isolated and kind != JointLoss.COMMON_CAUSE:
+            task.blamed_crashes += 1
+    return joint
 
 
 def is_given_up(task: rows.TaskRow) -> bool:
@@ -119,3 +199,36 @@
     """
     recent = not run.started_at or now - run.started_at < CLEARED_AFTER_S
     return run.state != rows.RunState.ORDERED and recent
+
+
+def _joint_loss_among(name: str, lost: set[str], unexplained: set[str]) -> JointLoss:
+    if len(unexplained - {name}) >= JOINT_LOSS_TARGETS:
+        return JointLoss.COMMON_CAUSE
+    return JointLoss.SUSPECTS if len(lost) > JOINT_LOSS_TARGETS else JointLoss.ALONE
+
+
+def _count_crash(task: rows.TaskRow, joint: JointLoss) -> None:
+    if joint == JointLoss.ALONE:
+        task.crashes += 1
+    else:
+        task.crashes = max(task.crashes, min(task.crashes + 1, SHARED_CRASHES_LIMIT))
+
+
+def _overlap(one: rows.Loss, other: rows.Loss) -> bool:
+    return one.from_s - SAME_MOMENT_S <= other.by_s and other.from_s - SAME_MOMENT_S <= one.by_s
+
+
+def _is_explained(row: rows.TargetRow, loss: rows.Loss) -> bool:
+    """Returns whether a suspect had just started on a target when it was lost.
+
+    This is determined once, before the target's runs are released.
+    """
+    if loss.explained is None:
+        loss.explained = any(
+            run.task.trial is not None
+            and run.task.trial.run == run.key.run
+            and loss.from_s - run.started_at < SUDDEN_CRASH_S
+            for run in row.runs.values()
+            if run.started_at
+        )
+    return loss.explained
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
@@ -382,7 +382,9 @@
 
 
 def _unknown(target: targets.Target) -> targets.UnknownOutcomeError:
-    return targets.UnknownOutcomeError(target_id=target.target_id, reason="no answer")
+    return targets.UnknownOutcomeError(
+        target_id=target.target_id, reason="no answer", timed_out=True
+    )
 
 
 def _answer_bytes(outcome: result.Result[Any, targets.TargetError]) -> int:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -13,6 +13,7 @@
     change_feed,
     clocks,
     commands,
+    crash_blame,
     decision_log,
     journal,
     keys,
@@ -717,6 +718,8 @@
             self._scheduler.reconciler.start_confirmed(run, clock_s=outcome.unwrap(), now=now)
             if self._scheduler.needs_observation(run):
                 session.poll_soon(OBSERVE_FILLER_AFTER_S)
+            if run.task.crashes:
+                session.poll_soon(crash_blame.SURVIVAL_POLL_S)
             return
         error = outcome.failure()
         if isinstance(error, targets.UnknownOutcomeError):
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -70,6 +70,22 @@
 """Fields of a target of which each assignment is reported to the observers of its table."""
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Loss:
+    """Interval within which a target stopped to answer.
+
+    Attributes:
+        from_s: Time of its last sign of life, seconds.
+        by_s: Time by which it no longer answered, seconds.
+        explained: Whether a suspect had just started there; None until it is determined, see
+            `crash_blame`.
+    """
+
+    from_s: float
+    by_s: float
+    explained: bool | None = None
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class TargetRow:
     """A target and the reservations on it.
@@ -97,6 +113,7 @@
             `target_session.FAILURES_UNTIL_UNREACHABLE`.
         replaced: Whether another incarnation answered at its address, so that nothing runs there.
         last_report_at: Arrival of its last status report, seconds.
+        loss: When it was lost, if it doesn't answer now or has crashed since; else None.
         frequent_polling: Whether its readings are polled more often than usual.
         listed: Whether the store still lists it.
         suspicion_score: Decaying score of failures; see `target_health`.
@@ -126,6 +143,7 @@
     reachable: bool = True
     replaced: bool = False
     last_report_at: float = 0.0
+    loss: Loss | None = None
     frequent_polling: bool = False
     listed: bool = True
     suspicion_score: float = 0.0
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -350,6 +350,8 @@
         if report.clock_s < self._clock_s or (
             report.born and report.born > self._row.target.born > 0
         ):
+            if not self._failures:
+                self._row.loss = self._loss(timed_out=True)
             self._on_runs_lost(self, "new-life")
             self.reset_for_new_incarnation()
             # The target's own report takes precedence over the target list, which is late.
@@ -357,6 +359,8 @@
                 restarted = msgspec.structs.replace(self._row.target, born=report.born)
                 self._row.target = restarted
                 self._on_changed(self)
+        else:
+            self._row.loss = None
         self._clock_s = report.clock_s
         self._clock_at = self._clocks.now()
         if self._failures >= FAILURES_UNTIL_UNREACHABLE:
@@ -380,8 +384,15 @@
             self._processed = fresh[-1].number
             self._pending.append((ticket, self._processed))
 
+    def _loss(self, *, timed_out: bool) -> rows.Loss:
+        """Returns a loss that is noticed now; an unanswered call may have been under way for long."""
+        now = self._clocks.now()
+        return rows.Loss(from_s=self._row.last_report_at if timed_out else now, by_s=now)
+
     def _handle_failure(self, error: targets.TargetError) -> None:
         self._failures += 1
+        if self._failures == 1:
+            self._row.loss = self._loss(timed_out=targets.is_timeout(error))
         if isinstance(error, targets.RefusedError):
             if error.reason == targets.RefusalReason.FENCE:
                 self._on_fenced(str(error))
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/targets.py
@@ -46,26 +46,36 @@
 
 
 class NotSentError(TargetError):
-    """The order did not reach the target."""
+    """The order did not reach the target; `timed_out` is whether no connection was made in time."""
 
-    def __init__(self, *, target_id: str, reason: str) -> None:
+    def __init__(self, *, target_id: str, reason: str, timed_out: bool = False) -> None:
         super().__init__(
             problem=f"nothing was sent to target {target_id}: {reason}", remedy="try again"
         )
         self.target_id = target_id
         self.reason = reason
+        self.timed_out = timed_out
 
 
 class UnknownOutcomeError(TargetError):
-    """No answer arrived: the order may be carried out now, later or never."""
+    """No answer arrived: the order may be carried out now, later or never.
 
-    def __init__(self, *, target_id: str, reason: str) -> None:
+    `timed_out` is whether the connection stayed open without an answer until the timeout.
+    """
+
+    def __init__(self, *, target_id: str, reason: str, timed_out: bool = False) -> None:
         super().__init__(
             problem=f"the outcome at target {target_id} is unknown: {reason}",
             remedy="read the target's status report",
         )
         self.target_id = target_id
         self.reason = reason
+        self.timed_out = timed_out
+
+
+def is_timeout(error: TargetError) -> bool:
+    """Returns whether a call ended because nothing arrived in time."""
+    return isinstance(error, NotSentError | UnknownOutcomeError) and error.timed_out
 
 
 class Target(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -91,15 +91,21 @@
         """Releases and requeues all runs of a target on which nothing can be running any more."""
         runs = list(row.runs.values())
         crashed = why in CRASH_REASONS and not row.target.draining
-        tasks = crash_blame.record_crash(row, now=now) if crashed else []
+        tasks: list[rows.TaskRow] = []
+        joint = crash_blame.JointLoss.ALONE
+        if crashed:
+            joint = crash_blame.joint_loss(row, self._tables.targets.values())
+            tasks = crash_blame.record_crash(row, now=now, joint=joint)
         for run in runs:
             self._decide("run.lost", run, reason=why, crashes=run.task.crashes)
             tables.release(run)
-        self._apply_crash(row.target_id, tasks, now=now)
+        self._apply_crash(row.target_id, tasks, joint=joint, now=now)
         for run in runs:
             self.requeue(run.task, now=now)
 
-    def _apply_crash(self, target_id: str, tasks: list[rows.TaskRow], *, now: float) -> None:
+    def _apply_crash(
+        self, target_id: str, tasks: list[rows.TaskRow], *, joint: crash_blame.JointLoss, now: float
+    ) -> None:
         """Fails the jobs of the tasks that a crash of their target shows to be at fault."""
         for task in tasks:
             job = task.step.job
@@ -113,6 +119,7 @@
                 target=target_id,
                 crashes=task.crashes,
                 blamed=task.blamed_crashes,
+                lost_together=joint.value,
             )
             self.mark_urgent(job)
             if crash_blame.is_given_up(task):
@@ -155,22 +162,30 @@
 
     def resolve_trials(self, blocked_tasks: frozenset[str], *, now: float) -> None:
         """Counts the crashes under tasks whose last run a former owner ordered and nobody reports."""
-        for job in self._tables.jobs.values():
-            if job.ended:
-                continue
-            for steps in job.occurrences.values():
-                for step in steps:
-                    self._resolve_trials_of(step, blocked_tasks, now=now)
+        crashed = [
+            (task, trial)
+            for task in self._tasks_with_trials(blocked_tasks)
+            if (trial := self._resolve_trial(task)) is not None
+        ]
+        joint = crash_blame.record_unseen_crashes(crashed)
+        for task, trial in crashed:
+            target_id = trial.target_id
+            self._apply_crash(target_id, [task], joint=joint[target_id], now=now)
 
-    def _resolve_trials_of(
-        self, step: rows.StepRow, blocked_tasks: frozenset[str], *, now: float
-    ) -> None:
-        for task in step.tasks:
-            if task.trial is None or task.runs or task.name in blocked_tasks:
-                continue
-            target_id = task.trial.target_id
-            if crash_blame.resolve_trial(task, self._tables.targets.get(target_id)):
-                self._apply_crash(target_id, [task], now=now)
+    def _tasks_with_trials(self, blocked_tasks: frozenset[str]) -> list[rows.TaskRow]:
+        return [
+            task
+            for job in self._tables.jobs.values()
+            if not job.ended
+            for steps in job.occurrences.values()
+            for step in steps
+            for task in step.tasks
+            if task.trial is not None and not task.runs and task.name not in blocked_tasks
+        ]
+
+    def _resolve_trial(self, task: rows.TaskRow) -> rows.Trial | None:
+        target_id = "" if task.trial is None else task.trial.target_id
+        return crash_blame.resolve_trial(task, self._tables.targets.get(target_id))
 
     def stop_job_runs(self, job: rows.JobRow, *, reason: str, now: float) -> None:
         """Stops all runs of a job and drops its waiting tasks."""
--- a/packages/ebonyhatch-fleet/tests/test_crash_blame.py
+++ b/packages/ebonyhatch-fleet/tests/test_crash_blame.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import random
+
 import pytest
 import world as world_module
 from ebonyhatch.fleet import crash_blame, entry, jobs, rows, targets
@@ -204,3 +206,99 @@
         lambda: all(world.state(job.job_id) in rows.ENDED_STATES for job in submitted), limit_s=90.0
     )
     assert [world.state(job.job_id) for job in submitted] == ["completed"] * len(submitted)
+
+
+def _lose_power_in_waves(world: world_module.World, rng: random.Random) -> None:
+    """Crashes drawn targets together, up to five times."""
+    names = sorted(world.engines)
+    down_s = rng.uniform(0.5, 3.0)
+    for _ in range(rng.randint(1, 5)):
+        world.run(rng.uniform(0.5, 4.0))
+        for name in rng.sample(names, rng.randint(4, len(names))):
+            world.crash_target(name, down_s=down_s)
+        world.run(down_s)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_waves_of_power_loss_give_up_no_task_that_could_be_done(seed):
+    rng = random.Random(seed)
+    world = _ready(target_count=rng.choice([8, 16]))
+    submitted = _submit(world, 8, tasks=rng.randint(1, 6), work_s=rng.uniform(0.5, 6.0))
+    _lose_power_in_waves(world, rng)
+    world.run_until(
+        lambda: all(world.state(job.job_id) in rows.ENDED_STATES for job in submitted), limit_s=90.0
+    )
+    assert [world.state(job.job_id) for job in submitted] == ["completed"] * len(submitted)
+
+
+@pytest.mark.parametrize("seed", [*range(8), 54])
+def test_waves_of_power_loss_dont_hide_a_task_that_crashes_its_targets(seed):
+    rng = random.Random(seed)
+    world = _ready(target_count=rng.choice([8, 16]))
+    submitted = _submit(world, 4, tasks=rng.randint(1, 4), work_s=rng.uniform(0.5, 3.0))
+    job, name = _submit_deadly(world)
+    _lose_power_in_waves(world, rng)
+    world.run_until(lambda: world.state(job.job_id) == "failed", limit_s=60.0)
+    assert _starts(world, name) <= MAX_STARTS
+    world.run_until(
+        lambda: all(world.state(one.job_id) in rows.ENDED_STATES for one in submitted), limit_s=60.0
+    )
+    assert [world.state(one.job_id) for one in submitted] == ["completed"] * len(submitted)
+
+
+def _lost_row(*, from_s: float, by_s: float, trial_at: float | None) -> rows.TargetRow:
+    """Returns a lost target, with a suspect that started there at `trial_at`."""
+    row = _row_with((0, 1.0)) if trial_at is None else _row_with((0, 1.0), (1, trial_at))
+    row.loss = rows.Loss(from_s=from_s, by_s=by_s)
+    if trial_at is not None:
+        run = list(row.runs.values())[-1]
+        run.task.trial = rows.Trial(run=run.key.run, target_id="t", born=1, isolated=False)
+    return row
+
+
+@pytest.mark.parametrize(
+    ("others", "joint"),
+    [
+        ([], crash_blame.JointLoss.ALONE),
+        ([(5.0, 5.1, None)], crash_blame.JointLoss.ALONE),
+        ([(5.0, 5.1, None), (5.05, 5.2, None)], crash_blame.JointLoss.COMMON_CAUSE),
+        ([(5.0, 5.1, 4.9), (5.05, 5.2, 5.0)], crash_blame.JointLoss.SUSPECTS),
+        ([(5.0, 5.1, 4.9), (5.0, 5.1, None), (4.0, 5.2, 3.0)], crash_blame.JointLoss.COMMON_CAUSE),
+        ([(5.0, 5.1, 4.9), (5.0, 5.1, None)], crash_blame.JointLoss.SUSPECTS),
+        ([(3.0, 3.1, None), (7.0, 7.2, None)], crash_blame.JointLoss.ALONE),
+    ],
+)
+def test_loss_of_targets_without_suspects_at_one_moment_has_a_common_cause(others, joint):
+    row = _lost_row(from_s=5.0, by_s=5.0, trial_at=4.95)
+    lost = [
+        _lost_row(from_s=from_s, by_s=by_s, trial_at=trial_at) for from_s, by_s, trial_at in others
+    ]
+    assert crash_blame.joint_loss(row, [row, *lost]) == joint
+
+
+def test_crashes_of_a_common_cause_make_suspects_and_blame_nobody():
+    row = _row_with((0, 1.0), (1, 2.0), (2, 3.0), (3, 4.0))
+    counted = crash_blame.record_crash(row, now=5.0, joint=crash_blame.JointLoss.COMMON_CAUSE)
+    assert [task.crashes for task in counted] == [1, 2, 2, 3]
+    assert not any(task.blamed_crashes for task in counted)
+
+
+@pytest.mark.parametrize(
+    ("isolated", "crashes", "blamed"),
+    [
+        ([False], [1], [0]),
+        ([True], [1], [1]),
+        ([True, True, True], [1, 1, 1], [1, 1, 1]),
+        ([True, False, False], [1, 1, 1], [0, 0, 0]),
+        ([True, True, False, False], [1, 1, 1, 1], [0, 0, 0, 0]),
+        ([False, False, False], [1, 1, 1], [0, 0, 0]),
+    ],
+)
+def test_crashes_that_no_owner_saw_are_counted_by_their_trials(isolated, crashes, blamed):
+    crashed = []
+    for number, alone in enumerate(isolated):
+        trial = rows.Trial(run=1, target_id=f"t{number}", born=1, isolated=alone)
+        crashed.append((rows.TaskRow(step=None, index=number, name=f"task{number}"), trial))
+    crash_blame.record_unseen_crashes(crashed)
+    assert [task.crashes for task, _ in crashed] == crashes
+    assert [task.blamed_crashes for task, _ in crashed] == blamed
