Entries keep connections to a fixed number of neighbours and to the owner

Class: work of every entry for every other one, which grows with the square of the entries. The owner's load notices were of the class too: four a second to each entry, all of them empty, as no wait is computed yet.

An entry now keeps connections to the entries at distances 1, 2, 4 ... in the circle of names and to the owner; a message to another peer opens one on demand. Versions of the configuration are announced to neighbours and asked of them. A load is reported while there is one, and once when it ends.

Ruled out as the way: longer pings to all peers, which would notice mute connections later.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_exchange.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_exchange.py
@@ -8,6 +8,7 @@
 
 import random
 import zlib
+from collections.abc import Callable
 
 from ebonyhatch.fleet import (
     configuration_source,
@@ -44,13 +45,22 @@
     def __init__(
         self,
         *,
-        name: str,
+        neighbours: Callable[[], tuple[str, ...]],
         network: peers.PeerNetwork | memory_peers.MemoryPeers,
         group: coroutines.CoroutineGroup,
         source: configuration_source.ConfigurationSource,
         seed: int,
     ) -> None:
-        self._name = name
+        """Creates an exchange.
+
+        Args:
+            neighbours: Returns the names of the peers that are told of new versions and asked.
+            network: Network between entries.
+            group: Runs the exchange until it is closed.
+            source: The configuration in force.
+            seed: Seed of the order in which neighbours are asked.
+        """
+        self._neighbours = neighbours
         self._network = network
         self._group = group
         self._source = source
@@ -71,29 +81,18 @@
         supervision.spawn(self._group, "configuration-queries", self._query_repeatedly)
 
     def announce(self, configuration: queues.Configuration) -> None:
-        """Announces a new version to some peers, which announce it to others."""
+        """Announces a new version to the neighbours, which announce it to others."""
         notice = messages.ConfigurationNotice(version=configuration.version)
-        for name in self._relay_peers():
+        for name in self._neighbours():
             self._network.send(entry_id=name, message=notice)
 
-    def _relay_peers(self) -> list[str]:
-        """Returns the peers at distances of 1, 2, 4 and so on in the circle of all names.
-
-        Each entry announces a version: sent to all peers by all, the notices would grow with the
-        square of the number of entries.
-        """
-        names = sorted({self._name, *(peer.entry_id for peer in self._network.peers)})
-        position = names.index(self._name)
-        distances = [1 << bit for bit in range((len(names) - 1).bit_length())]
-        return [names[(position + distance) % len(names)] for distance in distances]
-
     async def _query_repeatedly(self) -> None:
-        """Asks one peer after another; peers send nothing to an entry whose key has vanished."""
+        """Asks one neighbour after another; peers send nothing to an entry whose key has vanished."""
         while True:
             await self._group.sleep(QUERY_INTERVAL_S)
-            linked = self._network.peers
-            if linked:
-                self._group.spawn(self._query(self._random.choice(linked).entry_id))
+            asked = self._neighbours()
+            if asked:
+                self._group.spawn(self._query(self._random.choice(asked)))
 
     async def _query(self, peer: str) -> None:
         reply = await self._network.call(
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -101,6 +101,7 @@
         members: ownership.Ownership,
         all_clocks: clocks.Clocks,
         local_owner: Callable[[], owner_module.Owner | None],
+        neighbours: Callable[[], tuple[str, ...]],
         load: admission.QueueLoad,
         seed: int,
     ) -> None:
@@ -110,6 +111,7 @@
         self._members = members
         self._clocks = all_clocks
         self._local_owner = local_owner
+        self._neighbours = neighbours
         self._load = load
         self._random = random.Random(seed)
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
@@ -244,9 +246,12 @@
         return running
 
     async def _relay(self, job_id: str, record: bytes) -> Verdict:
-        """Asks up to two peers in turn, the owner first, to create the record."""
+        """Asks up to two peers in turn, the owner first, to create the record.
+
+        Only a connection that is kept open tells that nothing was sent, so neighbours come next.
+        """
         owner = self._members.owner
-        names = [name for name in self._members.entries if name != self._name]
+        names = list(self._neighbours())
         self._random.shuffle(names)
         if owner is not None and owner.name in names:
             names.remove(owner.name)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_peers.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import Any
 
 from ebonyhatch.node import messages
@@ -39,7 +40,7 @@
 
     @property
     def peers(self) -> tuple[peers_.PeerAddress, ...]:
-        """The linked peers."""
+        """Addresses of the peers."""
         return self._peers
 
     def start(self) -> None:
@@ -50,8 +51,10 @@
         """Leaves the network."""
         self._network.members.pop(self._entry_id, None)
 
-    def set_peers(self, *, peers: tuple[peers_.PeerAddress, ...]) -> None:
-        """Links exactly these peers."""
+    def set_peers(
+        self, *, peers: tuple[peers_.PeerAddress, ...], linked: Collection[str] | None = None
+    ) -> None:
+        """Exchanges messages with exactly these peers; there are no connections to keep open."""
         self._peers = tuple(peer for peer in peers if peer.entry_id != self._entry_id)
 
     def handle(self, message_type: type[messages.Message], handler: peers_.Handler) -> None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -20,6 +20,7 @@
     memory_peers,
     messages,
     metrics,
+    neighbours,
     ownership,
     poll_pace,
     queues,
@@ -139,6 +140,7 @@
             link_bytes=lambda: call_counts.link_bytes(calls()),
             link_bytes_per_s=settings.link_bytes_per_s,
         )
+        self._neighbours: tuple[str, ...] = ()
         self._owner: owner_module.Owner | None = None
         self._closing = False
         self._few_targets_since: float | None = None
@@ -168,7 +170,7 @@
             on_change=self._on_configuration_changed,
         )
         self._exchange = configuration_exchange.ConfigurationExchange(
-            name=settings.name,
+            neighbours=lambda: self._neighbours,
             network=self._network,
             group=self._group,
             source=self._configuration,
@@ -186,6 +188,7 @@
             members=self._members,
             all_clocks=self._clocks,
             local_owner=lambda: self._owner,
+            neighbours=lambda: self._neighbours,
             load=self._load,
             seed=int.from_bytes(os.urandom(8), "big"),
         )
@@ -369,11 +372,17 @@
             self._owner = None
 
     def _set_peers(self, entries: tuple[ownership.EntryRecord, ...]) -> None:
+        """Keeps connections to the neighbours and to the owner, which every entry calls."""
+        self._neighbours = neighbours.neighbours(
+            self._settings.name, (record.name for record in entries)
+        )
+        owner = self._members.owner
         self._network.set_peers(
+            linked=self._neighbours if owner is None else (*self._neighbours, owner.name),
             peers=tuple(
                 peers.PeerAddress(entry_id=record.name, host=record.host, port=record.port)
                 for record in entries
-            )
+            ),
         )
 
     def _on_configuration_changed(self, configuration: queues.Configuration) -> None:
@@ -385,12 +394,17 @@
         self._load.update(term=notice.term, waits_s=notice.waits_s, now=self._clocks.now())
 
     async def _report_load(self) -> None:
+        """Sends the load while there is any, and once when there is none any more."""
+        reported = False
         while True:
             await self._group.sleep(LOAD_NOTICE_INTERVAL_S)
             local_owner = self._owner
             if local_owner is None or not local_owner.recovered:
                 continue
             notice = messages.LoadNotice(term=local_owner.term, waits_s=local_owner.waits_s())
+            if not notice.waits_s and not reported:
+                continue
+            reported = bool(notice.waits_s)
             self._load.update(term=notice.term, waits_s=notice.waits_s, now=self._clocks.now())
             for peer in self._network.peers:
                 self._network.send(entry_id=peer.entry_id, message=notice)
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -657,3 +657,47 @@
     world.run(5.0)
     assert len(world.starts(job.job_id)) == 8
     world_module.check_all(world)
+
+
+@pytest.mark.parametrize("entries", [5, 40])
+def test_entry_keeps_connections_to_its_neighbours_and_the_owner_only(entries, monkeypatch):
+    linked: dict[str, set[str]] = {}
+    set_peers = memory_peers.MemoryPeers.set_peers
+
+    def record(port, *, peers, **options):
+        linked[port._entry_id] = set(options["linked"]) - {port._entry_id}
+        set_peers(port, peers=peers, **options)
+
+    monkeypatch.setattr(memory_peers.MemoryPeers, "set_peers", record)
+    world = world_module.World(entries=entries, target_count=1)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(3.0)
+    owner = world.owner.name
+    assert all(owner in names for name, names in linked.items() if name != owner)
+    assert max(len(names) for names in linked.values()) <= (entries - 1).bit_length() + 1
+
+
+def test_entries_hear_of_a_load_when_it_begins_and_when_it_ends(monkeypatch):
+    world = world_module.World(entries=3, target_count=1)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    notices = []
+    receive = memory_peers.MemoryPeers.receive
+
+    def record(port, sender, message, done):
+        if isinstance(message, messages.LoadNotice):
+            notices.append(message.waits_s)
+        return receive(port, sender, message, done)
+
+    monkeypatch.setattr(memory_peers.MemoryPeers, "receive", record)
+    world.run(2.0)
+    assert not notices
+    waits_s = {"q": 3.0}
+    monkeypatch.setattr(world.owner.node.owner, "waits_s", lambda: waits_s)
+    world.run(1.0)
+    assert len(notices) >= 4
+    assert all(notice == {"q": 3.0} for notice in notices)
+    waits_s = {}
+    world.run(1.0)
+    last = notices[-2:]
+    world.run(1.0)
+    assert last == notices[-2:] == [{}, {}]
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/peer_link.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/peer_link.py
@@ -19,6 +19,9 @@
 MAX_BACKOFF = 8
 """Maximum time before the next replacement for a peer that is down, in response timeouts."""
 
+ON_DEMAND_IDLE_S = 10.0
+"""Time without a message of its own after which a connection opened on demand is closed, seconds."""
+
 IDLE_FACTOR_NEAR = 1.5
 IDLE_FACTOR_FAR = 30
 """Time without a frame after which a near or far peer is pinged, in ping intervals."""
@@ -48,6 +51,9 @@
     returns on the same connection confirms it. A connection whose state a device between the
     two ends has dropped would stay open for ever, so a connection on which a ping stays
     unanswered is replaced by a new one, which gets twice the time.
+
+    A link that is opened on demand queues frames until it is connected, and isn't pinged while it is
+    idle.
     """
 
     __slots__ = (
@@ -58,6 +64,7 @@
         "_confirmed",
         "_dealer",
         "_factory",
+        "_kept",
         "_max_idle_s",
         "_on_frame",
         "_ping",
@@ -66,6 +73,7 @@
         "_response_timeout_s",
         "_ring",
         "_unanswered_since",
+        "_used_at",
     )
 
     def __init__(
@@ -78,14 +86,29 @@
         ring: keys.KeyRing | None,
         response_timeout_s: float,
         on_frame: Callable[[bytes], bool],
+        kept: bool = True,
     ) -> None:
-        """Initializes the link; `on_frame` returns whether a frame is valid."""
+        """Initializes the link.
+
+        Args:
+            factory: Context of the sockets.
+            clock: Returns the monotonic time, seconds.
+            address: Address of the peer.
+            sender: Entry id of this entry.
+            ring: CURVE keys, or None for a connection without keys.
+            response_timeout_s: Time without an answer after which a connection is replaced,
+                seconds.
+            on_frame: Receives each frame; returns whether it is valid.
+            kept: Whether the connection is kept open while it is idle.
+        """
         self._factory = factory
         self._clock = clock
         self._address = address
         self._ring = ring
         self._response_timeout_s = response_timeout_s
         self._on_frame = on_frame
+        self._kept = kept
+        self._used_at = clock()
         self._ping = frames.encode(kind=frames.Kind.PING, sender=sender)
         self._dealer: peer_sockets.Dealer | None = None
         self._received_at: float | None = None
@@ -102,6 +125,11 @@
         """Address on which the peer listens."""
         return self._address
 
+    @property
+    def expired(self) -> bool:
+        """Whether the connection was opened on demand and is no longer used."""
+        return not self._kept and self._clock() - self._used_at > ON_DEMAND_IDLE_S
+
     @property
     def usable(self) -> bool:
         """Whether the connection has no answer outstanding for longer than the timeout."""
@@ -140,9 +168,14 @@
             self._dealer.shutdown()
             self._dealer = None
 
+    def keep(self, kept: bool) -> None:
+        """Sets whether the connection is kept open while it is idle."""
+        self._kept = kept
+
     def send(self, frame: bytes) -> bool:
         """Queues a frame; returns False when nothing was queued."""
-        return self._dealer is not None and self._dealer.try_send([frame])
+        self._used_at = self._clock()
+        return self._queue(frame)
 
     def call(self, frame: bytes) -> bool:
         """Queues a frame that will be answered; returns False when nothing was queued."""
@@ -164,12 +197,15 @@
         if self._awaiting_s > self._backoff * self._response_timeout_s:
             self._replace()
             return True
-        if not self._confirmed or self._since_received_s >= self._max_idle_s:
+        if not self._confirmed or (self._kept and self._since_received_s >= self._max_idle_s):
             self._probe()
         return False
 
+    def _queue(self, frame: bytes) -> bool:
+        return self._dealer is not None and self._dealer.try_send([frame])
+
     def _probe(self) -> None:
-        self.send(self._ping)
+        self._queue(self._ping)
         self.record_probe()
 
     def _replace(self) -> None:
@@ -178,7 +214,9 @@
         self._open()
 
     def _open(self) -> None:
-        dealer = peer_sockets.Dealer(factory=self._factory, on_frame=self._received)
+        dealer = peer_sockets.Dealer(
+            factory=self._factory, on_frame=self._received, queues_unconnected=not self._kept
+        )
         if self._ring is not None:
             public = self._ring.peers[self._address.entry_id]
             dealer.secure(pair=self._ring.pair, peer_public=public)
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/peer_sockets.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/peer_sockets.py
@@ -104,14 +104,23 @@
 
 
 class Dealer(PeerSocket):
-    """One connection to a peer; it queues nothing while the peer is not connected."""
+    """One connection to a peer.
+
+    Unless `queues_unconnected`, it queues nothing while the peer is not connected.
+    """
 
     socketType = zmq.DEALER  # noqa: N815
 
-    def __init__(self, *, factory: PeerFactory, on_frame: Callable[[bytes], None]) -> None:
+    def __init__(
+        self,
+        *,
+        factory: PeerFactory,
+        on_frame: Callable[[bytes], None],
+        queues_unconnected: bool = False,
+    ) -> None:
         super().__init__(factory=factory)
         self._on_frame = on_frame
-        self.socket.set(zmq.IMMEDIATE, 1)
+        self.socket.set(zmq.IMMEDIATE, 0 if queues_unconnected else 1)
 
     def secure(self, *, pair: keys.KeyPair, peer_public: str) -> None:
         """Authenticates with this entry's key, and connects only to the holder of the peer's."""
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/peers.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/peers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from ebonyhatch.core import errors
@@ -48,7 +48,8 @@
 class PeerNetwork:
     """Exchanges messages with all peers; every queue is bounded.
 
-    A call is sent over the connection to the peer. Its reply returns over the connection
+    Connections to some peers are kept open; one to any other peer is opened by a message to it, and
+    closed after a time without further ones. A call is sent over the connection to the peer. Its reply returns over the connection
     from which the peer most recently received a frame, and is matched by its id alone, so
     that a call survives the replacement of an unresponsive connection.
     """
@@ -95,6 +96,7 @@
         self._response_timeout_s = response_timeout_s
         self._handlers: dict[type[messages.Message], Handler] = {}
         self._calls = peer_calls.Calls(reactor=reactor)
+        self._addresses: dict[str, PeerAddress] = {}
         self._links: dict[str, peer_link.PeerLink] = {}
         self._received_at: dict[str, float] = {}
         self._routing_ids: dict[str, bytes] = {}
@@ -111,8 +113,13 @@
 
     @property
     def peers(self) -> tuple[PeerAddress, ...]:
-        """Addresses of the linked peers."""
-        return tuple(link.address for link in self._links.values())
+        """Addresses of the peers."""
+        return tuple(self._addresses.values())
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections to peers."""
+        return len(self._links)
 
     def start(self) -> None:
         """Listens for peers and starts the heartbeats.
@@ -145,15 +152,26 @@
         self._calls.resolve_all(entry_id=None, reason="this entry is stopping")
         self._close_sockets()
 
-    def set_peers(self, *, peers: tuple[PeerAddress, ...]) -> None:
-        """Links exactly these peers; this entry itself is skipped."""
+    def set_peers(
+        self, *, peers: tuple[PeerAddress, ...], linked: Collection[str] | None = None
+    ) -> None:
+        """Exchanges messages with exactly these peers; this entry itself is skipped.
+
+        Args:
+            peers: Addresses of the peers.
+            linked: Entry ids of the peers to which a connection is kept open; None for all.
+        """
         addresses = {peer.entry_id: peer for peer in peers if peer.entry_id != self._entry_id}
-        for entry_id, link in list(self._links.items()):
-            if addresses.get(entry_id) != link.address:
-                self._unlink(entry_id)
-        for entry_id, address in addresses.items():
+        for entry_id, address in self._addresses.items():
+            if addresses.get(entry_id) != address:
+                self._forget(entry_id)
+        self._addresses = addresses
+        kept = set(addresses) if linked is None else addresses.keys() & set(linked)
+        for entry_id, link in self._links.items():
+            link.keep(entry_id in kept)
+        for entry_id in kept:
             if entry_id not in self._links:
-                self._link(address)
+                self._link(addresses[entry_id], kept=True)
 
     def handle(self, message_type: type[messages.Message], handler: Handler) -> None:
         """Registers the handler of calls and one-way messages of a type."""
@@ -166,7 +184,7 @@
             The reply; `PeerNotSentError` when the message was certainly not delivered;
             `PeerUnknownError` when no reply came within `timeout_s`.
         """
-        link = self._links.get(entry_id)
+        link = self._link_to(entry_id)
         if link is None:
             return self._not_sent(entry_id, "it is not among the peers")
         if not link.usable:
@@ -185,7 +203,7 @@
 
     def send(self, *, entry_id: str, message: messages.Message) -> bool:
         """Sends a message that has no reply; returns False when it was dropped."""
-        link = self._links.get(entry_id)
+        link = self._link_to(entry_id)
         if link is None:
             return False
         probing = link.should_probe
@@ -232,7 +250,13 @@
         self._factory = None
         self._router = None
 
-    def _link(self, address: PeerAddress) -> None:
+    def _link_to(self, entry_id: str) -> peer_link.PeerLink | None:
+        """Returns the link to a peer, which is opened if there is none; None for other entries."""
+        if entry_id not in self._links and entry_id in self._addresses:
+            self._link(self._addresses[entry_id], kept=False)
+        return self._links.get(entry_id)
+
+    def _link(self, address: PeerAddress, *, kept: bool) -> None:
         if self._factory is None:
             return
         if self._key_ring is not None and address.entry_id not in self._key_ring.peers:
@@ -247,19 +271,27 @@
             ring=self._key_ring,
             response_timeout_s=self._response_timeout_s,
             on_frame=lambda data: self._receive_from_dealer(address.entry_id, data),
+            kept=kept,
         )
         self._links[address.entry_id] = link
         link.start()
 
     def _unlink(self, entry_id: str) -> None:
-        self._links.pop(entry_id).close()
+        link = self._links.pop(entry_id, None)
+        if link is not None:
+            link.close()
+
+    def _forget(self, entry_id: str) -> None:
+        self._unlink(entry_id)
         self._received_at.pop(entry_id, None)
         self._routing_ids.pop(entry_id, None)
         self._calls.resolve_all(entry_id=entry_id, reason="it is no longer among the peers")
 
     def _check_links(self) -> None:
-        for link in self._links.values():
-            if link.check_liveness():
+        for entry_id, link in list(self._links.items()):
+            if link.expired and not self._calls.count(entry_id):
+                self._unlink(entry_id)
+            elif link.check_liveness():
                 self._on_fault("silent")
 
     def _not_sent(self, entry_id: str, reason: str) -> CallOutcome:
@@ -324,7 +356,7 @@
         if self._key_ring is not None and authenticated_id != frame.sender:
             self._on_fault("wrong-sender")
             return
-        if frame.sender in self._links:
+        if frame.sender in self._addresses:
             self._received_at[frame.sender] = self._reactor.seconds()
             self._routing_ids[frame.sender] = routing_id
         if frame.kind == frames.Kind.PING:
--- a/packages/ebonyhatch-node/tests/test_peers.py
+++ b/packages/ebonyhatch-node/tests/test_peers.py
@@ -1,7 +1,7 @@
 """The peer network over real sockets on loopback."""
 
 import pytest
-from ebonyhatch.node import frames, keys, messages, peer_sockets, peers
+from ebonyhatch.node import frames, keys, messages, peer_link, peer_sockets, peers
 from ebonyhatch.ports import workers
 from twisted.internet import defer, protocol, reactor, task
 from twisted.trial import unittest
@@ -223,6 +223,89 @@
         assert one._links["b"]._awaiting_since is not None
         yield until(lambda: seen == ["a"] and one._links["b"]._awaiting_since is None)
 
+    @defer.inlineCallbacks
+    def test_connection_that_is_not_kept_is_opened_by_a_call_and_closed_when_idle(self):
+        self.patch(peer_link, "ON_DEMAND_IDLE_S", 0.6)
+        one, two = self.network("a"), self.network("b")
+        one.set_peers(peers=(address(two, "b"),), linked=())
+        two.set_peers(peers=(address(one, "a"),), linked=())
+        assert one.connections == 0
+        seen = []
+        two.handle(
+            messages.OwnershipCall,
+            lambda sender, message: (
+                seen.append(message.version)
+                or messages.OwnershipReply(version=message.version, record=b"")
+            ),
+        )
+        reply = yield one.call(
+            entry_id="b", message=messages.OwnershipCall(version=1), timeout_s=LONG_S
+        )
+        assert reply.unwrap().version == 1
+        assert (one.connections, two.connections) == (1, 0)
+        yield until(lambda: one.connections == 0)
+        assert one.send(entry_id="b", message=messages.OwnershipCall(version=2))
+        yield until(lambda: seen == [1, 2])
+        assert one.connections == 1
+        assert not one.faults
+
+    @defer.inlineCallbacks
+    def test_connection_with_an_unanswered_call_is_not_closed_as_idle(self):
+        self.patch(peer_link, "ON_DEMAND_IDLE_S", 0.05)
+        one, two = self.network("a"), self.network("b")
+        one.set_peers(peers=(address(two, "b"),), linked=())
+        held = []
+        two.handle(messages.OwnershipCall, lambda s, m: held.append(defer.Deferred()) or held[0])
+        call = one.call(entry_id="b", message=messages.OwnershipCall(version=1), timeout_s=LONG_S)
+        yield until(lambda: held)
+        yield task.deferLater(reactor, 2 * RESPONSE_TIMEOUT_S)
+        assert one.connections == 1
+        held[0].callback(messages.OwnershipReply(version=1, record=b""))
+        yield call
+        yield until(lambda: one.connections == 0)
+
+    @defer.inlineCallbacks
+    def test_call_on_a_connection_to_a_closed_peer_that_is_not_kept_has_an_unknown_outcome(self):
+        one, two = self.network("a"), self.network("b")
+        two.close()
+        one.set_peers(peers=(address(two, "b"),), linked=())
+        outcome = yield one.call(
+            entry_id="b", message=messages.OwnershipCall(version=1), timeout_s=SHORT_S
+        )
+        assert isinstance(outcome.failure(), peers.PeerUnknownError)
+
+    @defer.inlineCallbacks
+    def test_idle_connection_is_pinged_only_while_it_is_kept(self):
+        one, two = self.network("a"), self.network("b")
+        pings = []
+        receive = two._receive_from_router
+        two._router._on_frame = lambda *parts: pings.append(parts) or receive(*parts)
+        one.set_peers(peers=(address(two, "b"),))
+        yield until(lambda: len(pings) >= 4)
+        one.set_peers(peers=(address(two, "b"),), linked=())
+        assert one.connections == 1
+        yield until(lambda: one._links["b"]._awaiting_since is None)
+        count = len(pings)
+        yield task.deferLater(reactor, 2 * RESPONSE_TIMEOUT_S)
+        assert len(pings) <= count + 1
+        one.set_peers(peers=(address(two, "b"),))
+        yield until(lambda: len(pings) >= count + 3)
+
+    @defer.inlineCallbacks
+    def test_removed_and_moved_peers_lose_their_connections(self):
+        one, two, three = self.network("a"), self.network("b"), self.network("c")
+        one.set_peers(peers=(address(two, "b"), address(three, "c")), linked=("b",))
+        one.send(entry_id="c", message=messages.OwnershipCall(version=1))
+        yield until(lambda: one.last_frame_age_s("b") is not None)
+        assert one.connections == 2
+        one.set_peers(peers=(address(three, "c"),), linked=("b",))
+        assert [peer.entry_id for peer in one.peers] == ["c"]
+        assert one.connections == 1
+        assert one.last_frame_age_s("b") is None
+        assert not one.send(entry_id="b", message=messages.OwnershipCall(version=1))
+        one.set_peers(peers=(address(two, "c"),), linked=("c",))
+        yield until(lambda: one._links["c"].address.port == two.port)
+
     @defer.inlineCallbacks
     def test_garbage_and_unknown_versions_are_counted(self):
         one = self.network("a")
