--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_exchange.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/configuration_exchange.py
@@ -13,12 +13,12 @@
 from ebonyhatch.fleet import (
     configuration_source,
     decision_log,
-    memory_peers,
     messages,
     queues,
     supervision,
 )
-from ebonyhatch.node import coroutines, peers
+from ebonyhatch.fleet import network as network_module
+from ebonyhatch.node import coroutines
 from returns import result
 
 QUERY_INTERVAL_S = 0.4
@@ -46,7 +46,7 @@
         self,
         *,
         neighbours: Callable[[], tuple[str, ...]],
-        network: peers.PeerNetwork | memory_peers.MemoryPeers,
+        network: network_module.Network,
         group: coroutines.CoroutineGroup,
         source: configuration_source.ConfigurationSource,
         seed: int,
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -17,7 +17,6 @@
     decision_log,
     jobs,
     keys,
-    memory_peers,
     messages,
     ownership,
     progress,
@@ -25,6 +24,7 @@
     rows,
     store,
 )
+from ebonyhatch.fleet import network as network_module
 from ebonyhatch.fleet import owner as owner_module
 from ebonyhatch.node import coroutines, peers
 from returns import result
@@ -97,7 +97,7 @@
         *,
         name: str,
         store_port: store.Store,
-        network: peers.PeerNetwork | memory_peers.MemoryPeers,
+        network: network_module.Network,
         members: ownership.Ownership,
         all_clocks: clocks.Clocks,
         local_owner: Callable[[], owner_module.Owner | None],
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/metrics.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/metrics.py
@@ -7,15 +7,15 @@
 from __future__ import annotations
 
 import bisect
-import itertools
-from collections.abc import Callable, Iterator
-from typing import Any
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
 
 import eliot
-import prometheus_client
 from ebonyhatch.fleet import call_counts
 from ebonyhatch.node import labels
-from prometheus_client import metrics_core, registry, utils
+
+if TYPE_CHECKING:
+    from ebonyhatch.fleet import exposition
 
 PREFIX = "ebonyhatch_"
 
@@ -41,11 +41,6 @@
 }
 """By event: name of the histogram, observed log field, and help text."""
 
-# The creation time would add one more sample to each series.
-prometheus_client.disable_created_metrics()
-
-_BOUNDS = (*map(utils.floatToGoString, BUCKETS_S), "+Inf")
-
 GaugeSource = Callable[[], dict[str, float]]
 """Returns the current state: metric names without prefix, and values."""
 
@@ -56,15 +51,19 @@
     def __init__(
         self, *, gauges: GaugeSource, calls: call_counts.CallSource = call_counts.no_calls
     ) -> None:
-        self._registry = prometheus_client.CollectorRegistry()
         self._events = labels.LabelSet(limit=EVENTS_LIMIT)
         self._outcomes = labels.LabelSet(limit=OUTCOMES_LIMIT)
         self._queues = labels.LabelSet(limit=QUEUES_LIMIT)
         self._counts: dict[tuple[str, str], int] = {}
-        self._histograms: dict[str, dict[str, _Histogram]] = {event: {} for event in HISTOGRAMS}
-        self._registry.register(_EventCollector(counts=self._counts, histograms=self._histograms))
-        self._registry.register(_GaugeCollector(gauges=gauges))
-        self._registry.register(_CallCollector(calls=calls))
+        self._histograms: dict[str, dict[str, Histogram]] = {event: {} for event in HISTOGRAMS}
+        self._gauges = gauges
+        self._calls = calls
+        self._exposition: exposition.Exposition | None = None
+
+    @property
+    def content_type(self) -> str:
+        """Media type of the text format."""
+        return self._renderer().content_type
 
     def start(self) -> None:
         """Starts to count."""
@@ -76,7 +75,20 @@
 
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self._registry)
+        return self._renderer().render()
+
+    def _renderer(self) -> exposition.Exposition:
+        if self._exposition is None:
+            # Not imported with this module: entries start faster without it, and few are scraped.
+            from ebonyhatch.fleet import exposition
+
+            self._exposition = exposition.Exposition(
+                counts=self._counts,
+                histograms=self._histograms,
+                gauges=self._gauges,
+                calls=self._calls,
+            )
+        return self._exposition
 
     def _receive(self, message: dict[str, Any]) -> None:
         event = str(message.get("message_type", ""))
@@ -94,7 +106,7 @@
     def _observe(self, event: str, queue: str, value: float) -> None:
         series = self._histograms[event].get(queue)
         if series is None:
-            series = self._histograms[event][queue] = _Histogram()
+            series = self._histograms[event][queue] = Histogram()
         series.observe(value)
 
     def _outcome(self, message: dict[str, Any]) -> str:
@@ -109,93 +121,26 @@
         return ""
 
 
-class _Histogram:
+class Histogram:
     """Values of one series by bucket; only the loop's thread adds to it."""
 
     __slots__ = ("_counts", "_sum")
 
     def __init__(self) -> None:
-        self._counts = [0] * len(_BOUNDS)
+        self._counts = [0] * (len(BUCKETS_S) + 1)
         self._sum = 0.0
 
+    @property
+    def counts(self) -> tuple[int, ...]:
+        """Number of values in each bucket; the last one has no bound."""
+        return tuple(self._counts)
+
+    @property
+    def sum(self) -> float:
+        """Sum of all values."""
+        return self._sum
+
     def observe(self, value: float) -> None:
         """Adds a value."""
         self._counts[bisect.bisect_left(BUCKETS_S, value)] += 1
         self._sum += value
-
-    def add_to(self, family: metrics_core.HistogramMetricFamily, queue: str) -> None:
-        """Adds the series to a family; a bucket includes the smaller ones."""
-        totals = itertools.accumulate(self._counts)
-        buckets = list(zip(_BOUNDS, totals, strict=True))
-        family.add_metric((queue,), buckets, sum_value=self._sum)
-
-
-class _EventCollector(registry.Collector):
-    """Reads the counts of events; nothing is formatted when an event is counted."""
-
-    def __init__(
-        self,
-        *,
-        counts: dict[tuple[str, str], int],
-        histograms: dict[str, dict[str, _Histogram]],
-    ) -> None:
-        self._counts = counts
-        self._histograms = histograms
-
-    def collect(self) -> Iterator[metrics_core.Metric]:
-        """Returns the counts by event and outcome, and the histograms by queue."""
-        counter = metrics_core.CounterMetricFamily(
-            PREFIX + "events",
-            "Logged decisions and changes of known state, by event name.",
-            labels=("event", "outcome"),
-        )
-        for series, count in self._counts.items():
-            counter.add_metric(series, count)
-        yield counter
-        for event, (name, _, text) in HISTOGRAMS.items():
-            family = metrics_core.HistogramMetricFamily(PREFIX + name, text, labels=("queue",))
-            for queue, histogram in self._histograms[event].items():
-                histogram.add_to(family, queue)
-            yield family
-
-
-class _GaugeCollector(registry.Collector):
-    """Reads the current state when metrics are rendered."""
-
-    def __init__(self, *, gauges: GaugeSource) -> None:
-        self._gauges = gauges
-
-    def collect(self) -> Iterator[metrics_core.Metric]:
-        """Returns each value as a gauge."""
-        for name, value in self._gauges().items():
-            yield metrics_core.GaugeMetricFamily(PREFIX + name, "State of this entry.", value=value)
-
-
-class _CallCollector(registry.Collector):
-    """Reads the counts of calls when metrics are rendered; nothing is looked up at a call."""
-
-    def __init__(self, *, calls: call_counts.CallSource) -> None:
-        self._calls = calls
-
-    def collect(self) -> Iterator[metrics_core.Metric]:
-        """Returns calls by outcome, bytes by direction and calls in progress, by kind of call."""
-        calls = metrics_core.CounterMetricFamily(
-            PREFIX + "calls", "Calls to the platform, by outcome.", labels=("kind", "outcome")
-        )
-        transferred = metrics_core.CounterMetricFamily(
-            PREFIX + "call_bytes",
-            "Bytes of calls to the platform, with headers.",
-            labels=("kind", "direction"),
-        )
-        in_progress = metrics_core.GaugeMetricFamily(
-            PREFIX + "calls_in_progress", "Calls without an outcome yet.", labels=("kind",)
-        )
-        for kind, counts in self._calls().items():
-            calls.add_metric((kind, "answered"), counts.answered)
-            calls.add_metric((kind, "failed"), counts.failed)
-            calls.add_metric((kind, "timed-out"), counts.timed_out)
-            calls.add_metric((kind, "cancelled"), counts.cancelled)
-            transferred.add_metric((kind, "sent"), counts.bytes_sent)
-            transferred.add_metric((kind, "received"), counts.bytes_received)
-            in_progress.add_metric((kind,), counts.in_progress)
-        yield from (calls, transferred, in_progress)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -17,7 +17,6 @@
     entry,
     load_report,
     loop_delay,
-    memory_peers,
     messages,
     metrics,
     neighbours,
@@ -29,6 +28,7 @@
     target_list,
     targets,
 )
+from ebonyhatch.fleet import network as network_module
 from ebonyhatch.fleet import owner as owner_module
 from ebonyhatch.node import coroutines, peers
 from returns import result
@@ -70,10 +70,6 @@
 """Timeout of the last write of an owner that hands over, seconds."""
 
 
-Network = peers.PeerNetwork | memory_peers.MemoryPeers
-"""Network between entries: over sockets, or in memory."""
-
-
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of an entry.
 
@@ -119,7 +115,7 @@
         *,
         all_clocks: clocks.Clocks,
         settings: Settings,
-        network: Network,
+        network: network_module.Network,
         store_port: store.Store,
         targets_port: targets.Targets,
         target_codec: target_list.TargetCodec,
