--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_peers.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_peers.py
@@ -37,12 +37,18 @@
         self._entry_id = entry_id
         self._handlers: dict[type[messages.Message], peers_.Handler] = {}
         self._peers: tuple[peers_.PeerAddress, ...] = ()
+        self._linked: set[str] = set()
 
     @property
     def peers(self) -> tuple[peers_.PeerAddress, ...]:
         """Addresses of the peers."""
         return self._peers
 
+    @property
+    def connections(self) -> int:
+        """Number of peers to which a connection would be kept open."""
+        return len(self._linked)
+
     def start(self) -> None:
         """Joins the network."""
         self._network.members[self._entry_id] = self
@@ -54,8 +60,10 @@
     def set_peers(
         self, *, peers: tuple[peers_.PeerAddress, ...], linked: Collection[str] | None = None
     ) -> None:
-        """Exchanges messages with exactly these peers; there are no connections to keep open."""
+        """Exchanges messages with exactly these peers; connections are only counted."""
         self._peers = tuple(peer for peer in peers if peer.entry_id != self._entry_id)
+        names = {peer.entry_id for peer in self._peers}
+        self._linked = names if linked is None else names & set(linked)
 
     def handle(self, message_type: type[messages.Message], handler: peers_.Handler) -> None:
         """Registers `handler` for messages of a type."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/network.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/network.py
@@ -16,6 +16,10 @@
     def peers(self) -> tuple[peers_.PeerAddress, ...]:
         """Addresses of the peers."""
 
+    @property
+    def connections(self) -> int:
+        """Number of open connections to peers."""
+
     def start(self) -> None:
         """Listens for peers."""
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -274,6 +274,7 @@
             "configuration_silent_seconds": self._configuration.silent_s,
             "store_silent_seconds": self._members.store_unresponsive_s,
             "entries": len(self._members.entries),
+            "peer_connections": self._network.connections,
             "poll_pause_seconds": self._poll_pace.pause_s(),
             "loop_delay_seconds": self._loop_delay.recent_s,
             "process_cpu_seconds": time.process_time(),
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -674,7 +674,9 @@
     world.run(3.0)
     owner = world.owner.name
     assert all(owner in names for name, names in linked.items() if name != owner)
-    assert max(len(names) for names in linked.values()) <= (entries - 1).bit_length() + 1
+    for member in world.members.values():
+        connections = member.node._gauges()["peer_connections"]
+        assert connections == len(linked[member.name]) <= (entries - 1).bit_length() + 1
 
 
 def test_entries_hear_of_a_load_when_it_begins_and_when_it_ends(monkeypatch):
