A loss is kept for the targets that were lost with it and are back later

The log showed why: the last targets of a wave to be found back saw no others lost, as the next report of each cleared its loss, and the refusal by a new incarnation counted as the end of a silence. A loss whose target is known to have started anew is kept now. A target without a sudden suspect of its own counts among those without.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
@@ -28,12 +28,12 @@
 """Number of crashes after which a task is given up in any case."""
 
 SHARED_CRASHES_LIMIT = ISOLATION_CRASHES
-"""Number of crashes up to which those of several targets at one moment count: they make a task a
-suspect, but only blame is a reason to give it up."""
+"""Number of crashes up to which those of several targets at one moment count, unless a suspect had
+just started: they make a task a suspect, but are no reason to give it up."""
 
 JOINT_LOSS_TARGETS = 2
 """Number of other targets lost at the same moment from which a crash is one of several, and number of
-those without a suspect of their own from which it has a common cause."""
+targets without a suspect of their own among all of them from which it has a common cause."""
 
 SAME_MOMENT_S = 0.1
 """Time between two losses up to which they count as one moment, seconds."""
@@ -72,15 +72,14 @@
     loss = row.loss
     if loss is None:
         return JointLoss.ALONE
-    # Determined before the runs are released, for the targets whose crash is found later.
-    _is_explained(row, loss)
-    together = unexplained = 0
+    together = 0
+    unexplained = int(not _is_explained(row, loss))
     for other in all_targets:
         if other is row or other.loss is None or not _overlap(loss, other.loss):
             continue
         together += 1
         unexplained += not _is_explained(other, other.loss)
-        if unexplained >= JOINT_LOSS_TARGETS:
+        if together >= JOINT_LOSS_TARGETS and unexplained >= JOINT_LOSS_TARGETS:
             return JointLoss.COMMON_CAUSE
     return JointLoss.SUSPECTS if together >= JOINT_LOSS_TARGETS else JointLoss.ALONE
 
@@ -100,11 +99,11 @@
     last = [run for run in running if last_at - run.ordered_at < ORDERED_TOGETHER_S]
     most_crashes = max(run.task.crashes for run in last)
     suspects = [run for run in last if run.task.crashes == most_crashes]
-    if joint == JointLoss.SUSPECTS and len(running) == 1:
-        # No other task can be at fault.
-        joint = JointLoss.ALONE
     for run in running:
-        _count_crash(run.task, joint)
+        # Of the only run there no other task can be at fault.
+        sole = joint == JointLoss.SUSPECTS and len(running) == 1
+        sudden = joint == JointLoss.COMMON_CAUSE and _is_sudden(run, row.loss)
+        _count_crash(run.task, JointLoss.ALONE if sole or sudden else joint)
     if len(suspects) == 1 and last_at and joint != JointLoss.COMMON_CAUSE:
         suspects[0].task.blamed_crashes += 1
     return [run.task for run in running]
@@ -221,14 +220,21 @@
 def _is_explained(row: rows.TargetRow, loss: rows.Loss) -> bool:
     """Returns whether a suspect had just started on a target when it was lost.
 
-    This is determined once, before the target's runs are released.
+    This is determined once, before the target's runs are released: the crash of another target that
+    was lost at the same moment may be found later.
     """
     if loss.explained is None:
-        loss.explained = any(
-            run.task.trial is not None
-            and run.task.trial.run == run.key.run
-            and loss.from_s - run.started_at < SUDDEN_CRASH_S
-            for run in row.runs.values()
-            if run.started_at
-        )
+        loss.explained = any(_is_sudden(run, loss) for run in row.runs.values())
     return loss.explained
+
+
+def _is_sudden(run: rows.RunRow, loss: rows.Loss | None) -> bool:
+    """Returns whether a run is that of a suspect which had just started when its target was lost."""
+    trial = run.task.trial
+    return (
+        loss is not None
+        and trial is not None
+        and trial.run == run.key.run
+        and bool(run.started_at)
+        and loss.from_s - run.started_at < SUDDEN_CRASH_S
+    )
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -77,12 +77,15 @@
     Attributes:
         from_s: Time of its last sign of life, seconds.
         by_s: Time by which it no longer answered, seconds.
+        crashed: Whether it is known to have started anew since; then the loss is kept, for the targets
+            that were lost together with it and are back later.
         explained: Whether a suspect had just started there; None until it is determined, see
             `crash_blame`.
     """
 
     from_s: float
     by_s: float
+    crashed: bool = False
     explained: bool | None = None
 
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -359,7 +359,7 @@
                 restarted = msgspec.structs.replace(self._row.target, born=report.born)
                 self._row.target = restarted
                 self._on_changed(self)
-        else:
+        elif self._row.loss is not None and not self._row.loss.crashed:
             self._row.loss = None
         self._clock_s = report.clock_s
         self._clock_at = self._clocks.now()
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -90,6 +90,8 @@
     def mark_runs_lost(self, row: rows.TargetRow, *, why: str, now: float) -> None:
         """Releases and requeues all runs of a target on which nothing can be running any more."""
         runs = list(row.runs.values())
+        if why in CRASH_REASONS and row.loss is not None:
+            row.loss.crashed = True
         crashed = why in CRASH_REASONS and not row.target.draining
         tasks: list[rows.TaskRow] = []
         joint = crash_blame.JointLoss.ALONE
