--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
@@ -100,10 +100,10 @@
     most_crashes = max(run.task.crashes for run in last)
     suspects = [run for run in last if run.task.crashes == most_crashes]
     for run in running:
-        # Of the only run there no other task can be at fault.
+        # Beside the only run there no other task can be at fault.
         sole = joint == JointLoss.SUSPECTS and len(running) == 1
         sudden = joint == JointLoss.COMMON_CAUSE and _is_sudden(run, row.loss)
-        _count_crash(run.task, JointLoss.ALONE if sole or sudden else joint)
+        _count_crash(run.task, in_full=joint == JointLoss.ALONE or sole or sudden)
     if len(suspects) == 1 and last_at and joint != JointLoss.COMMON_CAUSE:
         suspects[0].task.blamed_crashes += 1
     return [run.task for run in running]
@@ -140,7 +140,7 @@
     joint = {name: _joint_loss_among(name, lost, unexplained) for name in lost}
     for task, trial in crashed:
         kind = joint[trial.target_id]
-        _count_crash(task, kind)
+        _count_crash(task, in_full=kind == JointLoss.ALONE)
         if trial.isolated and kind != JointLoss.COMMON_CAUSE:
             task.blamed_crashes += 1
     return joint
@@ -206,8 +206,9 @@
     return JointLoss.SUSPECTS if len(lost) > JOINT_LOSS_TARGETS else JointLoss.ALONE
 
 
-def _count_crash(task: rows.TaskRow, joint: JointLoss) -> None:
-    if joint == JointLoss.ALONE:
+def _count_crash(task: rows.TaskRow, *, in_full: bool) -> None:
+    """Counts a crash; one that isn't counted in full only makes the task a suspect."""
+    if in_full:
         task.crashes += 1
     else:
         task.crashes = max(task.crashes, min(task.crashes + 1, SHARED_CRASHES_LIMIT))
