A lost answer after a crash doesn't hide when the target was lost

Cause: the first poll after the return fails on a connection of before the crash, and that single failure replaced the recorded loss, which the next answer cleared.

--- a/packages/ebonyhatch-fleet/tests/test_target_session.py
+++ b/packages/ebonyhatch-fleet/tests/test_target_session.py
@@ -43,7 +43,7 @@
             lease_s=LEASE_S,
             all_clocks=clocks.MemoryClocks(clock=self.clock),
             on_report=self._on_report,
-            on_runs_lost=lambda session, why: self.lost.append(why),
+            on_runs_lost=self._on_runs_lost,
             on_fenced=lambda reason: None,
             on_changed=self.changed.append,
             durable=lambda: self.durable,
@@ -81,6 +81,11 @@
     def advance(self, seconds: float) -> None:
         scripted.advance(self.clock, seconds)
 
+    def _on_runs_lost(self, session, why: str) -> None:
+        self.lost.append(why)
+        if session.row.loss is not None:
+            session.row.loss.crashed = why != "lease-lapsed"
+
     def _on_report(self, session, report: targets.StatusReport) -> bool:
         self.offered.append(report)
         if self.ready:
@@ -378,3 +383,62 @@
     assert case.target.polls[-1].deadline_s == 0.0
     case.advance(1.0)
     assert case.session.lease_expired and case.session.row.reachable
+
+
+def _fail(case: SessionCase, *, times: int, timed_out: bool) -> None:
+    """Lets the next polls fail, and those after them succeed."""
+    failure = targets.UnknownOutcomeError(target_id="t", reason="no answer", timed_out=timed_out)
+    remaining = [result.Failure(failure)] * times
+    respond = case.target.respond
+    case.target.respond = lambda poll: remaining.pop() if remaining else respond(poll)
+
+
+def _case_with_reports() -> SessionCase:
+    case = SessionCase()
+    case.ready = True
+    case.target.respond = case.report
+    case.session.start()
+    case.advance(1.0)
+    case.session.row.last_report_at = 0.7
+    return case
+
+
+@pytest.mark.parametrize(("timed_out", "from_s"), [(True, 0.7), (False, None)])
+def test_loss_lasts_from_the_last_sign_of_life_to_the_first_unanswered_poll(timed_out, from_s):
+    case = _case_with_reports()
+    _fail(case, times=1_000, timed_out=timed_out)
+    case.advance(1.0)
+    loss = case.session.row.loss
+    assert 1.0 < loss.by_s < 1.1
+    assert loss.from_s == (loss.by_s if from_s is None else from_s)
+    assert not loss.crashed
+
+
+def test_target_that_answers_again_without_a_crash_was_not_lost():
+    case = _case_with_reports()
+    _fail(case, times=4, timed_out=False)
+    case.advance(2.0)
+    assert case.session.row.reachable
+    assert case.session.row.loss is None
+
+
+def test_lost_answer_after_a_crash_does_not_hide_when_the_target_was_lost():
+    case = _case_with_reports()
+    _fail(case, times=4, timed_out=False)
+    case.advance(0.1)
+    before = case.session.row.loss
+    case.target.respond = lambda poll: case.report(born=BORN + 1)
+    case.advance(1.0)
+    assert case.session.row.loss is before and before.crashed
+    _fail(case, times=1, timed_out=False)
+    case.advance(1.0)
+    assert case.session.row.reachable
+    assert case.session.row.loss is before
+
+
+def test_crash_between_two_answered_polls_is_a_loss_between_them():
+    case = _case_with_reports()
+    case.target.respond = lambda poll: case.report(born=BORN + 1)
+    case.advance(0.1)
+    loss = case.session.row.loss
+    assert (loss.from_s, loss.by_s > 1.0) == (0.7, True)
