Losses of targets that are back or gone are remembered apart from their rows

The log showed that workers come back under new ids: each old row is unlisted while the target is down and removed once its runs are known to be lost, so the last ones to be found saw no others. A history of a minute holds the losses of targets that crashed or were removed while they didn't answer; the row holds a loss only while the target is silent, and the restoring of former losses goes.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 from collections.abc import Iterable, Sequence
 
@@ -42,6 +43,10 @@
 """Time from the start of a suspect to the last sign of life of its target below which the suspect
 explains the loss, seconds."""
 
+LOSS_KEPT_S = 60.0
+"""Time for which the loss of a target that has crashed is kept, seconds: longer than targets lost at
+one moment take to be back one after the other."""
+
 PROBATION_S = 2.0
 """Time after its order in which a run of a task that saw a crash is kept apart, seconds."""
 
@@ -67,21 +72,59 @@
     COMMON_CAUSE = "common-cause"
 
 
-def joint_loss(row: rows.TargetRow, all_targets: Iterable[rows.TargetRow]) -> JointLoss:
-    """Returns whether a target was lost together with others, and whether suspects explain that."""
-    loss = row.loss
-    if loss is None:
-        return JointLoss.ALONE
-    together = 0
-    unexplained = int(not _is_explained(row, loss))
-    for other in all_targets:
-        if other is row or other.loss is None or not _overlap(loss, other.loss):
-            continue
-        together += 1
-        unexplained += not _is_explained(other, other.loss)
-        if together >= JOINT_LOSS_TARGETS and unexplained >= JOINT_LOSS_TARGETS:
-            return JointLoss.COMMON_CAUSE
-    return JointLoss.SUSPECTS if together >= JOINT_LOSS_TARGETS else JointLoss.ALONE
+class LossHistory:
+    """Losses of targets that are back or gone, for those lost together with them and back later.
+
+    A target that crashed answers again, or is replaced by one with another id, before the others; one
+    without runs is removed when its registration has expired.
+    """
+
+    def __init__(self) -> None:
+        self._ended: collections.deque[rows.Loss] = collections.deque()
+
+    def record(
+        self, row: rows.TargetRow, all_targets: Iterable[rows.TargetRow], *, now: float
+    ) -> JointLoss:
+        """Records the loss of a target that is known to have crashed.
+
+        Returns:
+            Whether it was lost together with others, and whether suspects explain that.
+        """
+        while self._ended and now - self._ended[0].by_s > LOSS_KEPT_S:
+            self._ended.popleft()
+        if row.loss is None:
+            return JointLoss.ALONE
+        self._end(row, row.loss)
+        return self._joint_loss(row.loss, all_targets)
+
+    def note_removal(self, row: rows.TargetRow) -> None:
+        """Notes a target that is removed; one that doesn't answer then was lost."""
+        if row.loss is not None:
+            self._end(row, row.loss)
+
+    def _end(self, row: rows.TargetRow, loss: rows.Loss) -> None:
+        if not loss.ended:
+            loss.ended = True
+            loss.explained = _is_explained(row, loss)
+            self._ended.append(loss)
+
+    def _joint_loss(self, loss: rows.Loss, all_targets: Iterable[rows.TargetRow]) -> JointLoss:
+        together = 0
+        unexplained = int(not loss.explained)
+        for other in self._ended:
+            if other is not loss and _overlap(loss, other):
+                together += 1
+                unexplained += not other.explained
+        for silent in all_targets:
+            if silent.loss is None or silent.loss.ended or not _overlap(loss, silent.loss):
+                continue
+            together += 1
+            unexplained += not _is_explained(silent, silent.loss)
+        if together < JOINT_LOSS_TARGETS:
+            return JointLoss.ALONE
+        if unexplained < JOINT_LOSS_TARGETS:
+            return JointLoss.SUSPECTS
+        return JointLoss.COMMON_CAUSE
 
 
 def record_crash(
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -77,15 +77,14 @@
     Attributes:
         from_s: Time of its last sign of life, seconds.
         by_s: Time by which it no longer answered, seconds.
-        crashed: Whether it is known to have started anew since; then the loss is kept, for the targets
-            that were lost together with it and are back later.
+        ended: Whether it is known to have started anew since, or was removed.
         explained: Whether a suspect had just started there; None until it is determined, see
             `crash_blame`.
     """
 
     from_s: float
     by_s: float
-    crashed: bool = False
+    ended: bool = False
     explained: bool | None = None
 
 
@@ -116,7 +115,7 @@
             `target_session.FAILURES_UNTIL_UNREACHABLE`.
         replaced: Whether another incarnation answered at its address, so that nothing runs there.
         last_report_at: Arrival of its last status report, seconds.
-        loss: When it was lost, if it doesn't answer now or has crashed since; else None.
+        loss: When it was lost, from its first unanswered poll until it answers again; else None.
         frequent_polling: Whether its readings are polled more often than usual.
         listed: Whether the store still lists it.
         suspicion_score: Decaying score of failures; see `target_health`.
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -183,6 +183,7 @@
 
     def remove_target(self, row: rows.TargetRow) -> None:
         """Removes a target without runs."""
+        self._ends.record_removal(row)
         self._tables.remove_target(row)
 
     def drain_changed_jobs(self) -> list[rows.JobRow]:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -134,7 +134,6 @@
         self._pending: collections.deque[tuple[int, int]] = collections.deque()
         self._lease_expires_at = self._clocks.boottime() + lease_expiry_s(self._lease_s)
         self._failures = 0
-        self._former_loss: rows.Loss | None = None
         self._extra_polls = 0
 
     @property
@@ -360,9 +359,8 @@
                 restarted = msgspec.structs.replace(self._row.target, born=report.born)
                 self._row.target = restarted
                 self._on_changed(self)
-        elif self._row.loss is not None and not self._row.loss.crashed:
-            # Only an answer was lost, and the target may have crashed together with others before.
-            self._row.loss = self._former_loss
+        else:
+            self._row.loss = None
         self._clock_s = report.clock_s
         self._clock_at = self._clocks.now()
         if self._failures >= FAILURES_UNTIL_UNREACHABLE:
@@ -394,7 +392,6 @@
     def _handle_failure(self, error: targets.TargetError) -> None:
         self._failures += 1
         if self._failures == 1:
-            self._former_loss = self._row.loss
             self._row.loss = self._loss(timed_out=targets.is_timeout(error))
         if isinstance(error, targets.RefusedError):
             if error.reason == targets.RefusalReason.FENCE:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -48,6 +48,7 @@
         self._emit = emit
         self._decide = decide
         self._release_steps = release_steps
+        self._losses = crash_blame.LossHistory()
         self.changed: dict[str, rows.JobRow] = {}
         self.urgent = False
 
@@ -90,14 +91,12 @@
     def mark_runs_lost(self, row: rows.TargetRow, *, why: str, now: float) -> None:
         """Releases and requeues all runs of a target on which nothing can be running any more."""
         runs = list(row.runs.values())
-        if why in CRASH_REASONS and row.loss is not None:
-            row.loss.crashed = True
-        crashed = why in CRASH_REASONS and not row.target.draining
         tasks: list[rows.TaskRow] = []
         joint = crash_blame.JointLoss.ALONE
-        if crashed:
-            joint = crash_blame.joint_loss(row, self._tables.targets.values())
-            tasks = crash_blame.record_crash(row, now=now, joint=joint)
+        if why in CRASH_REASONS:
+            joint = self._losses.record(row, self._tables.targets.values(), now=now)
+            if not row.target.draining:
+                tasks = crash_blame.record_crash(row, now=now, joint=joint)
         for run in runs:
             self._decide("run.lost", run, reason=why, crashes=run.task.crashes)
             tables.release(run)
@@ -105,6 +104,10 @@
         for run in runs:
             self.requeue(run.task, now=now)
 
+    def record_removal(self, row: rows.TargetRow) -> None:
+        """Notes the loss of a target that is removed while it doesn't answer."""
+        self._losses.note_removal(row)
+
     def _apply_crash(
         self, target_id: str, tasks: list[rows.TaskRow], *, joint: crash_blame.JointLoss, now: float
     ) -> None:
