--- a/review/common/store.py
+++ b/review/common/store.py
@@ -2,7 +2,8 @@
 
 A client of its own port `--control-port` sets the fault in force:
 `GET /fault?kind=KIND`, with KIND one of none, busy (503, nothing is done) and silent (no response,
-nothing is done). Leases pause while a fault is in force.
+nothing is done). Leases pause while a fault is in force. After `GET /compact` watches hear nothing for
+a second, and then the history is dropped.
 """
 
 from __future__ import annotations
@@ -15,6 +16,9 @@
 import http_server
 
 PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
+ANSWER_S = 0.004
+MUTE_S = 1.0
 VALUE_BYTES = 1_048_576
 MAX_ENTRIES = 32
 
@@ -29,6 +33,8 @@
         self.changed = asyncio.Event()
         self.fault = "none"
         self.fault_since = 0.0
+        self.compacted = 0
+        self.watches_mute = False
         self.calls: dict[str, int] = {}
 
     def set_fault(self, kind: str) -> None:
@@ -96,15 +102,19 @@
         prefix, after = query["prefix"], int(query["after"])
         until = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
+            if after < self.compacted:
+                return 410, {}
             events = []
-            for event in reversed(self.events):
+            for event in () if self.watches_mute else reversed(self.events):
                 if event["revision"] <= after:
                     break
                 if event["key"].startswith(prefix):
                     events.append(event)
             remaining = until - time.monotonic()
-            if events or remaining <= 0:
+            if events or (remaining <= 0 and not self.watches_mute):
                 return 200, {"events": events[::-1], "as_of": self.revision}
+            if remaining <= 0:
+                return 200, {"events": [], "as_of": after}
             try:
                 await asyncio.wait_for(self.changed.wait(), remaining)
             except TimeoutError:
@@ -113,7 +123,12 @@
     def range(self, query: dict[str, str]) -> tuple[int, dict]:
         prefix, after = query["prefix"], query.get("after", "")
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
-        page = [self.items[key] for key in keys[:PAGE_ITEMS]]
+        page, size = [], 0
+        for key in keys[:PAGE_ITEMS]:
+            size += len(self.items[key]["value"])
+            if page and size > PAGE_BYTES:
+                break
+            page.append(self.items[key])
         more = len(keys) > len(page)
         return 200, {"items": page, "has_more": more, "as_of": self.revision}
 
@@ -122,6 +137,7 @@
             await asyncio.sleep(3600)
         if self.fault == "busy":
             return 503, {}
+        await asyncio.sleep(ANSWER_S)
         self.expire()
         status, reply = await self.dispatch(method, path, query, body)
         if self.fault == "silent":
@@ -159,7 +175,16 @@
     async def control(self, method, path, query, headers, body):
         if path == "/fault":
             self.set_fault(query["kind"])
-        return 200, {"fault": self.fault, "calls": self.calls, "items": len(self.items)}
+        if path == "/compact":
+            self.watches_mute = True
+            await asyncio.sleep(MUTE_S)
+            self.watches_mute = False
+            self.compacted = self.revision
+            self.events.clear()
+            self.changed.set()
+            self.changed = asyncio.Event()
+        count = sum(query.get("text", "") in key for key in self.items)
+        return 200, {"fault": self.fault, "calls": self.calls, "count": count}
 
 
 async def main() -> None:
