--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -29,7 +29,7 @@
 PORTS = (12_000, 30_000)
 
 HOST = "queue.example"
-PREFIX = "/work/"
+PREFIX = "/plans/"
 SERVICE = "svc1"
 
 BOUNDS = """
