A task that lasts isn't held off the only targets that it could use

Cause: the reserve keeps whole targets free of long-running tasks that never ran, by the least such work and the id, and refused them without a look at what else the task could use. The same held for the last target of a pool, for the last targets that max_per_server leaves, for a task that only large targets hold, and for targets that are listed but take no runs.

Change: a reserved target is refused only while under half of the usable capacity that the task could ever use is reserved, and at least half of the pool is in use. This works since there are then other targets whose tasks end, or a pool in which nothing is owed by the rule.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -187,6 +187,7 @@
     ) -> None:
         """Places tasks of a step for which all targets are scored anew."""
         now = context.now
+        pool_targets = usable.targets(step.job.queue.pool)
         scores = usable.scores(step, selection)
         if not scores:
             usable.reject(step)
@@ -197,7 +198,7 @@
                 deferred.append(task)
                 continue
             name = _best_target(scores, task, self._tables.targets, now=now)
-            if not name or not self._reserve.allows(task, self._tables.targets[name]):
+            if not name or not self._reserve.allows(task, self._tables.targets[name], pool_targets):
                 deferred.append(task)
                 continue
             row = self._tables.targets[name]
--- a/packages/ebonyhatch-fleet/tests/test_candidates.py
+++ b/packages/ebonyhatch-fleet/tests/test_candidates.py
@@ -15,7 +15,7 @@
     target_health,
     targets,
 )
-from ebonyhatch.fleet.constraints import registry
+from ebonyhatch.fleet.constraints import registry, usable
 
 QUEUES = tuple(
     queues.Queue(name=f"q{number}", host="h", prefix=f"/{number}/", pool=pool, priority=number % 2)
@@ -56,7 +56,14 @@
                 deferred.append(task)
                 continue
             name = placement._best_target(scores, task, self._tables.targets, now=context.now)
-            if not name or not self._reserve.allows(task, self._tables.targets[name]):
+            usable_targets = [
+                row
+                for row in self._tables.targets.values()
+                if usable.is_usable(step, row, context) and usable.is_in_pool(step, row, context)
+            ]
+            if not name or not self._reserve.allows(
+                task, self._tables.targets[name], usable_targets
+            ):
                 deferred.append(task)
                 continue
             row = self._tables.targets[name]
@@ -118,6 +125,27 @@
     def is_reserved(self, row):
         return row.target_id in self.reserved_ids
 
+    def _leaves_targets(self, step, usable):
+        spec = step.step
+        total = reserved = 0
+        for row in usable:
+            target = row.target
+            size = (target.cpu_millis, target.memory_mb, target.accelerators)
+            if (not spec.label or spec.label in target.labels) and reserve._fits(spec, size):
+                total += target.cpu_millis
+                reserved += target.cpu_millis * self.is_reserved(row)
+        for target_id, count in step.per_target.items():
+            row = self._tables.targets.get(target_id)
+            if row is not None and spec.max_per_target and count >= spec.max_per_target:
+                total -= row.target.cpu_millis
+                reserved -= row.target.cpu_millis * self.is_reserved(row)
+        return reserved < reserve.MAX_FRACTION_FOR_TASK * total
+
+    def _is_busy(self, row, usable):
+        total = sum(one.target.cpu_millis for one in usable)
+        used = total - sum(one.free_cpu for one in usable)
+        return used >= reserve.MIN_USED_FRACTION * total
+
 
 class PlainScheduler(scheduler.Scheduler):
     """Looks at all targets, all runs and all waiting tasks each time."""
