Runs whose ends a target doesn't list yet aren't started again

Cause: a target returns 500 ends at a time, and ends stay listed until they are durable. The owner took a run that is neither running nor among the listed ends for one that vanished, also if the list was cut. A new owner did the same with the runs of the former one, and such runs would have counted as hung.

Change: a report says whether its ends are complete. Until they are, no run of the target is missing, and a new owner doesn't take the target as known. A run is hung only by reports that list it. This works since each acknowledgement brings the next part, so that each end is read before its task is placed.

Tests in test_owner.py: an outage, and an owner lost in it, failed before (10 tasks started again each); that of hung runs failed without its part.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
@@ -11,6 +11,9 @@
 from returns import result
 from twisted.internet import defer, task
 
+LISTED_ENDS = 500
+"""Largest number of ends in a report."""
+
 CALL_LATENCY_S = 0.002
 """Duration of a call, seconds."""
 
@@ -198,7 +201,8 @@
             born=self.target.born,
             clock_s=self.clock_s,
             running=tuple(_running(run) for run in self.runs.values()),
-            ended=tuple(self.ends),
+            ended=tuple(self.ends[:LISTED_ENDS]),
+            ends_complete=len(self.ends) < LISTED_ENDS,
         )
 
     def _extend_lease(self, deadline_s: float) -> None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -449,7 +449,9 @@
         while not (self._recovered and self._targets.loaded):
             await self._group.sleep(0.02)
         until = self._clocks.boottime() + target_session.lease_expiry_s(self._lease_s)
-        while self._unconfirmed_targets() and self._clocks.boottime() < until:
+        while (unconfirmed := self._unconfirmed_targets()) and (
+            self._clocks.boottime() < until or self._any_answers(unconfirmed)
+        ):
             self._scheduler.blocked_tasks = self._blocked_tasks()
             if not self._unconfirmed_targets_taking_runs():
                 if not self._scheduler.reconciled:
@@ -472,6 +474,11 @@
             if not session.row.confirmed and not session.runs_ended
         ]
 
+    def _any_answers(self, names: list[str]) -> bool:
+        """Returns whether one of some unconfirmed targets has reported: it lists its ends in parts."""
+        rows_now = (self._sessions[name].row for name in names)
+        return any(row.last_report_at and row.reachable for row in rows_now)
+
     def _unconfirmed_targets_taking_runs(self) -> list[str]:
         """Returns the unconfirmed targets on which the last owner may have ordered unrecorded runs.
 
@@ -566,7 +573,8 @@
         """
         if not self._recovered:
             return False
-        session.row.confirmed = True
+        # Without all ends the target doesn't show which runs of former owners are done.
+        session.row.confirmed = session.row.confirmed or report.ends_complete
         self._scheduler.apply_report(session.row, report, now=self._clocks.now())
         if report.ended:
             self._journal.request_write(urgent=self._scheduler.has_urgent_changes())
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
@@ -43,6 +43,9 @@
             else:
                 self._update_run(run, running, clock_s=report.clock_s, now=now)
             listed.add(run)
+        if not report.ends_complete:
+            # The runs that aren't listed may have ended.
+            return
         for run in [run for run in row.runs.values() if run not in listed]:
             self._resolve_missing(run, clock_s=report.clock_s, now=now)
 
@@ -95,6 +98,7 @@
             self.start_confirmed(run, clock_s=clock_s, now=now)
         if clock_s > run.seen_s:
             run.seen_s = clock_s
+        run.listed_at = now
         if running.percent != run.percent:
             run.progressed_at = now
         run.percent = running.percent
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -198,6 +198,7 @@
         pace_changed_at: Time of the last change of pace, seconds.
         low_pace_since: Time since which its pace is low, seconds; see `pacing.MOVE_PACE_PERCENT`.
         progressed_at: Time of the last change of its progress, seconds.
+        listed_at: Arrival of the last status report that listed it, seconds; 0 before the first.
         stop_reason: Reason of the stop order; empty if none was sent.
         stop_sent_at: Time of the last stop order, seconds.
     """
@@ -216,6 +217,7 @@
     pace_changed_at: float = 0.0
     low_pace_since: float = 0.0
     progressed_at: float = 0.0
+    listed_at: float = 0.0
     stop_reason: str = ""
     stop_sent_at: float = 0.0
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -344,7 +344,7 @@
             return False
         if step.step.gang:
             return False
-        stalled_s = run.target.last_report_at - max(run.progressed_at, run.started_at)
+        stalled_s = run.listed_at - max(run.progressed_at, run.started_at)
         return stalled_s > max(MIN_HUNG_S, HUNG_RUN_TIME_FRACTION * step.expected_s)
 
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -438,6 +438,4 @@
 ) -> targets.StatusReport:
     if len(fresh) == len(report.ended):
         return report
-    return targets.StatusReport(
-        clock_s=report.clock_s, running=report.running, ended=fresh, born=report.born
-    )
+    return msgspec.structs.replace(report, ended=fresh)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/targets.py
@@ -164,12 +164,15 @@
         born: Start of this incarnation, as in `Target`; 0 where it is unknown.
         clock_s: The target's own clock at the report, seconds.
         running: Runs in progress.
-        ended: Ends that are not acknowledged yet.
+        ended: Ends that are not acknowledged yet, the first of them if there are many.
+        ends_complete: Whether no further end may be missing in `ended`. If not, a run that the report
+            doesn't list may have ended.
     """
 
     clock_s: float
     running: tuple[Running, ...]
     ended: tuple[Ended, ...]
+    ends_complete: bool = True
     born: int = 0
 
 
--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -273,3 +273,63 @@
     world.register(msgspec.structs.replace(row.target, cpu_millis=9000))
     world.run(0.5)
     assert row.target.cpu_millis == row.free_cpu == 9000
+
+
+def _tasks_started_again(world: world_module.World, job_ids: list[str]) -> list[str]:
+    """Returns the names of the tasks that were started more than once."""
+    names = [name for job_id in job_ids for _, name, _, _ in world.starts(job_id)]
+    return sorted({name for name in names if names.count(name) > 1})
+
+
+def _outage_with_many_ends(world: world_module.World) -> list[str]:
+    """Starts short tasks and makes the store silent, so that ends stay listed; returns the jobs."""
+    new_jobs = [world.job(jobs.Step(count=8, cpu_millis=500, estimate_s=0.2), work_s=0.2)]
+    new_jobs += [world.job(jobs.Step(count=8, cpu_millis=500, estimate_s=0.2), work_s=0.2)]
+    world.store_jobs(*new_jobs)
+    world.run_until(lambda: all(world.starts(job.job_id) for job in new_jobs))
+    for member in world.members.values():
+        member.store.faults.silent = True
+    return [job.job_id for job in new_jobs]
+
+
+def test_tasks_whose_ends_a_target_does_not_list_yet_are_not_started_again(monkeypatch):
+    """Guards against repeated work after an outage in which more tasks end than one report lists."""
+    monkeypatch.setattr(memory_targets, "LISTED_ENDS", 3)
+    world = _ready(target_count=2)
+    ids = _outage_with_many_ends(world)
+    world.run(4.0)
+    for member in world.members.values():
+        member.store.faults.silent = False
+    world.run_until(lambda: all(world.state(job_id) == "completed" for job_id in ids))
+    assert _tasks_started_again(world, ids) == []
+    world_module.check_all(world)
+
+
+def test_runs_whose_ends_a_target_does_not_list_yet_are_not_taken_for_hung(monkeypatch):
+    """Guards against a quarantine of targets for runs that have ended without a listed end."""
+    monkeypatch.setattr(memory_targets, "LISTED_ENDS", 3)
+    world = _ready(target_count=2)
+    _outage_with_many_ends(world)
+    world.run(4.0)
+    rows_now = world.owner.node.owner.scheduler.tables.targets.values()
+    assert not any(run.stop_reason for row in rows_now for run in row.runs.values())
+    assert [row.suspicion_score for row in rows_now] == [0.0, 0.0]
+
+
+def test_new_owner_starts_nothing_again_that_ended_beyond_the_first_list_of_a_target(monkeypatch):
+    """Guards against repeated work if the owner is lost while a target has many ends."""
+    monkeypatch.setattr(memory_targets, "LISTED_ENDS", 1)
+    world = world_module.World(entries=2, target_count=2)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(1.0)
+    ids = _outage_with_many_ends(world)
+    world.run(1.0)
+    world.kill(world.owner.name)
+    for member in world.members.values():
+        member.store.faults.silent = False
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    # The journal of the new owner writes slowly: its targets list further ends seconds later.
+    world.owner.store.faults.latency_s = 0.5
+    world.run_until(lambda: all(world.state(job_id) == "completed" for job_id in ids), 60.0)
+    assert _tasks_started_again(world, ids) == []
+    world_module.check_all(world)
