What is learned of images has a limit, in memory and in its record

Cause: run times were kept for each queue and image that was ever used, and interference for each pair of images. All of it is one value of the store, which refuses it beyond its largest size; a new owner read it back.

What is forgotten is learned again.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/interference.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/interference.py
@@ -75,6 +75,10 @@
 """Half-life of the excess of an interference over the prior while the pair isn't observed, seconds:
 interference changes within seconds, and a pair that is kept apart gives no readings."""
 
+MAX_PAIRS = 5_000
+"""Largest number of pairs of images with an estimate; those that were not observed for longest go
+first."""
+
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class _Estimate:
@@ -157,22 +161,26 @@
         return PRIOR_BASELINE_MARGIN if baseline is None else baseline.mean
 
     def interferences(self) -> tuple[tuple[str, str, float], ...]:
-        """Returns all estimates: serving image, filler image, interference."""
+        """Returns all estimates: serving image, filler image, interference.
+
+        They stand in the order of their observation, from the last one on.
+        """
         return tuple(
             (serving, filler, round(self.interference(serving=serving, filler=filler), 2))
-            for serving, filler in self._interferences
+            for serving, filler in reversed(self._interferences)
         )
 
     def restore(self, interferences: tuple[tuple[str, str, float], ...]) -> None:
-        """Loads earlier estimates.
+        """Loads earlier estimates, in the order of `interferences`.
 
         Their variances aren't stored, so a quarter of the prior's is assumed.
         """
         self._upper_interferences.clear()
-        for serving, filler, interference in interferences:
+        for serving, filler, interference in reversed(interferences):
             self._interferences[(serving, filler)] = _Estimate(
                 mean=interference, variance=PRIOR_INTERFERENCE_VARIANCE / 4, at=self._now
             )
+        self._forget_unobserved()
 
     def forget(self, job_id: str) -> None:
         """Removes a job that has ended."""
@@ -284,11 +292,17 @@
             estimate = _Estimate(
                 mean=PRIOR_INTERFERENCE, variance=PRIOR_INTERFERENCE_VARIANCE, at=self._now
             )
-            self._interferences[(serving, filler)] = estimate
         estimate.mean = self.interference(serving=serving, filler=filler)
         estimate.drift(now=self._now, rate=INTERFERENCE_DRIFT, limit=PRIOR_INTERFERENCE_VARIANCE)
+        self._interferences.pop((serving, filler), None)
+        self._interferences[(serving, filler)] = estimate
+        self._forget_unobserved()
         return estimate
 
+    def _forget_unobserved(self) -> None:
+        while len(self._interferences) > MAX_PAIRS:
+            del self._interferences[next(iter(self._interferences))]
+
     def _cost(self, run: rows.RunRow, image: str, fraction: float) -> float:
         return self.interference(serving=run.task.step.step.image, filler=image) * fraction
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/run_times.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/run_times.py
@@ -17,6 +17,9 @@
 MAX_HISTORY_SAMPLES = 200.0
 """Largest weight of the history in samples, so that older samples decay."""
 
+MAX_TASK_KINDS = 2_000
+"""Largest number of queues and images with a history; those that were not used for longest go first."""
+
 MIN_DURATION_S = 0.001
 """Run times and estimates below this are treated as this, seconds; also the least variance of a
 logarithm."""
@@ -61,7 +64,7 @@
         self._task_kinds: dict[tuple[str, str], _TaskKind] = {}
 
     def to_rows(self) -> tuple[Row, ...]:
-        """Returns the whole history."""
+        """Returns the whole history, from the queue and image that were used last on."""
         return tuple(
             (
                 queue,
@@ -69,28 +72,33 @@
                 *(kind.runs.weight, kind.runs.mean, kind.runs.variance),
                 *(kind.errors.weight, kind.errors.mean, kind.errors.variance),
             )
-            for (queue, image), kind in self._task_kinds.items()
+            for (queue, image), kind in reversed(self._task_kinds.items())
         )
 
     def restore(self, learned: tuple[Row, ...]) -> None:
-        """Loads an earlier history."""
-        for queue, image, *moments in learned:
+        """Loads an earlier history, in the order of `to_rows`."""
+        for queue, image, *moments in reversed(learned):
             self._task_kinds[(queue, image)] = _TaskKind(
                 runs=_DecayingMoments(weight=moments[0], mean=moments[1], variance=moments[2]),
                 errors=_DecayingMoments(weight=moments[3], mean=moments[4], variance=moments[5]),
             )
+        self._forget_unused()
 
     def learn(self, *, queue: str, image: str, estimate_s: float, run_s: float) -> None:
         """Adds the run time of a task that was done, seconds."""
         run = math.log(max(run_s, MIN_DURATION_S))
         error = math.log(max(estimate_s, MIN_DURATION_S)) - run
-        for key in {(queue, image), (queue, "")}:
-            kind = self._task_kinds.get(key)
-            if kind is None:
-                kind = self._task_kinds[key] = _TaskKind()
+        for key in dict.fromkeys([(queue, image), (queue, "")]):
+            kind = self._task_kinds.pop(key, None) or _TaskKind()
+            self._task_kinds[key] = kind
             kind.runs.add(run)
             if estimate_s > 0:
                 kind.errors.add(error)
+        self._forget_unused()
+
+    def _forget_unused(self) -> None:
+        while len(self._task_kinds) > MAX_TASK_KINDS:
+            del self._task_kinds[next(iter(self._task_kinds))]
 
     def expected_s(self, *, queue: str, image: str, estimate_s: float) -> float:
         """Returns the expected run time of a task, seconds; 0 if nothing is known."""
--- a/packages/ebonyhatch-fleet/tests/test_interference.py
+++ b/packages/ebonyhatch-fleet/tests/test_interference.py
@@ -212,3 +212,11 @@
             fillers = [filler.task.step for filler in interference.filler_runs(row)]
             expected = sum(_cautious_cost(fleet.model, run, step) for step in fillers)
             assert margin.present_cost == pytest.approx(expected, rel=1e-12)
+
+
+def test_pairs_of_images_that_were_not_observed_for_long_are_forgotten():
+    """Guards against memory that grows with each pair of images that ever shared a target."""
+    model = interference.InterferenceModel()
+    count = interference.MAX_PAIRS + 10
+    model.restore(tuple((f"s{number}", "f", 0.5) for number in range(count)))
+    assert len(model.interferences()) == interference.MAX_PAIRS
--- a/packages/ebonyhatch-fleet/tests/test_run_times.py
+++ b/packages/ebonyhatch-fleet/tests/test_run_times.py
@@ -44,3 +44,13 @@
         assert restored.expected_s(queue="q", image="i", estimate_s=estimate_s) == pytest.approx(
             times.expected_s(queue="q", image="i", estimate_s=estimate_s)
         )
+
+
+def test_images_that_were_not_used_for_long_are_forgotten():
+    """Guards against memory that grows with each image that was ever used."""
+    times = run_times.RunTimes()
+    for number in range(run_times.MAX_TASK_KINDS + 500):
+        times.learn(queue="q", image=f"i{number}", estimate_s=1.0, run_s=2.0)
+    learned = times.to_rows()
+    assert len(learned) == run_times.MAX_TASK_KINDS
+    assert {row[1] for row in learned} >= {"", f"i{run_times.MAX_TASK_KINDS + 499}"}
