--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -65,6 +65,7 @@
     NOT_DONE = "not-done"
     OVERLOADED = "overloaded"
     UNKNOWN = "unknown"
+    TOO_LARGE = "too-large"
     NO_SUCH_JOB = "no-such-job"
 
 
@@ -223,6 +224,8 @@
             error = outcome.failure()
             if isinstance(error, store.ConflictError):
                 return Verdict.DONE, "record existed"
+            if isinstance(error, store.RejectedError) and not uncertain:
+                return Verdict.TOO_LARGE, str(error)
             if not isinstance(error, store.UnknownOutcomeError) and not uncertain:
                 return Verdict.NOT_DONE, str(error)
             # An earlier try may still take effect, so a refusal doesn't determine the outcome.
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import itertools
 import os
 from collections.abc import Callable
@@ -65,6 +66,14 @@
         self.term = term
 
 
+class _Outcome(enum.Enum):
+    """Outcome of a write: the last stands for a journal that was closed meanwhile."""
+
+    DURABLE = "durable"
+    REJECTED = "rejected"
+    CLOSED = "closed"
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Unwritten:
     """A record that has to be written.
@@ -95,6 +104,9 @@
     stays unwritten, so that an urgent change which arrives later is not held up by the rest of a
     large round. Ended jobs are written first, then the records that were collected first. A round
     is durable when no record that it or an earlier round collected is unwritten.
+
+    The records of a write that the store rejects are written one at a time. A job whose progress is
+    rejected then is handed to `on_rejected`, which has to end it; any other record is left out.
     """
 
     def __init__(
@@ -110,6 +122,7 @@
         on_removed: Callable[[list[str]], None],
         on_durable: Callable[[list[tuple[rows.JobRow, rows.JobState]]], None],
         on_auxiliary_durable: Callable[[], None],
+        on_rejected: Callable[[rows.JobRow], None],
         on_superseded: Callable[[str], None],
         link_bytes_per_s: float = 0.0,
     ) -> None:
@@ -126,6 +139,7 @@
             on_removed: Called with the ids of jobs whose records were removed.
             on_durable: Called with the jobs of a durable write and their written states.
             on_auxiliary_durable: Called when all collected auxiliary records are durable.
+            on_rejected: Called with a job whose progress the store never takes.
             on_superseded: Called with a reason when another entry has written.
             link_bytes_per_s: Bandwidth of the instance's link, bytes a second; 0 if unknown.
         """
@@ -141,6 +155,7 @@
         self._on_removed = on_removed
         self._on_durable = on_durable
         self._on_auxiliary_durable = on_auxiliary_durable
+        self._on_rejected = on_rejected
         self._on_superseded = on_superseded
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
         self._numbers = itertools.count(1)
@@ -148,6 +163,7 @@
         self._durable_round = 0
         self._unwritten: dict[str, _Unwritten] = {}
         self._unwritten_ends: dict[str, None] = {}
+        self._written_alone: set[str] = set()
         self._unwritten_auxiliary: set[str] = set()
         self._auxiliary_postponed = False
         self._write_requested = False
@@ -236,27 +252,60 @@
 
     async def _write_unwritten(self) -> bool:
         """Writes what fits into one write; returns whether it is durable."""
-        puts: list[store.Put] = []
-        size_bytes = 0
-        later = (key for key in self._unwritten if key not in self._unwritten_ends)
-        for key in itertools.chain(self._unwritten_ends, later):
-            if puts and (len(puts) == MAX_RECORDS_PER_WRITE or size_bytes >= MAX_WRITE_BYTES):
-                break
-            puts.append(store.Put(key=key, value=self._unwritten[key].encode()))
-            size_bytes += len(puts[-1].value)
+        puts = self._next_puts()
         written_rows = [self._unwritten[put.key].row for put in puts]
         states = [(row, row.state) for row in written_rows if row is not None]
-        self._set_next_write_at(size_bytes)
-        if not await self._write(puts):
+        self._set_next_write_at(sum(len(put.value) for put in puts))
+        outcome = await self._write(puts)
+        if outcome is _Outcome.REJECTED:
+            await self._separate(puts)
+        if outcome is not _Outcome.DURABLE:
             return False
         for put in puts:
-            del self._unwritten[put.key]
-            self._unwritten_ends.pop(put.key, None)
-            self._unwritten_auxiliary.discard(put.key)
+            self._drop(put.key)
         if states:
             self._on_durable(states)
         return True
 
+    def _next_puts(self) -> list[store.Put]:
+        """Returns the unwritten records that come next and fit into one write."""
+        puts: list[store.Put] = []
+        size_bytes = 0
+        later = (key for key in self._unwritten if key not in self._unwritten_ends)
+        for key in itertools.chain(self._unwritten_ends, later):
+            alone = not self._written_alone.isdisjoint((key, puts[0].key if puts else key))
+            full = len(puts) == MAX_RECORDS_PER_WRITE or size_bytes >= MAX_WRITE_BYTES
+            if puts and (alone or full):
+                break
+            puts.append(store.Put(key=key, value=self._unwritten[key].encode()))
+            size_bytes += len(puts[-1].value)
+        return puts
+
+    def _drop(self, key: str) -> None:
+        del self._unwritten[key]
+        self._unwritten_ends.pop(key, None)
+        self._unwritten_auxiliary.discard(key)
+        self._written_alone.discard(key)
+
+    async def _separate(self, puts: list[store.Put]) -> None:
+        """Finds the record for which a write was rejected, and keeps it from holding up the others."""
+        if len(puts) > 1:
+            self._written_alone.update(put.key for put in puts)
+            return
+        if await self._write([]) is not _Outcome.DURABLE:
+            # The store rejects everything, so that the record isn't the reason.
+            await self._group.sleep(MAX_RETRY_DELAY_S)
+            return
+        (put,) = puts
+        row = self._unwritten[put.key].row
+        decision_log.write("journal.record_rejected", key=put.key, bytes=len(put.value))
+        if row is None or row.ended:
+            self._drop(put.key)
+            return
+        # The record of an ended job is small. Until it is written, no end of the job is acknowledged.
+        self._on_rejected(row)
+        self._unwritten_ends[put.key] = None
+
     async def _wait_for_link(self) -> None:
         """Waits until the journal's share of the link allows the next write."""
         delay_s = self._next_write_at - self._clocks.now()
@@ -285,11 +334,11 @@
         if not job_ids:
             return
         removes = [key(job_id) for job_id in job_ids for key in keys.JOB_KEYS]
-        if await self._write([], removes=tuple(removes)):
+        if await self._write([], removes=tuple(removes)) is _Outcome.DURABLE:
             self._on_removed(job_ids)
 
-    async def _write(self, records: list[store.Put], removes: tuple[str, ...] = ()) -> bool:
-        """Retries a write until it is durable or this entry is superseded; returns whether durable."""
+    async def _write(self, records: list[store.Put], removes: tuple[str, ...] = ()) -> _Outcome:
+        """Retries a write until it is durable or rejected, or this entry is superseded."""
         head = ownership.Head(
             term=self._term, number=next(self._numbers), nonce=os.urandom(8).hex()
         )
@@ -302,14 +351,17 @@
             )
             if isinstance(outcome, result.Success):
                 self._revision = outcome.unwrap()
-                return True
+                return _Outcome.DURABLE
             error = outcome.failure()
             if isinstance(error, store.ConflictError):
-                return self._resolve_conflict(error, head)
+                own = self._resolve_conflict(error, head)
+                return _Outcome.DURABLE if own else _Outcome.CLOSED
+            if isinstance(error, store.RejectedError):
+                return _Outcome.REJECTED
             decision_log.write("journal.retry", number=head.number, reason=str(error))
             await self._group.sleep(retry_delay_s)
             retry_delay_s = min(2 * retry_delay_s, MAX_RETRY_DELAY_S)
-        return False
+        return _Outcome.CLOSED
 
     def _resolve_conflict(self, error: store.ConflictError, head: ownership.Head) -> bool:
         """Returns whether the conflicting head is of this write, whose answer was lost.
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_store.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_store.py
@@ -14,6 +14,9 @@
 MAX_HISTORY = 10_000
 """Number of changes that are retained for watches."""
 
+VALUE_BYTES = 1_048_576
+"""Size of the largest value, bytes."""
+
 PAGE_ITEMS = 500
 """Maximum number of items in one page of a listing."""
 
@@ -275,7 +278,9 @@
         removes: tuple[str, ...],
     ) -> result.Result[int, store.StoreError]:
         if len(conditions) + len(puts) + len(removes) > store.TRANSACTION_LIMIT:
-            return result.Failure(store.NotDoneError(call="commit", reason="too many entries"))
+            return result.Failure(store.RejectedError(call="commit", reason="too many entries"))
+        if any(len(put.value) > VALUE_BYTES for put in puts):
+            return result.Failure(store.RejectedError(call="commit", reason="value too large"))
         failure = await self._simulate_call("commit")
         if failure is not None:
             return failure
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -135,6 +135,7 @@
             on_removed=self._on_removed,
             on_durable=self._on_durable,
             on_auxiliary_durable=self._announce_targets,
+            on_rejected=self._on_progress_rejected,
             on_superseded=on_superseded,
             link_bytes_per_s=link_bytes_per_s,
         )
@@ -611,6 +612,12 @@
             for waiter in self._cancel_waiters.pop(row.job.job_id, []):
                 waiter.callback(None)
 
+    def _on_progress_rejected(self, row: rows.JobRow) -> None:
+        """Fails a job whose progress can't become durable, as no end of its tasks would count."""
+        reason = "its progress exceeds the largest value of the store"
+        self._scheduler.fail(row, reason=reason, now=self._clocks.now())
+        self._schedule_tick()
+
     def _on_removed(self, job_ids: list[str]) -> None:
         for job_id in job_ids:
             self._scheduler.forget(job_id)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -137,6 +137,10 @@
         self._ends.mark_changed(row)
         self._ends.stop_job_runs(row, reason="cancelled", now=now)
 
+    def fail(self, row: rows.JobRow, *, reason: str, now: float) -> None:
+        """Ends a job as failed."""
+        self._ends.fail_job(row, reason=reason, now=now)
+
     def forget(self, job_id: str) -> None:
         """Removes a job that has ended and whose records were deleted."""
         self._tables.jobs.pop(job_id, None)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/store.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/store.py
@@ -31,6 +31,19 @@
         self.reason = reason
 
 
+class RejectedError(NotDoneError):
+    """The store never carries out this call: the call or a value in it exceeds a limit."""
+
+    def __init__(self, *, call: str, reason: str) -> None:
+        StoreError.__init__(
+            self,
+            problem=f"the store rejects {call}: {reason}",
+            remedy="write smaller values, or fewer in one call",
+        )
+        self.call = call
+        self.reason = reason
+
+
 class UnknownOutcomeError(StoreError):
     """No answer arrived: the call may take effect now, later or never."""
 
--- a/packages/ebonyhatch-fleet/tests/scripted.py
+++ b/packages/ebonyhatch-fleet/tests/scripted.py
@@ -24,7 +24,7 @@
 
 
 class ScriptedStore(memory_store.MemoryStore):
-    """A store that records its calls; those that `fails` selects are refused without an effect."""
+    """A store that records its calls; those that `fails` or `rejects` selects have no effect."""
 
     def __init__(
         self, *, engine: memory_store.StoreEngine, page_items: int = memory_store.PAGE_ITEMS
@@ -32,6 +32,7 @@
         super().__init__(engine=engine, page_items=page_items)
         self.calls: list[Call] = []
         self.fails: Callable[[Call], bool] = lambda call: False
+        self.rejects: Callable[[Call], bool] = lambda call: False
 
     def of(self, name: str) -> list[Call]:
         return [call for call in self.calls if call.name == name]
@@ -53,6 +54,8 @@
         self.calls.append(call)
         if self.fails(call):
             return result.Failure(store.NotDoneError(call=name, reason="refused"))
+        if self.rejects(call):
+            return result.Failure(store.RejectedError(call=name, reason="rejected"))
         return None
 
 
--- a/packages/ebonyhatch-fleet/tests/test_journal.py
+++ b/packages/ebonyhatch-fleet/tests/test_journal.py
@@ -41,6 +41,7 @@
         self.superseded: list[str] = []
         self.expired: list[str] = []
         self.removed: list[list[str]] = []
+        self.rejected: list[rows.JobRow] = []
         self.journal = journal.Journal(
             store_port=self.store,
             all_clocks=clocks.MemoryClocks(clock=self.clock),
@@ -52,6 +53,7 @@
             on_removed=self.removed.append,
             on_durable=self.durable.append,
             on_auxiliary_durable=lambda: self.auxiliary_durable_at.append(self.clock.seconds()),
+            on_rejected=self._fail,
             on_superseded=self.superseded.append,
             link_bytes_per_s=bytes_per_s,
         )
@@ -83,6 +85,10 @@
             for call in self.store.of("commit")
         ]
 
+    def _fail(self, row: rows.JobRow) -> None:
+        self.rejected.append(row)
+        row.state, row.reason = rows.JobState.FAILED, "too large"
+
     def _take_expired(self) -> list[str]:
         size = retention.MAX_REMOVED_PER_WRITE
         taken, self.expired = self.expired[:size], self.expired[size:]
@@ -368,3 +374,54 @@
     scripted.advance(case.clock, 3.0)
     assert case.journal.durable_round == 1 and case.superseded == []
     assert "r/044" in case.engine.items
+
+
+LARGE = memory_store.VALUE_BYTES + 1
+
+
+def test_record_that_the_store_rejects_does_not_hold_up_the_others():
+    """Guards against one oversized record that stops all writes of the journal."""
+    case = JournalCase()
+    case.records = [store.Put(key=f"r/{n}", value=bytes(10)) for n in range(4)]
+    case.records.insert(2, store.Put(key="r/large", value=bytes(LARGE)))
+    changed = _row(1)
+    case.change(changed, urgent=True)
+    scripted.advance(case.clock, 2.0)
+    assert case.stored(changed) is not None
+    assert {f"r/{n}" for n in range(4)} <= case.engine.items.keys()
+    assert "r/large" not in case.engine.items
+    assert case.journal.durable_round == 1 and case.journal.idle
+    case.change(changed, urgent=True)
+    scripted.advance(case.clock, 0.1)
+    assert len(case.writes()[-1]) == 1, "later writes aren't separated any more"
+
+
+def test_job_whose_progress_the_store_rejects_is_ended_before_its_round_is_durable():
+    """Guards against ends that are acknowledged though no record holds them."""
+    case = JournalCase()
+    large, other = _row(1, reason_bytes=LARGE), _row(2)
+    states = []
+    case.journal._on_durable = lambda written: states.append(
+        (case.journal.durable_round, [(row.job.job_id, state) for row, state in written])
+    )
+    case.change(large, other, urgent=True)
+    scripted.advance(case.clock, 2.0)
+    assert case.rejected == [large]
+    assert case.stored(large).state == rows.JobState.FAILED
+    assert case.stored(other) is not None
+    assert [number for number, written in states if large.job.job_id in dict(written)] == [0]
+    assert case.journal.durable_round == 1 and case.journal.idle
+
+
+def test_store_that_rejects_every_write_for_a_while_costs_no_job_and_no_record():
+    """Guards against jobs that are failed for a fault of the store."""
+    case = JournalCase()
+    case.store.rejects = lambda call: call.name == "commit"
+    changed = _row(1)
+    case.records = [store.Put(key="r/1", value=bytes(10))]
+    case.change(changed, urgent=True)
+    scripted.advance(case.clock, 3.0)
+    case.store.rejects = lambda call: False
+    scripted.advance(case.clock, 3.0)
+    assert case.rejected == [] and case.stored(changed) is not None
+    assert "r/1" in case.engine.items and case.journal.durable_round == 1
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -8,6 +8,7 @@
     jobs,
     keys,
     memory_peers,
+    memory_store,
     messages,
     node,
     queues,
@@ -231,6 +232,14 @@
     assert world.wait(pending).verdict == entry.Verdict.DONE
 
 
+def test_a_submission_whose_record_the_store_never_takes_is_refused_for_good(monkeypatch):
+    """Guards against callers who are told to come back with a job that can't be stored."""
+    world = _ready()
+    monkeypatch.setattr(memory_store, "VALUE_BYTES", 300)
+    answer = world.submit(world.job(spec="x" * 400))
+    assert answer.verdict == entry.Verdict.TOO_LARGE
+
+
 def test_an_entry_that_the_store_refuses_relays_submissions_through_a_peer():
     world = _ready()
     world.run(1.0)
--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -4,7 +4,7 @@
 import pytest
 import scripted
 import world as world_module
-from ebonyhatch.fleet import jobs, keys, memory_targets, owner, progress, rows, store
+from ebonyhatch.fleet import jobs, keys, memory_store, memory_targets, owner, progress, rows, store
 from ebonyhatch.node import coroutines
 from returns import result
 from twisted.internet import task
@@ -333,3 +333,20 @@
     world.run_until(lambda: all(world.state(job_id) == "completed" for job_id in ids), 60.0)
     assert _tasks_started_again(world, ids) == []
     world_module.check_all(world)
+
+
+def test_job_whose_progress_outgrows_a_value_of_the_store_fails_and_the_others_complete(
+    monkeypatch,
+):
+    """Guards against a fleet in which nothing completes any more because of one job's record."""
+    world = _ready()
+    monkeypatch.setattr(memory_store, "VALUE_BYTES", 1_000)
+    large = world.job(jobs.Step(count=400, cpu_millis=100, estimate_s=0.1), work_s=0.1)
+    world.store_jobs(large)
+    world.run_until(lambda: world.state(large.job_id) == "failed")
+    row = world.owner.node.owner.job(large.job_id)
+    assert row.reason == "its progress exceeds the largest value of the store"
+    other = world.job(ONE_TASK, work_s=0.3)
+    world.store_jobs(other)
+    world.run_until(lambda: world.state(other.job_id) == "completed")
+    world_module.check_all(world)
