Jobs that are removed while the submissions are listed anew don't run again

Cause: after a compaction the owner lists all submissions, and adds those that it doesn't know without any progress. A job that was removed after its page had been read is such a one.

This works since a page that is read after the removal doesn't hold the record, and a later submission of the id has a later revision.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -119,7 +119,7 @@
         collect_changed: Callable[[], list[rows.JobRow]],
         collect_auxiliary_records: Callable[[], list[store.Put]],
         collect_expired: Callable[[], list[str]],
-        on_removed: Callable[[list[str]], None],
+        on_removed: Callable[[list[str], int], None],
         on_durable: Callable[[list[tuple[rows.JobRow, rows.JobState]]], None],
         on_auxiliary_durable: Callable[[], None],
         on_rejected: Callable[[rows.JobRow], None],
@@ -136,7 +136,8 @@
             collect_changed: Returns the jobs that changed since its last call.
             collect_auxiliary_records: Returns the other records that changed since its last call.
             collect_expired: Returns ids of jobs to remove, no more than fit into one write.
-            on_removed: Called with the ids of jobs whose records were removed.
+            on_removed: Called with the ids of jobs whose records were removed, and the revision of
+                their removal.
             on_durable: Called with the jobs of a durable write and their written states.
             on_auxiliary_durable: Called when all collected auxiliary records are durable.
             on_rejected: Called with a job whose progress the store never takes.
@@ -335,7 +336,7 @@
             return
         removes = [key(job_id) for job_id in job_ids for key in keys.JOB_KEYS]
         if await self._write([], removes=tuple(removes)) is _Outcome.DURABLE:
-            self._on_removed(job_ids)
+            self._on_removed(job_ids, self._revision)
 
     async def _write(self, records: list[store.Put], removes: tuple[str, ...] = ()) -> _Outcome:
         """Retries a write until it is durable or rejected, or this entry is superseded."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -140,6 +140,7 @@
             link_bytes_per_s=link_bytes_per_s,
         )
         self._recovered = False
+        self._removed_while_listing: dict[str, int] | None = None
         self._closed = False
         self._next_tick_at: float | None = None
         self._timer: object = None
@@ -291,8 +292,10 @@
         while True:
             if changes is not None:
                 await self._apply_changes(changes)
+            self._removed_while_listing = {}
             listed, changes = await self._recovery.read_intake()
             await self._add_intake(listed.items, {}, inherited=False)
+            self._removed_while_listing = None
             self._schedule_tick()
 
     async def _recover(self) -> change_feed.ChangeFeed:
@@ -353,7 +356,8 @@
         self, item: store.Item, stored_progress: dict[str, bytes], *, inherited: bool
     ) -> None:
         job_id = item.key.removeprefix(keys.JOBS)
-        if self.job(job_id) is not None:
+        removed = self._removed_while_listing or {}
+        if self.job(job_id) is not None or item.revision < removed.get(job_id, 0):
             return
         try:
             row = scheduler.restore_job(
@@ -618,7 +622,10 @@
         self._scheduler.fail(row, reason=reason, now=self._clocks.now())
         self._schedule_tick()
 
-    def _on_removed(self, job_ids: list[str]) -> None:
+    def _on_removed(self, job_ids: list[str], revision: int) -> None:
+        if self._removed_while_listing is not None:
+            # The listing may hold records that were read before.
+            self._removed_while_listing.update(dict.fromkeys(job_ids, revision))
         for job_id in job_ids:
             self._scheduler.forget(job_id)
             decision_log.write("job.removed", job_id=job_id, kept=self._retention.count)
--- a/packages/ebonyhatch-fleet/tests/test_journal.py
+++ b/packages/ebonyhatch-fleet/tests/test_journal.py
@@ -50,7 +50,7 @@
             collect_changed=lambda: self._take("changed"),
             collect_auxiliary_records=lambda: self._take("records"),
             collect_expired=self._take_expired,
-            on_removed=self.removed.append,
+            on_removed=lambda removed, revision: self.removed.append(removed),
             on_durable=self.durable.append,
             on_auxiliary_durable=lambda: self.auxiliary_durable_at.append(self.clock.seconds()),
             on_rejected=self._fail,
--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -350,3 +350,47 @@
     world.store_jobs(other)
     world.run_until(lambda: world.state(other.job_id) == "completed")
     world_module.check_all(world)
+
+
+def _delay_listings(member: world_module.Member, delay_s: float) -> None:
+    """Lets pages of the intake arrive a while after they were read."""
+    list_page = member.store.list_page
+
+    async def delayed(**arguments):
+        page = await list_page(**arguments)
+        if arguments["prefix"] == keys.INTAKE:
+            await task.deferLater(member.clocks.loop, delay_s)
+        return page
+
+    member.store.list_page = delayed
+
+
+def _world_that_lists_while_jobs_are_removed() -> tuple[world_module.World, list[str]]:
+    world = world_module.World(entries=1, keep_ended_s=3.0)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(1.0)
+    done = [world.job(ONE_TASK, work_s=0.1) for _ in range(4)]
+    world.store_jobs(*done)
+    ids = [job.job_id for job in done]
+    world.run_until(lambda: all(world.state(job_id) == "completed" for job_id in ids))
+    world.run(1.0)
+    _delay_listings(world.owner, 3.0)
+    world.store.compact()
+    return world, ids
+
+
+def test_jobs_that_are_removed_while_the_intake_is_listed_do_not_run_again():
+    """Guards against completed jobs that run again after the store forgot its history."""
+    world, ids = _world_that_lists_while_jobs_are_removed()
+    world.run(5.0)
+    assert not any(world.owner.node.owner.job(job_id) for job_id in ids)
+    assert [len(world.starts(job_id)) for job_id in ids] == [1, 1, 1, 1]
+
+
+def test_job_that_is_handed_in_anew_after_its_removal_runs_although_a_listing_is_under_way():
+    """Guards against a removal that hides a later submission under the same id."""
+    world, ids = _world_that_lists_while_jobs_are_removed()
+    world.run_until(lambda: keys.job(ids[0]) not in world.store.items)
+    world.store_jobs(world.accepted[ids[0]])
+    world.run(6.0)
+    assert [len(world.starts(job_id)) for job_id in ids] == [2, 1, 1, 1]
