A task that worked for seconds isn't blamed for the crash of its target

Cause: the run that was ordered last on a crashed target was blamed however long before that was, which is always the task that has just moved off another one.

Change: a run that outlived its probation of 2 s before its target's last sign of life isn't blamed.

Tests in test_crash_blame.py: two failed before; one guards the task that crashes its targets after seconds.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
@@ -48,7 +48,8 @@
 one moment take to be back one after the other."""
 
 PROBATION_S = 2.0
-"""Time after its order in which a run of a task that saw a crash is kept apart, seconds."""
+"""Time after its order in which a run of a task that saw a crash is kept apart, and after its start in
+which a crash of its target is evidence against it, seconds."""
 
 ORDERED_TOGETHER_S = 0.05
 """Difference of the times of two orders below which either run may have started last, seconds."""
@@ -133,7 +134,8 @@
     """Counts a crash of a target for the tasks that may have been running there; returns them.
 
     A task is blamed if its run was the last one that was ordered there; of those that were ordered
-    together, the one that saw the most crashes before. Nobody is blamed for a common cause.
+    together, the one that saw the most crashes before. Nobody is blamed for a common cause, nor for
+    the crash of a target on which its run outlived its probation.
     """
     running = [run for run in row.runs.values() if _may_be_responsible(run, now=now)]
     if not running:
@@ -147,7 +149,8 @@
         sole = joint == JointLoss.SUSPECTS and len(running) == 1
         sudden = joint == JointLoss.COMMON_CAUSE and _is_sudden(run, row.loss)
         _count_crash(run.task, in_full=joint == JointLoss.ALONE or sole or sudden)
-    if len(suspects) == 1 and last_at and joint != JointLoss.COMMON_CAUSE:
+    blame = len(suspects) == 1 and last_at and joint != JointLoss.COMMON_CAUSE
+    if blame and not _outlived_probation(suspects[0], row.loss):
         suspects[0].task.blamed_crashes += 1
     return [run.task for run in running]
 
@@ -243,6 +246,10 @@
     return run.state != rows.RunState.ORDERED and recent
 
 
+def _outlived_probation(run: rows.RunRow, loss: rows.Loss | None) -> bool:
+    return loss is not None and bool(run.started_at) and loss.from_s - run.started_at > PROBATION_S
+
+
 def _joint_loss_among(name: str, lost: set[str], unexplained: set[str]) -> JointLoss:
     if len(unexplained - {name}) >= JOINT_LOSS_TARGETS:
         return JointLoss.COMMON_CAUSE
--- a/packages/ebonyhatch-fleet/tests/test_crash_blame.py
+++ b/packages/ebonyhatch-fleet/tests/test_crash_blame.py
@@ -95,6 +95,38 @@
     )
 
 
+@pytest.mark.parametrize("worked_s", [2.6, 6.0])
+def test_task_that_worked_for_seconds_on_each_of_two_crashed_targets_is_done(worked_s):
+    """Guards against a job that is failed since the two targets that it ran on crashed."""
+    world = _ready()
+    job = world.job(jobs.Step(count=1, cpu_millis=500, estimate_s=20.0), work_s=20.0)
+    assert world.submit(job).verdict == entry.Verdict.DONE
+    for number in range(1, 3):
+        world.run_until(lambda number=number: len(world.starts(job.job_id)) == number)
+        world.run(worked_s)
+        world.crash_target(world.starts(job.job_id)[-1][3])
+    world.run_until(lambda: world.state(job.job_id) in ("completed", "failed"), limit_s=60.0)
+    assert world.state(job.job_id) == "completed"
+
+
+def test_task_that_crashes_its_targets_after_seconds_of_work_is_given_up():
+    """Guards against a task at fault that nothing convicts since it doesn't crash at its start."""
+    world = _ready()
+    job = world.job(jobs.Step(count=1, cpu_millis=500, estimate_s=20.0), work_s=20.0)
+    assert world.submit(job).verdict == entry.Verdict.DONE
+    for number in range(1, MAX_STARTS + 1):
+        world.run_until(
+            lambda number=number: len(world.starts(job.job_id)) == number
+            or world.state(job.job_id) == "failed"
+        )
+        if world.state(job.job_id) == "failed":
+            break
+        world.run(4.0)
+        world.crash_target(world.starts(job.job_id)[-1][3])
+    world.run_until(lambda: world.state(job.job_id) == "failed")
+    assert len(world.starts(job.job_id)) <= MAX_STARTS
+
+
 def test_loss_of_a_target_that_is_cut_off_is_no_crash():
     world = _ready(target_count=2)
     submitted = _submit(world, 2, work_s=2.0)
