A new owner doesn't wait for targets that no former owner knew

Cause, one of two: a new owner holds all inherited tasks back while it has no report of a target on which a former owner may have ordered runs, and counted each new target as such. With two targets a second, on a link on which a first report takes long, there is always one, up to the length of a lease after the recovery.

Change: a target without a record holds nothing back. No run is ordered on a target before the record that names it is durable, and records of a former owner are fenced, so that nothing can be running there.

Test in test_owner.py: failed before with one and with six new targets.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -487,13 +487,14 @@
     def _unconfirmed_targets_taking_runs(self) -> list[str]:
         """Returns the unconfirmed targets on which the last owner may have ordered unrecorded runs.
 
-        Unconfirmed targets have sent this owner no status report yet.
+        Unconfirmed targets have sent this owner no status report yet. One without a record took no
+        runs: none is ordered on a target before its record is durable.
         """
         inherited = self._inherited_targets
         return [
             name
             for name in self._unconfirmed_targets()
-            if name not in inherited or inherited[name].takes_runs
+            if name in inherited and inherited[name].takes_runs
         ]
 
     def _blocked_tasks(self) -> frozenset[str]:
--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -4,7 +4,17 @@
 import pytest
 import scripted
 import world as world_module
-from ebonyhatch.fleet import jobs, keys, memory_store, memory_targets, owner, progress, rows, store
+from ebonyhatch.fleet import (
+    entry,
+    jobs,
+    keys,
+    memory_store,
+    memory_targets,
+    owner,
+    progress,
+    rows,
+    store,
+)
 from ebonyhatch.node import coroutines
 from returns import result
 from twisted.internet import task
@@ -394,3 +404,25 @@
     world.store_jobs(world.accepted[ids[0]])
     world.run(6.0)
     assert [len(world.starts(job_id)) for job_id in ids] == [2, 1, 1, 1]
+
+
+@pytest.mark.parametrize("fresh", [1, 6])
+def test_new_owner_does_not_wait_for_targets_that_no_former_owner_knew(fresh):
+    """Guards against tasks that a new owner holds back while targets are replaced one after the other."""
+    world = world_module.World(entries=2, target_count=2)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(1.0)
+    waiting = world.job(jobs.Step(count=10, cpu_millis=1000, estimate_s=2.0), work_s=2.0)
+    assert world.submit(waiting).verdict == entry.Verdict.DONE
+    world.run_until(lambda: world.starts(waiting.job_id))
+    world.kill(world.owner.name)
+    for number in range(fresh):
+        world.clock.callLater(0.8 * number, _add_silent_target, world, f"fresh{number}")
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run_until(lambda: len(world.starts(waiting.job_id)) == 10, limit_s=4.0)
+    world_module.check_all(world)
+
+
+def _add_silent_target(world: world_module.World, name: str) -> None:
+    world.add_target(name)
+    world.engines[name].faults.down = True
