The wait for the leases of targets that are gone begins with the term, not after the recovery

Cause: a new owner takes runs of a target that doesn't answer for ended once the leases that were valid at its takeover have expired.

Change: each session counts from the start of the term, after which no former owner renews, as the sessions of listed targets nearly did; from its first report on, when this owner may order runs, it counts anew.

Tests in test_owner.py: one failed before (a recovery of some seconds); one guards the runs on a target that is listed late in a term.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -123,6 +123,7 @@
             store_port=store_port, all_clocks=all_clocks, group=self._group
         )
         self._began_at = all_clocks.now()
+        self._term_began_at = all_clocks.boottime()
         self._retention = retention.Retention(keep_s=keep_ended_s)
         self._journal = journal.Journal(
             store_port=store_port,
@@ -546,6 +547,7 @@
             port=self._targets_port,
             fence=self._term,
             lease_s=self._lease_s,
+            term_began_at=self._term_began_at,
             all_clocks=self._clocks,
             on_report=self._on_status_report,
             on_runs_lost=self._on_runs_lost,
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -78,6 +78,7 @@
         port: targets.Targets,
         fence: int,
         lease_s: float,
+        term_began_at: float,
         all_clocks: clocks.Clocks,
         on_report: Callable[[TargetSession, targets.StatusReport], bool],
         on_runs_lost: Callable[[TargetSession, str], None],
@@ -97,6 +98,8 @@
             port: The port to targets.
             fence: Fencing token of the owner's term.
             lease_s: Length of the target's lease, seconds.
+            term_began_at: Start of the owner's term, seconds on the clock that counts suspensions:
+                the last time at which a former owner may have renewed the lease.
             all_clocks: Clocks of the process.
             on_report: Applies a status report; returns False while it can't be applied yet.
             on_runs_lost: Called with a reason when the runs have ended without a report.
@@ -132,7 +135,7 @@
         self._processed = 0
         self._acknowledged = 0
         self._pending: collections.deque[tuple[int, int]] = collections.deque()
-        self._lease_expires_at = self._clocks.boottime() + lease_expiry_s(self._lease_s)
+        self._lease_expires_at = term_began_at + lease_expiry_s(self._lease_s)
         self._failures = 0
         self._extra_polls = 0
 
@@ -347,6 +350,9 @@
             )
 
     def _apply(self, report: targets.StatusReport) -> None:
+        if not self._clock_s:
+            # From the first report on this owner may order runs.
+            self._lease_expires_at = self._clocks.boottime() + lease_expiry_s(self._lease_s)
         if report.clock_s < self._clock_s or (
             report.born and report.born > self._row.target.born > 0
         ):
--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -426,3 +426,42 @@
 def _add_silent_target(world: world_module.World, name: str) -> None:
     world.add_target(name)
     world.engines[name].faults.down = True
+
+
+def test_slow_recovery_does_not_prolong_the_wait_for_leases_of_targets_that_are_gone():
+    """Guards against tasks that stay down for a lease's length after each slow recovery."""
+    world = world_module.World(entries=2, target_count=3)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(1.0)
+    lasting = world.job(jobs.Step(count=1, cpu_millis=1000, long_running=True), work_s=-1.0)
+    assert world.submit(lasting).verdict == entry.Verdict.DONE
+    world.run_until(lambda: world.starts(lasting.job_id))
+    world.run(1.0)
+    ((_, _, _, lost),) = world.starts(lasting.job_id)
+    world.kill(world.owner.name)
+    world.engines[lost].faults.down = True
+    world.unregister(lost)
+    (member,) = world.members.values()
+    _delay_listings(member, 4.0)
+    world.run_until(lambda: world.owner is not None)
+    world.run_until(
+        lambda: len(world.starts(lasting.job_id)) == 2, limit_s=world_module.LEASE_S + 1
+    )
+    world_module.check_all(world)
+
+
+def test_target_that_is_listed_late_in_a_term_keeps_its_runs_for_a_lease_when_it_stops_to_answer():
+    """Guards against a second run while the first one may go on."""
+    world = _ready(target_count=1)
+    world.run(world_module.LEASE_S + 1)
+    world.engines["t0"].faults.max_runs = 0
+    world.add_target("late")
+    job = world.job(jobs.Step(count=1, cpu_millis=1000, estimate_s=20.0), work_s=20.0)
+    assert world.submit(job).verdict == entry.Verdict.DONE
+    world.run_until(lambda: world.starts(job.job_id))
+    world.engines["late"].faults.partitioned = True
+    world.engines["t0"].faults.max_runs = 100
+    world.run(world_module.LEASE_S - 1)
+    assert len(world.starts(job.job_id)) == 1
+    world.run_until(lambda: len(world.starts(job.job_id)) == 2)
+    world_module.check_all(world)
--- a/packages/ebonyhatch-fleet/tests/test_target_session.py
+++ b/packages/ebonyhatch-fleet/tests/test_target_session.py
@@ -37,12 +37,14 @@
         target = targets.Target(
             target_id="t", address="t:1", pool="p", failure_domain="a", born=BORN
         )
+        all_clocks = clocks.MemoryClocks(clock=self.clock)
         self.session = target_session.TargetSession(
             row=rows.TargetRow(target=target),
             port=self.target,
             fence=1,
             lease_s=LEASE_S,
-            all_clocks=clocks.MemoryClocks(clock=self.clock),
+            term_began_at=all_clocks.boottime(),
+            all_clocks=all_clocks,
             on_report=self._on_report,
             on_runs_lost=self._on_runs_lost,
             on_fenced=lambda reason: None,
