Known fault: the capacity of runs that a new owner stops

The review showed it and made no case of it: a new owner tells the runs of a cancelled job to stop, reserves nothing for them, and starts waiting tasks at once, so that a target that doesn't guard its capacity is over it (LIMIT).

--- a/packages/ebonyhatch-fleet/tests/test_scheduler.py
+++ b/packages/ebonyhatch-fleet/tests/test_scheduler.py
@@ -99,6 +99,23 @@
     assert command.key == key and command.reason == "not-wanted"
 
 
+def test_a_run_of_a_cancelled_job_that_a_new_owner_stops_holds_its_capacity_until_it_ends():
+    """Guards against starts over the capacity of targets that don't check it themselves."""
+    subject = _scheduler()
+    _add(subject, jobs.Step(count=1, cpu_millis=4000))
+    subject.cancel(JOB_ID, now=0.0)
+    _add(subject, jobs.Step(count=1, cpu_millis=1000), job_id="0" * 15 + "2")
+    target = subject.tables.targets["t0"]
+    key = targets.RunKey(task=f"{JOB_ID}.0.0.0", run=1)
+    subject.apply_report(target, _report(running=(targets.Running(key=key),)), now=1.0)
+    (stopped,) = subject.tick(now=1.0, wall=1.0)
+    assert stopped.key == key
+    ended = targets.Ended(number=1, key=key, kind=targets.EndKind.STOPPED)
+    subject.apply_report(target, _report(clock_s=2.0, ended=(ended,)), now=2.0)
+    (started,) = subject.tick(now=2.0, wall=2.0)
+    assert started.run.task.name == f"{'0' * 15}2.0.0.0"
+
+
 def test_capacity_is_never_exceeded():
     subject = _scheduler(target_count=2, cpu_millis=2500)
     _add(subject, jobs.Step(count=9, cpu_millis=1000))
