--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -23,6 +23,8 @@
 HISTORY_S = 20.0
 PAGE_S = 3.5
 CANCEL_S = 4.0
+RESTART_S = 9.0
+"""Time within which a task that lasts has to run again after its last run, seconds."""
 LARGE_TARGET_COUNT = 120
 TURN_S = 0.3
 """Time of one turn of a loop that has much to do, seconds."""
@@ -465,3 +467,25 @@
     assert len(world.starts(job.job_id)) == 1
     world.run_until(lambda: len(world.starts(job.job_id)) == 2)
     world_module.check_all(world)
+
+
+def test_task_of_a_target_that_left_is_back_in_time_though_owners_follow_each_other():
+    """Guards against a wait for the leases of gone targets that begins anew with each owner."""
+    world = world_module.World(entries=5, target_count=3)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(1.0)
+    lasting = world.job(jobs.Step(count=1, cpu_millis=1000, long_running=True), work_s=-1.0)
+    assert world.submit(lasting, at=world.owner.name).verdict == entry.Verdict.DONE
+    world.run_until(lambda: world.starts(lasting.job_id))
+    world.run(1.0)
+    ((_, _, _, lost),) = world.starts(lasting.job_id)
+    world.engines[lost].faults.down = True
+    world.unregister(lost)
+    left_at = world.clock.seconds()
+    for _ in range(3):
+        world.kill(world.owner.name)
+        world.run_until(lambda: world.owner is not None)
+        world.run(1.2)
+    world.run_until(lambda: len(world.starts(lasting.job_id)) == 2)
+    assert world.clock.seconds() - left_at <= RESTART_S
+    world_module.check_all(world)
