Runs that a new owner stops hold their capacity until they end

A new owner that found a run of a cancelled job, or another run that isn't needed, ordered its stop without reserving its capacity, and placed other tasks there at once. Targets that don't guard their capacity were overcommitted until the stopped run had ended.

Such a run now gets a row in the state of a stopping run, with its reservation. Of a run whose job is unknown the demand is unknown too: nothing is placed beside it until a report lists it no more.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
@@ -7,6 +7,9 @@
 STOP_RETRY_S = 1.0
 """Time after which a stop order without effect is sent again, seconds."""
 
+NOT_NEEDED = "not-wanted"
+"""Reason of the stop of a run that a former owner ordered and that isn't needed any more."""
+
 FULL_S = 0.5
 """Time for which a target that refused a run for lack of capacity gets no other, seconds. Targets
 register a changed capacity within about three times as long."""
@@ -118,7 +121,7 @@
     ) -> rows.RunRow | None:
         """Adopts a run that a former owner ordered, or stops one that is not needed.
 
-        Returns the run if it was adopted.
+        Returns the run, which holds its capacity in both cases; None if its job is unknown.
         """
         task = self._tables.task(running.key.task)
         job = None if task is None else task.step.job
@@ -129,8 +132,10 @@
             and task.state in (rows.TaskState.WAITING, rows.TaskState.BLOCKED)
             and not task.runs
         )
-        if task is None or not is_needed:
-            self._emit(commands.StopRun(target=row, key=running.key, reason="not-wanted"))
+        if task is None:
+            # What it uses is unknown, so that nothing may be placed beside it.
+            row.full_until = max(row.full_until, now + FULL_S)
+            self._emit(commands.StopRun(target=row, key=running.key, reason=NOT_NEEDED))
             return None
         run = rows.RunRow(
             key=running.key,
@@ -138,10 +143,15 @@
             target=row,
             state=rows.RunState.RUNNING,
             started_at=now,
+            listed_at=now,
             progressed_at=now,
             seen_s=clock_s,
             percent=running.percent,
         )
+        if not is_needed:
+            tables.reserve(run)
+            self._ends.stop(run, reason=NOT_NEEDED, now=now)
+            return run
         if task.state == rows.TaskState.WAITING:
             task.step.waiting.remove(task)
             self._tables.waiting.touch(task.step)
