A start that the next incarnation of a target carried out isn't repeated elsewhere

Targets that crash come back under their id, and the header that names the expected instance can't tell the incarnations apart. An order that was under way then, or meant for the former incarnation, is carried out by the new one, also seconds later: its deadline is a time on the former clock. When the owner heard of the restart, by a status report or by the list of targets, it gave up all runs there and started them elsewhere beside the run of the new incarnation.

Only runs that a status report of the former incarnation listed are given up at once now. The others count as uncertain: the new incarnation's report shows them, or they are stopped there, which makes the target refuse a start that comes later. An answer to a start that arrives across a restart decides nothing. When a lease expires, a run that no report listed is kept for the length of a lease from its order, as the lease of a start begins with it.

Logs told too little: an owner under load dropped the lines on lost runs at the limit of its log. Lines that aren't routine have a reserve now, and `run.order` names the incarnation.

Red before: test_start_that_the_next_incarnation_of_a_target_carried_out_is_not_repeated (two starts), ..._carries_out_late_is_not_repeated ("ran on t9 and t0 at once"), test_lines_that_explain_a_fault_are_not_dropped_for_routine_ones. All fleet tests pass.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decision_log.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/decision_log.py
@@ -18,6 +18,27 @@
 MAX_BURST_LINES = 1_600.0
 """Maximum number of lines that may be written at once after a time with few lines."""
 
+RESERVED_LINES_PER_S = 100.0
+"""Additional sustained limit of lines that aren't routine, a second. Without it a busy owner dropped the
+lines on lost runs and restarted targets, which are the ones that explain a fault."""
+
+MAX_RESERVED_LINES = 400.0
+"""Maximum number of such lines that may be written at once in addition."""
+
+ROUTINE_EVENTS = frozenset(
+    {
+        "job.completed",
+        "job.known",
+        "job.removed",
+        "job.shown",
+        "job.submitted",
+        "run.ended",
+        "run.order",
+        "run.pace",
+    }
+)
+"""Events whose number grows with the load; a `run.order` that isn't a task's first one is no routine."""
+
 BUFFER_LIMIT_BYTES = 1_000_000
 """Maximum number of bytes buffered for a slow reader of the output. Lines beyond it are dropped and
 counted."""
@@ -48,6 +69,7 @@
         self._timer: timing.Timer | None = None
         self._held_up = False
         self._tokens = MAX_BURST_LINES
+        self._reserved_tokens = MAX_RESERVED_LINES
         self._refilled_at = 0.0
         self._dropped = 0
 
@@ -70,7 +92,7 @@
         self._flush()
 
     def _receive(self, message: dict[str, Any]) -> None:
-        if not self._consume_token():
+        if not self._consume_token(reserved=not _is_routine(message)):
             self._dropped += 1
             return
         line = {
@@ -91,15 +113,21 @@
         self._buffer += encoded
         self._schedule_flush()
 
-    def _consume_token(self) -> bool:
+    def _consume_token(self, *, reserved: bool) -> bool:
         now = self._clock.seconds()
         elapsed_s = max(0.0, now - self._refilled_at)
         self._refilled_at = now
         self._tokens = min(MAX_BURST_LINES, self._tokens + elapsed_s * LINES_PER_S)
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
+        self._reserved_tokens = min(
+            MAX_RESERVED_LINES, self._reserved_tokens + elapsed_s * RESERVED_LINES_PER_S
+        )
+        if self._tokens >= 1.0:
+            self._tokens -= 1.0
+            return True
+        if reserved and self._reserved_tokens >= 1.0:
+            self._reserved_tokens -= 1.0
+            return True
+        return False
 
     def _schedule_flush(self) -> None:
         if self._buffer and (self._timer is None or not self._timer.active()):
@@ -154,6 +182,10 @@
     _LOGGER.write(fields)
 
 
+def _is_routine(message: Mapping[str, Any]) -> bool:
+    return message.get("message_type") in ROUTINE_EVENTS and not message.get("again")
+
+
 def _encode(line: dict[str, Any]) -> bytes:
     try:
         return _ENCODER.encode(line)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/memory_targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
@@ -76,13 +77,19 @@
     """One target: its incarnation, its lease, its runs and the unacknowledged ends.
 
     `work_s` returns the work of a task by its name, seconds at full speed; a negative number makes
-    the task a long-running one.
+    the task a long-running one. A lease of more than `max_lease_s` seconds is shortened to it.
     """
 
     def __init__(
-        self, *, clock: Any, target: targets.Target, work_s: Callable[[str], float]
+        self,
+        *,
+        clock: Any,
+        target: targets.Target,
+        work_s: Callable[[str], float],
+        max_lease_s: float = math.inf,
     ) -> None:
         self.clock = clock
+        self.max_lease_s = max_lease_s
         self.target = target
         self.faults = TargetFaults()
         self.work_s = work_s
@@ -206,6 +213,7 @@
         )
 
     def _extend_lease(self, deadline_s: float) -> None:
+        deadline_s = min(deadline_s, self.clock_s + self.max_lease_s)
         self._lease_expires_s = max(self._lease_expires_s, deadline_s)
 
     def _lose_runs(self) -> None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -31,6 +31,7 @@
     target_list,
     target_session,
     targets,
+    task_ends,
 )
 from ebonyhatch.node import coroutines
 from returns import result
@@ -45,6 +46,10 @@
 START_OUTCOME_MARGIN_S = 0.03
 """Time after the deadline of a start with an unknown outcome until its target is polled, seconds."""
 
+STOP_OUTCOME_DELAY_S = 0.002
+"""Time after the answer to a stop until its target is polled for the outcome, seconds: more than the
+resolution of the targets' clocks."""
+
 OBSERVE_FILLER_AFTER_S = 0.3
 """Time after the start of a filler (a task that uses processor time left over by others) until the
 target is polled for its effect, seconds. Readings cover half a second."""
@@ -591,13 +596,18 @@
 
     def _on_runs_lost(self, session: target_session.TargetSession, why: str) -> None:
         row = session.row
-        if why != "lease-lapsed" or row.runs:
+        if why != task_ends.LEASE_EXPIRED or row.runs:
             decision_log.write(
                 "target.runs_lost", target=row.target_id, why=why, runs=len(row.runs)
             )
         row.confirmed = False
         self._known_records.mark(row.target_id)
-        self._scheduler.mark_runs_lost(row, why=why, now=self._clocks.now())
+        self._scheduler.mark_runs_lost(
+            row,
+            why=why,
+            now=self._clocks.now(),
+            lease_s=target_session.lease_expiry_s(self._lease_s),
+        )
         self._close_session_if_empty(session)
         self._schedule_tick()
 
@@ -730,15 +740,21 @@
         run.order_deadline_s = session.start_deadline_s()
         self._orders_in_flight += 1
         sent_at = self._clocks.now()
+        incarnations = session.incarnations
         try:
             outcome = await session.start_run(command)
         finally:
             self._orders_in_flight -= 1
+        now = run.answered_at = self._clocks.now()
         self._orders_answered += 1
-        self._order_seconds += self._clocks.now() - sent_at
+        self._order_seconds += now - sent_at
         if self._scheduler.orders_held_back:
             self._schedule_tick()
-        now = self._clocks.now()
+        if session.incarnations != incarnations and not _had_no_effect(outcome):
+            # Either incarnation may have carried it out; a status report of the new one decides.
+            decision_log.decide("run.answered_across_restart", run, outcome=str(outcome))
+            session.poll_soon(0.0)
+            return
         if isinstance(outcome, result.Success):
             self._scheduler.reconciler.start_confirmed(run, clock_s=outcome.unwrap(), now=now)
             if self._scheduler.needs_observation(run):
@@ -760,8 +776,14 @@
         session = self._sessions.get(command.target.target_id)
         if session is None:
             return
+        incarnations = session.incarnations
         outcome = await session.stop_run(command.key)
-        if isinstance(outcome, result.Failure):
+        run = command.target.runs.get(command.key)
+        if isinstance(outcome, result.Success):
+            if run is not None and run.deadline_void and session.incarnations == incarnations:
+                self._scheduler.reconciler.stop_answered(run, clock_s=outcome.unwrap())
+                session.poll_soon(STOP_OUTCOME_DELAY_S)
+        else:
             decision_log.decide(
                 "run.stop_failed",
                 None,
@@ -780,3 +802,10 @@
             # next review sends the pace again.
             command.run.pace = 100
             decision_log.decide("run.pace_failed", command.run, reason=str(outcome.failure()))
+
+
+def _had_no_effect(outcome: result.Result[float, targets.TargetError]) -> bool:
+    """Returns whether an order certainly had no effect."""
+    return isinstance(outcome, result.Failure) and not isinstance(
+        outcome.failure(), targets.UnknownOutcomeError
+    )
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -101,6 +101,7 @@
     def order_run(self, task: rows.TaskRow, row: rows.TargetRow, *, run: int, now: float) -> None:
         """Reserves capacity for a run of a task and orders it."""
         self._orders_left -= 1
+        ran_before = task.last_run > 0
         task.state = rows.TaskState.PLACED
         task.last_run = run
         self._tables.waiting.touch(task.step)
@@ -116,7 +117,13 @@
             # The next owner has to know where the task ran, if the target crashes meanwhile.
             self._mark_urgent(task.step.job)
         self._margins.forget(row)
-        self._decide("run.order", run_row, waited_s=round(now - task.waiting_since, 3))
+        self._decide(
+            "run.order",
+            run_row,
+            waited_s=round(now - task.waiting_since, 3),
+            born=row.target.born or None,
+            again=ran_before or None,
+        )
         self._emit(commands.StartRun(run=run_row))
 
     def next_run_number(self, tasks: Iterable[rows.TaskRow]) -> int:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
@@ -62,6 +62,10 @@
         elif run.state == rows.RunState.STOPPING:
             run.seen_s = max(run.seen_s, clock_s)
 
+    def stop_answered(self, run: rows.RunRow, *, clock_s: float) -> None:
+        """Records that a target refuses the start of a run from now on, unless it runs there."""
+        run.refused_from_s = run.refused_from_s or clock_s
+
     def start_refused(self, run: rows.RunRow, *, reason: str, now: float) -> None:
         """Requeues a run whose start certainly had no effect."""
         if run.key not in run.target.runs or run.state == rows.RunState.RUNNING:
@@ -166,14 +170,32 @@
     def _resolve_missing(self, run: rows.RunRow, *, clock_s: float, now: float) -> None:
         """Requeues a run that a later status report doesn't list, once it surely isn't running."""
         was_listed = run.seen_s and clock_s > run.seen_s
-        never_started = run.state == rows.RunState.UNCERTAIN and clock_s > run.order_deadline_s
-        never_started = never_started or (
-            run.state == rows.RunState.STOPPING
-            and not run.seen_s
-            and clock_s > run.order_deadline_s
-        )
-        if run.state == rows.RunState.ORDERED or not (was_listed or never_started):
+        if run.state == rows.RunState.ORDERED or not (
+            was_listed or _never_starts(run, clock_s=clock_s)
+        ):
+            self._prevent_start(run, now=now)
             return
         self._decide("run.missing", run, clock_s=clock_s, seen_s=run.seen_s)
         run.task.avoid_target = run.target.target_id
         self._ends.release_and_requeue(run, now=now)
+
+    def _prevent_start(self, run: rows.RunRow, *, now: float) -> None:
+        """Orders a target that restarted to stop a run that it doesn't list, or to refuse its start."""
+        if not run.deadline_void or run.refused_from_s:
+            return
+        if run.state is not rows.RunState.STOPPING:
+            self._ends.stop(run, reason=task_ends.NEW_INCARNATION, now=now)
+        elif now - run.stop_sent_at > STOP_RETRY_S:
+            run.stop_sent_at = now
+            self._emit(commands.StopRun(target=run.target, key=run.key, reason=run.stop_reason))
+
+
+def _never_starts(run: rows.RunRow, *, clock_s: float) -> bool:
+    """Returns whether a run that no report has listed has ended or will never start."""
+    if run.seen_s:
+        return False
+    if run.refused_from_s and clock_s > run.refused_from_s:
+        return True
+    if run.deadline_void or run.state not in (rows.RunState.UNCERTAIN, rows.RunState.STOPPING):
+        return False
+    return clock_s > run.order_deadline_s
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -190,6 +190,12 @@
         seen_s: Latest time on the target's clock at which the target confirmed the run, seconds; 0
             before the first confirmation.
         ordered_at: Time of its order, seconds; 0 for a run that a former owner ordered.
+        answered_at: Time at which the call with its order ended, with or without an answer, seconds; 0
+            before.
+        deadline_void: Whether the target restarted after the order. Its clock began anew, so that the
+            deadline no longer bounds when the order may be carried out.
+        refused_from_s: Time on the target's clock from which it refuses the run's start, as it answered
+            an order to stop the run, seconds; 0 before.
         started_at: Time at which it was first known to run, seconds.
         percent: Progress in percent.
         reading: Of a serving run the tail of its response times, seconds; of any other its
@@ -210,6 +216,9 @@
     order_deadline_s: float = 0.0
     seen_s: float = 0.0
     ordered_at: float = 0.0
+    answered_at: float = 0.0
+    deadline_void: bool = False
+    refused_from_s: float = 0.0
     started_at: float = 0.0
     percent: float = 0.0
     reading: float | None = None
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -154,7 +154,7 @@
         """
         row = self._tables.targets.get(target.target_id)
         if row is not None and row.target.born < target.born:
-            self.mark_runs_lost(row, why="new-life", now=now)
+            self.mark_runs_lost(row, why=task_ends.NEW_INCARNATION, now=now)
             row.confirmed = False
             row.suspicion_score = 0.0
         row = self._tables.set_target(target)
@@ -181,9 +181,11 @@
             for serving in interference.serving_runs(run.target)
         )
 
-    def mark_runs_lost(self, row: rows.TargetRow, *, why: str, now: float) -> None:
-        """Releases and requeues all runs of a target on which nothing can be running any more."""
-        self._ends.mark_runs_lost(row, why=why, now=now)
+    def mark_runs_lost(
+        self, row: rows.TargetRow, *, why: str, now: float, lease_s: float = 0.0
+    ) -> None:
+        """Releases and requeues the runs of a target that surely have ended; see `TaskEnds`."""
+        self._ends.mark_runs_lost(row, why=why, now=now, lease_s=lease_s)
 
     def remove_target(self, row: rows.TargetRow) -> None:
         """Removes a target without runs."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -7,7 +7,15 @@
 from collections.abc import Callable
 
 import msgspec
-from ebonyhatch.fleet import clocks, commands, decision_log, rows, supervision, targets
+from ebonyhatch.fleet import (
+    clocks,
+    commands,
+    decision_log,
+    rows,
+    supervision,
+    targets,
+    task_ends,
+)
 from ebonyhatch.node import coroutines
 from returns import result
 from twisted.internet import defer
@@ -138,12 +146,18 @@
         self._lease_expires_at = term_began_at + lease_expiry_s(self._lease_s)
         self._failures = 0
         self._extra_polls = 0
+        self._incarnations = 0
 
     @property
     def row(self) -> rows.TargetRow:
         """The target."""
         return self._row
 
+    @property
+    def incarnations(self) -> int:
+        """Number of restarts of the target that this session has seen."""
+        return self._incarnations
+
     @property
     def lease_expired(self) -> bool:
         """Whether every run on the target has lost its lease."""
@@ -178,10 +192,14 @@
 
     def reset_for_new_incarnation(self) -> None:
         """Resets the state that belongs to the target's previous incarnation."""
+        self._incarnations += 1
         self._processed = self._acknowledged = 0
         self._pending.clear()
         self._held_report = None
         self._clock_s = 0.0
+        if self._row.runs:
+            # Starts that were under way may have reached the new incarnation.
+            self.poll_soon(0.0)
 
     def start_deadline_s(self) -> float:
         """Returns the time on the target's clock until which a start that is sent now is valid."""
@@ -193,7 +211,7 @@
 
     async def _poll_once(self, delay_s: float) -> None:
         await self._group.sleep(delay_s)
-        if not self._clock_s:
+        if not (self._clock_s or self._incarnations):
             return
         self._extra_polls += 1
         try:
@@ -358,7 +376,7 @@
         ):
             if not self._failures:
                 self._row.loss = self._loss(timed_out=True)
-            self._on_runs_lost(self, "new-life")
+            self._on_runs_lost(self, task_ends.NEW_INCARNATION)
             self.reset_for_new_incarnation()
             # The target's own report takes precedence over the target list, which is late.
             if report.born:
@@ -413,7 +431,7 @@
             self._set_reachable(False)
         if self.lease_expired:
             self._held_report = None
-            self._on_runs_lost(self, "lease-lapsed")
+            self._on_runs_lost(self, task_ends.LEASE_EXPIRED)
 
     def _set_reachable(self, reachable: bool) -> None:
         if self._row.reachable != reachable:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -22,7 +22,13 @@
 """Delay before each later run per failure so far, seconds: long enough that a target that fails
 runs immediately does not use up the attempts of a task within one fault."""
 
-CRASH_REASONS = frozenset({"new-life", "other-life"})
+NEW_INCARNATION = "new-life"
+"""Reason of a loss of runs: the target restarted under its id."""
+
+LEASE_EXPIRED = "lease-lapsed"
+"""Reason of a loss of runs: the target is silent, and its lease has expired."""
+
+CRASH_REASONS = frozenset({NEW_INCARNATION, "other-life"})
 """Reasons of a loss of runs that show that the target has started anew."""
 
 
@@ -88,9 +94,21 @@
         tables.release(run)
         self.requeue(run.task, now=now)
 
-    def mark_runs_lost(self, row: rows.TargetRow, *, why: str, now: float) -> None:
-        """Releases and requeues all runs of a target on which nothing can be running any more."""
-        runs = list(row.runs.values())
+    def mark_runs_lost(
+        self, row: rows.TargetRow, *, why: str, now: float, lease_s: float = 0.0
+    ) -> None:
+        """Releases and requeues the runs of a target that surely have ended.
+
+        A run that no status report has listed may be one whose start the target's next incarnation
+        carries out, and its lease begins then.
+
+        Args:
+            row: The target.
+            why: Reason of the loss.
+            now: Time on the scheduler's clock, seconds.
+            lease_s: Longest time for which such a run outlives the call with its order, seconds.
+        """
+        runs = [run for run in row.runs.values() if not _may_run_on(run, why, lease_s, now=now)]
         tasks: list[rows.TaskRow] = []
         joint = crash_blame.JointLoss.ALONE
         if why in CRASH_REASONS:
@@ -98,12 +116,30 @@
             if not row.target.draining:
                 tasks = crash_blame.record_crash(row, now=now, joint=joint)
         for run in runs:
-            self._decide("run.lost", run, reason=why, crashes=run.task.crashes)
+            self._decide(
+                "run.lost",
+                run,
+                reason=why,
+                crashes=run.task.crashes,
+                state=run.state.value,
+                listed=bool(run.listed_at),
+            )
             tables.release(run)
+        if why == NEW_INCARNATION:
+            for run in row.runs.values():
+                self._doubt_start(run)
         self._apply_crash(row.target_id, tasks, joint=joint, now=now)
         for run in runs:
             self.requeue(run.task, now=now)
 
+    def _doubt_start(self, run: rows.RunRow) -> None:
+        """Treats the outcome of a start as unknown until the target's new incarnation shows it."""
+        self._decide("run.uncertain", run, reason=NEW_INCARNATION, state=run.state.value)
+        if run.state is not rows.RunState.STOPPING:
+            run.state = rows.RunState.UNCERTAIN
+        run.deadline_void = True
+        run.seen_s = run.refused_from_s = 0.0
+
     def record_removal(self, row: rows.TargetRow) -> None:
         """Notes the loss of a target that is removed while it doesn't answer."""
         self._losses.note_removal(row)
@@ -285,3 +321,16 @@
             )
             return
         self.requeue(task, now=now)
+
+
+def _may_run_on(run: rows.RunRow, why: str, lease_s: float, *, now: float) -> bool:
+    """Returns whether a run may be in progress, or begin, though its target lost its runs.
+
+    Only status reports name the incarnation that runs it. An answer to the start may come from the
+    former incarnation or the next one.
+    """
+    if run.listed_at:
+        return False
+    if why == NEW_INCARNATION:
+        return True
+    return why == LEASE_EXPIRED and now - (run.answered_at or run.ordered_at) <= lease_s
--- a/packages/ebonyhatch-fleet/tests/test_decision_log.py
+++ b/packages/ebonyhatch-fleet/tests/test_decision_log.py
@@ -59,6 +59,21 @@
     assert expected in counted.render().decode().splitlines()
 
 
+def test_lines_that_explain_a_fault_are_not_dropped_for_routine_ones(pipe, monkeypatch):
+    """Guards against logs of a busy owner that lack the loss of a run and its second order."""
+    monkeypatch.setattr(decision_log, "MAX_BURST_LINES", 2.0)
+    monkeypatch.setattr(decision_log, "MAX_RESERVED_LINES", 2.0)
+    log = decision_log.DecisionLog(descriptor=pipe[1], clock=task.Clock(), common={})
+    log.start()
+    for number in range(5):
+        decision_log.write("run.order", number=number)
+    decision_log.write("run.lost", number=5)
+    decision_log.write("run.order", number=6, again=True)
+    decision_log.write("run.lost", number=7)
+    log.close()
+    assert [line["number"] for line in lines(pipe[0])] == [0, 1, 5, 6]
+
+
 def test_lines_of_one_decision_are_written_together_and_soon(pipe, monkeypatch):
     writes = []
     write = os.write
--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -279,6 +279,52 @@
     world_module.check_all(world)
 
 
+@pytest.mark.parametrize("listed_first", [True, False])
+def test_start_that_the_next_incarnation_of_a_target_carried_out_is_not_repeated(listed_first):
+    """Guards against a second run of a task whose target restarted unseen just before its start."""
+    world = _ready(target_count=1)
+    world.engines["t0"].restart()
+    job = world.job(ONE_TASK, work_s=3.0)
+    world.submit(job)
+    world.run_until(lambda: world.starts(job.job_id), limit_s=0.6)
+    world.add_target("t9")
+    if listed_first:
+        world.register(world.engines["t0"].target)
+    world.run(2.0)
+    assert len(world.starts(job.job_id)) == 1
+    world.run_until(lambda: world.state(job.job_id) == "completed")
+    world_module.check_all(world)
+
+
+def test_start_that_the_next_incarnation_of_a_target_carries_out_late_is_not_repeated():
+    """Guards against a second run beside one that a restarted target begins after seconds."""
+    world = _ready(target_count=1)
+    world.engines["t0"].restart()
+    world.engines["t0"].faults.delay_s = 1.5
+    job = world.job(ONE_TASK, work_s=3.0)
+    world.submit(job)
+    world.run(0.1)
+    world.add_target("t9")
+    world.register(world.engines["t0"].target)
+    world.run(4.0)
+    world.engines["t0"].faults.delay_s = 0.0
+    world.run_until(lambda: world.state(job.job_id) == "completed")
+    world_module.check_all(world)
+
+
+def test_task_of_an_order_without_effect_is_placed_again_once_its_target_has_restarted():
+    """Guards against a task that waits for a start that its restarted target never received."""
+    world = _ready(target_count=1)
+    world.engines["t0"].faults.down = True
+    job = world.job(ONE_TASK, work_s=0.5)
+    world.submit(job)
+    world.run(0.3)
+    world.restart_target("t0")
+    world.engines["t0"].faults.down = False
+    assert world.run_until(lambda: world.state(job.job_id) == "completed") < 2.0
+    world_module.check_all(world)
+
+
 def test_target_whose_registration_changes_is_updated():
     world = _ready(target_count=2)
     row = world.owner.node.owner.scheduler.tables.targets["t0"]
--- a/packages/ebonyhatch-fleet/tests/test_scheduler.py
+++ b/packages/ebonyhatch-fleet/tests/test_scheduler.py
@@ -116,6 +116,22 @@
     assert started.run.task.name == f"{'0' * 15}2.0.0.0"
 
 
+def test_lease_of_a_run_that_no_report_listed_counts_from_its_order():
+    """Guards against a second run beside that of a target that restarted unseen and was cut off."""
+    subject = _scheduler(target_count=2)
+    _add(subject, jobs.Step(count=1, cpu_millis=1000))
+    (started,) = subject.tick(now=5.0, wall=5.0)
+    lost = started.run.target
+    subject.reconciler.start_confirmed(started.run, clock_s=1.0, now=5.1)
+    started.run.answered_at = 5.1
+    subject.mark_runs_lost(lost, why="lease-lapsed", now=10.0, lease_s=6.0)
+    lost.confirmed = False
+    assert subject.tick(now=10.0, wall=10.0) == []
+    subject.mark_runs_lost(lost, why="lease-lapsed", now=11.2, lease_s=6.0)
+    (again,) = subject.tick(now=11.2, wall=11.2)
+    assert again.run.task is started.run.task and again.run.target is not lost
+
+
 def test_capacity_is_never_exceeded():
     subject = _scheduler(target_count=2, cpu_millis=2500)
     _add(subject, jobs.Step(count=9, cpu_millis=1000))
--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -132,7 +132,7 @@
             memory_mb=4000,
         )
         self.engines[target_id] = memory_targets.TargetEngine(
-            clock=self.clock, target=target, work_s=self._work_s
+            clock=self.clock, target=target, work_s=self._work_s, max_lease_s=LEASE_S
         )
         self.register(target)
 
