Orders are sent by a module of their own, and histories restart targets under their id

owner.py holds the recovery and the ticks; sending orders and applying their answers moves to orders/sender.py without a change of behaviour. A target's suspicion score is reset at a restart on both paths by which the owner hears of it, not only by the list. Drawn histories have two more events: a restart that is listed late, and one after which the target is cut off.

--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to targets."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -13,7 +13,6 @@
     change_feed,
     clocks,
     commands,
-    crash_blame,
     decision_log,
     journal,
     keys,
@@ -33,8 +32,8 @@
     targets,
     task_ends,
 )
+from ebonyhatch.fleet.orders import sender
 from ebonyhatch.node import coroutines
-from returns import result
 from twisted.internet import defer
 
 MIN_TICK_INTERVAL_S = 0.008
@@ -43,24 +42,9 @@
 MAX_TICK_INTERVAL_S = 0.25
 """Maximum time between two ticks, seconds; bounds how late a hung run is detected."""
 
-START_OUTCOME_MARGIN_S = 0.03
-"""Time after the deadline of a start with an unknown outcome until its target is polled, seconds."""
-
-STOP_OUTCOME_DELAY_S = 0.002
-"""Time after the answer to a stop until its target is polled for the outcome, seconds: more than the
-resolution of the targets' clocks."""
-
-OBSERVE_FILLER_AFTER_S = 0.3
-"""Time after the start of a filler (a task that uses processor time left over by others) until the
-target is polled for its effect, seconds. Readings cover half a second."""
-
 MAX_TICK_SHARE = 0.4
 """Maximum share of the loop's time that decisions take, so that renewals and answers are not held
-up; the orders that follow from them are limited by `MAX_ORDERS_IN_FLIGHT`."""
-
-MAX_ORDERS_IN_FLIGHT = 64
-"""Maximum number of starts without an answer. On an overloaded instance answers arrive late, and
-tasks wait in the scheduler's order instead of starting too late."""
+up; the orders that follow from them are limited by `sender.MAX_ORDERS_IN_FLIGHT`."""
 
 ITEMS_PER_TURN = 25
 """Number of listed jobs or held reports that are applied in one turn of the loop, so that renewals
@@ -104,9 +88,6 @@
         self._on_superseded = on_superseded
         self._poll_pause_s = poll_pause_s
         self._scan_slots = defer.DeferredSemaphore(MAX_SCANS_IN_FLIGHT)
-        self._orders_in_flight = 0
-        self._orders_answered = 0
-        self._order_seconds = 0.0
         self._ticks = 0
         self._ticks_held_back = 0
         self._tick_seconds = 0.0
@@ -116,6 +97,13 @@
         self._scheduler.begin_term(term)
         self._configuration = queues.Configuration(version=0)
         self._sessions: dict[str, target_session.TargetSession] = {}
+        self._orders = sender.OrderSender(
+            all_clocks=all_clocks,
+            group=self._group,
+            orders=self._scheduler,
+            sessions=self._sessions,
+            schedule_tick=self._schedule_tick,
+        )
         self._listed: dict[str, targets.Target] = {}
         self._targets = target_list.TargetList(
             store_port=store_port,
@@ -217,9 +205,9 @@
             "targets_barred": sum(
                 row.quarantined_until > self._clocks.now() for row in targets_now
             ),
-            "orders_in_flight": self._orders_in_flight,
-            "orders_answered": self._orders_answered,
-            "order_seconds": self._order_seconds,
+            "orders_in_flight": self._orders.in_flight,
+            "orders_answered": self._orders.answered,
+            "order_seconds": self._orders.seconds,
             "ticks": self._ticks,
             "ticks_held_back": self._ticks_held_back,
             "tick_seconds": self._tick_seconds,
@@ -675,14 +663,14 @@
         if self._lease_valid():
             self._lease_renewal_required = False
         self._scheduler.may_place = self._recovered and self._may_order_runs()
-        self._scheduler.order_limit = MAX_ORDERS_IN_FLIGHT - self._orders_in_flight
+        self._scheduler.order_limit = self._orders.free_slots
         due_commands = self._decide(now=now, wall=wall)
         self._tick_took_s = self._clocks.now() - now
         self._ticks += 1
         self._tick_seconds += self._tick_took_s
         self._ticks_held_back += self._scheduler.orders_held_back
         for command in due_commands:
-            self._execute(command)
+            self._orders.send(command)
         due_s = self._scheduler.next_wake_s(now=now, wall=wall)
         wake_s = MAX_TICK_INTERVAL_S if due_s is None else min(due_s, MAX_TICK_INTERVAL_S)
         self._schedule_tick_in(max(wake_s, self._min_tick_interval_s))
@@ -720,92 +708,3 @@
     def _may_renew_leases(self) -> bool:
         """Returns whether the leases of targets may be renewed."""
         return self._reach.suffices(lease_valid=self._lease_valid())
-
-    def _execute(self, command: commands.Command) -> None:
-        if isinstance(command, commands.StartRun):
-            self._group.spawn(self._start_run(command))
-        elif isinstance(command, commands.StopRun):
-            self._group.spawn(self._stop_run(command))
-        else:
-            self._group.spawn(self._pace_run(command))
-
-    async def _start_run(self, command: commands.StartRun) -> None:
-        run = command.run
-        session = self._sessions.get(run.target.target_id)
-        if session is None:
-            self._scheduler.reconciler.start_refused(
-                run, reason="no-session", now=self._clocks.now()
-            )
-            return
-        run.order_deadline_s = session.start_deadline_s()
-        self._orders_in_flight += 1
-        sent_at = self._clocks.now()
-        incarnations = session.incarnations
-        try:
-            outcome = await session.start_run(command)
-        finally:
-            self._orders_in_flight -= 1
-        now = run.answered_at = self._clocks.now()
-        self._orders_answered += 1
-        self._order_seconds += now - sent_at
-        if self._scheduler.orders_held_back:
-            self._schedule_tick()
-        if session.incarnations != incarnations and not _had_no_effect(outcome):
-            # Either incarnation may have carried it out; a status report of the new one decides.
-            decision_log.decide("run.answered_across_restart", run, outcome=str(outcome))
-            session.poll_soon(0.0)
-            return
-        if isinstance(outcome, result.Success):
-            self._scheduler.reconciler.start_confirmed(run, clock_s=outcome.unwrap(), now=now)
-            if self._scheduler.needs_observation(run):
-                session.poll_soon(OBSERVE_FILLER_AFTER_S)
-            if run.task.crashes:
-                session.poll_soon(crash_blame.SURVIVAL_POLL_S)
-            return
-        error = outcome.failure()
-        if isinstance(error, targets.UnknownOutcomeError):
-            self._scheduler.reconciler.start_uncertain(run, reason=error.reason, now=now)
-            remaining_s = max(0.0, run.order_deadline_s - session.target_clock_s)
-            session.poll_soon(remaining_s + START_OUTCOME_MARGIN_S)
-        else:
-            reason = error.reason if isinstance(error, targets.RefusedError) else "not-sent"
-            self._scheduler.reconciler.start_refused(run, reason=reason, now=now)
-        self._schedule_tick()
-
-    async def _stop_run(self, command: commands.StopRun) -> None:
-        session = self._sessions.get(command.target.target_id)
-        if session is None:
-            return
-        incarnations = session.incarnations
-        outcome = await session.stop_run(command.key)
-        run = command.target.runs.get(command.key)
-        if isinstance(outcome, result.Success):
-            if run is not None and run.deadline_void and session.incarnations == incarnations:
-                self._scheduler.reconciler.stop_answered(run, clock_s=outcome.unwrap())
-                session.poll_soon(STOP_OUTCOME_DELAY_S)
-        else:
-            decision_log.decide(
-                "run.stop_failed",
-                None,
-                key=command.key,
-                target=command.target.target_id,
-                reason=str(outcome.failure()),
-            )
-
-    async def _pace_run(self, command: commands.PaceRun) -> None:
-        session = self._sessions.get(command.run.target.target_id)
-        if session is None:
-            return
-        outcome = await session.pace_run(command.run.key, command.percent)
-        if isinstance(outcome, result.Failure):
-            # The pace in force is unknown. Full pace is recorded, which is surely wrong, so that the
-            # next review sends the pace again.
-            command.run.pace = 100
-            decision_log.decide("run.pace_failed", command.run, reason=str(outcome.failure()))
-
-
-def _had_no_effect(outcome: result.Result[float, targets.TargetError]) -> bool:
-    """Returns whether an order certainly had no effect."""
-    return isinstance(outcome, result.Failure) and not isinstance(
-        outcome.failure(), targets.UnknownOutcomeError
-    )
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -156,7 +156,6 @@
         if row is not None and row.target.born < target.born:
             self.mark_runs_lost(row, why=task_ends.NEW_INCARNATION, now=now)
             row.confirmed = False
-            row.suspicion_score = 0.0
         row = self._tables.set_target(target)
         if not target.draining:
             row.leaves_at = 0.0
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -126,6 +126,7 @@
             )
             tables.release(run)
         if why == NEW_INCARNATION:
+            row.suspicion_score = 0.0
             for run in row.runs.values():
                 self._doubt_start(run)
         self._apply_crash(row.target_id, tasks, joint=joint, now=now)
--- a/packages/ebonyhatch-fleet/tests/test_histories.py
+++ b/packages/ebonyhatch-fleet/tests/test_histories.py
@@ -68,6 +68,8 @@
     "compact",
     "target_down",
     "target_restarts",
+    "target_restarts_unlisted",
+    "target_restarts_and_is_cut_off",
     "target_partitioned",
     "target_unresponsive",
     "target_delays_orders",
@@ -105,6 +107,12 @@
 )
 WORK_S = (0.3, 0.5, 2.0)
 
+LISTING_DELAY_S = 0.8
+"""Time after which the store lists a change of a target, seconds."""
+
+UNTIL_CUT_OFF_S = 0.3
+"""Time from the restart of a target until it is cut off, seconds: it carries out orders in between."""
+
 
 class History:
     """Applies events to a world."""
@@ -283,6 +291,24 @@
         self.world.restart_target(engine.target.target_id)
         engine.faults.down = False
 
+    def _target_restarts_unlisted(self, event: Event) -> None:
+        """Restarts a target whose new registration comes late, so that orders cross the restart."""
+        engine = self._engine(event)
+        tasks = tuple(sorted({key.task for key in engine.runs}))
+        self.world.crashes.append((self.world.clock.seconds(), engine.target.target_id, tasks))
+        engine.restart()
+        engine.faults.down = False
+        self.world.clock.callLater(LISTING_DELAY_S, lambda: self.world.register(engine.target))
+
+    def _target_restarts_and_is_cut_off(self, event: Event) -> None:
+        engine = self._engine(event)
+        self._target_restarts_unlisted(event)
+
+        def cut_off() -> None:
+            engine.faults.partitioned = True
+
+        self.world.clock.callLater(UNTIL_CUT_OFF_S, cut_off)
+
     def _target_partitioned(self, event: Event) -> None:
         self._engine(event).faults.partitioned = True
 
--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -10,11 +10,11 @@
     keys,
     memory_store,
     memory_targets,
-    owner,
     progress,
     rows,
     store,
 )
+from ebonyhatch.fleet.orders import sender
 from ebonyhatch.node import coroutines
 from returns import result
 from twisted.internet import task
@@ -70,9 +70,9 @@
         submitted.append(jobs.Job(**_fields(job) | {"accepted_at": job.accepted_at + number / 1e4}))
     world.store_jobs(*submitted)
     took_s = world.run_until(lambda: len(orders.tasks) == len(submitted) and not orders.in_flight)
-    assert orders.most_in_flight == owner.MAX_ORDERS_IN_FLIGHT
+    assert orders.most_in_flight == sender.MAX_ORDERS_IN_FLIGHT
     assert [name.partition(".")[0] for name in orders.tasks] == [job.job_id for job in submitted]
-    assert took_s < (len(submitted) / owner.MAX_ORDERS_IN_FLIGHT + 2) * ANSWER_S
+    assert took_s < (len(submitted) / sender.MAX_ORDERS_IN_FLIGHT + 2) * ANSWER_S
     world.run(1.0)
     assert len(orders.tasks) == len(submitted)
     world_module.check_all(world)
