A run that no report shows counts as one crash of its target, however often that restarts

Since the outcome of a start is kept as unknown across a restart, each further restart counted a crash for the task, and a job could fail for crashes of a target that never ran it.

test_restarts_of_a_target_that_never_showed_a_run_count_as_one_crash_of_its_task failed before.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
@@ -240,10 +240,12 @@
 def _may_be_responsible(run: rows.RunRow, *, now: float) -> bool:
     """Returns whether a run may have been on its target at the crash, and not for long.
 
-    An order that has no answer when the crash is seen was sent to a target that was down already.
+    An order that has no answer when the crash is seen was sent to a target that was down already. A
+    run that an earlier crash was counted for, and that no report has shown since, isn't there either.
     """
     recent = not run.started_at or now - run.started_at < CLEARED_AFTER_S
-    return run.state != rows.RunState.ORDERED and recent
+    counted = run.deadline_void and not run.listed_at
+    return run.state != rows.RunState.ORDERED and recent and not counted
 
 
 def _outlived_probation(run: rows.RunRow, loss: rows.Loss | None) -> bool:
--- a/packages/ebonyhatch-fleet/tests/test_scheduler.py
+++ b/packages/ebonyhatch-fleet/tests/test_scheduler.py
@@ -132,6 +132,17 @@
     assert again.run.task is started.run.task and again.run.target is not lost
 
 
+def test_restarts_of_a_target_that_never_showed_a_run_count_as_one_crash_of_its_task():
+    """Guards against jobs that fail for crashes of a target that didn't run their tasks."""
+    subject = _scheduler()
+    _add(subject, jobs.Step(count=1, cpu_millis=1000))
+    (started,) = subject.tick(now=0.0, wall=0.0)
+    subject.reconciler.start_confirmed(started.run, clock_s=1.0, now=0.1)
+    for now in (0.2, 0.3, 0.4):
+        subject.mark_runs_lost(started.run.target, why="new-life", now=now)
+    assert started.run.task.crashes == 1
+
+
 def test_capacity_is_never_exceeded():
     subject = _scheduler(target_count=2, cpu_millis=2500)
     _add(subject, jobs.Step(count=9, cpu_millis=1000))
