Requests to evacuate failure domains: nothing starts there any more

Cause: operators had no way to keep work off a failure domain before they switch it off.

A new owner lists the requests anew and places nothing before the store has answered. Targets of a requested domain aren't usable, nor counted for the reserve. Starts there that are in flight or have an unknown outcome are stopped at once, and so is a start that shows up in a later report than the first. Unreadable keys and unknown domains are logged once; a request for a domain whose targets appear later takes effect then. The module of targets that leave is `evacuation/leaving.py`, its tests `test_leaving.py`, without other changes than the names.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/usable.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/usable.py
@@ -11,8 +11,8 @@
     """Returns whether a target may get new runs.
 
     It has sent a status report, takes runs by the owner's durable record, answers, is listed, isn't
-    draining or quarantined, doesn't run an isolated task, and hasn't just refused a run for lack of
-    capacity.
+    draining or quarantined, is in no evacuated failure domain, doesn't run an isolated task, and
+    hasn't just refused a run for lack of capacity.
     """
     return (
         row.confirmed
@@ -20,6 +20,7 @@
         and row.reachable
         and row.listed
         and not row.target.draining
+        and not row.evacuated
         and row.closed_until <= context.now
     )
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -30,6 +30,7 @@
 )
 from ebonyhatch.fleet import network as network_module
 from ebonyhatch.fleet import owner as owner_module
+from ebonyhatch.fleet.evacuation import requests as evacuation_requests
 from ebonyhatch.node import coroutines, peers
 from returns import result
 
@@ -120,6 +121,7 @@
         targets_port: targets.Targets,
         target_codec: target_list.TargetCodec,
         codec: configuration_source.Codec,
+        evacuation_codec: evacuation_requests.Codec,
         calls: call_counts.CallSource = call_counts.no_calls,
     ) -> None:
         self._settings = settings
@@ -165,6 +167,13 @@
             group=self._group,
             on_change=self._on_configuration_changed,
         )
+        self._evacuations = evacuation_requests.EvacuationRequests(
+            store_port=store_port,
+            codec=evacuation_codec,
+            all_clocks=self._clocks,
+            group=self._group,
+            on_change=self._on_evacuations_changed,
+        )
         self._exchange = configuration_exchange.ConfigurationExchange(
             neighbours=lambda: self._neighbours,
             network=self._network,
@@ -239,6 +248,7 @@
         self._entry.start()
         self._exchange.start()
         self._configuration.start()
+        self._evacuations.start()
         self._members.start()
         supervision.spawn(self._group, "load-notices", self._report_load)
         supervision.spawn(self._group, "ownership-review", self._review_ownership)
@@ -289,6 +299,7 @@
             store_port=self._store,
             targets_port=self._targets,
             target_codec=self._target_codec,
+            evacuations=self._evacuations,
             all_clocks=self._clocks,
             lease_s=self._settings.lease_s,
             keep_ended_s=self._settings.keep_ended_s,
@@ -387,6 +398,10 @@
             self._owner.set_configuration(configuration)
         self._exchange.announce(configuration)
 
+    def _on_evacuations_changed(self) -> None:
+        if self._owner is not None:
+            self._owner.apply_evacuations()
+
     def _on_load_notice(self, sender: str, notice: messages.LoadNotice) -> None:
         self._load.update(term=notice.term, waits_s=notice.waits_s, now=self._clocks.now())
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -32,6 +32,7 @@
     target_session,
     targets,
 )
+from ebonyhatch.fleet.evacuation import requests as evacuation_requests
 from ebonyhatch.node import coroutines
 from returns import result
 from twisted.internet import defer
@@ -79,6 +80,7 @@
         store_port: store.Store,
         targets_port: targets.Targets,
         target_codec: target_list.TargetCodec,
+        evacuations: evacuation_requests.EvacuationRequests,
         all_clocks: clocks.Clocks,
         lease_s: float,
         keep_ended_s: float,
@@ -107,7 +109,10 @@
         self._tick_seconds = 0.0
         self._tick_took_s = 0.0
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
-        self._scheduler = scheduler.Scheduler(decide=decision_log.decide)
+        self._evacuations = evacuations
+        self._scheduler = scheduler.Scheduler(
+            decide=decision_log.decide, requests=evacuations.domains
+        )
         self._scheduler.begin_term(term)
         self._configuration = queues.Configuration(version=0)
         self._sessions: dict[str, target_session.TargetSession] = {}
@@ -218,12 +223,14 @@
             "ticks": self._ticks,
             "ticks_held_back": self._ticks_held_back,
             "tick_seconds": self._tick_seconds,
+            **self._scheduler.evacuation.gauges(),
         }
 
     def start(self, *, configuration: queues.Configuration) -> None:
         """Starts recovery; scheduling begins after it."""
         self._configuration = configuration
         self._scheduler.configure(configuration)
+        self._evacuations.read_again()
         self._targets.start()
         supervision.spawn(self._group, "intake", self._follow_intake)
         supervision.spawn(self._group, "stabilization", self._stabilize)
@@ -253,6 +260,13 @@
         self._scheduler.configure(configuration)
         self._schedule_tick()
 
+    def apply_evacuations(self) -> None:
+        """Applies the present requests to evacuate failure domains."""
+        self._scheduler.evacuation.apply(now=self._clocks.now())
+        if self._targets.loaded:
+            self._scheduler.evacuation.log_unknown()
+        self._schedule_tick()
+
     def job(self, job_id: str) -> rows.JobRow | None:
         """Returns the row of a job; None for an unknown one."""
         return self._scheduler.tables.jobs.get(job_id)
@@ -530,7 +544,7 @@
                 session.row.listed = False
         self._close_unlisted_sessions()
         self._journal.request_write()
-        self._schedule_tick()
+        self.apply_evacuations()
 
     def _close_unlisted_sessions(self) -> None:
         for session in list(self._sessions.values()):
@@ -664,7 +678,9 @@
         self._ticked_at, self._ticked_boottime = now, boottime
         if self._lease_valid():
             self._lease_renewal_required = False
-        self._scheduler.may_place = self._recovered and self._may_order_runs()
+        self._scheduler.may_place = (
+            self._recovered and self._evacuations.listed and self._may_order_runs()
+        )
         self._scheduler.order_limit = MAX_ORDERS_IN_FLIGHT - self._orders_in_flight
         due_commands = self._decide(now=now, wall=wall)
         self._tick_took_s = self._clocks.now() - now
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
@@ -83,7 +83,7 @@
             if self._tables.targets.get(row.target_id) is not row:
                 order_changed |= self._sorted_for.pop(key, None) is not None
                 continue
-            state = (row.target, row.listed, row.long_running_cpu)
+            state = (row.target, row.listed and not row.evacuated, row.long_running_cpu)
             if state != self._sorted_for.get(key):
                 self._sorted_for[key] = state
                 order_changed = True
@@ -94,7 +94,7 @@
         """Sorts the targets of each pool, and sums their processor time in this order."""
         pools: dict[str, list[rows.TargetRow]] = {}
         for row in self._tables.targets.values():
-            if row.listed and not row.target.draining:
+            if row.listed and not row.target.draining and not row.evacuated:
                 pools.setdefault(row.target.pool, []).append(row)
         self._sums.clear()
         self._ranks.clear()
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -8,7 +8,6 @@
 
 from ebonyhatch.fleet import (
     commands,
-    evacuation,
     graph,
     interference,
     model_snapshot,
@@ -26,6 +25,7 @@
     targets,
     task_ends,
 )
+from ebonyhatch.fleet.evacuation import domain_evacuation, domains, leaving
 
 RUN_NUMBERS_PER_TERM = 1_000
 """Run numbers that each term of an owner may use for a task in addition to those already used."""
@@ -51,7 +51,8 @@
         order_limit: Number of runs after which the next tick orders no more.
     """
 
-    def __init__(self, *, decide: commands.Decide) -> None:
+    def __init__(self, *, decide: commands.Decide, requests: domains.Domains | None = None) -> None:
+        """Creates a scheduler; `requests` are the failure domains that operators evacuate."""
         self._commands: list[commands.Command] = []
         self._decide = decide
         self._tables = tables.Tables()
@@ -79,7 +80,13 @@
             decide=decide,
             mark_urgent=self._ends.mark_urgent,
         )
-        self._evacuation = evacuation.Evacuation(all_tables=self._tables, stop=self._ends.stop)
+        self._leaving_runs = leaving.Evacuation(all_tables=self._tables, stop=self._ends.stop)
+        self._evacuation = domain_evacuation.DomainEvacuation(
+            all_tables=self._tables,
+            requests=requests or domains.Domains(),
+            stop=self._ends.stop,
+            decide=decide,
+        )
         self._reported: dict[str, rows.TargetRow] = {}
         self._changed_targets = self._tables.observe_targets()
         self._suspected: dict[int, rows.TargetRow] = {}
@@ -117,6 +124,11 @@
                 row.queue = configuration.queue(row.job.queue) or row.queue
         self._tables.recount_short_cpu()
 
+    @property
+    def evacuation(self) -> domain_evacuation.DomainEvacuation:
+        """Component that applies the requests to evacuate failure domains."""
+        return self._evacuation
+
     def add_job(self, row: rows.JobRow, *, now: float, wall: float) -> None:
         """Adds a job that is durable."""
         if row.job.job_id in self._tables.jobs:
@@ -161,7 +173,8 @@
         if not target.draining:
             row.leaves_at = 0.0
         elif not row.leaves_at:
-            row.leaves_at = now + (target.stays_s or evacuation.MIN_STAY_S)
+            row.leaves_at = now + (target.stays_s or leaving.MIN_STAY_S)
+        self._evacuation.observe_target(row)
         return row
 
     def apply_report(
@@ -170,7 +183,10 @@
         """Applies a target's status report and adjusts the pace of its fillers."""
         self._model.advance_to(now)
         self._reported[row.target_id] = row
+        known = self._evacuation.keys_before_report(row)
         self._reconciler.apply_report(row, report, now=now)
+        if known is not None:
+            self._evacuation.stop_late_starts(row, known, now=now)
         self._pacing.review(row, now=now)
 
     def needs_observation(self, run: rows.RunRow) -> bool:
@@ -238,7 +254,7 @@
         self._reserve.observe(elapsed_s=elapsed_s)
         if self.may_place:
             if self._leaving:
-                self._evacuation.review(self._placement.context(now))
+                self._leaving_runs.review(self._placement.context(now))
             self._placement.place(
                 now=now,
                 wall=wall,
--- a/packages/ebonyhatch-fleet/tests/test_evacuation.py
+++ b/packages/ebonyhatch-fleet/tests/test_leaving.py
@@ -4,7 +4,8 @@
 
 import msgspec
 import pytest
-from ebonyhatch.fleet import commands, evacuation, jobs, queues, rows, scheduler, targets
+from ebonyhatch.fleet import commands, jobs, queues, rows, scheduler, targets
+from ebonyhatch.fleet.evacuation import leaving
 
 QUEUE = queues.Queue(name="q", host="h", prefix="/q/", pool="p", priority=1, max_attempts=3)
 JOB_ID = "0" * 15 + "1"
@@ -57,7 +58,7 @@
     case = EvacuationCase(LONG_RUNNING, others=1)
     assert case.stops(now=1.0) == []
     case.drain(now=1.0)
-    assert [stop.reason for stop in case.stops(now=1.0)] == [evacuation.REASON] * 2
+    assert [stop.reason for stop in case.stops(now=1.0)] == [leaving.REASON] * 2
     assert case.stops(now=1.1) == [], "each run is stopped once"
 
 
--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -24,11 +24,13 @@
     target_list,
     targets,
 )
+from ebonyhatch.fleet.evacuation import requests as evacuation_requests
 from twisted.internet import defer, task
 
 STEP_S = 0.005
 CONFIGURATION_KEY = "operators/configuration"
 TARGETS_PREFIX = "targets/"
+EVACUATIONS_PREFIX = "operators/evacuate/"
 LEASE_S = 6.0
 THIN_BYTES_PER_S = 625_000
 CRASH_DOWN_S = 1.5
@@ -73,6 +75,21 @@
         return msgspec.json.decode(item.value, type=targets.Target)
 
 
+class EvacuationCodec(evacuation_requests.Codec):
+    """Takes every name and every JSON object as a request."""
+
+    @property
+    def prefix(self) -> str:
+        return EVACUATIONS_PREFIX
+
+    def problem(self, domain: str, value: bytes) -> str:
+        try:
+            msgspec.json.decode(value, type=dict)
+        except msgspec.DecodeError as error:
+            return str(error)
+        return ""
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Member:
     """One running entry."""
@@ -120,12 +137,20 @@
         value = msgspec.json.encode(configuration)
         self.store.commit((), (store.Put(key=CONFIGURATION_KEY, value=value),), ())
 
-    def add_target(self, target_id: str, *, rack: str = "", cpu_millis: int = 4000) -> None:
+    def evacuate(self, domain: str, value: bytes = b"{}") -> None:
+        self.store.commit((), (store.Put(key=EVACUATIONS_PREFIX + domain, value=value),), ())
+
+    def end_evacuation(self, domain: str) -> None:
+        self.store.commit((), (), (EVACUATIONS_PREFIX + domain,))
+
+    def add_target(
+        self, target_id: str, *, rack: str = "", cpu_millis: int = 4000, domain: str = "a"
+    ) -> None:
         target = targets.Target(
             target_id=target_id,
             address=f"{target_id}:1",
             pool=POOL,
-            failure_domain="a",
+            failure_domain=domain,
             born=1,
             rack=rack,
             cpu_millis=cpu_millis,
@@ -215,6 +240,7 @@
             targets_port=port,
             target_codec=JsonTargetCodec(),
             codec=Codec(),
+            evacuation_codec=EvacuationCodec(),
         )
         member = Member(
             name=name, node=started, clocks=clock, store=connection, targets=port, link=link
