Owner: targets are announced after a slow recovery though no record changes

The round that the first listing of targets requests comes 0.1 s after it. If the recovery takes longer, and the records equal those of the former owner, nothing requests another round: the owner places nothing until a job or a target changes for another cause.

Change: the recovery requests a round when it is done. It writes nothing if nothing has changed.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -323,6 +323,8 @@
             session.apply_held_report()
             if number % ITEMS_PER_TURN == 0:
                 await self._group.sleep(0.0)
+        # Unchanged records of targets count from a round after the recovery on.
+        self._journal.request_write()
         self._schedule_tick()
         return stored.changes
 
--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -489,3 +489,19 @@
     world.run_until(lambda: len(world.starts(lasting.job_id)) == 2)
     assert world.clock.seconds() - left_at <= RESTART_S
     world_module.check_all(world)
+
+
+def test_owner_with_a_slow_recovery_starts_tasks_on_a_fleet_on_which_nothing_else_changes():
+    """Guards against targets that stay unannounced as their records need no write."""
+    world = world_module.World(entries=2, target_count=3)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(3.0)
+    world.kill(world.owner.name)
+    (member,) = world.members.values()
+    _delay_listings(member, 2.0)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(1.0)
+    job = world.job(ONE_TASK, work_s=0.5)
+    assert world.submit(job).verdict == entry.Verdict.DONE
+    world.run_until(lambda: world.state(job.job_id) == "completed", limit_s=5.0)
+    world_module.check_all(world)
