Silent targets: leases count from the first term in which no owner renewed them

Cause: a new owner can't know whether former owners renewed the lease of a target that it doesn't reach, and waited for its length from the start of its own term. While owners follow each other the wait began anew with each of them, and tasks that last stayed down (LOST).

Change: a record in the store marks silent targets with the first term from whose beginning on no owner renewed their leases. A takeover reads it after the head and writes it again with its own term in the same transaction, so that an owner knows the marks before its term begins and they hold through terms that end before any recovery. The lease of a marked target counts from the time at which the entry first saw that term, or a later one, by the clock that counts suspensions. While the stored record, or one on its way, may hold the mark, the owner neither renews the lease nor applies reports of the target, so that no run is ordered there either. An owner marks only targets that it hasn't heard from in its term, once half of the listed ones have reported under its token, which stops a former owner that is cut off from the store.

Considered: marks in the records of known targets, which a new owner reads late in its recovery. It would either renew nothing before, or break the chain of marks with each term that ends sooner.

With no silent target nothing is written; a takeover makes one more read.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/keys.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/keys.py
@@ -29,6 +29,9 @@
 FORMER_TARGETS = ROOT + "targets"
 """Record of all known targets as entries before the groups write it; see `known_targets.merge`."""
 
+SILENT_TARGETS = ROOT + "silent"
+"""Marks of targets whose leases no owner renews; written only together with the head."""
+
 HEAD = ROOT + "head"
 """Term and number of the owner's last write. Each write replaces it on condition of its revision."""
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -297,6 +297,8 @@
             store_reachable=lambda: self._members.store_reachable,
             on_superseded=lambda reason: self._on_superseded(new_owner, reason),
             poll_pause_s=self._poll_pace.pause_s,
+            silent=self._members.silent,
+            term_beginnings=self._members.term_beginnings,
             link_bytes_per_s=self._settings.link_bytes_per_s,
         )
         self._owner = new_owner
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -26,6 +26,7 @@
     retention,
     rows,
     scheduler,
+    silent_targets,
     store,
     supervision,
     target_list,
@@ -87,6 +88,8 @@
         store_reachable: Callable[[], bool],
         on_superseded: Callable[[str], None],
         poll_pause_s: Callable[[], float],
+        silent: dict[str, int],
+        term_beginnings: silent_targets.TermBeginnings,
         link_bytes_per_s: float = 0.0,
     ) -> None:
         self._term = term
@@ -123,7 +126,6 @@
             store_port=store_port, all_clocks=all_clocks, group=self._group
         )
         self._began_at = all_clocks.now()
-        self._term_began_at = all_clocks.boottime()
         self._retention = retention.Retention(keep_s=keep_ended_s)
         self._journal = journal.Journal(
             store_port=store_port,
@@ -140,6 +142,14 @@
             on_superseded=on_superseded,
             link_bytes_per_s=link_bytes_per_s,
         )
+        self._silent = silent_targets.SilentTargets(
+            term=term,
+            inherited=silent,
+            beginnings=term_beginnings,
+            all_clocks=all_clocks,
+            listed=lambda: self._listed,
+            request_write=self._journal.request_write,
+        )
         self._recovered = False
         self._removed_while_listing: dict[str, int] | None = None
         self._closed = False
@@ -401,10 +411,10 @@
         """Returns the records to write with the jobs: changed targets, and the learned model."""
         if not (self._recovered and self._targets.loaded):
             # The inherited records still describe targets that have no session yet.
-            return []
+            return self._silent.collect(present=None)
         changed = self._known_records.changed(self._row_of)
         self._known_records.take(changed)
-        auxiliary_records = [
+        auxiliary_records = self._silent.collect(present=self._sessions) + [
             store.Put(key=keys.targets(group), value=known_targets.encode(known))
             for group, known in changed.items()
         ]
@@ -444,6 +454,8 @@
             elif name in recorded and recorded[name].takes_runs:
                 row.announced = True
                 self._unannounced.discard(name)
+        for name in self._silent.confirm() & self._sessions.keys():
+            self._sessions[name].apply_held_report()
 
     def _apply_cancellation(self, key: str) -> None:
         self._scheduler.cancel(key.removeprefix(keys.CANCELS), now=self._clocks.now())
@@ -549,18 +561,18 @@
             port=self._targets_port,
             fence=self._term,
             lease_s=self._lease_s,
-            term_began_at=self._term_began_at,
+            renewed_until=self._silent.renewed_until(row.target_id),
             all_clocks=self._clocks,
             on_report=self._on_status_report,
             on_runs_lost=self._on_runs_lost,
             on_fenced=self._on_superseded,
-            on_changed=lambda changed: self._known_records.mark(changed.row.target_id),
+            on_changed=self._on_target_changed,
             durable=lambda: self._journal.durable_round,
             ticket=lambda: self._journal.next_round,
             pause_s=self._poll_pause_s,
             scan_slots=self._scan_slots,
             stopping=lambda: self._closed,
-            may_renew=self._may_renew_leases,
+            may_renew=lambda: self._silent.may_renew(row.target_id) and self._may_renew_leases(),
         )
         self._sessions[row.target_id] = session
         self._unannounced.add(row.target_id)
@@ -574,14 +586,19 @@
         self._sessions.pop(row.target_id, None)
         self._scheduler.remove_target(row)
 
+    def _on_target_changed(self, session: target_session.TargetSession) -> None:
+        self._known_records.mark(session.row.target_id)
+        self._silent.note_reachability(session.row)
+
     def _on_status_report(
         self, session: target_session.TargetSession, report: targets.StatusReport
     ) -> bool:
         """Applies a status report once all jobs are known; returns whether it was applied.
 
-        Earlier, runs of jobs that are not read yet would be stopped as unexpected.
+        Earlier, runs of jobs that are not read yet would be stopped as unexpected, and runs might be
+        ordered on a target that is marked as silent in the store.
         """
-        if not self._recovered:
+        if not self._silent.may_renew(session.row.target_id) or not self._recovered:
             return False
         # Without all ends the target doesn't show which runs of former owners are done.
         session.row.confirmed = session.row.confirmed or report.ends_complete
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -16,6 +16,7 @@
     decoding,
     keys,
     listing,
+    silent_targets,
     store,
     supervision,
 )
@@ -153,6 +154,8 @@
         self._seen_term = 0
         self._seen_term_at = 0.0
         self._former_term_s = 0.0
+        self._term_beginnings = silent_targets.TermBeginnings()
+        self._silent: dict[str, int] = {}
         self._last_renewal_succeeded = False
         self._store_answered_at = all_clocks.now()
 
@@ -176,6 +179,16 @@
         """Whether this entry acts as the owner."""
         return self._term > 0
 
+    @property
+    def term_beginnings(self) -> silent_targets.TermBeginnings:
+        """When this entry first saw each term."""
+        return self._term_beginnings
+
+    @property
+    def silent(self) -> dict[str, int]:
+        """Marks of silent targets that are stored for the term that this entry began last."""
+        return self._silent
+
     @property
     def lease_ttl_s(self) -> float:
         """Duration of this entry's lease, seconds."""
@@ -459,6 +472,9 @@
         read = await self._store.get(key=keys.HEAD)
         if isinstance(read, result.Failure):
             return False
+        # Read after the head, on whose revision the takeover depends: no owner writes one without
+        # the other. If it can't be read, its marks aren't confirmed and no longer count.
+        silent_read = await self._store.get(key=keys.SILENT_TARGETS)
         lease = self._lease
         if not lease:
             # The lease ended during the read. A key without a lease would outlive this entry.
@@ -473,9 +489,12 @@
                 key=keys.HEAD, revision=store.ABSENT if item is None else item.revision
             ),
         )
+        silent_item = silent_read.unwrap() if isinstance(silent_read, result.Success) else None
+        silent = silent_targets.confirmed(silent_item, term=term - 1)
         puts = (
             store.Put(key=keys.OWNER, value=self._owner_value(term), lease=lease),
             store.Put(key=keys.HEAD, value=msgspec.json.encode(head)),
+            *((silent_targets.put(silent, term=term),) if silent else ()),
         )
         committed = await self._store.commit(conditions=conditions, puts=puts)
         if isinstance(committed, result.Failure):
@@ -484,7 +503,7 @@
             return False
         self._owner = _decode_owner(self._owner_value(term))
         self._owner_key_lease = lease
-        self._begin_term(head, committed.unwrap())
+        self._begin_term(head, committed.unwrap(), silent=silent)
         return True
 
     def _holds_key_without_acting(self) -> bool:
@@ -521,15 +540,22 @@
                 await self._store.revoke(lease=self._lease)
             await self._group.sleep(RETRY_DELAY_S)
             return False
+        silent_read = await self._store.get(key=keys.SILENT_TARGETS)
+        if isinstance(silent_read, result.Failure):
+            # The takeover may have confirmed marks, to which this owner has to keep.
+            await self._group.sleep(RETRY_DELAY_S)
+            return False
+        silent = silent_targets.confirmed(silent_read.unwrap(), term=head.term)
         decision_log.write("owner.taken_up", term=head.term, head_revision=item.revision)
-        self._begin_term(head, item.revision)
+        self._begin_term(head, item.revision, silent=silent)
         return True
 
-    def _begin_term(self, head: Head, revision: int) -> None:
+    def _begin_term(self, head: Head, revision: int, *, silent: dict[str, int]) -> None:
         if self._term:
             self._on_lost("a new term begins")
         self._term = self._last_term = head.term
         self._note_term(head.term)
+        self._silent = silent
         decision_log.write("owner.gained", term=head.term, head_revision=revision)
         self._on_gained(head, revision)
 
@@ -598,6 +624,7 @@
         """Notes when a term was first seen, and how long the one before it lasted."""
         if term == self._seen_term:
             return
+        self._term_beginnings.note(term, at=self._clocks.boottime())
         now = self._clocks.now()
         self._former_term_s = now - self._seen_term_at if self._seen_term else 0.0
         self._seen_term, self._seen_term_at = term, now
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -78,7 +78,7 @@
         port: targets.Targets,
         fence: int,
         lease_s: float,
-        term_began_at: float,
+        renewed_until: float,
         all_clocks: clocks.Clocks,
         on_report: Callable[[TargetSession, targets.StatusReport], bool],
         on_runs_lost: Callable[[TargetSession, str], None],
@@ -98,8 +98,8 @@
             port: The port to targets.
             fence: Fencing token of the owner's term.
             lease_s: Length of the target's lease, seconds.
-            term_began_at: Start of the owner's term, seconds on the clock that counts suspensions:
-                the last time at which a former owner may have renewed the lease.
+            renewed_until: Last time at which a former owner may have renewed the lease, seconds on the
+                clock that counts suspensions.
             all_clocks: Clocks of the process.
             on_report: Applies a status report; returns False while it can't be applied yet.
             on_runs_lost: Called with a reason when the runs have ended without a report.
@@ -135,7 +135,7 @@
         self._processed = 0
         self._acknowledged = 0
         self._pending: collections.deque[tuple[int, int]] = collections.deque()
-        self._lease_expires_at = term_began_at + lease_expiry_s(self._lease_s)
+        self._lease_expires_at = renewed_until + lease_expiry_s(self._lease_s)
         self._failures = 0
         self._extra_polls = 0
 
--- a/packages/ebonyhatch-fleet/tests/test_odd_records.py
+++ b/packages/ebonyhatch-fleet/tests/test_odd_records.py
@@ -13,6 +13,7 @@
     keys.targets(3),
     keys.FORMER_TARGETS,
     keys.MODEL_SNAPSHOT,
+    keys.SILENT_TARGETS,
 )
 
 
--- a/packages/ebonyhatch-fleet/tests/test_target_session.py
+++ b/packages/ebonyhatch-fleet/tests/test_target_session.py
@@ -43,7 +43,7 @@
             port=self.target,
             fence=1,
             lease_s=LEASE_S,
-            term_began_at=all_clocks.boottime(),
+            renewed_until=all_clocks.boottime(),
             all_clocks=all_clocks,
             on_report=self._on_report,
             on_runs_lost=self._on_runs_lost,
