Lasting tasks move out of evacuated domains within budgets and free capacity

Cause: tasks that last stayed in an evacuated domain and would be lost with it.

A task of a step with `disruption_budget` is stopped only while fewer other tasks of the step are away; every task that isn't known to operate counts as away. Short tasks, runs without checkpoints and members of gangs stay.

Weighed: to count tasks that are down for other reasons only after the 5.5 s of the contract; it needs a time for each task and allows a stop beside a crash.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/domain_evacuation.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/domain_evacuation.py
@@ -5,9 +5,8 @@
 from collections.abc import Callable, Iterable
 
 from ebonyhatch.fleet import commands, rows, tables, targets
-from ebonyhatch.fleet.evacuation import domains
-
-REASON = "domain-evacuated"
+from ebonyhatch.fleet.constraints import registry
+from ebonyhatch.fleet.evacuation import domains, moves
 
 MAX_REPORTED = 256
 """Maximum number of unknown domains that are logged; further ones are ignored without a line."""
@@ -32,6 +31,7 @@
         self._domains = requests
         self._stop = stop
         self._decide = decide
+        self._moves = moves.Moves(all_tables=all_tables, stop=stop, decide=decide)
         self._in_force: dict[str, int] = {}
         self._unknown: set[str] = set()
         self._none_left = False
@@ -74,6 +74,10 @@
                 if run.state in _IN_FLIGHT:
                     self._stop_start(run, now=now)
 
+    def review(self, context: registry.Context) -> None:
+        """Moves lasting runs to free capacity elsewhere."""
+        self._moves.review(context)
+
     def keys_before_report(self, row: rows.TargetRow) -> frozenset[targets.RunKey] | None:
         """Returns the known runs of an evacuated target that has reported before; None for others."""
         return frozenset(row.runs) if row.evacuated and row.last_report_at else None
@@ -87,7 +91,7 @@
         is in the first report.
         """
         for run in [run for key, run in row.runs.items() if key not in before]:
-            self._stop(run, reason=REASON, now=now)
+            self._stop(run, reason=moves.REASON, now=now)
 
     def _evacuated(self) -> list[rows.TargetRow]:
         return [row for row in self._tables.targets.values() if row.evacuated]
@@ -95,11 +99,11 @@
     def _stop_start(self, run: rows.RunRow, *, now: float) -> None:
         """Stops a run that is being started; a gang has no use for its other members then."""
         if not run.task.step.step.gang:
-            self._stop(run, reason=REASON, now=now)
+            self._stop(run, reason=moves.REASON, now=now)
             return
         for member in run.task.step.tasks:
             for other in list(member.runs.values()):
-                self._stop(other, reason=REASON, now=now)
+                self._stop(other, reason=moves.REASON, now=now)
 
     def _log_changes(self) -> None:
         requested = self._domains.requested
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/leaving.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/leaving.py
@@ -76,11 +76,11 @@
         return False
     if step.long_running:
         return True
-    remaining_s = run.target.leaves_at - now - STOP_DURATION_S
-    return remaining_s > 0 and _remaining_s(run, now=now) > remaining_s
+    stay_s = run.target.leaves_at - now - STOP_DURATION_S
+    return stay_s > 0 and remaining_s(run, now=now) > stay_s
 
 
-def _remaining_s(run: rows.RunRow, *, now: float) -> float:
+def remaining_s(run: rows.RunRow, *, now: float) -> float:
     """Returns the estimated remaining time of a run, seconds.
 
     The estimate follows from its progress, or from the expected run time before there is any.
--- a/packages/ebonyhatch-fleet/tests/test_owner_evacuation.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner_evacuation.py
@@ -211,6 +211,92 @@
     assert not world.engines["a0"].runs
 
 
+def _operating(world: world_module.World, domain: str) -> int:
+    return sum(
+        len(engine.runs)
+        for engine in world.engines.values()
+        if engine.target.failure_domain == domain
+    )
+
+
+def _most_away(world: world_module.World, job_id: str) -> int:
+    """Returns the most tasks of a job that weren't running at any time after all had started."""
+    spans: dict[str, list[tuple[float, float]]] = {}
+    for engine in world.engines.values():
+        ends = {key: at for at, key, _ in engine.ended}
+        for at, key, _ in engine.started:
+            if key.task.startswith(job_id):
+                spans.setdefault(key.task, []).append((at, ends.get(key, world.clock.seconds())))
+    since = max(runs[0][0] for runs in map(sorted, spans.values()))
+    times = sorted(end for runs in spans.values() for _, end in runs if end >= since)
+    return max(
+        sum(not any(start <= at < end for start, end in runs) for runs in spans.values())
+        for at in times[: -len(spans)] or [since]
+    )
+
+
+SERVICE = jobs.Step(count=12, cpu_millis=1_000, long_running=True, disruption_budget=1)
+
+
+def _with_service(*, entries: int = 1) -> tuple[world_module.World, jobs.Job]:
+    """Returns a world whose domain a runs some tasks of a service with a budget."""
+    world = _ready(entries=entries, per_domain=4, domains="abc")
+    job = world.job(SERVICE, work_s=-1.0)
+    world.store_jobs(job)
+    world.run_until(lambda: len(world.starts(job.job_id)) == SERVICE.count)
+    world.run(2.5)
+    assert _operating(world, "a") > SERVICE.disruption_budget
+    return world, job
+
+
+def test_service_leaves_the_domain_within_its_budget():
+    world, job = _with_service()
+    world.evacuate("a")
+    world.run_until(lambda: not _operating(world, "a"), 30.0)
+    world.run(2.0)
+    assert _operating(world, "b") + _operating(world, "c") == SERVICE.count
+    assert _most_away(world, job.job_id) <= SERVICE.disruption_budget
+    world_module.check_all(world)
+
+
+@pytest.mark.parametrize("after_s", [0.02, 0.1, 0.4, 1.0])
+def test_service_stays_within_its_budget_though_the_owner_is_lost_in_between(after_s):
+    """Guards against a new owner that counts no task as away which the former one had stopped."""
+    world, job = _with_service(entries=3)
+    world.evacuate("a")
+    world.run(after_s)
+    world.kill(world.owner.name)
+    world.run_until(lambda: not _operating(world, "a"), 40.0)
+    world.run(2.0)
+    assert _operating(world, "b") + _operating(world, "c") == SERVICE.count
+    assert _most_away(world, job.job_id) <= SERVICE.disruption_budget
+    world_module.check_all(world)
+
+
+def test_service_leaves_two_domains_at_once_within_its_budget():
+    world, job = _with_service()
+    world.evacuate("a")
+    world.evacuate("b")
+    world.run_until(lambda: not (_operating(world, "a") or _operating(world, "b")), 40.0)
+    world.run(2.0)
+    assert _operating(world, "c") == SERVICE.count
+    assert _most_away(world, job.job_id) <= SERVICE.disruption_budget
+    world_module.check_all(world)
+
+
+def test_service_stays_where_it_is_when_all_domains_are_evacuated():
+    """Guards against tasks that are stopped without a place to go."""
+    world, job = _with_service()
+    with scripted.logged() as lines:
+        for domain in "abc":
+            world.evacuate(domain)
+        world.run(4.0)
+    assert len(world.starts(job.job_id)) == SERVICE.count
+    assert sum(_operating(world, domain) for domain in "abc") == SERVICE.count
+    events = [line["message_type"] for line in lines]
+    assert events.count("evacuation.no_targets_left") == 1
+
+
 def test_targets_of_the_domain_that_are_listed_later_get_nothing():
     world = _ready(domains="b")
     with scripted.logged() as lines:
