No task is moved while the limit of orders holds waiting tasks back

Cause: after a pass that stopped at its limit of orders, capacity looks free that waiting tasks take in the next pass. A lasting task that was stopped for it would wait.

Change: moves are reviewed after complete passes only.

Result: a new test, which fails without the change.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -262,8 +262,8 @@
                 blocked_tasks=self.blocked_tasks,
                 order_limit=self.order_limit,
             )
-            if self._evacuation.domains and self.reconciled:
-                # What is free after the pass is what no waiting task can use.
+            if self._evacuation.domains and self.reconciled and not self._placement.cut_short:
+                # What is free after a complete pass is what no waiting task can use.
                 self._evacuation.review(self._placement.context(now))
         due_commands = list(self._commands)
         self._commands.clear()
--- a/packages/ebonyhatch-fleet/tests/test_moves.py
+++ b/packages/ebonyhatch-fleet/tests/test_moves.py
@@ -200,6 +200,18 @@
     assert case.stopped(1.2) == 3
 
 
+def test_nothing_is_moved_while_waiting_tasks_are_held_back_by_the_limit_of_orders():
+    """Guards against a lasting task that is stopped for capacity which waiting tasks take first."""
+    case = MovesCase(UNBOUNDED)
+    case.refresh(1.0)
+    case.request("a", now=1.0)
+    case.submit(jobs.Step(count=8, cpu_millis=1_000, estimate_s=1.0))
+    case.scheduler.order_limit = 2
+    assert case.stopped(1.0) == 0
+    case.scheduler.order_limit = 64
+    assert case.stopped(1.2) == 0, "the waiting tasks took the capacity"
+
+
 def test_moves_end_when_the_domain_is_returned():
     case = MovesCase(SERVICE)
     case.refresh(1.0)
