Cold targets get their runs one by one after their domain is returned

Cause: targets that return to service may be cold, and a wave of starts makes them slow.

A cold target gets at most `cold_per_s` starts a second (1 where that isn't given); it is closed in between as after a refusal for lack of capacity. A target is cold from the removal of the key on, which each entry remembers for its next term, or from its registration on. Without these fields nothing is limited.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/domain_evacuation.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/domain_evacuation.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable
 
-from ebonyhatch.fleet import commands, rows, tables, targets
+from ebonyhatch.fleet import commands, queues, rows, tables, targets
 from ebonyhatch.fleet.constraints import registry
 from ebonyhatch.fleet.evacuation import domains, moves
 
@@ -13,6 +13,9 @@
 
 MAX_LOGGED_CHARACTERS = 80
 
+COLD_STARTS_PER_S = 1.0
+"""Number of starts a second on a cold target whose service names none."""
+
 _IN_FLIGHT = frozenset({rows.RunState.ORDERED, rows.RunState.UNCERTAIN})
 
 
@@ -36,6 +39,7 @@
         self._unknown: set[str] = set()
         self._none_left = False
         self._any_marked = False
+        self._pools: dict[str, queues.Pool] = {}
 
     @property
     def domains(self) -> tuple[str, ...]:
@@ -49,13 +53,35 @@
             runs = sum(len(row.runs) for row in self._tables.targets.values() if row.evacuated)
         return {"evacuated_domains": len(self._in_force), "evacuated_runs": runs}
 
-    def observe_target(self, row: rows.TargetRow) -> None:
+    def configure(self, configuration: queues.Configuration) -> None:
+        """Applies the configuration in force: how long the targets of a pool are cold."""
+        self._pools = {
+            pool.name: pool
+            for pool in configuration.pools
+            if pool.cold_start_s > 0 or pool.cold_per_s > 0
+        }
+
+    def register(self, row: rows.TargetRow, *, now: float) -> None:
         """Applies the requests to a target that is new or has registered anew."""
+        self._observe_target(row)
+        if row.target.cold_left_s > 0:
+            self._set_cold(row, until=now + row.target.cold_left_s)
+
+    def _set_cold(self, row: rows.TargetRow, *, until: float) -> None:
+        pool = self._pools.get(row.target.pool)
+        per_s = COLD_STARTS_PER_S if pool is None else pool.cold_per_s or COLD_STARTS_PER_S
+        row.cold_until = max(row.cold_until, until)
+        row.cold_interval_s = 1.0 / per_s
+
+    def _observe_target(self, row: rows.TargetRow) -> None:
         domain = row.target.failure_domain
         self._domains.add_known(domain)
         if row.evacuated != (domain in self._domains.requested):
             row.evacuated = not row.evacuated
             self._any_marked = True
+        pool = self._pools.get(row.target.pool)
+        if pool is not None and not row.evacuated and self._domains.ended_at(domain):
+            self._set_cold(row, until=self._domains.ended_at(domain) + pool.cold_start_s)
 
     def apply(self, *, now: float) -> None:
         """Applies the present requests to all targets.
@@ -66,7 +92,7 @@
         if not (self._domains.requested or self._in_force or self._any_marked):
             return
         for row in self._tables.targets.values():
-            self.observe_target(row)
+            self._observe_target(row)
         self._log_changes()
         self._any_marked = bool(self._in_force)
         for row in self._evacuated():
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/domains.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/domains.py
@@ -4,6 +4,9 @@
 
 from collections.abc import Iterable, Mapping
 
+MAX_ENDED = 256
+"""Maximum number of domains whose return to service is remembered; the oldest are forgotten first."""
+
 
 class Domains:
     """Requests by failure domain, each with the store revision of its key; no I/O.
@@ -15,6 +18,7 @@
     def __init__(self) -> None:
         self._revisions: dict[str, int] = {}
         self._known: set[str] = set()
+        self._ended_at: dict[str, float] = {}
 
     @property
     def requested(self) -> Mapping[str, int]:
@@ -33,13 +37,22 @@
         """Applies a request; one that is older than the known one changes nothing."""
         self._revisions[domain] = max(revision, self._revisions.get(domain, 0))
 
-    def end(self, domain: str, *, revision: int) -> None:
-        """Ends a request whose key was removed, unless it was made after the removal."""
-        if self._revisions.get(domain, revision + 1) <= revision:
-            del self._revisions[domain]
+    def ended_at(self, domain: str) -> float:
+        """Returns the time at which the last request ended, seconds; 0 if that is unknown."""
+        return self._ended_at.get(domain, 0.0)
 
-    def end_all_except(self, present: Iterable[str], *, as_of: int) -> None:
+    def end(self, domain: str, *, revision: int, now: float) -> None:
+        """Ends a request whose key was removed, unless it was made after the removal."""
+        if self._revisions.get(domain, revision + 1) > revision:
+            return
+        del self._revisions[domain]
+        self._ended_at.pop(domain, None)
+        self._ended_at[domain] = now
+        if len(self._ended_at) > MAX_ENDED:
+            del self._ended_at[next(iter(self._ended_at))]
+
+    def end_all_except(self, present: Iterable[str], *, as_of: int, now: float) -> None:
         """Ends the requests whose keys a listing as of a revision doesn't hold."""
         kept = set(present)
         for domain in [domain for domain in self._revisions if domain not in kept]:
-            self.end(domain, revision=as_of)
+            self.end(domain, revision=as_of, now=now)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/moves.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/moves.py
@@ -96,7 +96,11 @@
 
     def __init__(self, *, all_targets: Iterable[rows.TargetRow], context: registry.Context) -> None:
         self._context = context
-        self._targets = [row for row in all_targets if row.confirmed and not row.evacuated]
+        self._targets = [
+            row
+            for row in all_targets
+            if row.confirmed and not row.evacuated and row.cold_until <= context.now
+        ]
         self._cpu: dict[str, int] = {}
         self._memory: dict[str, int] = {}
         self._accelerators: dict[str, int] = {}
@@ -219,4 +223,5 @@
     if spec.max_per_target or spec.filler:
         return (id(step),)
     amounts = (spec.cpu_millis, spec.memory_mb, spec.accelerators)
-    return (step.job.queue.pool, spec.label, spec.long_running, *amounts)
+    queue = step.job.queue
+    return (queue.pool, queue.regions, spec.label, spec.long_running, *amounts)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/requests.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/requests.py
@@ -55,6 +55,7 @@
     ) -> None:
         self._store = store_port
         self._codec = codec
+        self._clocks = all_clocks
         self._group = group
         self._on_change = on_change
         self._listings = listing.ListingReader(
@@ -140,13 +141,13 @@
             self._apply(item.key, item, revision=item.revision)
         names = [self._domain(item.key) for item in listed.items]
         self._reported.intersection_update(names)
-        self._domains.end_all_except(names, as_of=listed.as_of)
+        self._domains.end_all_except(names, as_of=listed.as_of, now=self._clocks.now())
 
     def _apply(self, key: str, item: store.Item | None, *, revision: int) -> None:
         domain = self._domain(key)
         if item is None:
             self._reported.discard(domain)
-            self._domains.end(domain, revision=revision)
+            self._domains.end(domain, revision=revision, now=self._clocks.now())
             return
         problem = self._problem(domain, item.value)
         if problem:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -115,6 +115,8 @@
         if task.crashes:
             # The next owner has to know where the task ran, if the target crashes meanwhile.
             self._mark_urgent(task.step.job)
+        if row.cold_until > now:
+            row.full_until = max(row.full_until, now + row.cold_interval_s)
         self._margins.forget(row)
         self._decide("run.order", run_row, waited_s=round(now - task.waiting_since, 3))
         self._emit(commands.StartRun(run=run_row))
@@ -279,6 +281,8 @@
     allowed = [row for row in usable if selection.allows(step, row, context)]
     for row in sorted(allowed, key=lambda row: -selection.score(step, row, context)):
         fits = [count - len(chosen)]
+        if row.cold_until > context.now:
+            fits.append(1)
         for demand, free in (
             (spec.cpu_millis, row.free_cpu),
             (spec.memory_mb, row.free_memory),
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/queues.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/queues.py
@@ -35,6 +35,7 @@
         slack_s: Time that is added to that, seconds.
         timeout_s: Longest duration of a call, seconds.
         advice: Costs of the advice that its steps need, or None.
+        regions: Regions whose targets may run its tasks; empty for all.
     """
 
     name: str
@@ -47,6 +48,7 @@
     slack_s: float = 0.0
     timeout_s: float = 0.0
     advice: Advice | None = None
+    regions: tuple[str, ...] = ()
 
 
 class Pool(msgspec.Struct, frozen=True, kw_only=True):
@@ -56,11 +58,16 @@
         name: Name of the pool.
         guarded: Whether its targets refuse runs that exceed their free capacity.
         standby: Whether its targets are switched off.
+        cold_start_s: Time for which a target is cold after its failure domain was returned to service,
+            seconds; 0 where targets are never cold.
+        cold_per_s: Number of starts a second that a cold target may get; 0 where it is not given.
     """
 
     name: str
     guarded: bool = False
     standby: bool = False
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Configuration(msgspec.Struct, frozen=True, kw_only=True, dict=True):
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -124,7 +124,9 @@
         isolated_until: End of the time in which nothing is placed on it beside an isolated task,
             seconds; see `crash_blame`.
         full_until: End of the time in which nothing is placed on it after it refused a run for lack of
-            capacity, seconds.
+            capacity, or after a start while it is cold, seconds.
+        cold_until: End of the time in which its runs are started one by one, seconds.
+        cold_interval_s: Time between two such starts, seconds.
         suspect_until: End of the probation of the last run there whose task saw a crash, seconds.
         leaves_at: Earliest time of its departure, seconds; 0 while it is not draining.
         evacuated: Whether its failure domain is evacuated, so that nothing may start on it.
@@ -157,6 +159,8 @@
     suspect_until: float = 0.0
     leaves_at: float = 0.0
     evacuated: bool = False
+    cold_until: float = 0.0
+    cold_interval_s: float = 0.0
 
     def __setattr__(self, name: str, value: object) -> None:
         """Sets a field, and reports the change if the field is observed."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -123,6 +123,7 @@
             if configuration.version >= row.queue_version:
                 row.queue = configuration.queue(row.job.queue) or row.queue
         self._tables.recount_short_cpu()
+        self._evacuation.configure(configuration)
 
     @property
     def evacuation(self) -> domain_evacuation.DomainEvacuation:
@@ -174,7 +175,7 @@
             row.leaves_at = 0.0
         elif not row.leaves_at:
             row.leaves_at = now + (target.stays_s or leaving.MIN_STAY_S)
-        self._evacuation.observe_target(row)
+        self._evacuation.register(row, now=now)
         return row
 
     def apply_report(
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/targets.py
@@ -88,12 +88,14 @@
         pool: Pool that it belongs to.
         failure_domain: Failure domain; targets of one domain may fail together.
         rack: Its rack; empty where it is unknown.
+        region: Region of its failure domain; empty where it is unknown.
         labels: Labels that steps may require.
         cpu_millis: Processor capacity, thousandths of a core.
         memory_mb: Memory capacity, megabytes.
         accelerators: Number of accelerators.
         draining: Whether it is shutting down and accepts no new runs.
         stays_s: While it is draining, the least time that it stays, seconds; 0 where it is unknown.
+        cold_left_s: Time for which it is cold from its registration on, seconds; 0 for a warm one.
     """
 
     target_id: str
@@ -102,12 +104,14 @@
     failure_domain: str
     born: int = 0
     rack: str = ""
+    region: str = ""
     labels: tuple[str, ...] = ()
     cpu_millis: int = 0
     memory_mb: int = 0
     accelerators: int = 0
     draining: bool = False
     stays_s: float = 0.0
+    cold_left_s: float = 0.0
 
 
 class RunKey(msgspec.Struct, frozen=True):
--- a/packages/ebonyhatch-fleet/tests/domain_case.py
+++ b/packages/ebonyhatch-fleet/tests/domain_case.py
@@ -44,6 +44,11 @@
         row.confirmed = row.announced = True
         return row
 
+    def set_cold_start(self, cold_start_s: float, *, cold_per_s: float = 0.0) -> None:
+        pool = queues.Pool(name="p", cold_start_s=cold_start_s, cold_per_s=cold_per_s)
+        configuration = queues.Configuration(version=1, queues=(QUEUE,), pools=(pool,))
+        self.scheduler.configure(configuration)
+
     def submit(self, *steps: jobs.Step, queue: queues.Queue = QUEUE) -> rows.JobRow:
         self._jobs += 1
         job = jobs.Job(job_id=f"{self._jobs:016x}", queue=queue.name, spec="", steps=steps)
@@ -58,7 +63,7 @@
 
     def end(self, domain: str, *, now: float = 0.0) -> None:
         self._revision += 1
-        self.domains.end(domain, revision=self._revision)
+        self.domains.end(domain, revision=self._revision, now=now)
         self.apply(now=now)
 
     def apply(self, *, now: float = 0.0) -> None:
--- a/packages/ebonyhatch-fleet/tests/test_domains.py
+++ b/packages/ebonyhatch-fleet/tests/test_domains.py
@@ -10,7 +10,7 @@
     subject.request("a", revision=5)
     subject.request("b", revision=6)
     assert dict(subject.requested) == {"a": 5, "b": 6}
-    subject.end("a", revision=7)
+    subject.end("a", revision=7, now=1.0)
     assert dict(subject.requested) == {"b": 6}
 
 
@@ -18,17 +18,17 @@
     """Guards against a return to service by a history that is read after a newer listing."""
     subject = domains.Domains()
     subject.request("a", revision=9)
-    subject.end("a", revision=7)
-    subject.end_all_except((), as_of=8)
+    subject.end("a", revision=7, now=1.0)
+    subject.end_all_except((), as_of=8, now=1.0)
     subject.request("a", revision=4)
     assert dict(subject.requested) == {"a": 9}
-    subject.end_all_except((), as_of=9)
+    subject.end_all_except((), as_of=9, now=1.0)
     assert not subject.requested
 
 
 def test_end_of_a_domain_without_a_request_changes_nothing():
     subject = domains.Domains()
-    subject.end("a", revision=3)
+    subject.end("a", revision=3, now=1.0)
     assert not subject.requested
 
 
@@ -52,11 +52,11 @@
     present = {"a": listed_at} if listed_at and changes[listed_at - 1] == "put" else {}
     for domain, revision in present.items():
         subject.request(domain, revision=revision)
-    subject.end_all_except(present, as_of=as_of)
+    subject.end_all_except(present, as_of=as_of, now=1.0)
     for revision, change in history[as_of:]:
         if change == "put":
             subject.request("a", revision=revision)
         else:
-            subject.end("a", revision=revision)
+            subject.end("a", revision=revision, now=1.0)
     expected = {"a": len(changes)} if changes[-1] == "put" else {}
     assert dict(subject.requested) == expected
