Queues may be limited to the regions of their route

The predicate of the pool checks it; the rankings of targets for short steps, the steps known not to fit, and the reserve tell queues of different regions apart. Queues without regions have the rankings that they had.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
@@ -12,6 +12,8 @@
 
 _Amounts = tuple[int, int, int]
 
+_Kind = tuple[str, str, bool, str, tuple[str, ...]]
+
 _CHECKED: frozenset[registry.Predicate] = frozenset({usable.is_usable, resource_fit.has_capacity})
 """Predicates that hold for the usable targets with free capacity."""
 
@@ -37,7 +39,7 @@
             self._look(pool, True)
         self._least_cpu: dict[tuple[str, bool], int] = {}
         self._rankings: dict[target_index.RankingKey, list[target_index.Entry]] = {}
-        self._rejected: dict[tuple[str, str, bool, str], list[_Amounts]] = {}
+        self._rejected: dict[_Kind, list[_Amounts]] = {}
 
     def targets(self, pool: str) -> list[rows.TargetRow]:
         """Returns the usable targets of a pool."""
@@ -140,8 +142,7 @@
         self, step: rows.StepRow, selection: registry.Selection
     ) -> list[target_index.Entry]:
         """Returns the targets as a heap; a sorted list is one."""
-        spec = step.step
-        key = (step.job.queue.pool, spec.label, spec.data_rack)
+        key = target_index.ranking_key(step)
         ranking = self._rankings.get(key)
         if ranking is None:
             self._index.refresh(step, self._context)
@@ -163,10 +164,11 @@
     return not (step.filler or step.long_running or step.tail_limit_s or step.max_per_target)
 
 
-def _kind(step: rows.StepRow) -> tuple[str, str, bool, str]:
+def _kind(step: rows.StepRow) -> _Kind:
     spec = step.step
     image = spec.image if spec.filler else ""
-    return (step.job.queue.pool, spec.label, spec.filler, image)
+    queue = step.job.queue
+    return (queue.pool, spec.label, spec.filler, image, queue.regions)
 
 
 def _amounts(step: jobs.Step) -> _Amounts:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/usable.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/usable.py
@@ -27,5 +27,8 @@
 
 @registry.predicate("pool")
 def is_in_pool(step: rows.StepRow, row: rows.TargetRow, context: registry.Context) -> bool:
-    """Returns whether a target belongs to the queue's pool."""
-    return row.target.pool == step.job.queue.pool
+    """Returns whether a target belongs to the queue's pool and is in one of its regions."""
+    queue = step.job.queue
+    if row.target.pool != queue.pool:
+        return False
+    return not queue.regions or row.target.region in queue.regions
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
@@ -48,7 +48,7 @@
         self._sums: dict[str, list[int]] = {}
         self._ranks: dict[str, tuple[str, int]] = {}
         self._counts: dict[str, int] = {}
-        self._capacity: dict[tuple[str, str], dict[_Size, list[int]]] = {}
+        self._capacity: dict[tuple[str, str, tuple[str, ...]], dict[_Size, list[int]]] = {}
         self._busy_pools: set[str] = set()
 
     def observe(self, *, elapsed_s: float) -> None:
@@ -147,17 +147,20 @@
     def _capacity_by_size(
         self, step: rows.StepRow, usable: Iterable[rows.TargetRow]
     ) -> dict[_Size, list[int]]:
-        """Returns the processor time of the targets with a step's label, all and reserved, by size.
+        """Returns the processor time of the targets that a step may use, all and reserved, by size.
 
         It is summed once after `choose_targets`.
         """
-        key = (step.job.queue.pool, step.step.label)
+        queue = step.job.queue
+        key = (queue.pool, step.step.label, queue.regions)
         capacity = self._capacity.get(key)
         if capacity is None:
             capacity = self._capacity[key] = {}
             for row in usable:
                 if key[1] and key[1] not in row.target.labels:
                     continue
+                if queue.regions and row.target.region not in queue.regions:
+                    continue
                 target = row.target
                 size = (target.cpu_millis, target.memory_mb, target.accelerators)
                 sums = capacity.setdefault(size, [0, 0])
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_index.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_index.py
@@ -12,13 +12,19 @@
 """Number of rankings that are updated with each change of a target; others are computed anew when
 they are needed. Each label and rack of data that steps ask for has a ranking of its own."""
 
-RankingKey = tuple[str, str, str]
-"""Pool, label and rack of data."""
+RankingKey = tuple[str, str, str, tuple[str, ...]]
+"""Pool, label, rack of data and regions."""
 
 Entry = tuple[float, int, rows.TargetRow]
 """Negative score, position in the table, and target."""
 
 
+def ranking_key(step: rows.StepRow) -> RankingKey:
+    """Returns the key of the ranking that holds for a short step."""
+    queue = step.job.queue
+    return (queue.pool, step.step.label, step.step.data_rack, queue.regions)
+
+
 class _Ranking:
     """The targets of a pool, sorted by their scores for one kind of short step."""
 
@@ -28,6 +34,7 @@
         self._step = step
         self._selection = selection
         self._context = context
+        self._regions = step.job.queue.regions
         self._costs: dict[int, float] = {}
         self.entries: list[Entry] = []
 
@@ -38,10 +45,12 @@
             del self.entries[bisect.bisect_left(self.entries, (cost, position))]
 
     def add(self, position: int, row: rows.TargetRow) -> None:
-        """Adds a target, unless it lacks the label."""
+        """Adds a target, unless it lacks the label or is in another region."""
         label = self._step.step.label
         if label and label not in row.target.labels:
             return
+        if self._regions and row.target.region not in self._regions:
+            return
         cost = self._costs[position] = -self._selection.score(self._step, row, self._context)
         bisect.insort(self.entries, (cost, position, row))
 
@@ -130,7 +139,7 @@
         self, step: rows.StepRow, selection: registry.Selection, context: registry.Context
     ) -> list[Entry]:
         """Returns a copy of the ranking for a short step, sorted from the best target on."""
-        key = (step.job.queue.pool, step.step.label, step.step.data_rack)
+        key = ranking_key(step)
         ranking = self._rankings.get(key)
         if ranking is None:
             ranking = _Ranking(step=step, selection=selection, context=context)
