--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/domain_evacuation.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/domain_evacuation.py
@@ -4,16 +4,18 @@
 
 from collections.abc import Callable, Iterable
 
-from ebonyhatch.fleet import commands, rows, tables, targets
-from ebonyhatch.fleet.evacuation import domains
-
-REASON = "domain-evacuated"
+from ebonyhatch.fleet import commands, queues, rows, tables, targets
+from ebonyhatch.fleet.constraints import registry
+from ebonyhatch.fleet.evacuation import domains, moves
 
 MAX_REPORTED = 256
 """Maximum number of unknown domains that are logged; further ones are ignored without a line."""
 
 MAX_LOGGED_CHARACTERS = 80
 
+COLD_STARTS_PER_S = 1.0
+"""Number of starts a second on a cold target whose service names none."""
+
 _IN_FLIGHT = frozenset({rows.RunState.ORDERED, rows.RunState.UNCERTAIN})
 
 
@@ -32,10 +34,12 @@
         self._domains = requests
         self._stop = stop
         self._decide = decide
+        self._moves = moves.Moves(all_tables=all_tables, stop=stop, decide=decide)
         self._in_force: dict[str, int] = {}
         self._unknown: set[str] = set()
         self._none_left = False
         self._any_marked = False
+        self._pools: dict[str, queues.Pool] = {}
 
     @property
     def domains(self) -> tuple[str, ...]:
@@ -49,13 +53,35 @@
             runs = sum(len(row.runs) for row in self._tables.targets.values() if row.evacuated)
         return {"evacuated_domains": len(self._in_force), "evacuated_runs": runs}
 
-    def observe_target(self, row: rows.TargetRow) -> None:
+    def configure(self, configuration: queues.Configuration) -> None:
+        """Applies the configuration in force: how long the targets of a pool are cold."""
+        self._pools = {
+            pool.name: pool
+            for pool in configuration.pools
+            if pool.cold_start_s > 0 or pool.cold_per_s > 0
+        }
+
+    def register(self, row: rows.TargetRow, *, now: float) -> None:
         """Applies the requests to a target that is new or has registered anew."""
+        self._observe_target(row)
+        if row.target.cold_left_s > 0:
+            self._set_cold(row, until=now + row.target.cold_left_s)
+
+    def _set_cold(self, row: rows.TargetRow, *, until: float) -> None:
+        pool = self._pools.get(row.target.pool)
+        per_s = COLD_STARTS_PER_S if pool is None else pool.cold_per_s or COLD_STARTS_PER_S
+        row.cold_until = max(row.cold_until, until)
+        row.cold_interval_s = 1.0 / per_s
+
+    def _observe_target(self, row: rows.TargetRow) -> None:
         domain = row.target.failure_domain
         self._domains.add_known(domain)
         if row.evacuated != (domain in self._domains.requested):
             row.evacuated = not row.evacuated
             self._any_marked = True
+        pool = self._pools.get(row.target.pool)
+        if pool is not None and not row.evacuated and self._domains.ended_at(domain):
+            self._set_cold(row, until=self._domains.ended_at(domain) + pool.cold_start_s)
 
     def apply(self, *, now: float) -> None:
         """Applies the present requests to all targets.
@@ -66,7 +92,7 @@
         if not (self._domains.requested or self._in_force or self._any_marked):
             return
         for row in self._tables.targets.values():
-            self.observe_target(row)
+            self._observe_target(row)
         self._log_changes()
         self._any_marked = bool(self._in_force)
         for row in self._evacuated():
@@ -74,6 +100,10 @@
                 if run.state in _IN_FLIGHT:
                     self._stop_start(run, now=now)
 
+    def review(self, context: registry.Context) -> None:
+        """Moves lasting runs to free capacity elsewhere."""
+        self._moves.review(context)
+
     def keys_before_report(self, row: rows.TargetRow) -> frozenset[targets.RunKey] | None:
         """Returns the known runs of an evacuated target that has reported before; None for others."""
         return frozenset(row.runs) if row.evacuated and row.last_report_at else None
@@ -87,7 +117,7 @@
         is in the first report.
         """
         for run in [run for key, run in row.runs.items() if key not in before]:
-            self._stop(run, reason=REASON, now=now)
+            self._stop(run, reason=moves.REASON, now=now)
 
     def _evacuated(self) -> list[rows.TargetRow]:
         return [row for row in self._tables.targets.values() if row.evacuated]
@@ -95,11 +125,11 @@
     def _stop_start(self, run: rows.RunRow, *, now: float) -> None:
         """Stops a run that is being started; a gang has no use for its other members then."""
         if not run.task.step.step.gang:
-            self._stop(run, reason=REASON, now=now)
+            self._stop(run, reason=moves.REASON, now=now)
             return
         for member in run.task.step.tasks:
             for other in list(member.runs.values()):
-                self._stop(other, reason=REASON, now=now)
+                self._stop(other, reason=moves.REASON, now=now)
 
     def _log_changes(self) -> None:
         requested = self._domains.requested
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -123,6 +123,7 @@
             if configuration.version >= row.queue_version:
                 row.queue = configuration.queue(row.job.queue) or row.queue
         self._tables.recount_short_cpu()
+        self._evacuation.configure(configuration)
 
     @property
     def evacuation(self) -> domain_evacuation.DomainEvacuation:
@@ -173,7 +174,7 @@
             row.leaves_at = 0.0
         elif not row.leaves_at:
             row.leaves_at = now + (target.stays_s or leaving.MIN_STAY_S)
-        self._evacuation.observe_target(row)
+        self._evacuation.register(row, now=now)
         return row
 
     def apply_report(
@@ -263,6 +264,9 @@
                 blocked_tasks=self.blocked_tasks,
                 order_limit=self.order_limit,
             )
+            if self._evacuation.domains and self.reconciled and not self._placement.cut_short:
+                # What is free after a complete pass is what no waiting task can use.
+                self._evacuation.review(self._placement.context(now))
         due_commands = list(self._commands)
         self._commands.clear()
         return due_commands
