--- a/packages/ebonyhatch-fleet/tests/test_domain_evacuation.py
+++ b/packages/ebonyhatch-fleet/tests/test_domain_evacuation.py
@@ -5,7 +5,7 @@
 import domain_case
 import msgspec
 import pytest
-from ebonyhatch.fleet import jobs, targets
+from ebonyhatch.fleet import jobs, reserve, targets
 from ebonyhatch.fleet.evacuation import moves
 
 SHORT = jobs.Step(count=2, cpu_millis=1_000, estimate_s=1.0)
@@ -211,3 +211,17 @@
     assert case.tick() == []
     case.end("b")
     assert domain_case.starts(case.tick(0.1)) == ["b0", "b0"]
+
+
+def test_capacity_for_short_work_is_reserved_outside_the_evacuated_domain():
+    """Guards against a reserve that consists of targets on which nothing may start."""
+    case = domain_case.DomainCase("a0", "b0", "b1", "c0")
+    reserved = reserve.Reserve(all_tables=case.scheduler.tables)
+    reserved.choose_targets()
+    assert [name for name, row in case.rows.items() if reserved.is_reserved(row)] == ["a0"]
+    case.request("a")
+    reserved.choose_targets()
+    assert [name for name, row in case.rows.items() if reserved.is_reserved(row)] == ["b0"]
+    case.end("a")
+    reserved.choose_targets()
+    assert [name for name, row in case.rows.items() if reserved.is_reserved(row)] == ["a0"]
