Histories: targets leave or are cut off while owners follow each other

Cause: the drawn histories had no succession of owners during the loss of a target, and no task that outlasts a lease, so that a lease which counts as ended too early hardly showed.

Change: events in which a target leaves, is cut off and may return while up to four owners follow each other, or can't be reached by some entries; a step whose tasks last 8 s.

--- a/packages/ebonyhatch-fleet/tests/test_histories.py
+++ b/packages/ebonyhatch-fleet/tests/test_histories.py
@@ -75,6 +75,10 @@
     "target_drains",
     "target_crashes",
     "target_changes_capacity",
+    "submit_lasting",
+    "target_leaves_while_owners_follow",
+    "target_cut_off_while_owners_follow",
+    "target_unreached_by_some",
     "submit_deadly",
     "configure",
     "configure_in_series",
@@ -105,6 +109,15 @@
 )
 WORK_S = (0.3, 0.5, 2.0)
 
+LASTING = jobs.Step(count=2, cpu_millis=100, estimate_s=8.0)
+"""Step whose tasks last longer than the lease of a target, and hardly fill it."""
+
+LASTING_S = 8.0
+
+TERMS_S = ((0.3, 1.2, 1.2), (1.2, 0.3), (2.0, 1.2, 0.3, 0.3), (1.2,))
+"""Durations of the terms of owners that follow each other, seconds; a mark of a silent target is
+written about a second after the beginning of a term."""
+
 
 class History:
     """Applies events to a world."""
@@ -142,6 +155,11 @@
         if member is not None:
             self.world.submit(self.world.job(*STEPS[kind], work_s=WORK_S[kind]), at=member.name)
 
+    def _submit_lasting(self, event: Event) -> None:
+        member = self._member(event)
+        if member is not None:
+            self.world.submit(self.world.job(LASTING, work_s=LASTING_S), at=member.name)
+
     def _submit_deadly(self, event: Event) -> None:
         member = self._member(event)
         if member is None:
@@ -215,6 +233,39 @@
     def _kill_owner(self, event: Event) -> None:
         self._kill(self.world.owner)
 
+    def _follow_each_other(self, event: Event) -> None:
+        """Lets owners follow each other, some without the time to write anything."""
+        for term_s in TERMS_S[event.which % len(TERMS_S)]:
+            self._kill(self.world.owner)
+            for _ in range(40):
+                self.world.run(0.1)
+                if self.world.owner is not None:
+                    break
+            self.world.run(term_s)
+
+    def _target_leaves_while_owners_follow(self, event: Event) -> None:
+        engine = self._engine(event)
+        engine.faults.down = True
+        self.world.unregister(engine.target.target_id)
+        self._follow_each_other(event)
+
+    def _target_cut_off_while_owners_follow(self, event: Event) -> None:
+        """Cuts a target off, whose runs go on; every second time it is back before the last owner."""
+        engine = self._engine(event)
+        engine.faults.partitioned = True
+        self._follow_each_other(event)
+        if event.which % 2:
+            engine.faults.partitioned = False
+            self._kill(self.world.owner)
+
+    def _target_unreached_by_some(self, event: Event) -> None:
+        """Cuts a target off from all present entries but one, and not from later ones."""
+        target_id = self._engine(event).target.target_id
+        reaching = self._member(event)
+        for member in self.world.members.values():
+            if member is not reaching:
+                member.targets.unreached |= {target_id}
+
     def _kill_other(self, event: Event) -> None:
         self._kill(self._member(event))
 
@@ -304,6 +355,8 @@
             refuse=False, silent=False, lose_answers=False, delay_s=0.0, silent_watches=""
         )
         self.world.network.partitioned.clear()
+        for member in self.world.members.values():
+            member.targets.unreached = frozenset()
         for target_id, engine in self.world.engines.items():
             if engine.faults.down:
                 self.world.restart_target(target_id)
