Tests of processes under requests that are never completed

Cause: nothing limits unfinished requests. Both programs accept any number of connections; the entry on the platform writes their bodies to temporary files.

Change: crowds of 300 connections with large chunks, chunks of one byte, declared lengths and heads that stop short, against real processes on loopback; memory (resident and deleted files held open) and descriptors are compared with limits.memory_mb and limits.max_fds of the test's own settings, which ebonyhatchd accepts from now on and doesn't apply yet.

--- a/packages/ebonyhatch-node/src/ebonyhatch/node/settings.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/settings.py
@@ -87,6 +87,8 @@
         peer_calls: Maximum unanswered calls to one peer.
         peer_queue_bytes: Maximum bytes in unanswered calls to one peer.
         metric_label_sets: Maximum pairs of class and tenant that have separate histograms.
+        memory_mb: Memory of the instance, megabytes.
+        max_fds: Maximum open descriptors; 0 for the limit of the process.
     """
 
     body_bytes: int = 1_000_000
@@ -95,6 +97,8 @@
     peer_calls: int = 1_024
     peer_queue_bytes: int = 8_000_000
     metric_label_sets: int = 128
+    memory_mb: int = 512
+    max_fds: int = 0
 
 
 class Cells(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/processes.py
@@ -68,7 +68,9 @@
         worker_ids: tuple[str, ...],
         domains: tuple[str, ...] = ("domain-1", "domain-2"),
         slots: int = 8,
+        limits: Mapping[str, object] | None = None,
     ) -> None:
+        self._limits = dict(limits or {})
         self._folder = folder
         self._domains = domains
         self._slots = slots
@@ -264,6 +266,7 @@
                 "instances": {"host": HOST, "port": self.instances_port},
                 "workers_fenced": True,
             },
+            "limits": self._limits,
             "cells": {"per_failure_domain": 1},
             "access": {"token_sha256": [TOKEN_SHA256]},
             "keys": {
