Platform: limits on callers' connections, heads and bodies

Cause: requests that are never completed were kept without limit, their bodies in temporary files with a second descriptor each; all that had arrived was parsed at once; the body limit was checked after the whole body.

Declared lengths over the limit are refused from the head, others when they exceed it; heads, idle connections and bodies have time limits, the former two from the operators' configuration. Ports accept no more connections than there is room for; the rest waits in the backlog. Refusals are logged once a second with their counts, and are gauges.

Ruled out while the tests were red: accepting and closing connections above the limit (ordinary callers were reset with the crowd); weighing the overhead of a request whose body hasn't begun (it was closed between head and body); counting an answered connection that is being closed as the most wasteful (its answer was lost). Each has a unit test now.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -121,7 +121,9 @@
         target_codec: target_list.TargetCodec,
         codec: configuration_source.Codec,
         calls: call_counts.CallSource = call_counts.no_calls,
+        caller_gauges: metrics.GaugeSource = dict,
     ) -> None:
+        self._caller_gauges = caller_gauges
         self._settings = settings
         self._store = store_port
         self._targets = targets_port
@@ -279,6 +281,7 @@
             "loop_delay_seconds": self._loop_delay.recent_s,
             "process_cpu_seconds": time.process_time(),
         }
+        state |= self._caller_gauges()
         return state if self._owner is None else state | self._owner.gauges()
 
     def _on_gained(self, head: ownership.Head, revision: int) -> None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/queues.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/queues.py
@@ -5,6 +5,7 @@
 import functools
 
 import msgspec
+from ebonyhatch.node import request_budget
 
 
 class Advice(msgspec.Struct, frozen=True, kw_only=True):
@@ -71,12 +72,18 @@
         queues: Queues.
         pools: Pools.
         body_limit_bytes: Largest body of a call, bytes.
+        head_limit_bytes: Largest head of a call, bytes.
+        head_timeout_s: Time within which a head has to arrive, seconds.
+        idle_timeout_s: Time after which a caller's idle connection is closed, seconds.
     """
 
     version: int
     queues: tuple[Queue, ...] = ()
     pools: tuple[Pool, ...] = ()
     body_limit_bytes: int = 262_144
+    head_limit_bytes: int = 16_384
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
 
     def queue(self, name: str) -> Queue | None:
         """Returns a queue by name, or None."""
@@ -92,6 +99,16 @@
         matching = [queue for queue in on_host if path.startswith(queue.prefix)]
         return max(matching, key=lambda queue: len(queue.prefix), default=None)
 
+    @functools.cached_property
+    def caller_limits(self) -> request_budget.CallerLimits:
+        """Limits of callers' requests."""
+        return request_budget.CallerLimits(
+            body_bytes=self.body_limit_bytes,
+            header_bytes=self.head_limit_bytes,
+            header_s=self.head_timeout_s,
+            idle_s=self.idle_timeout_s,
+        )
+
     @functools.cached_property
     def _queues_by_name(self) -> dict[str, Queue]:
         return {queue.name: queue for queue in reversed(self.queues)}
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/request_budget.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/request_budget.py
@@ -8,6 +8,7 @@
 import dataclasses
 import enum
 import heapq
+import itertools
 from collections.abc import Iterator
 
 import msgspec
@@ -43,6 +44,10 @@
 USED_IDLE_WEIGHT = 0.1
 """Weight of an idle connection whose client has completed a request, compared with others."""
 
+UNWEIGHTED_BYTES = 16_384
+"""Bytes of a request whose use isn't weighed: the largest head. Otherwise a request of which only the
+head has arrived would count as the most wasteful of all."""
+
 PROGRESS_TIMEOUT_S = 10.0
 """Time after which a body without any new byte is given up, seconds; three times the deadline of a
 caller that names none."""
@@ -138,8 +143,10 @@
         received_bytes: Bytes received for the request.
         useful_bytes: Bytes of the request's body.
         backlogged: Whether received bytes haven't been parsed; its client can't make progress then.
-        untaken: Whether the client hasn't taken all of the answers that were written.
+        untaken_bytes: Bytes of answers that the client hasn't taken.
+        taken_at: Time at which the client last took a part of them, seconds.
         used: Whether a request of it was answered.
+        refused: Whether a request of it was refused.
     """
 
     limits: CallerLimits
@@ -150,8 +157,10 @@
     received_bytes: int = 0
     useful_bytes: int = 0
     backlogged: bool = False
-    untaken: bool = False
+    untaken_bytes: int = 0
+    taken_at: float = 0.0
     used: bool = False
+    refused: bool = False
 
 
 class RequestBudget:
@@ -160,15 +169,16 @@
     def __init__(self, *, budget: Budget) -> None:
         self._budget = budget
         self._connections: dict[Connection, None] = {}
+        self._ending: dict[Connection, None] = {}
         self._held_bytes = 0
         self._max_connections = budget.connections()
 
     def __len__(self) -> int:
-        """Returns the number of connections."""
-        return len(self._connections)
+        """Returns the number of connections, with those that are being closed."""
+        return len(self._connections) + len(self._ending)
 
     def __iter__(self) -> Iterator[Connection]:
-        """Iterates over the connections."""
+        """Iterates over the connections that aren't being closed."""
         return iter(tuple(self._connections))
 
     @property
@@ -184,7 +194,7 @@
     @property
     def full(self) -> bool:
         """Whether no further connection is accepted."""
-        return len(self._connections) >= self._max_connections
+        return len(self) >= self._max_connections
 
     @property
     def exceeded(self) -> bool:
@@ -204,8 +214,15 @@
         self._held_bytes += connection.held_bytes
         return connection
 
+    def end(self, connection: Connection) -> None:
+        """Notes that a connection is being closed: it only takes a descriptor from now on."""
+        if connection in self._connections:
+            self.close(connection)
+            self._ending[connection] = None
+
     def close(self, connection: Connection) -> None:
         """Removes a connection, if it is there."""
+        self._ending.pop(connection, None)
         if connection in self._connections:
             del self._connections[connection]
             self._held_bytes -= connection.held_bytes
@@ -237,6 +254,12 @@
             connection.useful_bytes = useful_bytes
             connection.progressed_at = now
 
+    def leave_untaken(self, connection: Connection, untaken_bytes: int, *, now: float) -> None:
+        """Sets the number of bytes of answers that the client hasn't taken."""
+        if untaken_bytes < connection.untaken_bytes:
+            connection.taken_at = now
+        connection.untaken_bytes = untaken_bytes
+
     def to_close(self, *, now: float) -> tuple[Connection, ...]:
         """Returns the most wasteful connections while the budget is exceeded, the worst first.
 
@@ -269,18 +292,20 @@
 
     def expired(self, *, now: float) -> tuple[tuple[Connection, Cause], ...]:
         """Returns the connections whose clients took too long, with the cause."""
-        found = ((connection, _overdue(connection, now)) for connection in self._connections)
+        connections = itertools.chain(self._connections, self._ending)
+        found = ((connection, _overdue(connection, now)) for connection in connections)
         return tuple((connection, cause) for connection, cause in found if cause is not None)
 
 
 def _waste(connection: Connection, now: float) -> float:
     """Returns the memory that a connection took over time, in proportion to its overhead."""
     waste = connection.held_bytes * (now - connection.since)
-    if connection.phase is Phase.CLOSING:
+    if connection.refused:
         return float("inf")
     if connection.phase is Phase.BODY:
-        return waste * max(1.0, connection.received_bytes / max(1, connection.useful_bytes))
-    if connection.phase is Phase.IDLE and connection.used and not connection.untaken:
+        useful_bytes = connection.useful_bytes + UNWEIGHTED_BYTES
+        return waste * max(1.0, connection.received_bytes / useful_bytes)
+    if connection.phase is Phase.IDLE and connection.used and not connection.untaken_bytes:
         return waste * USED_IDLE_WEIGHT
     return waste
 
@@ -288,11 +313,14 @@
 def _overdue(connection: Connection, now: float) -> Cause | None:
     age_s = now - connection.since
     limits = connection.limits
+    if connection.untaken_bytes and connection.phase is not Phase.PASSED_ON:
+        waiting_s = now - max(connection.since, connection.taken_at)
+        return Cause.UNREAD if waiting_s > limits.idle_s else None
     match connection.phase:
         case Phase.IDLE if age_s > limits.idle_s:
-            return Cause.UNREAD if connection.untaken else Cause.IDLE
+            return Cause.IDLE
         case Phase.HEAD if age_s > limits.header_s and not connection.backlogged:
-            return Cause.UNREAD if connection.untaken else Cause.HEAD_TIMEOUT
+            return Cause.HEAD_TIMEOUT
         case Phase.BODY if not connection.backlogged:
             stalled_s = now - connection.progressed_at
             if stalled_s > PROGRESS_TIMEOUT_S or age_s > BODY_TIMEOUT_S:
--- a/packages/ebonyhatch-node/tests/test_request_budget.py
+++ b/packages/ebonyhatch-node/tests/test_request_budget.py
@@ -69,6 +69,30 @@
     assert budget.to_close(now=1.0) == (tiny,)
 
 
+def test_request_whose_head_has_just_arrived_is_closed_last():
+    """Guards against ordinary requests that are closed between their head and their body."""
+    budget = _budget()
+    crowd = [
+        _open(budget, at=9.9, held=200_000, received=200_100, useful=200_000) for _ in range(5)
+    ]
+    ordinary = _open(budget, at=9.9, held=400, received=250)
+    closed = budget.to_close(now=10.0)
+    assert closed and set(closed) < set(crowd)
+    assert ordinary not in closed
+
+
+def test_connection_that_is_closed_after_its_answer_is_kept_until_it_is_sent():
+    """Guards against answers that are lost between their writing and the next turn of the loop."""
+    budget = _budget()
+    answered = _open(budget, at=9.99, phase=Phase.CLOSING)
+    refused = _open(budget, at=9.99, phase=Phase.CLOSING)
+    refused.refused = True
+    _open(budget, held=1_100_000)
+    closed = budget.to_close(now=10.0)
+    assert closed[0] is refused
+    assert answered not in closed
+
+
 def test_used_idle_connections_are_closed_after_unfinished_requests():
     """Guards against keep-alive connections of ordinary callers that are closed for a crowd."""
     budget = _budget(max_fds=100)
@@ -79,6 +103,20 @@
     assert closed and set(closed) <= set(heads)
 
 
+def test_connection_that_is_being_closed_takes_a_descriptor():
+    """Guards against more descriptors than are allowed, as closing takes a turn of the loop."""
+    budget = _budget(max_fds=100)
+    connections = [_open(budget) for _ in range(36)]
+    assert budget.full
+    for connection in budget.to_close(now=1.0):
+        budget.end(connection)
+    assert budget.full
+    assert not budget.exceeded
+    for connection in connections:
+        budget.close(connection)
+    assert (budget.held_bytes, len(budget)) == (0, 0)
+
+
 def test_passed_on_requests_are_kept_though_nothing_else_is_left():
     """Guards against an accepted job whose caller gets no answer."""
     budget = _budget()
@@ -123,6 +161,16 @@
     assert budget.expired(now=1_000.0) == ()
 
 
+def test_slow_reader_has_time_while_it_takes_answers():
+    """Guards against answers that are cut off on slow links, and against those never taken."""
+    budget = _budget()
+    connection = _open(budget, phase=Phase.CLOSING)
+    budget.leave_untaken(connection, 100_000, now=0.0)
+    budget.leave_untaken(connection, 50_000, now=10.0)
+    assert budget.expired(now=25.0) == ()
+    assert budget.expired(now=25.1) == ((connection, Cause.UNREAD),)
+
+
 def test_time_of_a_head_counts_for_its_body():
     """Guards against an age that starts anew with the body, which would hide an old request."""
     budget = _budget()
