ebonyhatchd: the same limits on callers as the entry on the platform

Cause: sites bounded the size of a body, but neither the number of connections nor the memory of unfinished requests, and read four times the limit before they closed a connection.

Change: both sites of the daemon use bounded_channel and one request budget, from limits.memory_mb and limits.max_fds. A body over the limit is refused from its declared length, or when it exceeds it, with the same problem document as before; the flag body_overflowed and what read it are gone, as such a request is not passed on any more. test_gateway has the former factor of 4 plus 1 in a constant of its own. On the administration API 413 comes before 401, as the head decides. Gauges caller_connections and caller_held_bytes; refusals are counted by cause in refusals_total.

--- a/packages/ebonyhatch-node/src/ebonyhatch/node/admin_errors.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/admin_errors.py
@@ -31,20 +31,6 @@
         )
 
 
-class BodyTooLargeError(AdminError):
-    """The body exceeds its limit."""
-
-    status = 413
-    kind = "body-too-large"
-
-    def __init__(self, *, limit_bytes: int) -> None:
-        super().__init__(
-            problem=f"the body is larger than {limit_bytes} bytes",
-            remedy="remove records that are no longer used",
-        )
-        self.limit_bytes = limit_bytes
-
-
 class RepeatedHeaderError(AdminError):
     """A header that may appear once was sent more than once."""
 
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/admin_requests.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/admin_requests.py
@@ -16,16 +16,13 @@
 
 
 def admit(*, request: server.Request, access: access.Access) -> None:
-    """Checks the access and the body size of a request.
+    """Checks the access of a request.
 
     Raises:
-        admin_errors.AdminError: If it has no known token or its body is too large.
+        admin_errors.AdminError: If it has no known token.
     """
     if not access.allows(authorization=header(request=request, name="Authorization")):
         raise admin_errors.AccessDeniedError
-    if getattr(request, "body_overflowed", False):
-        limit = getattr(request, "body_limit_bytes", 0)
-        raise admin_errors.BodyTooLargeError(limit_bytes=limit)
 
 
 def header(*, request: server.Request, name: str) -> str:
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/daemon.py
@@ -6,14 +6,16 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
+from ebonyhatch.core import commands, default_scheduler, errors, scheduler
 from ebonyhatch.core import configuration as configurations
-from ebonyhatch.core import default_scheduler, errors, scheduler
 from ebonyhatch.node import (
     access,
     admin,
+    bounded_channel,
     cell,
     cell_observer,
     cell_set,
@@ -35,6 +37,7 @@
     peer_handlers,
     peers,
     placements,
+    request_budget,
     route_choice,
     routing,
     settings,
@@ -48,6 +51,9 @@
 DEFAULT_POLICY = default_scheduler.DefaultScheduler
 GAUGES_PERIOD_S = 5.0
 
+LISTEN_BACKLOG = 128
+"""Maximum number of connections that wait to be accepted."""
+
 
 class Platform(msgspec.Struct, frozen=True, kw_only=True):
     """Ports to the platform, which the daemon starts and closes."""
@@ -85,6 +91,12 @@
         self._platform = platform
         self._seed = seed
         self._http_ports: list[Any] = []
+        self._supervisor = http_server.make_supervisor(
+            clock=reactor,
+            memory_mb=chosen.limits.memory_mb,
+            max_fds=chosen.limits.max_fds,
+            report=self._count_refusals,
+        )
         self._draining = False
         self.measures = metrics.Metrics(label_sets=chosen.limits.metric_label_sets)
         self._health = store_health.StoreHealth(clock=reactor, measures=self.measures)
@@ -398,6 +410,8 @@
             gossiper=self._gossiper,
             store_age_s=self._health.age_s,
         )
+        budget = self._supervisor.budget
+        self.measures.set_callers(connections=len(budget), held_bytes=budget.held_bytes)
 
     def _admin_root(self) -> resource.Resource:
         operators = admin.Admin(
@@ -413,12 +427,31 @@
 
     def _listen(self, endpoint: settings.Endpoint, root: resource.Resource) -> None:
         site = http_server.bounded_site(
-            root=root, body_limit_bytes=self._settings.limits.body_bytes
+            root=root,
+            body_limit_bytes=self._settings.limits.body_bytes,
+            supervisor=self._supervisor,
         )
         self._http_ports.append(
-            self._reactor.listenTCP(endpoint.port, site, interface=endpoint.host)
+            bounded_channel.listen(
+                reactor=self._reactor,
+                supervisor=self._supervisor,
+                factory=site,
+                host=endpoint.host,
+                port=endpoint.port,
+                backlog=LISTEN_BACKLOG,
+            )
         )
 
+    def _count_refusals(
+        self,
+        counts: Mapping[request_budget.Cause, int],
+        supervisor: bounded_channel.Supervisor,
+    ) -> None:
+        for cause, count in counts.items():
+            self.measures.record_refusal(
+                reason=cause.value, outcome=commands.Outcome.NOT_RUN, count=count
+            )
+
     def _port_of(self, index: int) -> int:
         if index >= len(self._http_ports):
             return 0
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/gateway.py
@@ -107,9 +107,6 @@
     async def _admit(
         self, request: http_server.BoundedRequest, work: Callable[[], Awaitable[bytes]]
     ) -> bytes:
-        if request.body_overflowed:
-            limit = request.body_limit_bytes
-            return self._caller_problem(request, caller_errors.BodyTooLargeError(limit_bytes=limit))
         if self._draining:
             return self._refusal(request, commands.Outcome.NOT_RUN, "draining", RETRY_AFTER_S)
         if self._in_progress >= self._requests_limit:
--- a/packages/ebonyhatch-node/src/ebonyhatch/node/metrics.py
+++ b/packages/ebonyhatch-node/src/ebonyhatch/node/metrics.py
@@ -74,6 +74,8 @@
         self._queue = self._gauge("queue_length", "Work that waits.", "work_class")
         self._workers = self._gauge("workers", "Workers by health.", "health")
         self._cells = self._gauge("cells_owned", "Cells that this entry owns.")
+        self._callers = self._gauge("caller_connections", "Connections of callers.")
+        self._held = self._gauge("caller_held_bytes", "Memory of incomplete requests.")
         self._peers = self._gauge("peers", "Peers by reachability.", "state")
         self._slowdown = self._gauge(
             "interference", "Learnt slowdown of a class by a batch class.", "urgent", "batch"
@@ -106,9 +108,9 @@
         """Records the time from arrival to response or end."""
         self._total.labels(*self._pairs.fold(work_class, tenant)).observe(seconds)
 
-    def record_refusal(self, *, reason: str, outcome: str) -> None:
-        """Counts a refusal; `outcome` is `not-run` or `unknown`."""
-        self._refusals.labels(self._reasons.fold(reason), outcome).inc()
+    def record_refusal(self, *, reason: str, outcome: str, count: int = 1) -> None:
+        """Counts refusals of one kind; `outcome` is `not-run` or `unknown`."""
+        self._refusals.labels(self._reasons.fold(reason), outcome).inc(count)
 
     def record_retry(self, *, work_class: str, granted: bool) -> None:
         """Counts a retry that the budget granted or denied."""
@@ -141,6 +143,11 @@
         self._generation.set(generation)
         self._generation_age.set(age_s)
 
+    def set_callers(self, *, connections: int, held_bytes: int) -> None:
+        """Sets the number of callers' connections and the memory that they take."""
+        self._callers.set(connections)
+        self._held.set(held_bytes)
+
     def set_store_age(self, *, age_s: float) -> None:
         """Sets the time since the store last answered."""
         self._store_age.set(age_s)
--- a/packages/ebonyhatch-node/tests/test_gateway.py
+++ b/packages/ebonyhatch-node/tests/test_gateway.py
@@ -20,6 +20,7 @@
     ),
 )
 LIMIT_BYTES = 100
+FAR_FACTOR = 5
 
 
 class StubRouter:
@@ -125,7 +126,7 @@
 
 def test_body_far_over_the_limit_ends_the_connection():
     harness = Harness()
-    size = LIMIT_BYTES * (http_server.ABORT_FACTOR + 1)
+    size = LIMIT_BYTES * (FAR_FACTOR)
     sent = harness.send(["POST /v1/services/quotes/x HTTP/1.1"], b"x" * size, length=10 * size)
     assert sent.disconnecting or sent.disconnected
     assert harness.router.calls == []
