--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -123,7 +123,9 @@
         codec: configuration_source.Codec,
         evacuation_codec: evacuation_requests.Codec | None = None,
         calls: call_counts.CallSource = call_counts.no_calls,
+        caller_gauges: metrics.GaugeSource = dict,
     ) -> None:
+        self._caller_gauges = caller_gauges
         self._settings = settings
         self._store = store_port
         self._targets = targets_port
@@ -290,6 +292,7 @@
             "loop_delay_seconds": self._loop_delay.recent_s,
             "process_cpu_seconds": time.process_time(),
         }
+        state |= self._caller_gauges()
         return state if self._owner is None else state | self._owner.gauges()
 
     def _on_gained(self, head: ownership.Head, revision: int) -> None:
