Fleet: waits of new jobs are estimated and late work refused, behind a setting

Cause: Owner.waits_s returned nothing, so that in a lasting overload every job is accepted and many are placed too late to be useful, and their callers learn nothing.

Change: overload/backlog.py measures the waiting short work by pool, priority and timeliness and the work started for each core in use while a pool is full, and estimates the wait of a job submitted now by queue. Nothing is reported while a tenth of a pool is free, before a rate was measured, for waits under 0.5 s old, or below what makes the shortest job useless; it ends at 0.75 of that. Entries compare with the longest chain of the job instead of the sum of its steps, refuse at most half of their recent submissions, and only after the owner and the store have said that they don't know the job: the former check took a missing answer of the owner for "unknown", so that a job that runs could have been refused. Off unless [scheduling] refuse_late_work = true.

Tried and left: all waiting work as being ahead of a new job.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -143,7 +143,9 @@
         """
         started_at = self._clocks.now()
         refusal = self._load.refusal(queue=queue, job=job, now=started_at)
-        if refusal is not None and not await self._is_known(job.job_id):
+        is_refused = refusal is not None and await self._is_surely_new(job.job_id)
+        self._load.record(refused=is_refused, now=started_at)
+        if refusal is not None and is_refused:
             retry_after_s = self._with_jitter(refusal.retry_after_s)
             self._log_submit(job, Verdict.OVERLOADED, refusal.reason, started_at=started_at)
             return Answer(
@@ -187,9 +189,16 @@
     def _with_jitter(self, seconds: float) -> float:
         return seconds * self._random.uniform(1.0, 1.0 + JITTER_FRACTION)
 
-    async def _is_known(self, job_id: str) -> bool:
-        """Returns whether a job of an overloaded queue was accepted before."""
-        return bool(await self._owner_state(job_id))
+    async def _is_surely_new(self, job_id: str) -> bool:
+        """Returns whether a job was surely not accepted before, so that a refusal is true.
+
+        The owner may have read less than the store holds, and without its answer nothing is known.
+        """
+        reply = await self._ask_owner(messages.ShowCall(job_id=job_id), OWNER_CALL_TIMEOUT_S)
+        if not isinstance(reply, messages.ShowAnswer) or not reply.acting or reply.state:
+            return False
+        stored = await self._store.get(key=keys.job(job_id))
+        return isinstance(stored, result.Success) and stored.unwrap() is None
 
     async def _make_durable(
         self, job: jobs.Job, record: bytes, *, until: float
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -82,6 +82,7 @@
         processor_cores: Processor capacity of the instance, cores; 0 where it is unknown.
         link_bytes_per_s: Bandwidth of the instance's link, bytes a second; 0 where it is unknown.
         learn_target_speed: Whether the owner learns which targets are slow and gives them less work.
+        refuse_late_work: Whether entries refuse jobs that would start too late to be useful.
     """
 
     name: str
@@ -92,6 +93,7 @@
     processor_cores: float = 0.0
     link_bytes_per_s: float = 0.0
     learn_target_speed: bool = False
+    refuse_late_work: bool = False
 
     @property
     def capacity(self) -> float:
@@ -278,6 +280,7 @@
             "entries": len(self._members.entries),
             "peer_connections": self._network.connections,
             "poll_pause_seconds": self._poll_pace.pause_s(),
+            "estimated_wait_seconds": self._load.longest_wait_s(now=self._clocks.now()),
             "loop_delay_seconds": self._loop_delay.recent_s,
             "process_cpu_seconds": time.process_time(),
         }
@@ -301,6 +304,7 @@
             poll_pause_s=self._poll_pace.pause_s,
             link_bytes_per_s=self._settings.link_bytes_per_s,
             learn_target_speed=self._settings.learn_target_speed,
+            refuse_late_work=self._settings.refuse_late_work,
         )
         self._owner = new_owner
         configuration = self._configuration.current or queues.Configuration(version=0)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -89,6 +89,7 @@
         poll_pause_s: Callable[[], float],
         link_bytes_per_s: float = 0.0,
         learn_target_speed: bool = False,
+        refuse_late_work: bool = False,
     ) -> None:
         self._term = term
         self._store = store_port
@@ -109,7 +110,9 @@
         self._tick_took_s = 0.0
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
         self._scheduler = scheduler.Scheduler(
-            decide=decision_log.decide, learn_target_speed=learn_target_speed
+            decide=decision_log.decide,
+            learn_target_speed=learn_target_speed,
+            refuse_late_work=refuse_late_work,
         )
         self._scheduler.begin_term(term)
         self._configuration = queues.Configuration(version=0)
@@ -270,11 +273,9 @@
         )
 
     def waits_s(self) -> dict[str, float]:
-        """Returns, by queue, how long a job that is submitted now would wait, seconds.
-
-        No wait is computed yet, so no entry refuses jobs for load; see docs/design/platform.md.
-        """
-        return {}
+        """Returns, by queue, how long a job that is submitted now would wait, seconds."""
+        clock = self._clocks
+        return self._scheduler.waits_s(self._configuration, now=clock.now(), wall=clock.wall())
 
     def cancel(self, job_id: str) -> defer.Deferred[None]:
         """Cancels a job.
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -26,6 +26,7 @@
     targets,
     task_ends,
 )
+from ebonyhatch.fleet.overload import backlog
 from ebonyhatch.fleet.speed import target_speeds
 
 RUN_NUMBERS_PER_TERM = 1_000
@@ -52,11 +53,18 @@
         order_limit: Number of runs after which the next tick orders no more.
     """
 
-    def __init__(self, *, decide: commands.Decide, learn_target_speed: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        decide: commands.Decide,
+        learn_target_speed: bool = False,
+        refuse_late_work: bool = False,
+    ) -> None:
         self._speeds = target_speeds.TargetSpeeds(decide=decide) if learn_target_speed else None
         self._commands: list[commands.Command] = []
         self._decide = decide
         self._tables = tables.Tables()
+        self._backlog = backlog.Backlog(all_tables=self._tables) if refuse_late_work else None
         self._times = run_times.RunTimes()
         self._ends = task_ends.TaskEnds(
             all_tables=self._tables,
@@ -184,6 +192,14 @@
         self._reconciler.apply_report(row, report, now=now)
         self._pacing.review(row, now=now)
 
+    def waits_s(
+        self, configuration: queues.Configuration, *, now: float, wall: float
+    ) -> dict[str, float]:
+        """Returns the wait of a job submitted now, by queue, seconds; empty unless it is enabled."""
+        if self._backlog is None:
+            return {}
+        return self._backlog.waits_s(configuration, now=now, wall=wall)
+
     def needs_observation(self, run: rows.RunRow) -> bool:
         """Returns whether a run's effect on the serving tasks of its target must be read soon."""
         step = run.task.step
@@ -262,6 +278,10 @@
                 order_limit=self.order_limit,
             )
         due_commands = list(self._commands)
+        if self._backlog is not None:
+            for command in due_commands:
+                if isinstance(command, commands.StartRun):
+                    self._backlog.note_start(command.run)
         self._commands.clear()
         return due_commands
 
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -712,3 +712,49 @@
     last = notices[-2:]
     world.run(1.0)
     assert last == notices[-2:] == [{}, {}]
+
+
+def _overloaded(world: world_module.World, name: str) -> None:
+    """Gives an entry a load report by which all new jobs of the queue are refused."""
+    member = world.members[name]
+    now = member.clocks.now()
+    member.node._load.update(term=99, waits_s={"plans": 1_000.0}, now=now)
+
+
+def test_a_refused_job_is_in_no_record_and_comes_back_later():
+    """A refusal states that the job hasn't run and never will."""
+    world = _ready()
+    name = next(iter(world.members))
+    _overloaded(world, name)
+    job = world.job()
+    answer = world.submit(job, at=name)
+    assert answer.verdict == entry.Verdict.OVERLOADED and answer.retry_after_s > 0
+    world.run(3.0)
+    assert not world.starts(job.job_id)
+    assert world.submit(job, at=name).verdict == entry.Verdict.DONE
+
+
+def test_a_job_that_was_accepted_before_is_not_refused_when_it_is_submitted_again():
+    """Guards against a refusal of a job that runs; the owner hasn't read its record yet."""
+    world = _ready()
+    name = next(iter(world.members))
+    job = world.job()
+    _overloaded(world, name)
+    world.store_jobs(job)
+    assert world.submit(job, at=name).verdict == entry.Verdict.DONE
+
+
+def test_nothing_is_refused_for_load_while_the_owner_does_not_answer():
+    """Without the owner's answer nobody knows whether the job was accepted before."""
+    world = _ready()
+    owner = world.owner.name
+    name = next(one for one in world.members if one != owner)
+    world.kill(owner)
+    _overloaded(world, name)
+    assert world.submit(world.job(), at=name).verdict == entry.Verdict.DONE
+
+
+def test_load_is_not_estimated_unless_refusals_are_enabled():
+    world = _ready(entries=1)
+    assert world.owner.node.owner.waits_s() == {}
+    assert world.owner.node.owner.scheduler._backlog is None
