--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -82,6 +82,8 @@
         silent: dict[str, int],
         term_beginnings: silent_targets.TermBeginnings,
         link_bytes_per_s: float = 0.0,
+        learn_target_speed: bool = False,
+        refuse_late_work: bool = False,
     ) -> None:
         self._term = term
         self._store = store_port
@@ -100,7 +102,10 @@
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
         self._evacuations = evacuations
         self._scheduler = scheduler.Scheduler(
-            decide=decision_log.decide, requests=evacuations.domains
+            decide=decision_log.decide,
+            requests=evacuations.domains,
+            learn_target_speed=learn_target_speed,
+            refuse_late_work=refuse_late_work,
         )
         self._scheduler.begin_term(term)
         self._configuration = queues.Configuration(version=0)
@@ -220,6 +225,7 @@
             "targets_barred": sum(
                 row.quarantined_until > self._clocks.now() for row in targets_now
             ),
+            "targets_slow": self._scheduler.slow_targets,
             "orders_in_flight": self._orders.in_flight,
             "orders_answered": self._orders.answered,
             "order_seconds": self._orders.seconds,
@@ -283,11 +289,9 @@
         )
 
     def waits_s(self) -> dict[str, float]:
-        """Returns, by queue, how long a job that is submitted now would wait, seconds.
-
-        No wait is computed yet, so no entry refuses jobs for load; see docs/design/platform.md.
-        """
-        return {}
+        """Returns, by queue, how long a job that is submitted now would wait, seconds."""
+        clock = self._clocks
+        return self._scheduler.waits_s(self._configuration, now=clock.now(), wall=clock.wall())
 
     def cancel(self, job_id: str) -> defer.Deferred[None]:
         """Cancels a job.
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -66,6 +66,7 @@
         "full_until",
         "leaves_at",
         "evacuated",
+        "speed",
     }
 )
 """Fields of a target of which each assignment is reported to the observers of its table."""
@@ -130,6 +131,7 @@
         suspect_until: End of the probation of the last run there whose task saw a crash, seconds.
         leaves_at: Earliest time of its departure, seconds; 0 while it is not draining.
         evacuated: Whether its failure domain is evacuated, so that nothing may start on it.
+        speed: Speed that it surely doesn't exceed, as a fraction of the fleet's; see `speed`.
     """
 
     observers: list[dict[int, TargetRow]] = dataclasses.field(default_factory=list, repr=False)
@@ -161,6 +163,7 @@
     evacuated: bool = False
     cold_until: float = 0.0
     cold_interval_s: float = 0.0
+    speed: float = 1.0
 
     def __setattr__(self, name: str, value: object) -> None:
         """Sets a field, and reports the change if the field is observed."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -26,6 +26,8 @@
     task_ends,
 )
 from ebonyhatch.fleet.evacuation import domain_evacuation, domains, leaving
+from ebonyhatch.fleet.overload import backlog
+from ebonyhatch.fleet.speed import target_speeds
 
 RUN_NUMBERS_PER_TERM = 1_000
 """Run numbers that each term of an owner may use for a task in addition to those already used."""
@@ -51,11 +53,27 @@
         order_limit: Number of runs after which the next tick orders no more.
     """
 
-    def __init__(self, *, decide: commands.Decide, requests: domains.Domains | None = None) -> None:
-        """Creates a scheduler; `requests` are the failure domains that operators evacuate."""
+    def __init__(
+        self,
+        *,
+        decide: commands.Decide,
+        requests: domains.Domains | None = None,
+        learn_target_speed: bool = False,
+        refuse_late_work: bool = False,
+    ) -> None:
+        """Creates a scheduler.
+
+        Args:
+            decide: Logs a decision.
+            requests: Failure domains that operators evacuate.
+            learn_target_speed: Whether slow targets are recognized and get less work.
+            refuse_late_work: Whether the waits of new jobs are estimated.
+        """
+        self._speeds = target_speeds.TargetSpeeds(decide=decide) if learn_target_speed else None
         self._commands: list[commands.Command] = []
         self._decide = decide
         self._tables = tables.Tables()
+        self._backlog = backlog.Backlog(all_tables=self._tables) if refuse_late_work else None
         self._times = run_times.RunTimes()
         self._ends = task_ends.TaskEnds(
             all_tables=self._tables,
@@ -113,6 +131,11 @@
         """Component that applies status reports of targets and answers to orders."""
         return self._reconciler
 
+    @property
+    def slow_targets(self) -> int:
+        """Number of targets at half the speed of the fleet or less; 0 unless it is learned."""
+        return 0 if self._speeds is None else self._speeds.slow_count
+
     def begin_term(self, term: int) -> None:
         """Sets the run numbers of a term above those that owners of earlier terms may have used."""
         self._placement.run_number_base = (term - 1) * RUN_NUMBERS_PER_TERM
@@ -168,6 +191,8 @@
         row = self._tables.targets.get(target.target_id)
         if row is not None and row.target.born < target.born:
             self.mark_runs_lost(row, why=task_ends.NEW_INCARNATION, now=now)
+            if self._speeds is not None:
+                self._speeds.reset(row)
             row.confirmed = False
         row = self._tables.set_target(target)
         if not target.draining:
@@ -184,11 +209,21 @@
         self._model.advance_to(now)
         self._reported[row.target_id] = row
         known = self._evacuation.keys_before_report(row)
+        if self._speeds is not None:
+            self._speeds.apply_report(row, report, now=now)
         self._reconciler.apply_report(row, report, now=now)
         if known is not None:
             self._evacuation.stop_late_starts(row, known, now=now)
         self._pacing.review(row, now=now)
 
+    def waits_s(
+        self, configuration: queues.Configuration, *, now: float, wall: float
+    ) -> dict[str, float]:
+        """Returns the wait of a job submitted now, by queue, seconds; empty unless it is enabled."""
+        if self._backlog is None:
+            return {}
+        return self._backlog.waits_s(configuration, now=now, wall=wall)
+
     def needs_observation(self, run: rows.RunRow) -> bool:
         """Returns whether a run's effect on the serving tasks of its target must be read soon."""
         step = run.task.step
@@ -206,6 +241,8 @@
     def remove_target(self, row: rows.TargetRow) -> None:
         """Removes a target without runs."""
         self._ends.record_removal(row)
+        if self._speeds is not None:
+            self._speeds.reset(row)
         self._tables.remove_target(row)
 
     def drain_changed_jobs(self) -> list[rows.JobRow]:
@@ -252,6 +289,8 @@
             else:
                 self._release_steps(job)
         self._stop_hung_runs(now)
+        if self._speeds is not None:
+            self._speeds.review(now=now)
         self._model.advance_to(now)
         self._reserve.observe(elapsed_s=elapsed_s)
         if self.may_place:
@@ -268,6 +307,10 @@
                 # What is free after a complete pass is what no waiting task can use.
                 self._evacuation.review(self._placement.context(now))
         due_commands = list(self._commands)
+        if self._backlog is not None:
+            for command in due_commands:
+                if isinstance(command, commands.StartRun):
+                    self._backlog.note_start(command.run)
         self._commands.clear()
         return due_commands
 
