Fleet: placement policies, and look-ahead placement with reservations for large steps

Cause: small tasks leave gaps on many targets and none that a large task, a gang or a task bound to a few targets can use, so these wait as long as small tasks keep arriving. Change: the package lookahead/ (forecast, reservations, holders, policy), a hook in candidates.py and placement.py that asks the policy only while it restricts targets, and the setting placement_policy ([scheduling] of the settings file). The default, greedy, restricts nothing. Result: test_scheduler, test_candidates, test_reserve and test_settings pass with the default; the policy itself is not measured yet.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
@@ -9,9 +9,14 @@
 
 from ebonyhatch.fleet import jobs, rows, target_index, waiting_steps
 from ebonyhatch.fleet.constraints import registry, resource_fit, usable
+from ebonyhatch.fleet.lookahead import policy as policy_module
 
 _Amounts = tuple[int, int, int]
 
+HELD_TARGET_SCORE = 5.0
+"""Score of a target that is reserved for the step: above the scores of free capacity, so that the
+reservation is used first."""
+
 _CHECKED: frozenset[registry.Predicate] = frozenset({usable.is_usable, resource_fit.has_capacity})
 """Predicates that hold for the usable targets with free capacity."""
 
@@ -25,8 +30,10 @@
         index: target_index.TargetIndex,
         step: rows.StepRow,
         context: registry.Context,
+        policy: policy_module.Policy | None = None,
     ) -> None:
         self._context = context
+        self._policy = policy or policy_module.Policy()
         self._index = index
         self._step = step
         index.refresh(step, context)
@@ -37,6 +44,7 @@
             self._look(pool, True)
         self._least_cpu: dict[tuple[str, bool], int] = {}
         self._rankings: dict[target_index.RankingKey, list[target_index.Entry]] = {}
+        self._set_aside: dict[target_index.RankingKey, list[rows.TargetRow]] = {}
         self._rejected: dict[tuple[str, str, bool, str], list[_Amounts]] = {}
 
     def targets(self, pool: str) -> list[rows.TargetRow]:
@@ -53,12 +61,20 @@
         with_processor_time = self._index.targets_with(
             step.job.queue.pool, cpu_millis=step.step.cpu_millis, filler=step.step.filler
         )
-        return {
+        scores = {
             row.target_id: selection.score(step, row, context)
             for row in with_processor_time
             if resource_fit.has_capacity(step, row, context)
             and selection.allows_beyond(_CHECKED, step, row, context)
         }
+        if self._policy.restricts:
+            for row in with_processor_time:
+                if row.target_id in scores and not self._policy.may_use(step, row):
+                    del scores[row.target_id]
+            for row in self._policy.reserved_for(step):
+                if row.target_id in scores:
+                    scores[row.target_id] += HELD_TARGET_SCORE
+        return scores
 
     def may_fit(self, step: rows.StepRow) -> bool:
         """Returns False if no target had enough free processor time when last looked at."""
@@ -101,12 +117,15 @@
             self._rejected.setdefault(_kind(step), []).append(_amounts(step.step))
 
     def rejected(self, step: rows.StepRow) -> bool:
-        """Returns whether a step asks for at least as much as one that no target allows."""
+        """Returns whether a step asks for at least as much as one that no target allows.
+
+        A reserved target may allow it all the same.
+        """
         cpu_millis, memory_mb, accelerators = _amounts(step.step)
         return any(
             cpu_millis >= amounts[0] and memory_mb >= amounts[1] and accelerators >= amounts[2]
             for amounts in self._rejected.get(_kind(step), ())
-        )
+        ) and not (self._policy.restricts and self._policy.may_backfill(step))
 
     def best(self, step: rows.StepRow, selection: registry.Selection) -> rows.TargetRow | None:
         """Returns the allowed target with the best score, the first of equals; None if none is.
@@ -117,6 +136,12 @@
         least_cpu = self._least_cpu[(step.job.queue.pool, False)]
         too_small = []
         best = None
+        restricted = None
+        if self._policy.restricts:
+            restricted = self._policy.restricted
+            held = self._held(step, selection)
+            if held is not None:
+                return held
         while ranking:
             cost, position, row = ranking[0]
             if row.closed_until > self._context.now:
@@ -126,6 +151,11 @@
             if present_cost != cost:
                 heapq.heapreplace(ranking, (present_cost, position, row))
             elif resource_fit.has_capacity(step, row, self._context):
+                if restricted is not None and row.target_id in restricted:
+                    # For the whole pass, so that each ranking meets it once.
+                    heapq.heappop(ranking)
+                    self._set_aside.setdefault(_ranking_key(step), []).append(row)
+                    continue
                 best = row
                 break
             elif row.free_cpu < least_cpu:
@@ -134,14 +164,35 @@
                 too_small.append(heapq.heappop(ranking))
         for entry in too_small:
             heapq.heappush(ranking, entry)
+        if best is None and restricted is not None:
+            best = self._best_set_aside(step, selection)
         return best
 
+    def _held(self, step: rows.StepRow, selection: registry.Selection) -> rows.TargetRow | None:
+        """Returns a target that is reserved for a step and has capacity for it."""
+        for row in self._policy.reserved_for(step):
+            if selection.allows(step, row, self._context):
+                return row
+        return None
+
+    def _best_set_aside(
+        self, step: rows.StepRow, selection: registry.Selection
+    ) -> rows.TargetRow | None:
+        """Returns the best of the reserved and kept targets that a step may use, or None."""
+        allowed = [
+            row
+            for row in self._set_aside.get(_ranking_key(step), ())
+            if row.closed_until <= self._context.now
+            and resource_fit.has_capacity(step, row, self._context)
+            and self._policy.may_use(step, row)
+        ]
+        return max(allowed, key=lambda row: selection.score(step, row, self._context), default=None)
+
     def _ranking(
         self, step: rows.StepRow, selection: registry.Selection
     ) -> list[target_index.Entry]:
         """Returns the targets as a heap; a sorted list is one."""
-        spec = step.step
-        key = (step.job.queue.pool, spec.label, spec.data_rack)
+        key = _ranking_key(step)
         ranking = self._rankings.get(key)
         if ranking is None:
             self._index.refresh(step, self._context)
@@ -163,6 +214,10 @@
     return not (step.filler or step.long_running or step.tail_limit_s or step.max_per_target)
 
 
+def _ranking_key(step: rows.StepRow) -> target_index.RankingKey:
+    return (step.job.queue.pool, step.step.label, step.step.data_rack)
+
+
 def _kind(step: rows.StepRow) -> tuple[str, str, bool, str]:
     spec = step.step
     image = spec.image if spec.filler else ""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -30,6 +30,7 @@
 )
 from ebonyhatch.fleet import network as network_module
 from ebonyhatch.fleet import owner as owner_module
+from ebonyhatch.fleet.lookahead import policy
 from ebonyhatch.node import coroutines, peers
 from returns import result
 
@@ -81,6 +82,7 @@
         keep_ended_s: Time for which ended jobs are kept, seconds.
         processor_cores: Processor capacity of the instance, cores; 0 where it is unknown.
         link_bytes_per_s: Bandwidth of the instance's link, bytes a second; 0 where it is unknown.
+        placement_policy: Name of the policy by which an owner places tasks; see `lookahead.policy`.
     """
 
     name: str
@@ -90,6 +92,7 @@
     keep_ended_s: float = 600.0
     processor_cores: float = 0.0
     link_bytes_per_s: float = 0.0
+    placement_policy: str = policy.DEFAULT
 
     @property
     def capacity(self) -> float:
@@ -298,6 +301,7 @@
             on_superseded=lambda reason: self._on_superseded(new_owner, reason),
             poll_pause_s=self._poll_pace.pause_s,
             link_bytes_per_s=self._settings.link_bytes_per_s,
+            placement_policy=self._settings.placement_policy,
         )
         self._owner = new_owner
         configuration = self._configuration.current or queues.Configuration(version=0)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -32,6 +32,7 @@
     target_session,
     targets,
 )
+from ebonyhatch.fleet.lookahead import policy
 from ebonyhatch.node import coroutines
 from returns import result
 from twisted.internet import defer
@@ -88,6 +89,7 @@
         on_superseded: Callable[[str], None],
         poll_pause_s: Callable[[], float],
         link_bytes_per_s: float = 0.0,
+        placement_policy: str = policy.DEFAULT,
     ) -> None:
         self._term = term
         self._store = store_port
@@ -107,7 +109,9 @@
         self._tick_seconds = 0.0
         self._tick_took_s = 0.0
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
-        self._scheduler = scheduler.Scheduler(decide=decision_log.decide)
+        self._scheduler = scheduler.Scheduler(
+            decide=decision_log.decide, placement_policy=placement_policy
+        )
         self._scheduler.begin_term(term)
         self._configuration = queues.Configuration(version=0)
         self._sessions: dict[str, target_session.TargetSession] = {}
@@ -218,6 +222,7 @@
             "ticks": self._ticks,
             "ticks_held_back": self._ticks_held_back,
             "tick_seconds": self._tick_seconds,
+            **self._scheduler.gauges(),
         }
 
     def start(self, *, configuration: queues.Configuration) -> None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -20,6 +20,7 @@
     targets,
 )
 from ebonyhatch.fleet.constraints import registry
+from ebonyhatch.fleet.lookahead import policy as policy_module
 
 AVOIDED_TARGET_PENALTY = 5.0
 """Penalty of the target where the task's last run failed: it is used only if no other target has
@@ -49,7 +50,9 @@
         emit: commands.Emit,
         decide: commands.Decide,
         mark_urgent: Callable[[rows.JobRow], None],
+        policy: policy_module.Policy | None = None,
     ) -> None:
+        self._policy = policy or policy_module.Policy()
         self._model = model
         self._margins = interference.KeptMargins(model=model)
         self._reserve = reserved
@@ -92,6 +95,8 @@
         self._orders_left = min(MAX_ORDERS_PER_PASS, order_limit)
         if self._tables.waiting and self._orders_left > 0:
             self._place_steps(self.context(now), wall, reconciled)
+        elif not self._tables.waiting:
+            self._policy.clear()
 
     def context(self, now: float) -> registry.Context:
         """Returns the context of the constraints at a time in seconds, for one pass."""
@@ -116,6 +121,8 @@
             # The next owner has to know where the task ran, if the target crashes meanwhile.
             self._mark_urgent(task.step.job)
         self._margins.forget(row)
+        if self._policy.restricts:
+            self._policy.note_order(run_row)
         self._decide("run.order", run_row, waited_s=round(now - task.waiting_since, 3))
         self._emit(commands.StartRun(run=run_row))
 
@@ -126,7 +133,12 @@
     def _place_steps(self, context: registry.Context, wall: float, reconciled: bool) -> None:
         """Places steps in their order until nothing fits or the limit of orders is reached."""
         waiting = self._tables.waiting
-        usable = candidates.Candidates(index=self._index, step=waiting.first(), context=context)
+        usable = candidates.Candidates(
+            index=self._index, step=waiting.first(), context=context, policy=self._policy
+        )
+        self._policy.begin_pass(
+            policy_module.Pass(index=self._index, context=context, wall=wall, reconciled=reconciled)
+        )
         fitting = usable.fitting(waiting, reconciled=reconciled)
         orders_seen = self._orders_left
         for number, step in enumerate(ordering.in_order(fitting, wall=wall)):
@@ -203,7 +215,7 @@
                 continue
             row = self._tables.targets[name]
             self.order_run(task, row, run=self.next_run_number([task]), now=now)
-            if selection.allows(step, row, context):
+            if selection.allows(step, row, context) and self._policy.may_use(step, row):
                 scores[row.target_id] = selection.score(step, row, context)
             else:
                 del scores[row.target_id]
@@ -224,9 +236,10 @@
         ]
         if len(waiting) < len(members):
             return
-        chosen = _choose_gang_targets(
-            step, usable.targets(step.job.queue.pool), len(members), context
-        )
+        pool_targets = usable.targets(step.job.queue.pool)
+        if self._policy.restricts:
+            pool_targets = [row for row in pool_targets if self._policy.may_use(step, row)]
+        chosen = _choose_gang_targets(step, pool_targets, len(members), context)
         if not chosen:
             return
         run = self.next_run_number(members)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/run_times.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/run_times.py
@@ -117,3 +117,21 @@
             (history_certainty * kind.runs.mean + estimate_certainty * corrected_estimate)
             / (history_certainty + estimate_certainty)
         )
+
+    def sigma(self, *, queue: str, image: str, estimated: bool) -> float:
+        """Returns the standard deviation of the logarithm of a run time around `expected_s`.
+
+        Args:
+            queue: Name of the queue.
+            image: Image of the task.
+            estimated: Whether the caller gave an estimate.
+        """
+        kind = self._task_kinds.get((queue, image)) or self._task_kinds.get((queue, ""))
+        if kind is None or not kind.runs.weight:
+            return math.sqrt(PRIOR_ERROR_VARIANCE)
+        run_variance = max(kind.runs.shrunk_variance(PRIOR_RUN_VARIANCE), MIN_DURATION_S)
+        if not estimated:
+            return math.sqrt(run_variance)
+        error_variance = max(kind.errors.shrunk_variance(PRIOR_ERROR_VARIANCE), MIN_DURATION_S)
+        history_weight = kind.runs.weight / (kind.runs.weight + PRIOR_SAMPLES)
+        return 1.0 / math.sqrt(history_weight / run_variance + 1.0 / error_variance)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -26,6 +26,7 @@
     targets,
     task_ends,
 )
+from ebonyhatch.fleet.lookahead import policy
 
 RUN_NUMBERS_PER_TERM = 1_000
 """Run numbers that each term of an owner may use for a task in addition to those already used."""
@@ -51,7 +52,7 @@
         order_limit: Number of runs after which the next tick orders no more.
     """
 
-    def __init__(self, *, decide: commands.Decide) -> None:
+    def __init__(self, *, decide: commands.Decide, placement_policy: str = policy.DEFAULT) -> None:
         self._commands: list[commands.Command] = []
         self._decide = decide
         self._tables = tables.Tables()
@@ -71,6 +72,9 @@
             model=model, emit=self._commands.append, decide=decide, stop=self._ends.stop
         )
         self._reserve = reserve.Reserve(all_tables=self._tables)
+        self._policy = policy.build(
+            placement_policy, all_tables=self._tables, times=self._times, decide=decide
+        )
         self._placement = placement.Placement(
             all_tables=self._tables,
             model=model,
@@ -78,6 +82,7 @@
             emit=self._commands.append,
             decide=decide,
             mark_urgent=self._ends.mark_urgent,
+            policy=self._policy,
         )
         self._evacuation = evacuation.Evacuation(all_tables=self._tables, stop=self._ends.stop)
         self._reported: dict[str, rows.TargetRow] = {}
@@ -106,6 +111,10 @@
         """Component that applies status reports of targets and answers to orders."""
         return self._reconciler
 
+    def gauges(self) -> dict[str, float]:
+        """Returns the current state of the placement policy for metrics."""
+        return self._policy.gauges()
+
     def begin_term(self, term: int) -> None:
         """Sets the run numbers of a term above those that owners of earlier terms may have used."""
         self._placement.run_number_base = (term - 1) * RUN_NUMBERS_PER_TERM
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_index.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_index.py
@@ -4,6 +4,7 @@
 
 import bisect
 import collections
+import itertools
 
 from ebonyhatch.fleet import rows, tables
 from ebonyhatch.fleet.constraints import registry, resource_fit, usable
@@ -118,6 +119,24 @@
         positions = sorted(position for _, position in amounts[first:])
         return [members[position] for position in positions]
 
+    def count(self, pool: str) -> int:
+        """Returns the number of usable targets of a pool."""
+        return len(self._pools[pool].members) if pool in self._pools else 0
+
+    def emptiest(self, pool: str, *, count: int) -> list[rows.TargetRow]:
+        """Returns up to `count` targets of a pool, from the one with most free processor time on."""
+        if pool not in self._pools:
+            return []
+        members = self._pools[pool].members
+        return [members[position] for _, position in reversed(self._pools[pool].free_cpu[-count:])]
+
+    def some(self, pool: str, *, first: int, count: int) -> list[rows.TargetRow]:
+        """Returns up to `count` targets of a pool in no meaningful order, beginning with a number."""
+        if pool not in self._pools:
+            return []
+        members = self._pools[pool].members
+        return list(itertools.islice(members.values(), first, first + count))
+
     def most_free_cpu(self, pool: str) -> float:
         """Returns the most free processor time of a target; -1 without a target."""
         return self._pools[pool].free_cpu[-1][0] if pool in self._pools else -1
