Look-ahead placement: review the waiting steps over several passes, stop a pass once only reserved targets are free

Cause: reviews were done whole in one tick, and a pass looked at all waiting steps while a reserved target had free capacity, as the least demand then still fitted somewhere.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
@@ -104,10 +104,26 @@
         return fitting
 
     def exhausted(self) -> bool:
-        """Looks at all targets again; returns whether the least demand of each pool fits nowhere."""
+        """Looks at all targets again; returns whether the least demand of each pool fits nowhere.
+
+        Reserved targets don't count: they are left to their holders and to backfill.
+        """
         self._index.refresh(self._step, self._context)
+        ignored = {row.target_id for row in self._policy.reserved_targets}
+        if not ignored:
+            return all(
+                cpu_millis > self._look(pool, filler)
+                for (pool, filler), cpu_millis in self._least_cpu.items()
+            )
+        for pool, filler in self._least_cpu:
+            self._look(pool, filler)
         return all(
-            cpu_millis > self._look(pool, filler)
+            cpu_millis
+            > (
+                self._free_cpu[True].get(pool, -1)
+                if filler
+                else self._index.most_free_cpu_beside(pool, ignored)
+            )
             for (pool, filler), cpu_millis in self._least_cpu.items()
         )
 
@@ -121,27 +137,34 @@
 
         A reserved target may allow it all the same.
         """
+        return self._asks_too_much(step) and not (
+            self._policy.restricts and self._policy.may_backfill(step)
+        )
+
+    def _asks_too_much(self, step: rows.StepRow) -> bool:
         cpu_millis, memory_mb, accelerators = _amounts(step.step)
         return any(
             cpu_millis >= amounts[0] and memory_mb >= amounts[1] and accelerators >= amounts[2]
             for amounts in self._rejected.get(_kind(step), ())
-        ) and not (self._policy.restricts and self._policy.may_backfill(step))
+        )
 
     def best(self, step: rows.StepRow, selection: registry.Selection) -> rows.TargetRow | None:
         """Returns the allowed target with the best score, the first of equals; None if none is.
 
         The step must be one for which `ranks_alike` holds.
         """
-        ranking = self._ranking(step, selection)
-        least_cpu = self._least_cpu[(step.job.queue.pool, False)]
-        too_small = []
-        best = None
         restricted = None
         if self._policy.restricts:
             restricted = self._policy.restricted
             held = self._held(step, selection)
             if held is not None:
                 return held
+            if self._asks_too_much(step):
+                return self._best_of(self._policy.reserved_targets, step, selection)
+        ranking = self._ranking(step, selection)
+        least_cpu = self._least_cpu[(step.job.queue.pool, False)]
+        too_small = []
+        best = None
         while ranking:
             cost, position, row = ranking[0]
             if row.closed_until > self._context.now:
@@ -165,7 +188,8 @@
         for entry in too_small:
             heapq.heappush(ranking, entry)
         if best is None and restricted is not None:
-            best = self._best_set_aside(step, selection)
+            set_aside = self._set_aside.get(_ranking_key(step), [])
+            best = self._best_of(set_aside, step, selection)
         return best
 
     def _held(self, step: rows.StepRow, selection: registry.Selection) -> rows.TargetRow | None:
@@ -175,16 +199,14 @@
                 return row
         return None
 
-    def _best_set_aside(
-        self, step: rows.StepRow, selection: registry.Selection
+    def _best_of(
+        self, some: list[rows.TargetRow], step: rows.StepRow, selection: registry.Selection
     ) -> rows.TargetRow | None:
-        """Returns the best of the reserved and kept targets that a step may use, or None."""
+        """Returns the best of some reserved or kept targets that a step may use, or None."""
         allowed = [
             row
-            for row in self._set_aside.get(_ranking_key(step), ())
-            if row.closed_until <= self._context.now
-            and resource_fit.has_capacity(step, row, self._context)
-            and self._policy.may_use(step, row)
+            for row in some
+            if selection.allows(step, row, self._context) and self._policy.may_use(step, row)
         ]
         return max(allowed, key=lambda row: selection.score(step, row, self._context), default=None)
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/lookahead/forecast.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/lookahead/forecast.py
@@ -27,13 +27,25 @@
 """Processor time, memory and accelerators."""
 
 
+FACTOR_LIFE_S = 1.0
+"""Time for which a learnt uncertainty is used before it is looked up anew, seconds."""
+
+
 class Forecast:
-    """Expected ends of runs at one time. Learnt uncertainties are looked up once for each kind."""
+    """Expected ends of runs."""
 
-    def __init__(self, *, times: run_times.RunTimes, now: float) -> None:
+    def __init__(self, *, times: run_times.RunTimes) -> None:
         self._times = times
-        self._now = now
+        self._now = 0.0
         self._factors: dict[tuple[str, str, bool], float] = {}
+        self._factors_from = 0.0
+
+    def advance(self, now: float) -> None:
+        """Sets the time from which on is forecast, seconds."""
+        self._now = now
+        if now - self._factors_from >= FACTOR_LIFE_S:
+            self._factors.clear()
+            self._factors_from = now
 
     def run_s(self, step: rows.StepRow) -> float:
         """Returns the time in which a task of a step has probably ended, seconds.
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/lookahead/policy.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/lookahead/policy.py
@@ -20,8 +20,22 @@
 """Name of the policy that restricts nothing."""
 
 REVIEW_INTERVAL_S = 0.25
-"""Time between two reviews of the reservations, seconds: short against the forecast waits, and long
-against a tick, so that their cost is spread over many ticks."""
+"""Time between two reviews of the waiting steps, and of the forecast of a reservation, seconds: short
+against the forecast waits, and long against a tick, so that the work is spread over many ticks."""
+
+SCANNED_STEPS = 256
+"""Number of waiting steps that a pass looks at; a review may take several passes."""
+
+MAX_CLAIMS = 8
+"""Number of steps for which a review looks for targets, those that have waited for longest of each
+priority."""
+
+RETRY_S = 2.0
+"""Time after which targets are looked for again if none was found, seconds: short tasks take 0.5 to
+2 s."""
+
+MAX_FORECASTS = 6
+"""Number of reservations that a pass forecasts anew."""
 
 MIN_WAIT_S = 0.25
 """Time for which a task has to wait before a target is reserved for it, seconds; a step that fits
@@ -36,8 +50,8 @@
 MAX_RESERVED = 32
 """Largest number of reserved targets of a pool, which bounds the time of a pass."""
 
-MAX_CLAIMS_PER_REVIEW = 4
-"""Number of steps for which a review looks for targets."""
+MAX_CLAIMS_PER_PASS = 1
+"""Number of these that a pass looks at."""
 
 SAMPLED_TARGETS = 24
 """Number of targets with the most free processor time that are considered for a step; those are
@@ -118,6 +132,21 @@
         """Returns the targets that a step holds."""
         return ()
 
+    @property
+    def steps_beside(self) -> int:
+        """Number of steps that are looked at once only reserved targets have capacity."""
+        return 0
+
+    @property
+    def reserved_targets(self) -> list[rows.TargetRow]:
+        """All reserved targets."""
+        return []
+
+    @property
+    def holding_steps(self) -> list[rows.StepRow]:
+        """Steps that hold a target with capacity for them."""
+        return []
+
     def may_backfill(self, step: rows.StepRow) -> bool:
         """Returns whether a step that fits nowhere else may use a reserved target."""
         return False
@@ -186,14 +215,16 @@
         self, *, all_tables: tables.Tables, times: run_times.RunTimes, decide: commands.Decide
     ) -> None:
         self._tables = all_tables
-        self._times = times
         self._decide = decide
         self._holders = holders.Holders()
         self._reserved = reservations.Reservations()
         self._kept: set[str] = set()
         self._restricted: frozenset[str] = frozenset()
         self._large_seen_at: dict[str, float] = {}
-        self._forecast = forecast.Forecast(times=times, now=0.0)
+        self._forecast = forecast.Forecast(times=times)
+        self._unseen: list[rows.StepRow] = []
+        self._claims: list[rows.StepRow] = []
+        self._retry_at: dict[int, float] = {}
         self._now = 0.0
         self._wall = 0.0
         self._reviewed_at = -REVIEW_INTERVAL_S
@@ -211,18 +242,23 @@
         return self._restricted
 
     def begin_pass(self, begun: Pass) -> None:
-        """Drops the reservations that have ended, and reviews all of them when that is due."""
+        """Drops the reservations that have ended, and continues the review of the waiting steps."""
         now = self._now = begun.context.now
         self._wall = begun.wall
         self._backfill_steps_left = MAX_BACKFILL_STEPS
+        self._forecast.advance(now)
         self._drop_ended(begun.context)
-        if now - self._reviewed_at >= REVIEW_INTERVAL_S:
+        self._update_forecasts()
+        if now - self._reviewed_at >= REVIEW_INTERVAL_S and not (self._unseen or self._claims):
             self._reviewed_at = now
-            self._forecast = forecast.Forecast(times=self._times, now=now)
+            self._rotation += 1
             self._holders.measure(begun.index, now=now)
-            self._update_forecasts()
-            self._reserve_targets(begun)
             self._keep_targets(begun.index)
+            self._unseen = self._tables.waiting.values()
+        if self._unseen:
+            self._scan(begun)
+        if self._claims and not self._unseen:
+            self._reserve_targets(begun)
         if self._restricted or self._reserved or self._kept:
             self._restricted = frozenset(self._kept.union(self._reserved.target_ids))
 
@@ -246,20 +282,44 @@
         """Returns the targets that a step holds."""
         return [reservation.target for reservation in self._reserved.of(step)]
 
+    @property
+    def steps_beside(self) -> int:
+        """Number of steps that are looked at once only reserved targets have capacity."""
+        return MAX_BACKFILL_STEPS if len(self._reserved) else 0
+
+    @property
+    def reserved_targets(self) -> list[rows.TargetRow]:
+        """All reserved targets."""
+        return [reservation.target for reservation in self._reserved.values()]
+
+    @property
+    def holding_steps(self) -> list[rows.StepRow]:
+        """Steps that hold a target with capacity for them."""
+        found = {id(one.holder): one.holder for one in self._reserved.values()}
+        return [step for step in found.values() if self._fits_held(step)]
+
     def may_backfill(self, step: rows.StepRow) -> bool:
         """Returns whether a step that fits nowhere else may use a reserved target."""
-        if self._reserved.of(step):
-            return True
-        if not self._reserved or self._backfill_steps_left <= 0:
-            return False
-        self._backfill_steps_left -= 1
-        needs = forecast.demands(step.step)
-        return any(
-            forecast.fitting_count(step.step, _free(reservation.target), limit=1)
-            and self.may_use(step, reservation.target)
-            for reservation in self._reserved.values()
-            if needs[0] <= reservation.target.free_cpu
-        )
+        cpu_millis, memory_mb, accelerators = forecast.demands(step.step)
+        counted = False
+        for reservation in self._reserved.values():
+            row = reservation.target
+            if (
+                cpu_millis > row.free_cpu
+                or memory_mb > row.free_memory
+                or accelerators > row.free_accelerators
+            ):
+                continue
+            if reservation.holder is step:
+                return True
+            if not counted:
+                if self._backfill_steps_left <= 0:
+                    return self._fits_held(step)
+                self._backfill_steps_left -= 1
+                counted = True
+            if self.may_use(step, row):
+                return True
+        return False
 
     def note_order(self, run: rows.RunRow) -> None:
         """Ends a reservation that is used, and takes backfilled runs from its spare capacity."""
@@ -288,6 +348,13 @@
             "lookahead_targets_kept": len(self._kept),
         }
 
+    def _fits_held(self, step: rows.StepRow) -> bool:
+        """Returns whether a target that a step holds has capacity for it."""
+        return any(
+            forecast.fitting_count(step.step, _free(row), limit=1)
+            for row in self.reserved_for(step)
+        )
+
     def _ends_before(self, step: rows.StepRow, reservation: reservations.Reservation) -> bool:
         return self._now + self._forecast.run_s(step) <= reservation.starts_at
 
@@ -347,8 +414,15 @@
         )
 
     def _update_forecasts(self) -> None:
-        """Forecasts all reservations anew; gives up those that can't be used in time."""
+        """Forecasts some reservations anew; gives up those that can't be used in time."""
+        left = MAX_FORECASTS
         for reservation in self._reserved.values():
+            if self._now - reservation.forecast_at < REVIEW_INTERVAL_S:
+                continue
+            left -= 1
+            if left < 0:
+                return
+            reservation.forecast_at = self._now
             row, spec = reservation.target, reservation.holder.step
             slots = self._forecast.slot_times(row, spec, limit=reservation.tasks)
             if len(slots) < reservation.tasks or self._now + slots[-1] > reservation.expires_at:
@@ -367,50 +441,55 @@
             free[2] - tasks * accelerators,
         )
 
-    def _reserve_targets(self, begun: Pass) -> None:
-        """Reserves targets for the steps that starve, in the order of placement."""
-        claims: dict[str, list[rows.StepRow]] = {}
-        for step in self._tables.waiting.values():
+    def _scan(self, begun: Pass) -> None:
+        """Looks for steps that starve; puts them in the order of placement once all are seen."""
+        seen, self._unseen = self._unseen[:SCANNED_STEPS], self._unseen[SCANNED_STEPS:]
+        for step in seen:
             if self._holders.may_hold(step) and (begun.reconciled or not step.job.inherited):
-                pool = step.job.queue.pool
-                self._large_seen_at[pool] = self._now
-                if _has_waited(step, now=self._now):
-                    claims.setdefault(pool, []).append(step)
-        if not claims:
-            return
-        self._rotation += 1
-        counts: dict[str, int] = {}
-        for reservation in self._reserved.values():
-            pool = reservation.target.target.pool
-            counts[pool] = counts.get(pool, 0) + 1
-        for pool, steps in claims.items():
+                self._large_seen_at[step.job.queue.pool] = self._now
+                retried = self._retry_at.get(id(step), 0.0) <= self._now
+                if retried and _has_waited(step, now=self._now) and self._lacking(step):
+                    self._claims.append(step)
+        if not self._unseen:
+            self._retry_at = {key: at for key, at in self._retry_at.items() if at > self._now}
+            claims = heapq.nsmallest(MAX_CLAIMS, self._claims, key=_wait_order)
+            # In reverse, as the steps are taken from the end.
+            self._claims = list(ordering.in_order(claims, wall=begun.wall))[::-1]
+
+    def _lacking(self, step: rows.StepRow) -> int:
+        """Returns the number of waiting tasks without a reservation; a gang holds all or none."""
+        held = sum(reservation.tasks for reservation in self._reserved.of(step))
+        if held and step.step.gang:
+            return 0
+        return max(0, len(step.waiting) - held)
+
+    def _reserve_targets(self, begun: Pass) -> None:
+        """Reserves targets for the next of the steps that starve."""
+        looked = 0
+        while self._claims and looked < MAX_CLAIMS_PER_PASS:
+            step = self._claims.pop()
+            if step.job.ended or step not in self._tables.waiting or not self._lacking(step):
+                continue
+            pool = step.job.queue.pool
             budget = _budget(begun.index.count(pool))
-            left = budget - counts.get(pool, 0)
-            looked = 0
-            for step in ordering.in_order(steps, wall=begun.wall):
-                first = step.step.gang and left == budget
-                if (left <= 0 and not first) or looked >= MAX_CLAIMS_PER_REVIEW:
-                    break
-                held = sum(reservation.tasks for reservation in self._reserved.of(step))
-                if held and (step.step.gang or held >= len(step.waiting)):
-                    continue
+            reserved = self._reserved.in_pool(pool)
+            left = budget - reserved
+            if step.step.gang and not reserved:
+                left = begun.index.count(pool)
+            if left > 0:
                 looked += 1
-                limit = begun.index.count(pool) if first else left
-                left -= self._reserve_for(step, begun, limit=limit, budget=budget)
+                self._reserve_for(step, begun, limit=left, budget=budget)
 
-    def _reserve_for(self, step: rows.StepRow, begun: Pass, *, limit: int, budget: int) -> int:
-        """Reserves up to `limit` targets for a step; returns their number."""
+    def _reserve_for(self, step: rows.StepRow, begun: Pass, *, limit: int, budget: int) -> None:
+        """Reserves up to `limit` targets for a step."""
         now = self._now
         if step.step.gang:
             chosen = self._choose_for_gang(step, begun)
             if len(chosen) > limit:
-                return 0
+                chosen = []
         else:
             own = max(1, int(HOLDER_FRACTION * budget)) - len(self._reserved.of(step))
-            held = sum(reservation.tasks for reservation in self._reserved.of(step))
-            chosen = self._choose_for_tasks(
-                step, begun, count=min(limit, own, len(step.waiting) - held)
-            )
+            chosen = self._choose_for_tasks(step, begun, count=min(limit, own, self._lacking(step)))
         for row, tasks, after_s in chosen:
             reservation = reservations.Reservation(
                 holder=step,
@@ -420,10 +499,13 @@
                 made_at=now,
                 starts_at=now + after_s,
                 expires_at=reservations.expiry(made_at=now, starts_at=now + after_s),
+                forecast_at=now,
             )
             reservation.spare = self._spare(reservation, after_s)
             self._reserved.add(reservation)
-        if chosen:
+        if not chosen:
+            self._retry_at[id(step)] = now + RETRY_S
+        else:
             self._decide(
                 "lookahead.reserved",
                 None,
@@ -439,7 +521,6 @@
                 starts_in_s=round(max(after_s for _, _, after_s in chosen), 3),
                 waited_s=round(now - step.waiting[0].waiting_since, 3),
             )
-        return len(chosen)
 
     def _choose_for_tasks(
         self, step: rows.StepRow, begun: Pass, *, count: int
@@ -537,6 +618,10 @@
     return task.retry_at <= now and now - task.waiting_since >= MIN_WAIT_S
 
 
+def _wait_order(step: rows.StepRow) -> tuple[int, float]:
+    return (step.job.queue.priority, step.waiting[0].waiting_since if step.waiting else 0.0)
+
+
 def _fits_beside(spec: jobs.Step, reservation: reservations.Reservation) -> bool:
     """Returns whether a task leaves the holder's capacity; a gang may put several on the target."""
     return not spec.gang and forecast.fitting_count(spec, reservation.spare, limit=1) > 0
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/lookahead/reservations.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/lookahead/reservations.py
@@ -31,6 +31,7 @@
         made_at: Time at which it was made, seconds.
         starts_at: Time before which other tasks have to end, seconds; it never moves to later.
         expires_at: Time at which it is given up, seconds.
+        forecast_at: Time of the last forecast, seconds.
         spare: Capacity that remains beside the holder's tasks once they run.
     """
 
@@ -41,6 +42,7 @@
     made_at: float
     starts_at: float
     expires_at: float
+    forecast_at: float = 0.0
     spare: forecast.Amounts = (0, 0, 0)
 
 
@@ -72,6 +74,10 @@
         """Returns the reservations that a step holds."""
         return self._by_holder.get(id(step), [])
 
+    def in_pool(self, pool: str) -> int:
+        """Returns the number of reserved targets of a pool."""
+        return sum(one.target.target.pool == pool for one in self._by_target.values())
+
     def holders(self) -> int:
         """Returns the number of steps that hold a reservation."""
         return len(self._by_holder)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -141,19 +141,32 @@
         )
         fitting = usable.fitting(waiting, reconciled=reconciled)
         orders_seen = self._orders_left
+        exhausted, beside = False, self._policy.steps_beside
         for number, step in enumerate(ordering.in_order(fitting, wall=wall)):
-            if step.step.gang:
-                self._place_gang(step, context, usable)
-            else:
-                self._place_tasks(step, context, usable)
-            if not step.waiting:
-                self._tables.waiting.discard(step)
+            self._place_step(step, context, usable)
             if self._orders_left <= 0:
                 return
             if self._orders_left < orders_seen and len(fitting) - number > LOOK_AGAIN_STEPS:
                 orders_seen = self._orders_left
-                if usable.exhausted():
-                    return
+                exhausted = usable.exhausted()
+            if exhausted:
+                if beside <= 0:
+                    break
+                beside -= 1
+        if exhausted:
+            for step in self._policy.holding_steps:
+                if step in waiting and self._orders_left > 0:
+                    self._place_step(step, context, usable)
+
+    def _place_step(
+        self, step: rows.StepRow, context: registry.Context, usable: candidates.Candidates
+    ) -> None:
+        if step.step.gang:
+            self._place_gang(step, context, usable)
+        else:
+            self._place_tasks(step, context, usable)
+        if not step.waiting:
+            self._tables.waiting.discard(step)
 
     def _place_tasks(
         self, step: rows.StepRow, context: registry.Context, usable: candidates.Candidates
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_index.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_index.py
@@ -5,6 +5,7 @@
 import bisect
 import collections
 import itertools
+from collections.abc import Collection
 
 from ebonyhatch.fleet import rows, tables
 from ebonyhatch.fleet.constraints import registry, resource_fit, usable
@@ -141,6 +142,16 @@
         """Returns the most free processor time of a target; -1 without a target."""
         return self._pools[pool].free_cpu[-1][0] if pool in self._pools else -1
 
+    def most_free_cpu_beside(self, pool: str, ignored: Collection[str]) -> float:
+        """Returns the most free processor time of a target outside a few; -1 without any."""
+        if pool not in self._pools:
+            return -1
+        members = self._pools[pool].members
+        for free_cpu, position in reversed(self._pools[pool].free_cpu):
+            if members[position].target_id not in ignored:
+                return free_cpu
+        return -1
+
     def most_leftover_cpu(self, pool: str) -> float:
         """Returns the most processor time that fillers could use; -1 without a target."""
         return self._pools[pool].leftover_cpu[-1][0] if pool in self._pools else -1.0
