--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/lookahead/policy.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/lookahead/policy.py
@@ -26,7 +26,7 @@
 SCANNED_STEPS = 256
 """Number of waiting steps that a pass looks at; a review may take several passes."""
 
-MAX_CLAIMS = 8
+MAX_CLAIMS = 4
 """Number of steps for which a review looks for targets, those that have waited for longest of each
 priority."""
 
@@ -34,7 +34,7 @@
 """Time after which targets are looked for again if none was found, seconds: short tasks take 0.5 to
 2 s."""
 
-MAX_FORECASTS = 6
+MAX_FORECASTS = 4
 """Number of reservations that a pass forecasts anew."""
 
 MIN_WAIT_S = 0.25
@@ -53,7 +53,7 @@
 MAX_CLAIMS_PER_PASS = 1
 """Number of these that a pass looks at."""
 
-SAMPLED_TARGETS = 24
+SAMPLED_TARGETS = 16
 """Number of targets with the most free processor time that are considered for a step; those are
 likely to have capacity first."""
 
@@ -295,7 +295,11 @@
     @property
     def holding_steps(self) -> list[rows.StepRow]:
         """Steps that hold a target with capacity for them."""
-        found = {id(one.holder): one.holder for one in self._reserved.values()}
+        found = {
+            id(one.holder): one.holder
+            for one in self._reserved.values()
+            if one.holder.step.cpu_millis <= one.target.free_cpu
+        }
         return [step for step in found.values() if self._fits_held(step)]
 
     def may_backfill(self, step: rows.StepRow) -> bool:
