Look-ahead placement: a pass on full targets looks at few steps

Cause: free capacity on reserved targets made all small waiting steps count as fitting, so that each pass sorted and visited them although the other targets were full. Change: steps that fit on reserved targets only are looked at every 0.1 s, 32 in turn, after the others; holders always. The bench has a second case with few starts.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 
 from ebonyhatch.fleet import jobs, rows, target_index, waiting_steps
 from ebonyhatch.fleet.constraints import registry, resource_fit, usable
@@ -44,6 +45,7 @@
             self._look(pool, True)
         self._least_cpu: dict[tuple[str, bool], int] = {}
         self._rankings: dict[target_index.RankingKey, list[target_index.Entry]] = {}
+        self._beside: list[rows.StepRow] = []
         self._set_aside: dict[target_index.RankingKey, list[rows.TargetRow]] = {}
         self._rejected: dict[tuple[str, str, bool, str], list[_Amounts]] = {}
 
@@ -91,18 +93,47 @@
             reconciled: Whether those of inherited jobs may be placed.
         """
         free_cpu, leftover_cpu = self._free_cpu
+        if self._policy.restricts:
+            reserved = {row.target_id for row in self._policy.reserved_targets}
+            beside_cpu = {
+                pool: self._index.most_free_cpu_beside(pool, reserved)
+                for pool in self._index.pools()
+            }
+            if not self._policy.backfill_due():
+                free_cpu = beside_cpu
         fitting = [
             step
             for step in waiting.fitting(free_cpu=free_cpu, leftover_cpu=leftover_cpu)
             if reconciled or not step.job.inherited
         ]
-        for step in fitting:
+        if self._policy.restricts:
+            fitting, self._beside = self._part(fitting, beside_cpu)
+        for step in itertools.chain(fitting, self._beside):
             key = (step.job.queue.pool, step.step.filler)
             cpu_millis = step.step.cpu_millis
             if cpu_millis < self._least_cpu.get(key, cpu_millis + 1):
                 self._least_cpu[key] = cpu_millis
         return fitting
 
+    @property
+    def beside(self) -> list[rows.StepRow]:
+        """Steps that hold targets, and some of those that fit on reserved targets only."""
+        return self._beside
+
+    def _part(
+        self, fitting: list[rows.StepRow], free_cpu: dict[str, float]
+    ) -> tuple[list[rows.StepRow], list[rows.StepRow]]:
+        """Returns the steps that may fit on targets that aren't reserved, and some of the others."""
+        main, others = [], []
+        for step in fitting:
+            if step.step.filler or step.step.cpu_millis <= free_cpu[step.job.queue.pool]:
+                main.append(step)
+            else:
+                others.append(step)
+        held = self._policy.holding_steps
+        beside = {id(step): step for step in (*held, *self._policy.choose_beside(others))}
+        return main, list(beside.values())
+
     def exhausted(self) -> bool:
         """Looks at all targets again; returns whether the least demand of each pool fits nowhere.
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/lookahead/policy.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/lookahead/policy.py
@@ -72,6 +72,10 @@
 MAX_BACKFILL_STEPS = 32
 """Number of steps in a pass that fit nowhere else and for which the reserved targets are looked at."""
 
+BACKFILL_INTERVAL_S = 0.1
+"""Time between two passes that look at steps that fit on reserved targets only, seconds: a tenth of a
+short task. Most passes on full targets have nothing else to do."""
+
 SLACK_FRACTION = 0.5
 """Fraction of its objective that urgent work leaves as slack when it begins to ignore reservations;
 the other half is enough to place it on the reserved targets."""
@@ -132,10 +136,13 @@
         """Returns the targets that a step holds."""
         return ()
 
-    @property
-    def steps_beside(self) -> int:
-        """Number of steps that are looked at once only reserved targets have capacity."""
-        return 0
+    def backfill_due(self) -> bool:
+        """Returns whether this pass looks at steps that fit on reserved targets only."""
+        return False
+
+    def choose_beside(self, steps: list[rows.StepRow]) -> list[rows.StepRow]:
+        """Returns the steps that a pass looks at, of those that fit on reserved targets only."""
+        return steps
 
     @property
     def reserved_targets(self) -> list[rows.TargetRow]:
@@ -230,6 +237,8 @@
         self._reviewed_at = -REVIEW_INTERVAL_S
         self._rotation = 0
         self._backfill_steps_left = 0
+        self._beside_from = 0
+        self._backfilled_at = -BACKFILL_INTERVAL_S
 
     @property
     def restricts(self) -> bool:
@@ -282,10 +291,29 @@
         """Returns the targets that a step holds."""
         return [reservation.target for reservation in self._reserved.of(step)]
 
-    @property
-    def steps_beside(self) -> int:
-        """Number of steps that are looked at once only reserved targets have capacity."""
-        return MAX_BACKFILL_STEPS if len(self._reserved) else 0
+    def backfill_due(self) -> bool:
+        """Returns whether this pass looks at steps that fit on reserved targets only."""
+        if self._now - self._backfilled_at < BACKFILL_INTERVAL_S:
+            return False
+        self._backfilled_at = self._now
+        return True
+
+    def choose_beside(self, steps: list[rows.StepRow]) -> list[rows.StepRow]:
+        """Returns the steps that a pass looks at, of those that fit on reserved targets only.
+
+        Half of them are urgent ones, which may use a reserved target before their objective is
+        missed. The passes take turns over all steps.
+        """
+        self._beside_from += MAX_BACKFILL_STEPS // 2
+        urgent = [step for step in steps if not step.job.queue.priority]
+        others = [step for step in steps if step.job.queue.priority]
+        chosen = []
+        for group in (urgent, others):
+            if len(group) > MAX_BACKFILL_STEPS // 2:
+                first = self._beside_from % len(group)
+                group = (group[first:] + group[:first])[: MAX_BACKFILL_STEPS // 2]
+            chosen += group
+        return chosen
 
     @property
     def reserved_targets(self) -> list[rows.TargetRow]:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -141,22 +141,26 @@
         )
         fitting = usable.fitting(waiting, reconciled=reconciled)
         orders_seen = self._orders_left
-        exhausted, beside = False, self._policy.steps_beside
         for number, step in enumerate(ordering.in_order(fitting, wall=wall)):
             self._place_step(step, context, usable)
             if self._orders_left <= 0:
                 return
             if self._orders_left < orders_seen and len(fitting) - number > LOOK_AGAIN_STEPS:
                 orders_seen = self._orders_left
-                exhausted = usable.exhausted()
-            if exhausted:
-                if beside <= 0:
+                if usable.exhausted():
                     break
-                beside -= 1
-        if exhausted:
-            for step in self._policy.holding_steps:
-                if step in waiting and self._orders_left > 0:
-                    self._place_step(step, context, usable)
+        if self._policy.restricts:
+            self._place_beside(usable, context, wall)
+
+    def _place_beside(
+        self, usable: candidates.Candidates, context: registry.Context, wall: float
+    ) -> None:
+        """Places steps that hold targets, and a few that fit on reserved targets only."""
+        present = [step for step in usable.beside if step in self._tables.waiting]
+        for step in ordering.in_order(present, wall=wall):
+            if self._orders_left <= 0:
+                return
+            self._place_step(step, context, usable)
 
     def _place_step(
         self, step: rows.StepRow, context: registry.Context, usable: candidates.Candidates
--- a/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/look_ahead.py
+++ b/packages/ebonyhatch-testing/src/ebonyhatch/testing/benches/look_ahead.py
@@ -52,6 +52,9 @@
 WARM_UP_TICKS = 100
 MEASURED_TICKS = 300
 QUICK_TICKS = 20
+FEW_STARTS_PER_S = 20.0
+"""Starts a second on full targets, where most ticks place nothing."""
+
 RATIO_BOUND = 1.2
 
 URGENT = queues.Queue(
@@ -394,13 +397,16 @@
     return groups
 
 
-def tick_figures(*, target_count: int, seed: int, quick: bool) -> dict[str, float]:
+def tick_figures(
+    *, target_count: int, seed: int, quick: bool, starts_per_s: float = MAX_STARTS_PER_S
+) -> dict[str, float]:
     """Returns processor times of ticks with 1,000 waiting steps, microseconds, and their ratio.
 
-    The policies take turns tick by tick, so that both are measured under the same conditions.
+    The policies take turns tick by tick, so that both are measured under the same conditions. Run
+    times are stretched so that about `starts_per_s` tasks end in a second at most.
     """
     runs = target_count * 8
-    time_factor = max(1.0, runs / 1.25 / MAX_STARTS_PER_S)
+    time_factor = max(1.0, runs / 1.25 / starts_per_s)
     waiting = QUICK_TICKS if quick else WAITING_STEPS
     fleets = {}
     loads = {}
@@ -445,9 +451,12 @@
     measured: dict[str, Any] = {"ratio bound": RATIO_BOUND}
     for count in QUICK_TARGET_COUNTS if quick else TARGET_COUNTS:
         for seed in seeds[:1] if quick else seeds[:3]:
-            figures = tick_figures(target_count=count, seed=seed, quick=quick)
-            measured[f"tick {count} targets, seed {seed}"] = figures
-            print("tick", count, seed, json.dumps(figures), flush=True)
+            for starts_per_s in (MAX_STARTS_PER_S, FEW_STARTS_PER_S):
+                figures = tick_figures(
+                    target_count=count, seed=seed, quick=quick, starts_per_s=starts_per_s
+                )
+                measured[f"tick {count} targets, {starts_per_s} starts, seed {seed}"] = figures
+                print("tick", count, starts_per_s, seed, json.dumps(figures), flush=True)
     for load in PLAY_LOADS[:1] if quick else PLAY_LOADS:
         for seed in seeds[:1] if quick else seeds:
             for name in POLICIES:
