Look-ahead placement: a new owner measures its targets as they become usable

Cause: a new owner measured the sizes of its targets at its first pass, when few or none had reported, and took no step for a large one for the next 5 s. Seen by the new test, which failed: no target was reserved in the second term. Change: targets are measured again at once when their number changed by over a tenth. Result: the test passes, and with it that the setting reaches the scheduler of each owner.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/lookahead/holders.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/lookahead/holders.py
@@ -17,6 +17,9 @@
 MEDIAN_LIFE_S = 5.0
 """Time for which the sizes and labels of a pool's targets are assumed not to change, seconds."""
 
+RESIZED_FRACTION = 0.1
+"""Change of the number of a pool's targets after which they are measured again at once."""
+
 
 class Holders:
     """Decides which steps may hold reservations, by the sizes and labels of their pool's targets."""
@@ -28,8 +31,12 @@
         self._measured_at = -MEDIAN_LIFE_S
 
     def measure(self, index: target_index.TargetIndex, *, now: float) -> None:
-        """Measures the usable targets of all pools, unless that was done a short time ago."""
-        if now - self._measured_at < MEDIAN_LIFE_S:
+        """Measures the usable targets of all pools, unless that was done a short time ago.
+
+        The targets of a new owner become usable one by one, so a change of their number counts.
+        """
+        sizes = {pool: index.count(pool) for pool in index.pools()}
+        if now - self._measured_at < MEDIAN_LIFE_S and not self._resized(sizes):
             return
         self._measured_at = now
         self._limits.clear()
@@ -48,6 +55,11 @@
                 for label in one.labels:
                     counts[label] = counts.get(label, 0) + 1
 
+    def _resized(self, sizes: dict[str, int]) -> bool:
+        return sizes.keys() != self._sizes.keys() or any(
+            abs(size - self._sizes[pool]) > RESIZED_FRACTION * size for pool, size in sizes.items()
+        )
+
     def may_hold(self, step: rows.StepRow) -> bool:
         """Returns whether targets may be reserved for a step.
 
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -712,3 +712,26 @@
     last = notices[-2:]
     world.run(1.0)
     assert last == notices[-2:] == [{}, {}]
+
+
+def test_wide_step_holds_a_target_under_each_owner_that_is_set_to_look_ahead():
+    """Guards against a setting that doesn't reach the scheduler, and reservations lost for good."""
+    world = world_module.World(entries=2, target_count=2, placement_policy="look-ahead")
+
+    def reserved() -> bool:
+        owner = world.owner
+        if owner is None or not owner.node.owner.recovered:
+            return False
+        return owner.node.owner.gauges()["lookahead_targets_reserved"] == 1
+
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    small = world.job(jobs.Step(count=2, cpu_millis=3000, estimate_s=9.0), work_s=9.0)
+    world.submit(small)
+    world.run_until(lambda: len(world.starts(small.job_id)) == 2)
+    wide = world.job(jobs.Step(count=1, cpu_millis=4000, estimate_s=0.5))
+    world.submit(wide)
+    world.run_until(reserved)
+    world.kill(world.owner.name)
+    world.run_until(reserved)
+    world.run_until(lambda: world.state(wide.job_id) == "completed")
+    world_module.check_all(world)
--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -95,7 +95,9 @@
         target_count: int = 4,
         keep_ended_s: float = 600.0,
         large: bool = False,
+        placement_policy: str = "greedy",
     ) -> None:
+        self.placement_policy = placement_policy
         self.clock = event_clock.EventClock() if large else task.Clock()
         self.step_s = LARGE_STEP_S if large else STEP_S
         self.large = large
@@ -209,6 +211,7 @@
                 port=1,
                 lease_s=LEASE_S,
                 keep_ended_s=self.keep_ended_s,
+                placement_policy=self.placement_policy,
                 **optional,
             ),
             store_port=connection,
