--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -31,6 +31,7 @@
 from ebonyhatch.fleet import network as network_module
 from ebonyhatch.fleet import owner as owner_module
 from ebonyhatch.fleet.evacuation import requests as evacuation_requests
+from ebonyhatch.fleet.lookahead import policy
 from ebonyhatch.node import coroutines, peers
 from returns import result
 
@@ -84,6 +85,7 @@
         link_bytes_per_s: Bandwidth of the instance's link, bytes a second; 0 where it is unknown.
         learn_target_speed: Whether the owner learns which targets are slow and gives them less work.
         refuse_late_work: Whether entries refuse jobs that would start too late to be useful.
+        placement_policy: Name of the policy by which an owner places tasks; see `lookahead.policy`.
     """
 
     name: str
@@ -95,6 +97,7 @@
     link_bytes_per_s: float = 0.0
     learn_target_speed: bool = False
     refuse_late_work: bool = False
+    placement_policy: str = policy.DEFAULT
 
     @property
     def capacity(self) -> float:
@@ -322,6 +325,7 @@
             link_bytes_per_s=self._settings.link_bytes_per_s,
             learn_target_speed=self._settings.learn_target_speed,
             refuse_late_work=self._settings.refuse_late_work,
+            placement_policy=self._settings.placement_policy,
         )
         self._owner = new_owner
         configuration = self._configuration.current or queues.Configuration(version=0)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -34,6 +34,7 @@
     task_ends,
 )
 from ebonyhatch.fleet.evacuation import requests as evacuation_requests
+from ebonyhatch.fleet.lookahead import policy
 from ebonyhatch.fleet.orders import sender
 from ebonyhatch.node import coroutines
 from twisted.internet import defer
@@ -84,6 +85,7 @@
         link_bytes_per_s: float = 0.0,
         learn_target_speed: bool = False,
         refuse_late_work: bool = False,
+        placement_policy: str = policy.DEFAULT,
     ) -> None:
         self._term = term
         self._store = store_port
@@ -106,6 +108,7 @@
             requests=evacuations.domains,
             learn_target_speed=learn_target_speed,
             refuse_late_work=refuse_late_work,
+            placement_policy=placement_policy,
         )
         self._scheduler.begin_term(term)
         self._configuration = queues.Configuration(version=0)
@@ -233,6 +236,7 @@
             "ticks_held_back": self._ticks_held_back,
             "tick_seconds": self._tick_seconds,
             **self._scheduler.evacuation.gauges(),
+            **self._scheduler.gauges(),
         }
 
     def start(self, *, configuration: queues.Configuration) -> None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -20,6 +20,7 @@
     targets,
 )
 from ebonyhatch.fleet.constraints import registry
+from ebonyhatch.fleet.lookahead import policy as policy_module
 
 AVOIDED_TARGET_PENALTY = 5.0
 """Penalty of the target where the task's last run failed: it is used only if no other target has
@@ -49,7 +50,9 @@
         emit: commands.Emit,
         decide: commands.Decide,
         mark_urgent: Callable[[rows.JobRow], None],
+        policy: policy_module.Policy | None = None,
     ) -> None:
+        self._policy = policy or policy_module.Policy()
         self._model = model
         self._margins = interference.KeptMargins(model=model)
         self._reserve = reserved
@@ -92,6 +95,8 @@
         self._orders_left = min(MAX_ORDERS_PER_PASS, order_limit)
         if self._tables.waiting and self._orders_left > 0:
             self._place_steps(self.context(now), wall, reconciled)
+        elif not self._tables.waiting:
+            self._policy.clear()
 
     def context(self, now: float) -> registry.Context:
         """Returns the context of the constraints at a time in seconds, for one pass."""
@@ -119,6 +124,8 @@
         if row.cold_until > now:
             row.full_until = max(row.full_until, now + row.cold_interval_s)
         self._margins.forget(row)
+        if self._policy.restricts:
+            self._policy.note_order(run_row)
         self._decide(
             "run.order",
             run_row,
@@ -135,22 +142,44 @@
     def _place_steps(self, context: registry.Context, wall: float, reconciled: bool) -> None:
         """Places steps in their order until nothing fits or the limit of orders is reached."""
         waiting = self._tables.waiting
-        usable = candidates.Candidates(index=self._index, step=waiting.first(), context=context)
+        usable = candidates.Candidates(
+            index=self._index, step=waiting.first(), context=context, policy=self._policy
+        )
+        self._policy.begin_pass(
+            policy_module.Pass(index=self._index, context=context, wall=wall, reconciled=reconciled)
+        )
         fitting = usable.fitting(waiting, reconciled=reconciled)
         orders_seen = self._orders_left
         for number, step in enumerate(ordering.in_order(fitting, wall=wall)):
-            if step.step.gang:
-                self._place_gang(step, context, usable)
-            else:
-                self._place_tasks(step, context, usable)
-            if not step.waiting:
-                self._tables.waiting.discard(step)
+            self._place_step(step, context, usable)
             if self._orders_left <= 0:
                 return
             if self._orders_left < orders_seen and len(fitting) - number > LOOK_AGAIN_STEPS:
                 orders_seen = self._orders_left
                 if usable.exhausted():
-                    return
+                    break
+        if self._policy.restricts:
+            self._place_beside(usable, context, wall)
+
+    def _place_beside(
+        self, usable: candidates.Candidates, context: registry.Context, wall: float
+    ) -> None:
+        """Places steps that hold targets, and a few that fit on reserved targets only."""
+        present = [step for step in usable.beside if step in self._tables.waiting]
+        for step in ordering.in_order(present, wall=wall):
+            if self._orders_left <= 0:
+                return
+            self._place_step(step, context, usable)
+
+    def _place_step(
+        self, step: rows.StepRow, context: registry.Context, usable: candidates.Candidates
+    ) -> None:
+        if step.step.gang:
+            self._place_gang(step, context, usable)
+        else:
+            self._place_tasks(step, context, usable)
+        if not step.waiting:
+            self._tables.waiting.discard(step)
 
     def _place_tasks(
         self, step: rows.StepRow, context: registry.Context, usable: candidates.Candidates
@@ -212,7 +241,7 @@
                 continue
             row = self._tables.targets[name]
             self.order_run(task, row, run=self.next_run_number([task]), now=now)
-            if selection.allows(step, row, context):
+            if selection.allows(step, row, context) and self._policy.may_use(step, row):
                 scores[row.target_id] = selection.score(step, row, context)
             else:
                 del scores[row.target_id]
@@ -233,9 +262,10 @@
         ]
         if len(waiting) < len(members):
             return
-        chosen = _choose_gang_targets(
-            step, usable.targets(step.job.queue.pool), len(members), context
-        )
+        pool_targets = usable.targets(step.job.queue.pool)
+        if self._policy.restricts:
+            pool_targets = [row for row in pool_targets if self._policy.may_use(step, row)]
+        chosen = _choose_gang_targets(step, pool_targets, len(members), context)
         if not chosen:
             return
         run = self.next_run_number(members)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -26,6 +26,7 @@
     task_ends,
 )
 from ebonyhatch.fleet.evacuation import domain_evacuation, domains, leaving
+from ebonyhatch.fleet.lookahead import policy
 from ebonyhatch.fleet.overload import backlog
 from ebonyhatch.fleet.speed import target_speeds
 
@@ -60,6 +61,7 @@
         requests: domains.Domains | None = None,
         learn_target_speed: bool = False,
         refuse_late_work: bool = False,
+        placement_policy: str = policy.DEFAULT,
     ) -> None:
         """Creates a scheduler.
 
@@ -68,6 +70,7 @@
             requests: Failure domains that operators evacuate.
             learn_target_speed: Whether slow targets are recognized and get less work.
             refuse_late_work: Whether the waits of new jobs are estimated.
+            placement_policy: Name of a policy of `lookahead.policy`.
         """
         self._speeds = target_speeds.TargetSpeeds(decide=decide) if learn_target_speed else None
         self._commands: list[commands.Command] = []
@@ -90,6 +93,9 @@
             model=model, emit=self._commands.append, decide=decide, stop=self._ends.stop
         )
         self._reserve = reserve.Reserve(all_tables=self._tables)
+        self._policy = policy.build(
+            placement_policy, all_tables=self._tables, times=self._times, decide=decide
+        )
         self._placement = placement.Placement(
             all_tables=self._tables,
             model=model,
@@ -97,6 +103,7 @@
             emit=self._commands.append,
             decide=decide,
             mark_urgent=self._ends.mark_urgent,
+            policy=self._policy,
         )
         self._leaving_runs = leaving.Evacuation(all_tables=self._tables, stop=self._ends.stop)
         self._evacuation = domain_evacuation.DomainEvacuation(
@@ -136,6 +143,10 @@
         """Number of targets at half the speed of the fleet or less; 0 unless it is learned."""
         return 0 if self._speeds is None else self._speeds.slow_count
 
+    def gauges(self) -> dict[str, float]:
+        """Returns the current state of the placement policy for metrics."""
+        return self._policy.gauges()
+
     def begin_term(self, term: int) -> None:
         """Sets the run numbers of a term above those that owners of earlier terms may have used."""
         self._placement.run_number_base = (term - 1) * RUN_NUMBERS_PER_TERM
