Run times are learned in each term of an owner, not only in the first

An owner learned from the ends of runs numbered 1 only, to leave out runs that resume from a checkpoint. Later terms number their runs from (term - 1) * 1000 + 1, so that no owner after the first learned anything, and kept the callers' estimates, which are off by a lognormal factor. Due times, the order of steps and the detection of hung runs follow from them. A run now records whether it is the first one ordered for its task.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -106,7 +106,7 @@
     def order_run(self, task: rows.TaskRow, row: rows.TargetRow, *, run: int, now: float) -> None:
         """Reserves capacity for a run of a task and orders it."""
         self._orders_left -= 1
-        ran_before = task.last_run > 0
+        is_first = task.last_run == 0
         task.state = rows.TaskState.PLACED
         task.last_run = run
         self._tables.waiting.touch(task.step)
@@ -115,6 +115,7 @@
             task=task,
             target=row,
             progressed_at=now,
+            is_first=is_first,
         )
         tables.reserve(run_row)
         crash_blame.note_order(run_row, now=now)
@@ -131,7 +132,7 @@
             run_row,
             waited_s=round(now - task.waiting_since, 3),
             born=row.target.born or None,
-            again=ran_before or None,
+            again=None if is_first else True,
         )
         self._emit(commands.StartRun(run=run_row))
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -200,6 +200,7 @@
         seen_s: Latest time on the target's clock at which the target confirmed the run, seconds; 0
             before the first confirmation.
         ordered_at: Time of its order, seconds; 0 for a run that a former owner ordered.
+        is_first: Whether it was ordered as the first run of its task, which has no checkpoint to resume.
         answered_at: Time at which the call with its order ended, with or without an answer, seconds; 0
             before.
         deadline_void: Whether the target restarted after the order. Its clock began anew, so that the
@@ -226,6 +227,7 @@
     order_deadline_s: float = 0.0
     seen_s: float = 0.0
     ordered_at: float = 0.0
+    is_first: bool = False
     answered_at: float = 0.0
     deadline_void: bool = False
     refused_from_s: float = 0.0
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -271,7 +271,7 @@
 
     def _learn_run_time(self, run: rows.RunRow, *, now: float) -> None:
         step = run.task.step
-        if run.task.last_run != 1 or step.step.filler:
+        if not run.is_first or step.step.filler:
             return
         self._times.learn(
             queue=step.job.queue.name,
--- a/packages/ebonyhatch-fleet/tests/test_scheduler.py
+++ b/packages/ebonyhatch-fleet/tests/test_scheduler.py
@@ -143,6 +143,23 @@
     assert started.run.task.crashes == 1
 
 
+@pytest.mark.parametrize("term", [1, 3])
+def test_run_times_are_learned_in_each_term(term):
+    """Guards against later owners that keep the estimates of callers, as they number runs higher."""
+    subject = _scheduler()
+    subject.begin_term(term)
+    for number in range(2, 12):
+        job_id = f"{number:016x}"
+        _add(subject, jobs.Step(count=1, cpu_millis=1000, estimate_s=1.0), job_id=job_id)
+        now = 10.0 * number
+        (started,) = subject.tick(now=now, wall=now)
+        subject.reconciler.start_confirmed(started.run, clock_s=now, now=now)
+        end = _done(number, started.run.key.task, run=started.run.key.run)
+        subject.apply_report(started.run.target, _report(clock_s=now, ended=(end,)), now=now + 4.0)
+    row = _add(subject, jobs.Step(count=1, cpu_millis=1000, estimate_s=1.0))
+    assert row.occurrences[0][0].expected_s > 2.0
+
+
 def test_capacity_is_never_exceeded():
     subject = _scheduler(target_count=2, cpu_millis=2500)
     _add(subject, jobs.Step(count=9, cpu_millis=1000))
