Slowed-down fillers move only where another target has them done sooner

Cause: fillers that disturb serving tasks are slowed down, and were stopped after 1 s at a quarter of their speed or less, whether or not any target would take them. Those without one waited (the slowest tenth for 2.9 s and more), others stayed at 26 to 50% for as long as they took.

Change: relocation/fillers.py weighs the remaining time at the present pace against that of a move, and looks for a target that allows the task. Fillers at half of their speed may move, after 0.4 s.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/pacing.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/pacing.py
@@ -35,15 +35,12 @@
 FREQUENT_POLLING_MARGIN = 2.0
 """Margin below which a target's readings are polled more often."""
 
-MOVE_AFTER_S = 1.0
-"""Time at a pace of at most `MOVE_PACE_PERCENT` after which a filler is stopped to be placed on
-another target, seconds: it is longer than a restart from a checkpoint takes."""
+MOVE_AFTER_S = 0.4
+"""Time at a pace of at most `MOVE_PACE_PERCENT` after which a filler may be stopped to be placed on
+another target, seconds: the next reading may raise the pace."""
 
-MOVE_PACE_PERCENT = 25
-"""Pace at or below which a filler is better placed on another target, percent."""
-
-MOVE_MAX_PROGRESS_PERCENT = 20
-"""Progress up to which a filler without checkpoints may be stopped, percent."""
+MOVE_PACE_PERCENT = 50
+"""Pace at or below which a filler may be better placed on another target, percent."""
 
 
 class Pacing:
@@ -56,8 +53,10 @@
         emit: commands.Emit,
         decide: commands.Decide,
         stop: Callable[..., None],
+        should_move: Callable[..., bool],
     ) -> None:
         self._stop = stop
+        self._should_move = should_move
         self._model = model
         self._emit = emit
         self._decide = decide
@@ -83,7 +82,8 @@
             if pace >= filler.pace:
                 pace = self._raised_pace(filler, serving, fillers)
             self._set_pace(filler, pace, now=now)
-            if self._should_move(filler, now=now):
+            low = filler.pace <= MOVE_PACE_PERCENT and now - filler.low_pace_since >= MOVE_AFTER_S
+            if low and self._should_move(filler, now=now):
                 self._stop(filler, reason="paced-down", now=now)
 
     def _lower_paces(
@@ -125,11 +125,6 @@
                 return filler.pace
         return filler.pace + step
 
-    def _should_move(self, filler: rows.RunRow, *, now: float) -> bool:
-        if filler.pace > MOVE_PACE_PERCENT or now - filler.low_pace_since < MOVE_AFTER_S:
-            return False
-        return filler.task.step.step.checkpoints or filler.percent <= MOVE_MAX_PROGRESS_PERCENT
-
     def _set_pace(self, filler: rows.RunRow, pace: float, *, now: float) -> None:
         percent = int(pace) if pace >= MIN_PACE_PERCENT else 0
         if percent == filler.pace:
--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/relocation/__init__.py
@@ -0,0 +1,1 @@
+"""Relocation of fillers that make little progress where they run."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -28,6 +28,7 @@
 from ebonyhatch.fleet.evacuation import domain_evacuation, domains, leaving
 from ebonyhatch.fleet.lookahead import policy
 from ebonyhatch.fleet.overload import backlog
+from ebonyhatch.fleet.relocation import fillers
 from ebonyhatch.fleet.speed import target_speeds
 
 RUN_NUMBERS_PER_TERM = 1_000
@@ -89,9 +90,6 @@
             all_tables=self._tables, ends=self._ends, emit=self._commands.append, decide=decide
         )
         model = self._model = interference.InterferenceModel()
-        self._pacing = pacing.Pacing(
-            model=model, emit=self._commands.append, decide=decide, stop=self._ends.stop
-        )
         self._reserve = reserve.Reserve(all_tables=self._tables)
         self._policy = policy.build(
             placement_policy, all_tables=self._tables, times=self._times, decide=decide
@@ -105,6 +103,16 @@
             mark_urgent=self._ends.mark_urgent,
             policy=self._policy,
         )
+        relocation = fillers.FillerRelocation(
+            all_tables=self._tables, context=self._placement.context
+        )
+        self._pacing = pacing.Pacing(
+            model=model,
+            emit=self._commands.append,
+            decide=decide,
+            stop=self._ends.stop,
+            should_move=relocation.should_move,
+        )
         self._leaving_runs = leaving.Evacuation(all_tables=self._tables, stop=self._ends.stop)
         self._evacuation = domain_evacuation.DomainEvacuation(
             all_tables=self._tables,
--- a/packages/ebonyhatch-fleet/tests/test_pacing.py
+++ b/packages/ebonyhatch-fleet/tests/test_pacing.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import msgspec
 import pytest
 from ebonyhatch.fleet import (
     commands,
@@ -14,6 +15,8 @@
     tables,
     targets,
 )
+from ebonyhatch.fleet.constraints import registry
+from ebonyhatch.fleet.relocation import fillers
 
 LIMIT_S = 0.02
 
@@ -30,19 +33,35 @@
         self.commands: list[commands.Command] = []
         self.stopped: list[rows.RunRow] = []
         self.now = 0.0
+        self.elsewhere = msgspec.structs.replace(target, target_id="u", address="u:1")
+        self.tables = tables.Tables()
+        self.tables.targets["t"] = self.row
         self.pacing = pacing.Pacing(
             model=self.model,
             emit=self.commands.append,
             decide=lambda *args, **fields: None,
             stop=lambda run, **fields: self.stopped.append(run),
+            should_move=fillers.FillerRelocation(
+                all_tables=self.tables, context=self._context
+            ).should_move,
         )
 
+    def _context(self, now: float) -> registry.Context:
+        margins = interference.KeptMargins(model=self.model)
+        return registry.Context(now=now, tails=margins, kept=lambda row: False)
+
+    def add_target(self) -> None:
+        """Adds a target without runs, on which fillers are at full speed."""
+        row = self.tables.set_target(self.elsewhere)
+        row.confirmed = row.announced = True
+
     def add(self, number: int, step: jobs.Step) -> rows.RunRow:
         job_id = f"{number:016x}"
         job = jobs.Job(job_id=job_id, queue="q", spec="", steps=(step,))
         queue = queues.Queue(name="q", host="", prefix="", pool="p")
         row = rows.JobRow(job=job, queue=queue)
         task = progress.new_steps(row, 0)[0].tasks[0]
+        task.step.expected_s = 2.0
         run = rows.RunRow(
             key=targets.RunKey(task=task.name, run=1),
             task=task,
@@ -72,6 +91,11 @@
         self.pacing.review(self.row, now=self.now)
 
 
+def _steady_tail_s() -> float:
+    """Returns a tail at which a filler's pace is neither raised nor lowered, seconds."""
+    return LIMIT_S / (pacing.MIN_MARGIN + 0.05)
+
+
 def test_a_filler_is_slowed_down_when_a_serving_task_is_over_its_limit():
     case = PacingCase()
     case.serving(1)
@@ -119,6 +143,7 @@
 @pytest.mark.parametrize(("checkpoints", "stopped"), [(True, True), (False, False)])
 def test_a_filler_with_a_low_pace_is_stopped_if_that_loses_little_work(checkpoints, stopped):
     case = PacingCase()
+    case.add_target()
     case.serving(1)
     filler = case.filler(2, checkpoints=checkpoints)
     filler.percent = 60
@@ -127,6 +152,31 @@
     assert (filler in case.stopped) == stopped
 
 
+def test_a_filler_with_a_low_pace_stays_while_no_other_target_would_run_it():
+    """Guards against tasks that are stopped only to wait, which makes their whole job late."""
+    case = PacingCase()
+    case.serving(1)
+    filler = case.filler(2, checkpoints=True)
+    for _ in range(8):
+        case.review(0.04)
+    assert case.stopped == [] and filler.pace < 50
+    case.add_target()
+    case.review(0.04)
+    assert case.stopped[0] is filler
+
+
+def test_a_filler_that_is_nearly_done_stays_at_half_its_speed():
+    """Guards against moves that take longer than the rest of the work."""
+    case = PacingCase()
+    case.add_target()
+    case.serving(1)
+    filler = case.filler(2, checkpoints=True)
+    filler.percent, filler.pace = 70, 50
+    for _ in range(4):
+        case.review(_steady_tail_s())
+    assert case.stopped == []
+
+
 def test_interference_is_learned_for_each_pair_of_images():
     case = PacingCase()
     case.serving(1, "touchy")
