Restarts: findings of the review

Jobs failed without cause when a failure domain restarted within a poll's timeout and the list told the owner first: no loss was noted, so that each target seemed to have crashed alone. The losses of all targets that a listing shows to have restarted are noted before the first crash is recorded. (test_targets_that_the_list_shows_to_have_restarted_together_convict_no_task)

An older registration turned a target back to its former incarnation, and the next one gave up its runs; it is ignored now. An answer whose clock began anew comes from an incarnation that hasn't reported: it confirms nothing, as after a restart that is known. Polls for the outcome of an order acknowledge no ends, as the target may have restarted. A target with a run of an unknown job is held for longer than the time between two reports.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/crash_blame.py
@@ -128,6 +128,16 @@
         return JointLoss.COMMON_CAUSE
 
 
+def note_losses(restarted: Iterable[rows.TargetRow], *, now: float) -> None:
+    """Notes the losses of targets that a listing shows to have restarted before any poll failed.
+
+    All are noted before the first crash is recorded, so that those lost at one moment are known.
+    """
+    for row in restarted:
+        if row.loss is None:
+            row.loss = rows.Loss(from_s=row.last_report_at, by_s=now)
+
+
 def record_crash(
     row: rows.TargetRow, *, now: float, joint: JointLoss = JointLoss.ALONE
 ) -> list[rows.TaskRow]:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/orders/sender.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/orders/sender.py
@@ -23,6 +23,10 @@
 """Time after the answer to a stop until its target is polled for the outcome, seconds: more than the
 resolution of the targets' clocks."""
 
+CLOCK_REGRESSION_S = 1.0
+"""Difference by which the clock in an answer is below that of the last report if the target has
+restarted, seconds: reports overtake answers by less than the timeout of an order."""
+
 OBSERVE_FILLER_AFTER_S = 0.3
 """Time after the start of a filler (a task that uses processor time left over by others) until the
 target is polled for its effect, seconds. Readings cover half a second."""
@@ -112,7 +116,10 @@
         self._seconds += now - sent_at
         if self._scheduler.orders_held_back:
             self._schedule_tick()
-        if session.incarnations != incarnations and not _had_no_effect(outcome):
+        restarted = session.incarnations != incarnations or _is_of_newer_incarnation(
+            outcome, last_clock_s=session.last_clock_s
+        )
+        if restarted and not _had_no_effect(outcome):
             # Either incarnation may have carried it out; a status report of the new one decides.
             decision_log.decide("run.answered_across_restart", run, outcome=str(outcome))
             session.poll_soon(0.0)
@@ -166,6 +173,16 @@
             decision_log.decide("run.pace_failed", command.run, reason=str(outcome.failure()))
 
 
+def _is_of_newer_incarnation(
+    outcome: result.Result[float, targets.TargetError], *, last_clock_s: float
+) -> bool:
+    """Returns whether an answer came from an incarnation that hasn't reported: its clock began anew."""
+    return (
+        isinstance(outcome, result.Success)
+        and 0 < outcome.unwrap() < last_clock_s - CLOCK_REGRESSION_S
+    )
+
+
 def _had_no_effect(outcome: result.Result[float, targets.TargetError]) -> bool:
     """Returns whether an order certainly had no effect."""
     return isinstance(outcome, result.Failure) and not isinstance(
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -13,6 +13,7 @@
     change_feed,
     clocks,
     commands,
+    crash_blame,
     decision_log,
     journal,
     keys,
@@ -541,10 +542,20 @@
         now = self._clocks.now()
         for target_id in (*listed, *self._sessions):
             self._known_records.mark(target_id)
+        restarted_rows = [
+            session.row
+            for target in listed.values()
+            if (session := self._sessions.get(target.target_id)) is not None
+            and session.row.target.born < target.born
+        ]
+        crash_blame.note_losses(restarted_rows, now=now)
         for target in listed.values():
             session = self._sessions.get(target.target_id)
-            if session is not None and self._listed.get(target.target_id) == target:
-                # The target may have reported a newer incarnation than the unchanged list names.
+            if session is not None and (
+                self._listed.get(target.target_id) == target
+                or target.born < session.row.target.born
+            ):
+                # The target has reported a newer incarnation than the list names.
                 session.row.listed = True
                 continue
             restarted = session is not None and session.row.target.born < target.born
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
@@ -7,6 +7,10 @@
 STOP_RETRY_S = 1.0
 """Time after which a stop order without effect is sent again, seconds."""
 
+UNKNOWN_RUN_S = 2.5
+"""Time for which nothing is placed on a target after it listed a run of an unknown job, seconds: more
+than twice the time between two reports."""
+
 NOT_NEEDED = "not-wanted"
 """Reason of the stop of a run that a former owner ordered and that isn't needed any more."""
 
@@ -138,7 +142,7 @@
         )
         if task is None:
             # What it uses is unknown, so that nothing may be placed beside it.
-            row.full_until = max(row.full_until, now + FULL_S)
+            row.full_until = max(row.full_until, now + UNKNOWN_RUN_S)
             self._emit(commands.StopRun(target=row, key=running.key, reason=NOT_NEEDED))
             return None
         run = rows.RunRow(
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -153,6 +153,11 @@
         """The target."""
         return self._row
 
+    @property
+    def last_clock_s(self) -> float:
+        """Target's clock in its last status report, seconds; 0 before the first."""
+        return self._clock_s
+
     @property
     def incarnations(self) -> int:
         """Number of restarts of the target that this session has seen."""
@@ -215,7 +220,7 @@
             return
         self._extra_polls += 1
         try:
-            outcome = await self._poll(0.0)
+            outcome = await self._poll(0.0, acknowledges=False)
         finally:
             self._extra_polls -= 1
         if isinstance(outcome, result.Success) and not self._is_superseded(outcome.unwrap()):
@@ -301,11 +306,11 @@
                 timer.cancel()
 
     async def _poll(
-        self, wait_s: float
+        self, wait_s: float, *, acknowledges: bool = True
     ) -> result.Result[targets.StatusReport, targets.TargetError]:
         if wait_s or self._failures:
             # Targets that don't answer must not hold up the others.
-            return await self._send_poll(wait_s)
+            return await self._send_poll(wait_s, acknowledges=acknowledges)
         await self._scan_slots.acquire()
         slot = _Slot(semaphore=self._scan_slots)
         timer = self._clocks.loop.callLater(SCAN_SLOT_S, slot.release)
@@ -313,21 +318,22 @@
             if self._stopping():
                 self._group.close()
                 raise defer.CancelledError
-            return await self._send_poll(wait_s)
+            return await self._send_poll(wait_s, acknowledges=acknowledges)
         finally:
             if timer.active():
                 timer.cancel()
             slot.release()
 
     async def _send_poll(
-        self, wait_s: float
+        self, wait_s: float, *, acknowledges: bool
     ) -> result.Result[targets.StatusReport, targets.TargetError]:
         self._acknowledge_durable()
         return await self._port.renew_and_poll(
             target=self._row.target,
             fence=self._fence,
-            # The target may have restarted since, and its new ends have the same numbers.
-            acknowledged=0 if self._failures else self._acknowledged,
+            # The target may have restarted since, and its new ends have the same numbers. Polls for the
+            # outcome of an order are sent just when that is likely.
+            acknowledged=self._acknowledged if acknowledges and not self._failures else 0,
             deadline_s=self._renew_lease(),
             wait_s=wait_s,
         )
--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -312,6 +312,55 @@
     world_module.check_all(world)
 
 
+def test_targets_that_the_list_shows_to_have_restarted_together_convict_no_task():
+    """Guards against jobs that fail for two short power losses of a whole failure domain."""
+    world = _ready(target_count=6)
+    job = world.job(jobs.Step(count=6, cpu_millis=4000, estimate_s=30.0), work_s=30.0)
+    world.submit(job)
+    world.run_until(lambda: len(world.starts(job.job_id)) == 6)
+    for _ in range(2):
+        world.run(5.0)
+        for target_id in list(world.engines):
+            world.restart_target(target_id)
+        world.run(2.0)
+    assert world.state(job.job_id) == "running"
+
+
+def test_older_registration_does_not_set_a_target_back_to_its_former_incarnation():
+    """Guards against runs that are given up though their target never restarted again."""
+    world = _ready(target_count=1)
+    former = world.engines["t0"].target
+    world.restart_target("t0")
+    job = world.job(ONE_TASK, work_s=3.0)
+    world.submit(job)
+    world.run(1.5)
+    world.register(msgspec.structs.replace(former, memory_mb=3999))
+    world.run(0.3)
+    row = world.owner.node.owner.scheduler.tables.targets["t0"]
+    assert row.target.born == 2
+    world.register(world.engines["t0"].target)
+    world.run_until(lambda: world.state(job.job_id) == "completed")
+    assert len(world.starts(job.job_id)) == 1
+
+
+def test_answer_of_an_incarnation_that_has_not_reported_confirms_no_run():
+    """Guards against a late report of the former incarnation that ends the new one's run."""
+    world = _ready(target_count=1)
+    world.run(5.0)
+    engine = world.engines["t0"]
+    engine.restart()
+    job = world.job(ONE_TASK, work_s=3.0)
+    with scripted.logged() as lines:
+        world.submit(job)
+        world.run_until(lambda: world.starts(job.job_id), limit_s=0.6)
+        world.run(2.0)
+    assert "run.answered_across_restart" in [line["message_type"] for line in lines]
+    (row,) = world.owner.node.owner.scheduler.tables.targets.values()
+    assert [run.task.crashes for run in row.runs.values()] == [0]
+    world.run_until(lambda: world.state(job.job_id) == "completed")
+    assert len(world.starts(job.job_id)) == 1
+
+
 def test_task_of_an_order_without_effect_is_placed_again_once_its_target_has_restarted():
     """Guards against a task that waits for a start that its restarted target never received."""
     world = _ready(target_count=1)
