--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/moves.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/moves.py
@@ -45,7 +45,7 @@
 
     def review(self, context: registry.Context) -> None:
         """Stops the most urgent runs that fit on other targets, after all waiting tasks."""
-        if context.now < self._next_review_at:
+        if context.now < self._next_review_at or self._any_shorter_waits():
             return
         self._next_review_at = context.now + REVIEW_INTERVAL_S
         runs = [
@@ -79,6 +79,10 @@
             if moved >= MAX_MOVES_PER_REVIEW:
                 return
 
+    def _any_shorter_waits(self) -> bool:
+        """Returns whether tasks wait that don't last: moved ones would take what is left to them."""
+        return any(not step.step.long_running for step in self._tables.waiting.values())
+
     def _plan_tasks_on_their_way(self, runs: list[rows.RunRow], plan: _Plan) -> None:
         """Plans capacity for the tasks that were stopped before, so that none is given away twice."""
         for run in runs:
--- a/packages/ebonyhatch-fleet/tests/test_moves.py
+++ b/packages/ebonyhatch-fleet/tests/test_moves.py
@@ -239,3 +239,15 @@
     assert case.stopped(1.0) == moves.MAX_MOVES_PER_REVIEW
     assert case.stopped(1.05) == 0
     assert case.stopped(1.2) == moves.MAX_MOVES_PER_REVIEW
+
+
+def test_lasting_tasks_stay_while_shorter_ones_wait_for_capacity():
+    """Guards against moves that fill the remaining domains while short work waits there."""
+    case = MovesCase(UNBOUNDED)
+    case.refresh(1.0)
+    large = case.submit(jobs.Step(count=1, cpu_millis=9_000))
+    case.request("a", now=1.0)
+    assert case.stopped(1.0) == 0
+    case.scheduler.cancel(large.job.job_id, now=1.2)
+    case.refresh(1.2)
+    assert case.stopped(1.2) > 0
