Revert "Fleet: serving tasks are kept off fillers that would take their margin"

A failed try. Tasks that find no target with margin wait, and a task that waits serves nobody.

This reverts.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/interference.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/constraints/interference.py
@@ -17,10 +17,6 @@
 image does so with all of its tasks, and fillers that don't interfere with it can be placed on such
 a target."""
 
-MAX_SHORTAGE_PENALTY = 2.0
-"""Largest penalty of a target whose fillers have to be slowed down for a serving task: above the scores
-of its image and of packing together, since the task is over its limit until the fillers are slow."""
-
 PACKING_SCORE = 0.5
 """Score of a full target for a serving task: empty targets are left for other work."""
 
@@ -52,16 +48,7 @@
     if not spec.tail_limit_s:
         return 0.0
     used = 1 - row.free_cpu / (row.target.cpu_millis or 1)
-    similarity = SAME_IMAGE_SCORE * _image_similarity(spec.image, row)
-    return similarity + PACKING_SCORE * used - _shortage_penalty(step, row, context)
-
-
-def _shortage_penalty(step: rows.StepRow, row: rows.TargetRow, context: registry.Context) -> float:
-    """Returns the penalty of a target whose fillers would take more margin than a task has."""
-    if not row.fillers:
-        return 0.0
-    shortage = pacing.DESIRED_MARGIN - context.tails.margin_beside_fillers(row, step)
-    return min(MAX_SHORTAGE_PENALTY, INTERFERENCE_PENALTY * max(0.0, shortage))
+    return SAME_IMAGE_SCORE * _image_similarity(spec.image, row) + PACKING_SCORE * used
 
 
 def _image_similarity(image: str, row: rows.TargetRow) -> float:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/interference.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/interference.py
@@ -128,9 +128,6 @@
     def margins(self, row: rows.TargetRow, image: str) -> tuple[ServingMargin, ...]:
         """Returns the margins of the serving runs on a target for a filler image."""
 
-    def margin_beside_fillers(self, row: rows.TargetRow, step: rows.StepRow) -> float:
-        """Returns the margin that a serving task would have beside the fillers on a target."""
-
 
 class InterferenceModel:
     """Baseline margins of serving jobs and interference of pairs of images."""
@@ -255,14 +252,6 @@
             )
         return tuple(margins)
 
-    def margin_beside_fillers(self, row: rows.TargetRow, step: rows.StepRow) -> float:
-        """Returns the margin that a serving task would have beside the fillers on a target."""
-        image = step.step.image
-        return self.baseline_margin(step.job.job.job_id) - sum(
-            self.interference(serving=image, filler=name) * fraction
-            for name, fraction in _requested_fractions(row).items()
-        )
-
     def needs_observation(self, run: rows.RunRow, step: rows.StepRow) -> bool:
         """Returns whether the effect of one more task of a filler step must be observed."""
         pair = (run.task.step.step.image, step.step.image)
@@ -344,10 +333,6 @@
             margins = by_image[image] = self._model.margins(row, image)
         return margins
 
-    def margin_beside_fillers(self, row: rows.TargetRow, step: rows.StepRow) -> float:
-        """Returns the margin that a serving task would have beside the fillers on a target."""
-        return self._model.margin_beside_fillers(row, step)
-
     def forget(self, row: rows.TargetRow) -> None:
         """Drops what is kept of a target whose runs have changed."""
         self._margins.pop(row.target_id, None)
