Owner: targets that a listing shows to have restarted are determined once

They were computed before the loop, for their losses, and again in it for each target. No change of behaviour; test_owner.py, test_target_list.py and test_crash_blame.py pass.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -542,13 +542,12 @@
         now = self._clocks.now()
         for target_id in (*listed, *self._sessions):
             self._known_records.mark(target_id)
-        restarted_rows = [
-            session.row
-            for target in listed.values()
-            if (session := self._sessions.get(target.target_id)) is not None
-            and session.row.target.born < target.born
-        ]
-        crash_blame.note_losses(restarted_rows, now=now)
+        restarted = {
+            name: session
+            for name, target in listed.items()
+            if (session := self._sessions.get(name)) and session.row.target.born < target.born
+        }
+        crash_blame.note_losses([session.row for session in restarted.values()], now=now)
         for target in listed.values():
             session = self._sessions.get(target.target_id)
             if session is not None and (
@@ -558,11 +557,10 @@
                 # The target has reported a newer incarnation than the list names.
                 session.row.listed = True
                 continue
-            restarted = session is not None and session.row.target.born < target.born
             row = self._scheduler.set_target(target, now=now)
             if session is None:
                 self._open_session(row)
-            elif restarted:
+            elif target.target_id in restarted:
                 session.reset_for_new_incarnation()
         self._listed = listed
         for target_id, session in list(self._sessions.items()):
