Owner: what a takeover waits for is logged once a second

An owner that held inherited tasks back said so only at the end, by recovery.settled.

The wait moved from owner.py to takeover/stabilization.py, unchanged but for recovery.waits: targets without a report, tasks held back, and the longest remaining lease. test_owner, test_supervision and test_silent_targets pass.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -37,6 +37,7 @@
 from ebonyhatch.fleet.evacuation import requests as evacuation_requests
 from ebonyhatch.fleet.lookahead import policy
 from ebonyhatch.fleet.orders import sender
+from ebonyhatch.fleet.takeover import stabilization
 from ebonyhatch.node import coroutines
 from twisted.internet import defer
 
@@ -157,6 +158,15 @@
             listed=lambda: self._listed,
             request_write=self._journal.request_write,
         )
+        self._stabilization = stabilization.Stabilization(
+            term=term,
+            all_clocks=all_clocks,
+            group=self._group,
+            sessions=self._sessions,
+            inherited_runs=self._scheduler,
+            schedule_tick=self._schedule_tick,
+            longest_lease_s=target_session.lease_expiry_s(lease_s),
+        )
         self._recovered = False
         self._removed_while_listing: dict[str, int] | None = None
         self._closed = False
@@ -478,65 +488,9 @@
         self._journal.request_write(urgent=True)
 
     async def _stabilize(self) -> None:
-        """Holds back inherited tasks while a run that a former owner ordered may be unknown.
-
-        Such a run is known from its target's status report, or has ended with the target's lease.
-        """
         while not (self._recovered and self._targets.loaded):
             await self._group.sleep(0.02)
-        until = self._clocks.boottime() + target_session.lease_expiry_s(self._lease_s)
-        while (unconfirmed := self._unconfirmed_targets()) and (
-            self._clocks.boottime() < until or self._any_answers(unconfirmed)
-        ):
-            self._scheduler.blocked_tasks = self._blocked_tasks()
-            if not self._unconfirmed_targets_taking_runs():
-                if not self._scheduler.reconciled:
-                    self._scheduler.resolve_trials(now=self._clocks.now())
-                self._scheduler.reconciled = True
-                self._schedule_tick()
-            await self._group.sleep(0.02)
-        self._scheduler.blocked_tasks = frozenset()
-        self._scheduler.resolve_trials(now=self._clocks.now())
-        decision_log.write(
-            "recovery.settled", term=self._term, unheard=len(self._unconfirmed_targets())
-        )
-        self._scheduler.reconciled = True
-        self._schedule_tick()
-
-    def _unconfirmed_targets(self) -> list[str]:
-        return [
-            name
-            for name, session in self._sessions.items()
-            if not session.row.confirmed and not session.runs_ended
-        ]
-
-    def _any_answers(self, names: list[str]) -> bool:
-        """Returns whether one of some unconfirmed targets has reported: it lists its ends in parts."""
-        rows_now = (self._sessions[name].row for name in names)
-        return any(row.last_report_at and row.reachable for row in rows_now)
-
-    def _unconfirmed_targets_taking_runs(self) -> list[str]:
-        """Returns the unconfirmed targets on which the last owner may have ordered unrecorded runs.
-
-        Unconfirmed targets have sent this owner no status report yet. One without a record took no
-        runs: none is ordered on a target before its record is durable.
-        """
-        inherited = self._inherited_targets
-        return [
-            name
-            for name in self._unconfirmed_targets()
-            if name in inherited and inherited[name].takes_runs
-        ]
-
-    def _blocked_tasks(self) -> frozenset[str]:
-        """Returns the tasks that may still run on unconfirmed targets that took no new runs."""
-        inherited = self._inherited_targets
-        return frozenset(
-            task
-            for name in self._unconfirmed_targets()
-            if name in inherited
-            for task in inherited[name].tasks
-        )
+        await self._stabilization.run(self._inherited_targets)
 
     def _on_targets_changed(self, listed: dict[str, targets.Target]) -> None:
         now = self._clocks.now()
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -168,6 +168,11 @@
         """Whether every run on the target has lost its lease."""
         return self._clocks.boottime() > self._lease_expires_at
 
+    @property
+    def lease_left_s(self) -> float:
+        """Time until every run on the target has lost its lease, seconds; negative after it."""
+        return self._lease_expires_at - self._clocks.boottime()
+
     @property
     def runs_ended(self) -> bool:
         """Whether nothing that a former owner ordered can be running on the target."""
--- a/packages/ebonyhatch-fleet/tests/test_supervision.py
+++ b/packages/ebonyhatch-fleet/tests/test_supervision.py
@@ -14,6 +14,7 @@
     target_session,
 )
 from ebonyhatch.fleet import owner as owner_module
+from ebonyhatch.fleet.takeover import stabilization
 from ebonyhatch.node import coroutines
 from twisted.internet import task
 
@@ -63,7 +64,7 @@
     (owner_module.Owner, "_apply_intake_changes"),
     (owner_module.Owner, "_add_job"),
     (owner_module.Owner, "_recover"),
-    (owner_module.Owner, "_unconfirmed_targets"),
+    (stabilization.Stabilization, "_unconfirmed_targets"),
     (owner_module.Owner, "_collect_changed_jobs"),
     (owner_module.Owner, "_on_durable"),
     (journal.Journal, "_collect"),
