Fleet: leases of runs are 6 s also where targets grant longer ones

Cause: an owner requested leases as long as targets grant, 10 s on this deployment and 6 s on all others. Until a lease has ended nobody knows whether a run on a target that doesn't answer goes on. So a new owner held inherited tasks back for 10.4 s from the start of its term, and an owner that stays waited as long for a target that left. Class of fault: a bound of the contract is taken as the length of a wait of our own.

The new test fails for leases of 10 and 60 s without the change, and passes for 4 and 6 s.

The length is 6 s now, which all other deployments have. What must not change is that no task runs twice: the head tells the longest lease that may be in force, so that leases of a former version are waited for; a call that crosses a restart gets the longest lease that the target grants, so that this one counts from a restart on, also for the next owner. Each of these has a test that fails without it.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/journal.py
@@ -125,6 +125,7 @@
         on_rejected: Callable[[rows.JobRow], None],
         on_superseded: Callable[[str], None],
         link_bytes_per_s: float = 0.0,
+        longest_lease_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Creates a journal.
 
@@ -143,10 +144,13 @@
             on_rejected: Called with a job whose progress the store never takes.
             on_superseded: Called with a reason when another entry has written.
             link_bytes_per_s: Bandwidth of the instance's link, bytes a second; 0 if unknown.
+            longest_lease_s: Returns the longest lease of runs that may be in force, seconds, which
+                the head tells the next owner.
         """
         self._store = store_port
         self._clocks = all_clocks
         self._link_bytes_per_s = link_bytes_per_s
+        self._longest_lease_s = longest_lease_s
         self._next_write_at = 0.0
         self._term = term
         self._revision = head_revision
@@ -341,7 +345,10 @@
     async def _write(self, records: list[store.Put], removes: tuple[str, ...] = ()) -> _Outcome:
         """Retries a write until it is durable or rejected, or this entry is superseded."""
         head = ownership.Head(
-            term=self._term, number=next(self._numbers), nonce=os.urandom(8).hex()
+            term=self._term,
+            number=next(self._numbers),
+            nonce=os.urandom(8).hex(),
+            lease_s=self._longest_lease_s(),
         )
         puts = [store.Put(key=keys.HEAD, value=msgspec.json.encode(head)), *records]
         retry_delay_s = RETRY_DELAY_S
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
@@ -13,18 +13,21 @@
 20 kB at 3,300 targets."""
 
 
-class KnownTarget(msgspec.Struct, frozen=True, kw_only=True):
+class KnownTarget(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """A target of the last owner.
 
     Attributes:
         target: Registration of the target.
         takes_runs: Whether the owner may have ordered runs there since this record was written.
         tasks: Tasks that may still run there; only given for a target that takes no runs.
+        restarted: Whether the target restarted so recently that a lease may be in force which is
+            longer than the owner requests.
     """
 
     target: targets.Target
     takes_runs: bool
     tasks: tuple[str, ...] = ()
+    restarted: bool = False
 
 
 KnownTargets = dict[str, KnownTarget]
@@ -35,13 +38,22 @@
 
     This is the one that was recorded last if nothing changed, which makes comparing them cheap.
     """
-    target = row.target
+    target, restarted = row.target, row.recently_restarted
     if _is_usable(row):
-        if recorded is None or recorded.target is not target or not recorded.takes_runs:
-            return KnownTarget(target=target, takes_runs=True)
-        return KnownTarget(target=target, takes_runs=True) if recorded.tasks else recorded
+        unchanged = (
+            recorded is not None
+            and recorded.target is target
+            and recorded.takes_runs
+            and not recorded.tasks
+            and recorded.restarted == restarted
+        )
+        if recorded is not None and unchanged:
+            return recorded
+        return KnownTarget(target=target, takes_runs=True, restarted=restarted)
     tasks = tuple(sorted({key.task for key in row.runs}))
-    return KnownTarget(target=row.target, takes_runs=not row.confirmed, tasks=tasks)
+    return KnownTarget(
+        target=target, takes_runs=not row.confirmed, tasks=tasks, restarted=restarted
+    )
 
 
 def group_of(target_id: str) -> int:
@@ -76,7 +88,12 @@
         takes_runs = grouped[name].takes_runs or former[name].takes_runs
         tasks = () if takes_runs else {*grouped[name].tasks, *former[name].tasks}
         newer = max(grouped[name].target, former[name].target, key=lambda target: target.born)
-        merged[name] = KnownTarget(target=newer, takes_runs=takes_runs, tasks=tuple(sorted(tasks)))
+        merged[name] = KnownTarget(
+            target=newer,
+            takes_runs=takes_runs,
+            tasks=tuple(sorted(tasks)),
+            restarted=grouped[name].restarted or former[name].restarted,
+        )
     return merged
 
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -37,7 +37,7 @@
 from ebonyhatch.fleet.evacuation import requests as evacuation_requests
 from ebonyhatch.fleet.lookahead import policy
 from ebonyhatch.fleet.orders import sender
-from ebonyhatch.fleet.takeover import stabilization
+from ebonyhatch.fleet.takeover import leases, stabilization
 from ebonyhatch.node import coroutines
 from twisted.internet import defer
 
@@ -75,7 +75,8 @@
         target_codec: target_list.TargetCodec,
         evacuations: evacuation_requests.EvacuationRequests,
         all_clocks: clocks.Clocks,
-        lease_s: float,
+        granted_lease_s: float,
+        former_lease_s: float,
         keep_ended_s: float,
         entry_lease_s: float,
         lease_valid: Callable[[], bool],
@@ -93,7 +94,11 @@
         self._store = store_port
         self._targets_port = targets_port
         self._clocks = all_clocks
-        self._lease_s = lease_s
+        self._leases = leases.Leases(
+            granted_s=granted_lease_s,
+            former_s=former_lease_s,
+            began_at=all_clocks.boottime(),
+        )
         self._lease_valid = lease_valid
         self._store_reachable = store_reachable
         self._on_superseded = on_superseded
@@ -149,6 +154,7 @@
             on_rejected=self._on_progress_rejected,
             on_superseded=on_superseded,
             link_bytes_per_s=link_bytes_per_s,
+            longest_lease_s=lambda: self._leases.longest_s(at=all_clocks.boottime()),
         )
         self._silent = silent_targets.SilentTargets(
             term=term,
@@ -165,7 +171,7 @@
             sessions=self._sessions,
             inherited_runs=self._scheduler,
             schedule_tick=self._schedule_tick,
-            longest_lease_s=target_session.lease_expiry_s(lease_s),
+            longest_lease_s=target_session.lease_expiry_s(granted_lease_s),
         )
         self._recovered = False
         self._removed_while_listing: dict[str, int] | None = None
@@ -342,6 +348,8 @@
         self._known_records.restore(stored.grouped_targets)
         self._former_targets_stored = stored.former_targets
         self._targets.restore_known({name: known.target for name, known in stored.targets.items()})
+        for session in self._sessions.values():
+            session.limit_inherited_lease(self._inherited_lease_end(session.row))
         if stored.model is not None:
             self._scheduler.restore_model(stored.model)
         await self._add_intake(stored.intake, stored.progress, inherited=True)
@@ -538,8 +546,9 @@
             row=row,
             port=self._targets_port,
             fence=self._term,
-            lease_s=self._lease_s,
-            renewed_until=self._silent.renewed_until(row.target_id),
+            lease_s=self._leases.requested_s,
+            granted_lease_s=self._leases.granted_s,
+            lease_expires_at=self._inherited_lease_end(row),
             all_clocks=self._clocks,
             on_report=self._on_status_report,
             on_runs_lost=self._on_runs_lost,
@@ -556,6 +565,13 @@
         self._unannounced.add(row.target_id)
         session.start()
 
+    def _inherited_lease_end(self, row: rows.TargetRow) -> float:
+        return self._leases.inherited_end(
+            row,
+            self._inherited_targets.get(row.target_id),
+            renewed_until=self._silent.renewed_until(row.target_id),
+        )
+
     def _close_session_if_empty(self, session: target_session.TargetSession) -> None:
         row = session.row
         if row.listed or row.runs or not (row.confirmed or session.runs_ended):
@@ -598,7 +614,7 @@
             row,
             why=why,
             now=self._clocks.now(),
-            lease_s=target_session.lease_expiry_s(self._lease_s),
+            lease_s=target_session.lease_expiry_s(self._leases.granted_s),
         )
         self._close_session_if_empty(session)
         self._schedule_tick()
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -20,6 +20,7 @@
     store,
     supervision,
 )
+from ebonyhatch.fleet.takeover import leases
 from ebonyhatch.node import coroutines
 from returns import result
 
@@ -98,14 +99,20 @@
 
 
 class Head(msgspec.Struct, frozen=True, kw_only=True):
-    """Value of the head key: term of the last writer, number of its write, and a nonce.
+    """Value of the head key.
 
-    The nonce is a random text, which together with term and number identifies the write.
+    Attributes:
+        term: Term of the last writer.
+        number: Number of its write.
+        nonce: Random text, which together with term and number identifies the write.
+        lease_s: Longest lease of runs that its owner, or one before, may have requested and that may
+            be in force, seconds; 0 from an owner of a version that doesn't say it.
     """
 
     term: int
     number: int
     nonce: str
+    lease_s: float = 0.0
 
 
 class Ownership:
@@ -121,8 +128,10 @@
         on_lost: Callable[[str], None],
         on_entries: Callable[[tuple[EntryRecord, ...]], None],
         link_delay_s: float = 0.0,
+        granted_lease_s: float = 0.0,
     ) -> None:
         self._entry = entry
+        self._granted_lease_s = granted_lease_s
         self._published = entry
         self._declined_until = float("-inf")
         self._decline_s = MIN_YIELD_INTERVAL_S
@@ -482,7 +491,13 @@
         item = read.unwrap()
         last = _decode_head(item.value) if item is not None else None
         term = 1 if last is None else last.term + 1
-        head = Head(term=term, number=0, nonce=self._entry.incarnation)
+        former_lease_s = leases.requested_s(self._granted_lease_s) if last is None else last.lease_s
+        head = Head(
+            term=term,
+            number=0,
+            nonce=self._entry.incarnation,
+            lease_s=former_lease_s or self._granted_lease_s,
+        )
         conditions = (
             store.Condition(key=keys.OWNER, revision=store.ABSENT),
             store.Condition(
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -132,6 +132,8 @@
         leaves_at: Earliest time of its departure, seconds; 0 while it is not draining.
         evacuated: Whether its failure domain is evacuated, so that nothing may start on it.
         speed: Speed that it surely doesn't exceed, as a fraction of the fleet's; see `speed`.
+        recently_restarted: Whether it restarted so recently that a lease may be in force which is
+            longer than the owner requests; see `takeover.leases`.
     """
 
     observers: list[dict[int, TargetRow]] = dataclasses.field(default_factory=list, repr=False)
@@ -164,6 +166,7 @@
     cold_until: float = 0.0
     cold_interval_s: float = 0.0
     speed: float = 1.0
+    recently_restarted: bool = False
 
     def __setattr__(self, name: str, value: object) -> None:
         """Sets a field, and reports the change if the field is observed."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -86,7 +86,8 @@
         port: targets.Targets,
         fence: int,
         lease_s: float,
-        renewed_until: float,
+        granted_lease_s: float,
+        lease_expires_at: float,
         all_clocks: clocks.Clocks,
         on_report: Callable[[TargetSession, targets.StatusReport], bool],
         on_runs_lost: Callable[[TargetSession, str], None],
@@ -105,8 +106,9 @@
             row: The target.
             port: The port to targets.
             fence: Fencing token of the owner's term.
-            lease_s: Length of the target's lease, seconds.
-            renewed_until: Last time at which a former owner may have renewed the lease, seconds on the
+            lease_s: Lease that is requested for the target's runs, seconds.
+            granted_lease_s: Longest lease that the target grants, seconds.
+            lease_expires_at: End of the leases that former owners may have requested, seconds on the
                 clock that counts suspensions.
             all_clocks: Clocks of the process.
             on_report: Applies a status report; returns False while it can't be applied yet.
@@ -124,6 +126,7 @@
         self._port = port
         self._fence = fence
         self._lease_s = lease_s
+        self._granted_lease_s = granted_lease_s
         self._clocks = all_clocks
         self._on_report = on_report
         self._on_runs_lost = on_runs_lost
@@ -143,7 +146,8 @@
         self._processed = 0
         self._acknowledged = 0
         self._pending: collections.deque[tuple[int, int]] = collections.deque()
-        self._lease_expires_at = renewed_until + lease_expiry_s(self._lease_s)
+        self._inherited_lease_end = lease_expires_at
+        self._own_lease_end = float("-inf")
         self._failures = 0
         self._extra_polls = 0
         self._incarnations = 0
@@ -168,6 +172,10 @@
         """Whether every run on the target has lost its lease."""
         return self._clocks.boottime() > self._lease_expires_at
 
+    @property
+    def _lease_expires_at(self) -> float:
+        return max(self._inherited_lease_end, self._own_lease_end)
+
     @property
     def lease_left_s(self) -> float:
         """Time until every run on the target has lost its lease, seconds; negative after it."""
@@ -207,10 +215,32 @@
         self._pending.clear()
         self._held_report = None
         self._clock_s = 0.0
+        self._extend_lease(self._granted_lease_s)
+        if self._granted_lease_s > self._lease_s:
+            self._group.spawn(self._note_restart())
         if self._row.runs:
             # Starts that were under way may have reached the new incarnation.
             self.poll_soon(0.0)
 
+    async def _note_restart(self) -> None:
+        """Marks the target's record while calls to the former incarnation may have a longer lease."""
+        number = self._incarnations
+        self._row.recently_restarted = True
+        self._on_changed(self)
+        await self._group.sleep(lease_expiry_s(self._granted_lease_s))
+        if number == self._incarnations:
+            self._row.recently_restarted = False
+            self._on_changed(self)
+
+    def limit_inherited_lease(self, expires_at: float) -> None:
+        """Sets the end of former owners' leases, once it is known better."""
+        self._inherited_lease_end = min(self._inherited_lease_end, expires_at)
+
+    def _extend_lease(self, lease_s: float) -> None:
+        """Counts a lease from now on, unless a longer one is in force: leases never shorten."""
+        expires_at = self._clocks.boottime() + lease_expiry_s(lease_s)
+        self._own_lease_end = max(self._own_lease_end, expires_at)
+
     def start_deadline_s(self) -> float:
         """Returns the time on the target's clock until which a start that is sent now is valid."""
         return self.target_clock_s + START_VALID_S
@@ -352,7 +382,7 @@
         """
         if not self._clock_s or self._failures or not self._may_renew():
             return 0.0
-        self._lease_expires_at = self._clocks.boottime() + lease_expiry_s(self._lease_s)
+        self._extend_lease(self._lease_s)
         return self.target_clock_s + self._lease_s
 
     def _is_superseded(self, report: targets.StatusReport) -> bool:
@@ -381,7 +411,7 @@
     def _apply(self, report: targets.StatusReport) -> None:
         if not self._clock_s:
             # From the first report on this owner may order runs.
-            self._lease_expires_at = self._clocks.boottime() + lease_expiry_s(self._lease_s)
+            self._extend_lease(self._lease_s)
         if report.clock_s < self._clock_s or (
             report.born and report.born > self._row.target.born > 0
         ):
--- a/packages/ebonyhatch-fleet/tests/test_histories.py
+++ b/packages/ebonyhatch-fleet/tests/test_histories.py
@@ -17,6 +17,9 @@
 SUSPENDED_S = 3.0
 """Time for which an owner is suspended, seconds; the targets' clocks keep running."""
 
+LONG_LEASE_S = 10.0
+"""Lease that targets grant, longer than the one that owners request, seconds."""
+
 COMPLETION_S = 30.0
 """Time after the last fault within which every accepted job has to be done, seconds."""
 
@@ -130,8 +133,8 @@
 class History:
     """Applies events to a world."""
 
-    def __init__(self) -> None:
-        self.world = world_module.World()
+    def __init__(self, *, lease_s: float = world_module.LEASE_S) -> None:
+        self.world = world_module.World(lease_s=lease_s)
         self.cancelled: set[str] = set()
         self.deadly: dict[str, str] = {}
         self.owner_ends = 0
@@ -441,13 +444,13 @@
 """Histories that violated an invariant before, by the fault that they revealed."""
 
 
-def check(events: list[Event]) -> None:
+def check(events: list[Event], *, lease_s: float = world_module.LEASE_S) -> None:
     """Applies a history, and checks the invariants after each event and again at the end.
 
     After the last event all faults are cleared, and every accepted job has to end in time, as failed
     only if targets crashed under one of its tasks. The last version has to be in force everywhere.
     """
-    history = History()
+    history = History(lease_s=lease_s)
     world = history.world
     for event in events:
         history.apply(event)
@@ -490,6 +493,18 @@
     check(events)
 
 
+@hypothesis.settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+@hypothesis.given(EVENTS)
+def test_what_always_holds_holds_where_targets_grant_longer_leases_than_are_requested(events):
+    """Guards against second runs on targets whose leases a restart has prolonged."""
+    check(events, lease_s=LONG_LEASE_S)
+
+
 @pytest.mark.parametrize("cause", FAILED_BEFORE)
 def test_histories_that_failed_before_pass(cause):
     check(
--- /dev/null
+++ b/packages/ebonyhatch-fleet/tests/test_stabilization.py
@@ -0,0 +1,144 @@
+from __future__ import annotations
+
+import msgspec
+import pytest
+import world as world_module
+from ebonyhatch.fleet import entry, jobs, keys, ownership, store, target_session
+from ebonyhatch.fleet.takeover import leases
+
+RESTART_S = 9.0
+"""Time within which a task that lasts has to run again after its last run, seconds."""
+
+LONG_LEASE_S = 10.0
+"""Lease that targets grant, longer than the one that owners request, seconds."""
+
+LONG_EXPIRY_S = target_session.lease_expiry_s(LONG_LEASE_S)
+EXPIRY_S = target_session.lease_expiry_s(leases.MAX_REQUESTED_S)
+
+
+class Lasting:
+    """A fleet with a task that lasts, and the target that runs it."""
+
+    def __init__(self, *, entries: int = 3, target_count: int = 4, lease_s: float) -> None:
+        self.world = world_module.World(entries=entries, target_count=target_count, lease_s=lease_s)
+        self.wait_for_recovery()
+        self.world.run(1.0)
+        self.job = self.world.job(
+            jobs.Step(count=1, cpu_millis=1000, long_running=True), work_s=-1.0
+        )
+        answer = self.world.submit(self.job, at=self.world.owner.name)
+        assert answer.verdict == entry.Verdict.DONE
+        self.world.run_until(lambda: self.starts)
+        self.world.run(1.0)
+        ((_, _, _, self.name),) = self.starts
+        self.engine = self.world.engines[self.name]
+
+    @property
+    def starts(self) -> list[tuple[float, str, int, str]]:
+        return self.world.starts(self.job.job_id)
+
+    def wait_for_recovery(self) -> None:
+        world = self.world
+        world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+
+    @property
+    def head(self) -> ownership.Head:
+        return msgspec.json.decode(self.world.store.items[keys.HEAD].value, type=ownership.Head)
+
+    def write_head(self, head: ownership.Head) -> None:
+        put = store.Put(key=keys.HEAD, value=msgspec.json.encode(head))
+        self.world.store.commit((), (put,), ())
+
+    def lose_target(self) -> float:
+        """Lets the target leave for good; returns the time, at which its run has ended."""
+        self.engine.restart()
+        self.engine.faults.down = True
+        self.world.unregister(self.name)
+        return self.world.clock.seconds()
+
+    def replace_owner(self) -> world_module.Member:
+        self.world.kill(self.world.owner.name)
+        self.world.run_until(lambda: self.world.owner is not None)
+        return self.world.owner
+
+
+@pytest.mark.parametrize("owner_lost_after_s", [0.0, 0.5])
+@pytest.mark.parametrize("lease_s", [4.0, 6.0, 10.0, 60.0])
+def test_lasting_task_of_a_lost_target_is_back_in_time_after_a_change_of_the_owner(
+    lease_s, owner_lost_after_s
+):
+    """Guards against a wait of a new owner that is as long as the longest lease that targets grant."""
+    case = Lasting(lease_s=lease_s)
+    left_at = case.lose_target()
+    case.world.run(owner_lost_after_s)
+    case.replace_owner()
+    case.world.run_until(lambda: len(case.starts) == 2, limit_s=100.0)
+    assert case.starts[1][0] - left_at <= RESTART_S
+    world_module.check_all(case.world)
+
+
+def test_leases_of_an_owner_that_does_not_tell_their_length_are_waited_for_as_long_as_targets_grant():
+    """Guards against a second run after an owner of the former version, which requested longer leases."""
+    case = Lasting(lease_s=LONG_LEASE_S)
+    case.world.run(1.0)
+    former = ownership.Head(term=case.head.term + 1, number=0, nonce="former")
+    case.world.kill(case.world.owner.name)
+    case.write_head(former)
+    case.engine.renew_and_acknowledge(former.term, 0, case.engine.clock_s + LONG_LEASE_S)
+    case.engine.faults.partitioned = True
+    case.world.run_until(lambda: case.world.owner is not None)
+    assert case.head.lease_s == LONG_LEASE_S
+    case.world.run_until(lambda: len(case.starts) == 2)
+    world_module.check_all(case.world)
+
+
+def test_head_tells_the_longer_leases_of_a_former_owner_until_they_have_ended():
+    """Guards against a chain of short terms that forgets which leases are still in force."""
+    case = Lasting(lease_s=LONG_LEASE_S)
+    former = ownership.Head(term=case.head.term + 1, number=0, nonce="former")
+    case.world.kill(case.world.owner.name)
+    case.write_head(former)
+    for _ in range(2):
+        case.world.run_until(lambda: case.world.owner is not None)
+        case.wait_for_recovery()
+        case.world.run(1.0)
+        assert case.head.lease_s == LONG_LEASE_S
+        case.world.kill(case.world.owner.name)
+        case.world.start(f"later{case.head.term}")
+    case.wait_for_recovery()
+    case.world.run(LONG_EXPIRY_S)
+    case.world.submit(case.world.job(), at=case.world.owner.name)
+    case.world.run(1.0)
+    assert case.head.lease_s == leases.MAX_REQUESTED_S
+
+
+@pytest.mark.parametrize("owner_lost_after_s", [0.3, 1.5])
+def test_lease_of_a_target_that_restarted_counts_as_long_as_targets_grant(owner_lost_after_s):
+    """Guards against a second run: a call that crosses a restart gets the longest lease there."""
+    case = Lasting(target_count=1, lease_s=LONG_LEASE_S)
+    case.world.restart_target(case.name)
+    case.world.run_until(lambda: len(case.starts) == 2)
+    # A renewal for the former incarnation, whose clock was far ahead, arrives at the new one.
+    case.engine.renew_and_acknowledge(case.engine.fence, 0, 1e9)
+    case.world.add_target("other")
+    case.world.run(owner_lost_after_s)
+    case.engine.faults.partitioned = True
+    case.replace_owner()
+    case.world.run_until(lambda: len(case.starts) == 3)
+    assert case.starts[2][3] == "other"
+    world_module.check_all(case.world)
+
+
+def test_restart_is_forgotten_once_the_longest_lease_has_ended():
+    """Guards against a target that is waited for longer for ever after a restart."""
+    case = Lasting(target_count=1, lease_s=LONG_LEASE_S)
+    case.world.restart_target(case.name)
+    case.world.run_until(lambda: len(case.starts) == 2)
+    case.world.run(LONG_EXPIRY_S + 1.0)
+    case.world.add_target("other")
+    case.world.run(1.0)
+    left_at = case.lose_target()
+    case.replace_owner()
+    case.world.run_until(lambda: len(case.starts) == 3)
+    assert case.starts[2][0] - left_at <= RESTART_S
+    world_module.check_all(case.world)
--- a/packages/ebonyhatch-fleet/tests/test_target_session.py
+++ b/packages/ebonyhatch-fleet/tests/test_target_session.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 import scripted
-from ebonyhatch.fleet import clocks, rows, target_session, targets
+from ebonyhatch.fleet import clocks, rows, target_session, targets, task_ends
 from returns import result
 from twisted.internet import defer, task
 
@@ -20,7 +20,11 @@
     """A session with a target; its reports can't be applied until `ready` is set."""
 
     def __init__(
-        self, *, clock: task.Clock | None = None, slots: defer.DeferredSemaphore | None = None
+        self,
+        *,
+        clock: task.Clock | None = None,
+        slots: defer.DeferredSemaphore | None = None,
+        granted_lease_s: float = LEASE_S,
     ) -> None:
         self.clock = clock or task.Clock()
         self.slots = slots or defer.DeferredSemaphore(1)
@@ -43,7 +47,8 @@
             port=self.target,
             fence=1,
             lease_s=LEASE_S,
-            renewed_until=all_clocks.boottime(),
+            granted_lease_s=granted_lease_s,
+            lease_expires_at=all_clocks.boottime() + target_session.lease_expiry_s(LEASE_S),
             all_clocks=all_clocks,
             on_report=self._on_report,
             on_runs_lost=self._on_runs_lost,
@@ -442,3 +447,24 @@
     case.advance(1.1)
     (loss,) = case.losses
     assert (loss.from_s, loss.by_s > 1.0) == (0.7, True)
+
+
+def test_lease_after_a_restart_counts_as_long_as_the_target_grants():
+    """Guards against a second run: a renewal that crosses a restart gets the longest lease there."""
+    case = SessionCase(granted_lease_s=10.0)
+    case.ready = True
+    case.target.respond = case.report
+    case.session.start()
+    case.advance(1.0)
+    case.target.respond = lambda poll: case.report(born=BORN + 1)
+    while not case.lost:
+        case.advance(scripted.STEP_S)
+    restarted_at = case.clock.seconds()
+    case.target.respond = lambda poll: UNKNOWN
+    assert case.session.row.recently_restarted
+    while case.lost == [task_ends.NEW_INCARNATION]:
+        case.advance(scripted.STEP_S)
+    assert case.lost[1] == task_ends.LEASE_EXPIRED
+    assert case.clock.seconds() - restarted_at >= target_session.lease_expiry_s(10.0)
+    case.advance(1.0)
+    assert not case.session.row.recently_restarted
--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -113,8 +113,10 @@
         keep_ended_s: float = 600.0,
         large: bool = False,
         placement_policy: str = "greedy",
+        lease_s: float = LEASE_S,
     ) -> None:
         self.placement_policy = placement_policy
+        self.lease_s = lease_s
         self.clock = event_clock.EventClock() if large else task.Clock()
         self.step_s = LARGE_STEP_S if large else STEP_S
         self.large = large
@@ -159,7 +161,7 @@
             memory_mb=4000,
         )
         self.engines[target_id] = memory_targets.TargetEngine(
-            clock=self.clock, target=target, work_s=self._work_s, max_lease_s=LEASE_S
+            clock=self.clock, target=target, work_s=self._work_s, max_lease_s=self.lease_s
         )
         self.register(target)
 
@@ -234,7 +236,7 @@
                 name=name,
                 host=name,
                 port=1,
-                lease_s=LEASE_S,
+                lease_s=self.lease_s,
                 keep_ended_s=self.keep_ended_s,
                 placement_policy=self.placement_policy,
                 **optional,
