Fleet: a new owner waits only for what is left of the leases of lost targets

Cause: a mark of a silent target named a term, and an owner counts from its first sight of that term, or of its own term. An entry that was itself restarted saw neither begin. And only targets that never reported in a term were marked, so that a target which the former owner had lost seconds before was waited for like any other.

The record now tells how long after its making a run may go on on each target. It is written anew each 0.5 s while any time is left, and at a planned stop. A target that has reported is marked for the next term once it is unlisted or hasn't answered for 2 s. While a mark may be stored, the owner renews nothing and orders nothing there, as before.

test_entry_that_joined_later... asserted the whole wait; such an entry may know better now. It has two cases: without the new field as before, with it no run starts before the target's lease has ended.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -83,7 +83,7 @@
         store_reachable: Callable[[], bool],
         on_superseded: Callable[[str], None],
         poll_pause_s: Callable[[], float],
-        silent: dict[str, int],
+        silent: silent_targets.Inherited,
         term_beginnings: silent_targets.TermBeginnings,
         link_bytes_per_s: float = 0.0,
         learn_target_speed: bool = False,
@@ -162,6 +162,7 @@
             beginnings=term_beginnings,
             all_clocks=all_clocks,
             listed=lambda: self._listed,
+            runs_end_by=self._runs_end_by,
             request_write=self._journal.request_write,
         )
         self._stabilization = stabilization.Stabilization(
@@ -186,7 +187,7 @@
         )
         self._model_saved_at = all_clocks.now()
         self._known_records = known_targets.Records()
-        self._inherited_targets: known_targets.KnownTargets = {}
+        self._inherited_targets: known_targets.KnownTargets | None = None
         self._unannounced: set[str] = set()
         self._former_targets_stored = False
         self._targets_compared_at = 0.0
@@ -280,6 +281,7 @@
     async def flush(self, *, limit_s: float) -> None:
         """Waits until the journal has nothing to write, or for `limit_s` seconds."""
         until = self._clocks.now() + limit_s
+        self._silent.prepare_handover()
         self._journal.request_write(urgent=True)
         while not self._journal.idle and self._clocks.now() < until:
             await self._group.sleep(0.01)
@@ -498,7 +500,7 @@
     async def _stabilize(self) -> None:
         while not (self._recovered and self._targets.loaded):
             await self._group.sleep(0.02)
-        await self._stabilization.run(self._inherited_targets)
+        await self._stabilization.run(self._inherited_targets or {})
 
     def _on_targets_changed(self, listed: dict[str, targets.Target]) -> None:
         now = self._clocks.now()
@@ -566,11 +568,16 @@
         session.start()
 
     def _inherited_lease_end(self, row: rows.TargetRow) -> float:
-        return self._leases.inherited_end(
+        by_lease = self._leases.inherited_end(
             row,
-            self._inherited_targets.get(row.target_id),
+            self._inherited_targets,
             renewed_until=self._silent.renewed_until(row.target_id),
         )
+        return min(by_lease, self._silent.ended_by(row.target_id))
+
+    def _runs_end_by(self, target_id: str) -> float | None:
+        session = self._sessions.get(target_id)
+        return None if session is None else session.runs_end_by
 
     def _close_session_if_empty(self, session: target_session.TargetSession) -> None:
         row = session.row
@@ -699,8 +706,9 @@
         if now - self._targets_compared_at > MAX_TICK_INTERVAL_S:
             self._targets_compared_at = now
             self._close_unlisted_sessions()
-            if self._targets.loaded and (
-                self._known_records.changed(self._row_of) or self._retention.is_due(now=now)
+            if self._silent.is_due() or (
+                self._targets.loaded
+                and (self._known_records.changed(self._row_of) or self._retention.is_due(now=now))
             ):
                 self._journal.request_write()
         if self._scheduler.has_changes():
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/ownership.py
@@ -164,7 +164,7 @@
         self._seen_term_at = 0.0
         self._former_term_s = 0.0
         self._term_beginnings = silent_targets.TermBeginnings()
-        self._silent: dict[str, int] = {}
+        self._silent = silent_targets.Inherited()
         self._last_renewal_succeeded = False
         self._store_answered_at = all_clocks.now()
 
@@ -194,7 +194,7 @@
         return self._term_beginnings
 
     @property
-    def silent(self) -> dict[str, int]:
+    def silent(self) -> silent_targets.Inherited:
         """Marks of silent targets that are stored for the term that this entry began last."""
         return self._silent
 
@@ -484,6 +484,7 @@
         # Read after the head, on whose revision the takeover depends: no owner writes one without
         # the other. If it can't be read, its marks aren't confirmed and no longer count.
         silent_read = await self._store.get(key=keys.SILENT_TARGETS)
+        read_at = self._clocks.boottime()
         lease = self._lease
         if not lease:
             # The lease ended during the read. A key without a lease would outlive this entry.
@@ -505,11 +506,15 @@
             ),
         )
         silent_item = silent_read.unwrap() if isinstance(silent_read, result.Success) else None
-        silent = silent_targets.confirmed(silent_item, term=term - 1)
+        silent = silent_targets.confirmed(silent_item, term=term - 1, read_at=read_at)
         puts = (
             store.Put(key=keys.OWNER, value=self._owner_value(term), lease=lease),
             store.Put(key=keys.HEAD, value=msgspec.json.encode(head)),
-            *((silent_targets.put(silent, term=term),) if silent else ()),
+            *(
+                (silent_targets.put_inherited(silent, term=term, at=read_at),)
+                if silent.since
+                else ()
+            ),
         )
         committed = await self._store.commit(conditions=conditions, puts=puts)
         if isinstance(committed, result.Failure):
@@ -560,12 +565,14 @@
             # The takeover may have confirmed marks, to which this owner has to keep.
             await self._group.sleep(RETRY_DELAY_S)
             return False
-        silent = silent_targets.confirmed(silent_read.unwrap(), term=head.term)
+        silent = silent_targets.confirmed(
+            silent_read.unwrap(), term=head.term, read_at=self._clocks.boottime()
+        )
         decision_log.write("owner.taken_up", term=head.term, head_revision=item.revision)
         self._begin_term(head, item.revision, silent=silent)
         return True
 
-    def _begin_term(self, head: Head, revision: int, *, silent: dict[str, int]) -> None:
+    def _begin_term(self, head: Head, revision: int, *, silent: silent_targets.Inherited) -> None:
         if self._term:
             self._on_lost("a new term begins")
         self._term = self._last_term = head.term
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/takeover/leases.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/takeover/leases.py
@@ -56,7 +56,7 @@
     def inherited_end(
         self,
         row: rows.TargetRow,
-        known: known_targets.KnownTarget | None,
+        records: known_targets.KnownTargets | None,
         *,
         renewed_until: float,
     ) -> float:
@@ -64,11 +64,14 @@
 
         Args:
             row: The target.
-            known: Its record of the former owner; None without one.
+            records: Records of the former owner, who ordered nothing on targets without one; None
+                before they are read.
             renewed_until: Last time at which a former owner may have renewed a lease there, seconds
                 on the clock that counts suspensions.
         """
         longest_s = self._granted_s
-        if known is not None and known.target.born == row.target.born and not known.restarted:
-            longest_s = self._former_s
+        if records is not None:
+            known = records.get(row.target_id)
+            if known is None or (known.target.born == row.target.born and not known.restarted):
+                longest_s = self._former_s
         return renewed_until + target_session.lease_expiry_s(longest_s)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -181,6 +181,22 @@
         """Time until every run on the target has lost its lease, seconds; negative after it."""
         return self._lease_expires_at - self._clocks.boottime()
 
+    @property
+    def runs_end_by(self) -> float:
+        """Time by which every run has ended if nothing is renewed or ordered from now on, seconds.
+
+        It is one on the clock that counts suspensions. A run that no report has listed may be one
+        whose start crosses a restart of the target, and has the longest lease from its arrival on.
+        """
+        now = self._clocks.now()
+        arrived_at = [
+            run.answered_at or now for run in self._row.runs.values() if not run.listed_at
+        ]
+        if not arrived_at:
+            return self._lease_expires_at
+        longest_s = max(arrived_at) - now + lease_expiry_s(self._granted_lease_s)
+        return max(self._lease_expires_at, self._clocks.boottime() + longest_s)
+
     @property
     def runs_ended(self) -> bool:
         """Whether nothing that a former owner ordered can be running on the target."""
