Fleet: targets that an owner hasn't heard from keep their recorded tasks

What callers saw: a task that lasts is down for 11 s while owners follow each other (LOST), although the lease of its own target had ended.

Cause: the record of known targets says of a target whether it may have taken runs, or which tasks may still run there. An owner that never heard from a target recorded it as taking runs, also where the former owner had lost it and named its tasks, and nothing was ordered there since. While any such target is unheard, all inherited tasks wait, not only its own.

The record keeps what the former owner wrote until this owner hears from the target. test_records_and_announcements... and test_a_record_kept... computed the expected record without the former one, on which it depends now: the first passes it, the second is about targets that were heard from; two new tests are about the others.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/known_targets.py
@@ -36,7 +36,9 @@
 def describe(row: rows.TargetRow, *, recorded: KnownTarget | None = None) -> KnownTarget:
     """Returns the record of a target in the state that its owner knows.
 
-    This is the one that was recorded last if nothing changed, which makes comparing them cheap.
+    This is the one that was recorded last if nothing changed, which makes comparing them cheap. A
+    target that this owner hasn't heard from has the tasks that the former owner recorded, as nothing
+    was ordered there since.
     """
     target, restarted = row.target, row.recently_restarted
     if _is_usable(row):
@@ -50,6 +52,9 @@
         if recorded is not None and unchanged:
             return recorded
         return KnownTarget(target=target, takes_runs=True, restarted=restarted)
+    if recorded is not None and not recorded.takes_runs and not row.last_report_at:
+        restarted = restarted or recorded.restarted
+        return msgspec.structs.replace(recorded, target=target, restarted=restarted)
     tasks = tuple(sorted({key.task for key in row.runs}))
     return KnownTarget(
         target=target, takes_runs=not row.confirmed, tasks=tasks, restarted=restarted
--- a/packages/ebonyhatch-fleet/tests/test_known_targets.py
+++ b/packages/ebonyhatch-fleet/tests/test_known_targets.py
@@ -28,7 +28,7 @@
     pick = random.Random(seed)
     job = jobs.Job(job_id="0" * 16, queue="q", spec="", steps=(jobs.Step(count=40),))
     step = progress.new_steps(rows.JobRow(job=job, queue=QUEUE), 0)[0]
-    row = rows.TargetRow(target=TARGET)
+    row = rows.TargetRow(target=TARGET, last_report_at=1.0)
     recorded = None
     for index in range(40):
         field = pick.choice(("confirmed", "reachable", "listed"))
@@ -42,6 +42,32 @@
         assert recorded == known_targets.describe(row)
 
 
+@pytest.mark.parametrize("confirmed", [True, False])
+def test_record_of_a_target_that_was_not_heard_from_keeps_the_tasks_of_the_former_owner(confirmed):
+    """Guards against tasks that wait for each lost target as if it might run any of them."""
+    former = known_targets.KnownTarget(target=TARGET, takes_runs=False, tasks=("a.0.0.0",))
+    row = rows.TargetRow(target=TARGET, reachable=False)
+    assert known_targets.describe(row, recorded=former) == former
+    restarted = msgspec.structs.replace(TARGET, born=2)
+    row.target, row.recently_restarted = restarted, True
+    kept = known_targets.describe(row, recorded=former)
+    assert kept.tasks == former.tasks and not kept.takes_runs
+    assert kept.target is restarted and kept.restarted
+    row.last_report_at, row.confirmed = 5.0, confirmed
+    heard = known_targets.describe(row, recorded=kept)
+    assert heard.tasks == () and heard.takes_runs is not confirmed
+    row.reachable = row.confirmed = True
+    assert known_targets.describe(row, recorded=kept).takes_runs
+
+
+def test_record_of_a_target_that_may_take_runs_says_so_until_it_is_heard_from():
+    """Guards against a second run of a task that a former owner ordered there unrecorded."""
+    former = known_targets.KnownTarget(target=TARGET, takes_runs=True)
+    row = rows.TargetRow(target=TARGET, reachable=False)
+    assert known_targets.describe(row, recorded=former).takes_runs
+    assert known_targets.describe(row).takes_runs
+
+
 class Fleet:
     """Rows of usable targets and their records."""
 
@@ -159,7 +185,7 @@
         groups = {number: {} for number in records._stored}
         for name, session in sessions.items():
             group = groups.setdefault(known_targets.group_of(name), {})
-            group[name] = known_targets.describe(session.row)
+            group[name] = known_targets.describe(session.row, recorded=records.targets.get(name))
         expected = {n: group for n, group in groups.items() if records._stored.get(n) != group}
         found = self._changed(records, row_of)
         if found != expected:
--- a/packages/ebonyhatch-fleet/tests/test_stabilization.py
+++ b/packages/ebonyhatch-fleet/tests/test_stabilization.py
@@ -188,3 +188,30 @@
     case.world.run_until(lambda: len(case.starts) == 2)
     assert not case.engine.runs
     world_module.check_all(case.world)
+
+
+def test_task_of_a_lost_target_does_not_wait_for_one_that_was_lost_after_it():
+    """Guards against owners that record a target which they never heard from as taking runs again."""
+    case = Lasting(entries=2, lease_s=6.0)
+    other = case.world.job(jobs.Step(count=1, cpu_millis=3500, long_running=True), work_s=-1.0)
+    assert case.world.submit(other, at=case.world.owner.name).verdict == entry.Verdict.DONE
+    case.world.run_until(lambda: case.world.starts(other.job_id))
+    case.world.run(1.0)
+    ((_, _, _, second),) = case.world.starts(other.job_id)
+    assert second != case.name
+    left_at = case.lose_target()
+    case.world.run(3.0)
+    case.world.engines[second].restart()
+    case.world.engines[second].faults.down = True
+    case.world.unregister(second)
+    case.world.run(0.5)
+    for number in range(3):
+        owner = case.world.owner
+        case.world.wait(owner.node.hand_over(), limit_s=10.0)
+        case.world.kill(owner.name)
+        case.world.run_until(lambda: case.world.owner is not None)
+        case.world.start(f"restarted{number}")
+        case.world.run(1.3)
+    case.world.run_until(lambda: len(case.starts) == 2)
+    assert case.starts[1][0] - left_at <= RESTART_S
+    world_module.check_all(case.world)
