--- a/packages/ebonyhatch-fleet/tests/test_histories.py
+++ b/packages/ebonyhatch-fleet/tests/test_histories.py
@@ -513,3 +513,26 @@
             for kind, which, wait_s in FAILED_BEFORE[cause]
         ]
     )
+
+
+def test_job_whose_task_saw_one_crash_is_not_given_up():
+    """Guards against a second crash that is counted though the task was not at work there."""
+    events = (
+        ("submit_lasting", 1, 0.2),
+        ("target_restarts_and_is_cut_off", 6, 0.02),
+        ("target_restarts", 5, 1.6),
+        ("target_down", 7, 1.6),
+        ("silence_a_watch", 7, 0.2),
+        ("write_odd_registration", 7, 0.02),
+        ("configure_in_series", 3, 0.2),
+        ("make_store_unresponsive", 0, 0.7),
+        ("kill_all", 3, 3.0),
+        ("target_down", 2, 1.6),
+        ("submit", 1, 1.6),
+        ("submit_deadly", 4, 1.6),
+        ("kill_all", 4, 3.0),
+        ("target_unresponsive", 6, 0.2),
+        ("submit", 6, 1.6),
+        ("submit", 6, 0.7),
+    )
+    check([Event(kind=kind, which=which, wait_s=wait_s) for kind, which, wait_s in events])
