--- a/packages/ebonyhatch-fleet/tests/test_histories.py
+++ b/packages/ebonyhatch-fleet/tests/test_histories.py
@@ -14,6 +14,13 @@
 EXAMPLES = 20
 """Number of histories of one test run; more are generated manually with --hypothesis-seed."""
 
+SETTINGS = hypothesis.settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
 SUSPENDED_S = 3.0
 """Time for which an owner is suspended, seconds; the targets' clocks keep running."""
 
@@ -482,23 +489,13 @@
     world_module.check_all(world)
 
 
-@hypothesis.settings(
-    max_examples=EXAMPLES,
-    deadline=None,
-    derandomize=True,
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
+@SETTINGS
 @hypothesis.given(EVENTS)
 def test_what_always_holds_holds_in_drawn_histories(events):
     check(events)
 
 
-@hypothesis.settings(
-    max_examples=EXAMPLES,
-    deadline=None,
-    derandomize=True,
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
+@SETTINGS
 @hypothesis.given(EVENTS)
 def test_what_always_holds_holds_where_targets_grant_longer_leases_than_are_requested(events):
     """Guards against second runs on targets whose leases a restart has prolonged."""
--- a/packages/ebonyhatch-fleet/tests/test_silent_targets.py
+++ b/packages/ebonyhatch-fleet/tests/test_silent_targets.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import lasting_case
 import msgspec
 import pytest
 import world as world_module
@@ -31,26 +32,11 @@
 """Duration of a write that a test delays, seconds."""
 
 
-class Case:
-    """A fleet with a long-running task on one target."""
+class Case(lasting_case.LastingCase):
+    """A fleet with a long-running task, and the marks in its store."""
 
     def __init__(self, *, entries: int = 5, target_count: int = 4) -> None:
-        self.world = world_module.World(entries=entries, target_count=target_count)
-        self.wait_for_recovery()
-        self.world.run(1.0)
-        self.job = self.world.job(
-            jobs.Step(count=1, cpu_millis=1000, long_running=True), work_s=-1.0
-        )
-        answer = self.world.submit(self.job, at=self.world.owner.name)
-        assert answer.verdict == entry.Verdict.DONE
-        self.world.run_until(lambda: self.starts)
-        self.world.run(1.0)
-        ((_, _, _, self.name),) = self.starts
-        self.engine = self.world.engines[self.name]
-
-    @property
-    def starts(self) -> list[tuple[float, str, int, str]]:
-        return self.world.starts(self.job.job_id)
+        super().__init__(entries=entries, target_count=target_count)
 
     @property
     def record(self) -> silent_targets.Marks | None:
@@ -70,15 +56,6 @@
         """End of the target's lease, seconds on its clock."""
         return self.engine._lease_expires_s
 
-    def wait_for_recovery(self) -> None:
-        world = self.world
-        world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
-
-    def replace_owner(self) -> world_module.Member:
-        self.world.kill(self.world.owner.name)
-        self.world.run_until(lambda: self.world.owner is not None)
-        return self.world.owner
-
     def cut_off(self) -> None:
         """Cuts the target off, whose run goes on, and makes a new owner mark it."""
         self.engine.faults.partitioned = True
--- a/packages/ebonyhatch-fleet/tests/test_stabilization.py
+++ b/packages/ebonyhatch-fleet/tests/test_stabilization.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import lasting_case
 import msgspec
 import pytest
 import world as world_module
@@ -19,30 +20,8 @@
 EXPIRY_S = target_session.lease_expiry_s(leases.MAX_REQUESTED_S)
 
 
-class Lasting:
-    """A fleet with a task that lasts, and the target that runs it."""
-
-    def __init__(self, *, entries: int = 3, target_count: int = 4, lease_s: float) -> None:
-        self.world = world_module.World(entries=entries, target_count=target_count, lease_s=lease_s)
-        self.wait_for_recovery()
-        self.world.run(1.0)
-        self.job = self.world.job(
-            jobs.Step(count=1, cpu_millis=1000, long_running=True), work_s=-1.0
-        )
-        answer = self.world.submit(self.job, at=self.world.owner.name)
-        assert answer.verdict == entry.Verdict.DONE
-        self.world.run_until(lambda: self.starts)
-        self.world.run(1.0)
-        ((_, _, _, self.name),) = self.starts
-        self.engine = self.world.engines[self.name]
-
-    @property
-    def starts(self) -> list[tuple[float, str, int, str]]:
-        return self.world.starts(self.job.job_id)
-
-    def wait_for_recovery(self) -> None:
-        world = self.world
-        world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+class Lasting(lasting_case.LastingCase):
+    """A fleet whose task that lasts loses its target or its owner."""
 
     @property
     def head(self) -> ownership.Head:
@@ -59,11 +38,6 @@
         self.world.unregister(self.name)
         return self.world.clock.seconds()
 
-    def replace_owner(self) -> world_module.Member:
-        self.world.kill(self.world.owner.name)
-        self.world.run_until(lambda: self.world.owner is not None)
-        return self.world.owner
-
 
 @pytest.mark.parametrize("owner_lost_after_s", [0.0, 0.5, 1.0, 2.0, 4.0, 6.0])
 @pytest.mark.parametrize("lease_s", [4.0, 6.0, 10.0, 60.0])
