--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # that they compile is all there is to do.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -B - common-2/*.py 6/case.py 7/case.py 8/case.py 9/case.py 10/case.py <<'PROGRAM'
+python3 -B - common-2/*.py {6,8,9,10}/case.py <<'PROGRAM'
 import pathlib
 import sys
 
