Fleet: tasks that never started have no rows

Cause: a row for each task from the arrival of its job on. Ruled out: the records (384 bytes a job), and requests in progress (only the owner grew).

A task gets its row when it is first placed or looked up, and loses it when it is done. The order of the tasks of a step stays. Looking for a target comes before taking a task, so that a step that fits nowhere gets no rows.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/domain_evacuation.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/domain_evacuation.py
@@ -127,7 +127,7 @@
         if not run.task.step.step.gang:
             self._stop(run, reason=moves.REASON, now=now)
             return
-        for member in run.task.step.tasks:
+        for member in run.task.step.tasks.known:
             for other in list(member.runs.values()):
                 self._stop(other, reason=moves.REASON, now=now)
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/moves.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/evacuation/moves.py
@@ -90,7 +90,7 @@
                 plan.add(run.task.step)
         for step in self._tables.waiting.values():
             if _lasts(step):
-                for task in step.waiting:
+                for task in step.waiting.known:
                     if task.last_run and not plan.add(step):
                         break
 
@@ -173,7 +173,8 @@
         """Returns the number of tasks of a step that are away."""
         away = self._away.get(id(step))
         if away is None:
-            away = sum(is_away(task, now=self._now) for task in step.tasks)
+            away = sum(is_away(task, now=self._now) for task in step.tasks.known)
+            away += step.tasks.fresh_count
             self._away[id(step)] = away
         return away
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/graph.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/graph.py
@@ -92,8 +92,4 @@
 
 def _release_step(step: rows.StepRow, now: float) -> None:
     step.released = True
-    for task in step.tasks:
-        if task.state == rows.TaskState.BLOCKED:
-            task.state = rows.TaskState.WAITING
-            task.waiting_since = now
-            step.waiting.append(task)
+    step.waiting.release(now=now)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/lookahead/policy.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/lookahead/policy.py
@@ -572,7 +572,7 @@
         self, step: rows.StepRow, begun: Pass
     ) -> list[tuple[rows.TargetRow, int, float]]:
         """Returns targets for all members at the earliest time, in one rack if that is possible."""
-        members = sum(task.state != rows.TaskState.DONE for task in step.tasks)
+        members = step.remaining_count
         count = max(SAMPLED_TARGETS, 2 * members)
         slots: list[tuple[float, int, rows.TargetRow]] = []
         for number, row in enumerate(self._sample(step, begun, count=count)):
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -189,7 +189,7 @@
             return
         selection = registry.select(step.step)
         if candidates.ranks_alike(step.step) and not any(
-            task.avoid_target or task.crashes for task in step.waiting
+            task.avoid_target or task.crashes for task in step.waiting.known
         ):
             self._place_ranked(step, context, usable, selection)
         else:
@@ -205,16 +205,18 @@
         """Places tasks of a short step, whose targets are ranked once in a pass."""
         deferred = []
         while step.waiting and self._orders_left > 0:
-            task = step.waiting.popleft()
-            if task.retry_at > context.now or task.name in self._blocked_tasks:
-                deferred.append(task)
-                continue
+            # The target comes before the task, so that a task which doesn't fit gets no row.
             row = usable.best(step, selection)
             if row is None:
-                step.waiting.appendleft(task)
                 usable.reject(step)
                 break
-            self.order_run(task, row, run=self.next_run_number([task]), now=context.now)
+            while step.waiting:
+                task = step.waiting.popleft()
+                if task.retry_at > context.now or task.name in self._blocked_tasks:
+                    deferred.append(task)
+                    continue
+                self.order_run(task, row, run=self.next_run_number([task]), now=context.now)
+                break
         step.waiting.extendleft(reversed(deferred))
 
     def _place_scored(
@@ -231,7 +233,10 @@
         if not scores:
             usable.reject(step)
         deferred = []
+        new_tasks_rejected = False
         while step.waiting and scores and self._orders_left > 0:
+            if new_tasks_rejected and not step.waiting.known:
+                break
             task = step.waiting.popleft()
             if task.retry_at > now or task.name in self._blocked_tasks:
                 deferred.append(task)
@@ -239,6 +244,7 @@
             name = _best_target(scores, task, self._tables.targets, now=now)
             if not name or not self._reserve.allows(task, self._tables.targets[name], pool_targets):
                 deferred.append(task)
+                new_tasks_rejected = new_tasks_rejected or not (task.last_run or task.crashes)
                 continue
             row = self._tables.targets[name]
             self.order_run(task, row, run=self.next_run_number([task]), now=now)
@@ -255,6 +261,8 @@
         now = context.now
         if not usable.may_fit(step):
             return
+        if len(step.waiting) < step.remaining_count:
+            return
         members = [task for task in step.tasks if task.state != rows.TaskState.DONE]
         waiting = [
             task
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
@@ -126,26 +126,15 @@
             job=row, occurrence=occurrence, index=index, step=step, remaining_count=step.count
         )
         step_row.expected_s = step.estimate_s
-        step_row.tasks = [
-            rows.TaskRow(
-                step=step_row,
-                index=number,
-                name=rows.task_name(
-                    job_id=row.job.job_id, occurrence=occurrence, step=index, index=number
-                ),
-            )
-            for number in range(step.count)
-        ]
         steps.append(step_row)
     return steps
 
 
 def _step_progress(step: rows.StepRow) -> StepProgress:
-    progress = StepProgress(done=[], failures={}, crashes={}, trials={}, checkpoints={}, runs={})
-    for task in step.tasks:
-        if task.state == rows.TaskState.DONE:
-            progress.done.append(task.index)
-            continue
+    progress = StepProgress(
+        done=step.tasks.done, failures={}, crashes={}, trials={}, checkpoints={}, runs={}
+    )
+    for task in step.tasks.known:
         if task.failed_runs:
             progress.failures[task.index] = sorted(task.failed_runs)
         if task.crashes:
@@ -161,8 +150,8 @@
 
 def _restore_step(step: rows.StepRow, progress: StepProgress) -> None:
     for index in progress.done:
-        step.tasks[index].state = rows.TaskState.DONE
-        step.remaining_count -= 1
+        step.tasks.mark_done(index)
+    step.remaining_count -= step.tasks.done_count
     for index, failures in progress.failures.items():
         step.tasks[index].failed_runs = set(failures)
     for index, (crashes, blamed) in progress.crashes.items():
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -6,12 +6,11 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import enum
 
 import msgspec
-from ebonyhatch.fleet import jobs, queues, targets
+from ebonyhatch.fleet import jobs, queues, step_tasks, targets
 
 TASK_NAME_PARTS = 4
 """Number of parts of a task's name: job id, occurrence, step and index."""
@@ -324,15 +323,36 @@
     occurrence: int
     index: int
     step: jobs.Step
-    tasks: list[TaskRow] = dataclasses.field(default_factory=list)
+    tasks: step_tasks.Tasks = dataclasses.field(init=False, repr=False)
     released: bool = False
     remaining_count: int = 0
-    waiting: collections.deque[TaskRow] = dataclasses.field(default_factory=collections.deque)
+    waiting: step_tasks.Waiting = dataclasses.field(init=False, repr=False)
     per_target: dict[str, int] = dataclasses.field(default_factory=dict)
     expected_s: float = 0.0
     objective_from: float = 0.0
     due_at: float = 0.0
 
+    def __post_init__(self) -> None:
+        """Creates the collections of its tasks, none of which has a row."""
+        self.waiting = step_tasks.Waiting(step=self)
+        self.tasks = step_tasks.Tasks(step=self)
+
+    def new_task(self, index: int, *, done: bool) -> TaskRow:
+        """Returns a new row for a task, which is blocked unless it is done."""
+        name = task_name(
+            job_id=self.job.job.job_id, occurrence=self.occurrence, step=self.index, index=index
+        )
+        state = TaskState.DONE if done else TaskState.BLOCKED
+        return TaskRow(step=self, index=index, name=name, state=state)
+
+    def unblock(self, task: TaskRow, *, now: float) -> bool:
+        """Lets a blocked task wait from `now` on, in seconds; returns False for any other task."""
+        if task.state != TaskState.BLOCKED:
+            return False
+        task.state = TaskState.WAITING
+        task.waiting_since = now
+        return True
+
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class JobRow:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -221,7 +221,7 @@
             if not job.ended
             for steps in job.occurrences.values()
             for step in steps
-            for task in step.tasks
+            for task in step.tasks.known
             if task.trial is not None and not task.runs and task.name not in blocked_tasks
         ]
 
@@ -234,7 +234,7 @@
         self._tables.forget_waiting(job)
         for steps in job.occurrences.values():
             for step in steps:
-                for task in step.tasks:
+                for task in step.tasks.known:
                     for run in list(task.runs.values()):
                         self.stop(run, reason=reason, now=now)
 
@@ -287,6 +287,7 @@
             task.step.waiting.remove(task)
             self._tables.waiting.touch(task.step)
         task.state = rows.TaskState.DONE
+        task.step.tasks.mark_done(task.index)
         task.step.remaining_count -= 1
         for run in list(task.runs.values()):
             self.stop(run, reason="done-elsewhere", now=now)
