Fleet: finished occurrences of timed jobs take no memory, and overdue ones no ticks

Up to 16 occurrences of 20,000 tasks each were in progress, whose progress outgrows a value of the store, so that the accepted job would fail. With 16 in progress and the next one overdue, the owner ticked without pause; and each tick looked at all timed jobs.

The finished occurrences follow from the next one and those in progress. Open occurrences have no more tasks together than a single one may have. Jobs are found by the time of their next occurrence.

An owner of the former version would never complete a timed job whose record was written by this one; the other way round works (test of an earlier record).

Failed before: test_graph.py::test_occurrences_that_are_done_take_no_memory, test_open_occurrences_of_a_job_have_no_more_tasks_than_one_occurrence_may_have. test_timed_jobs.py tests a new module; its two tests of the scheduler guard against the ticks.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/graph.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/graph.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
-from ebonyhatch.fleet import progress, rows
+from ebonyhatch.fleet import jobs, progress, rows
 
 MAX_OPEN_OCCURRENCES = 16
 """Largest number of occurrences of one job in progress; later ones are released as these finish."""
 
 
+def open_limit(job: jobs.Job) -> int:
+    """Returns how many occurrences of a job may be in progress.
+
+    Together they have no more tasks than a single occurrence may have, so that their progress fits
+    into one value of the store.
+    """
+    tasks = sum(step.count for step in job.steps)
+    return max(1, min(MAX_OPEN_OCCURRENCES, jobs.TASKS_LIMIT // tasks, job.occurrences))
+
+
 def release(row: rows.JobRow, *, now: float, wall: float) -> list[rows.StepRow]:
     """Releases occurrences that are due and steps whose predecessors are done.
 
@@ -45,8 +55,7 @@
     if any(step.remaining_count for step in steps):
         return False
     del row.occurrences[occurrence]
-    row.finished.add(occurrence)
-    return len(row.finished) == max(1, row.job.occurrences)
+    return not row.occurrences and row.next_occurrence == max(1, row.job.occurrences)
 
 
 def longest_chain_s(steps: list[rows.StepRow]) -> float:
@@ -80,7 +89,8 @@
             row.occurrences[0] = progress.new_steps(row, 0)
         return
     due_at = next_due_at(row)
-    while due_at is not None and due_at <= wall and len(row.occurrences) < MAX_OPEN_OCCURRENCES:
+    limit = open_limit(row.job)
+    while due_at is not None and due_at <= wall and len(row.occurrences) < limit:
         row.occurrences[row.next_occurrence] = progress.new_steps(row, row.next_occurrence)
         row.next_occurrence += 1
         due_at = next_due_at(row)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
@@ -35,7 +35,8 @@
         begun: Whether a task of the job has started.
         ended_at: Time of day of the job's end, seconds since 1970.
         reason: Reason of a failure.
-        finished: Numbers of the completed occurrences.
+        finished: Numbers of the completed occurrences, in records of earlier versions; they follow from
+            the other fields.
         next_occurrence: Next occurrence to release.
         occurrences: Progress of the steps of each unfinished occurrence.
     """
@@ -83,7 +84,6 @@
         begun=row.begun,
         ended_at=row.ended_at,
         reason=row.reason,
-        finished=sorted(row.finished),
         next_occurrence=row.next_occurrence,
     )
     if not row.ended:
@@ -108,7 +108,6 @@
     row.begun = progress.begun
     row.ended_at = progress.ended_at
     row.reason = progress.reason
-    row.finished = set(progress.finished)
     row.next_occurrence = progress.next_occurrence
     if not row.ended:
         for number, steps in progress.occurrences.items():
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -367,8 +367,8 @@
         visible_state: State that callers see.
         begun: Whether one of its tasks has started; named as the durable field is.
         occurrences: Steps of each occurrence in progress, by number.
-        finished: Occurrences whose steps are all done.
-        next_occurrence: Number of the occurrence to release next.
+        next_occurrence: Number of the occurrence to release next; all before it that aren't in
+            progress are done.
         ended_at: Time of day of its end, seconds since 1970.
         inherited: Whether it may have runs that a former owner ordered on targets whose status
             reports have not arrived yet.
@@ -382,7 +382,6 @@
     visible_state: JobState = JobState.QUEUED
     begun: bool = False
     occurrences: dict[int, list[StepRow]] = dataclasses.field(default_factory=dict)
-    finished: set[int] = dataclasses.field(default_factory=set)
     next_occurrence: int = 0
     ended_at: float = 0.0
     inherited: bool = False
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -24,6 +24,7 @@
     target_health,
     targets,
     task_ends,
+    timed_jobs,
 )
 from ebonyhatch.fleet.evacuation import domain_evacuation, domains, leaving
 from ebonyhatch.fleet.lookahead import policy
@@ -77,6 +78,7 @@
         self._commands: list[commands.Command] = []
         self._decide = decide
         self._tables = tables.Tables()
+        self._timed = timed_jobs.TimedJobs()
         self._backlog = backlog.Backlog(all_tables=self._tables) if refuse_late_work else None
         self._times = run_times.RunTimes()
         self._ends = task_ends.TaskEnds(
@@ -199,7 +201,7 @@
     def forget(self, job_id: str) -> None:
         """Removes a job that has ended and whose records were deleted."""
         self._tables.jobs.pop(job_id, None)
-        self._tables.timed.pop(job_id, None)
+        self._timed.discard(job_id)
         self._model.forget(job_id)
 
     def set_target(self, target: targets.Target, *, now: float) -> rows.TargetRow:
@@ -302,11 +304,8 @@
         self._follow_targets()
         for row in self._suspected.values():
             target_health.decay(row, elapsed_s=elapsed_s)
-        for job in list(self._tables.timed.values()):
-            if job.ended:
-                del self._tables.timed[job.job.job_id]
-            else:
-                self._release_steps(job)
+        for job in self._timed.pop_due(wall=wall):
+            self._release_steps(job)
         self._stop_hung_runs(now)
         if self._speeds is not None:
             self._speeds.review(now=now)
@@ -345,10 +344,9 @@
             for task in retries.values()
             if task.state == rows.TaskState.WAITING and task.step in self._tables.waiting
         ]
-        for row in self._tables.timed.values():
-            due_at = graph.next_due_at(row)
-            if due_at is not None:
-                due.append(max(due_at - wall, 0.0))
+        due_at = self._timed.next_due_at()
+        if due_at is not None:
+            due.append(max(due_at - wall, 0.0))
         return min(due, default=None)
 
     def _follow_targets(self) -> None:
@@ -379,6 +377,8 @@
             if not step.due_at:
                 self._set_expectations(row, row.occurrences[step.occurrence])
             self._tables.add_waiting(step)
+        if row.job.timed:
+            self._timed.schedule(row)
 
     def _set_expectations(self, row: rows.JobRow, steps: list[rows.StepRow]) -> None:
         """Sets the expected run times of an occurrence and its due time."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
@@ -10,7 +10,6 @@
 
     Attributes:
         jobs: All jobs by id.
-        timed: Jobs with timed occurrences that have not ended, by id.
         targets: Targets by id.
         short_cpu: Processor time of the short runs on all targets by pool of their queue,
             thousandths of a core; short runs are neither fillers nor long-running.
@@ -20,7 +19,6 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, rows.JobRow] = {}
-        self.timed: dict[str, rows.JobRow] = {}
         self.targets: dict[str, rows.TargetRow] = {}
         self.short_cpu: dict[str, int] = {}
         self.waiting = waiting_steps.WaitingSteps()
@@ -40,8 +38,6 @@
     def add_job(self, row: rows.JobRow) -> None:
         """Adds a job."""
         self.jobs[row.job.job_id] = row
-        if row.job.timed and not row.ended:
-            self.timed[row.job.job_id] = row
 
     def add_waiting(self, step: rows.StepRow) -> None:
         """Adds a step to those with waiting tasks, if it has any."""
