Fleet: jobs are accepted within the memory of the instances

Rows of tasks were one way to fill it; 10,000 steps take 12 MB, and there was no bound on their sum.

A job has a price, which its entry knows before it answers. Entries ask the owner for large jobs, and accept small ones up to an allowance, which bounds what comes in while no owner answers. Refusals: 429 with a Retry-After, 413 if the job never fits, 504 where an earlier submission may still take effect: a new owner promises nothing large for 10 s, and entries tell the owner of each job whose outcome is unknown, which isn't refused then.

Tasks in progress have a budget too. Ended jobs drop their steps. A new owner divides what it reads by bytes. Counts of pending jobs are made four times a second at most. A job with over 1,000 light long-running tasks is refused, as they can't all start in time.

--- /dev/null
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/budget/accounts.py
@@ -0,0 +1,99 @@
+"""The jobs that an owner keeps: their price while they last, and their records for a while after."""
+
+from __future__ import annotations
+
+from ebonyhatch.fleet import clocks, retention, rows
+from ebonyhatch.fleet.budget import ledger, price
+
+
+class JobAccounts:
+    """Prices of all jobs of an owner, and the ended ones whose records are to be removed."""
+
+    def __init__(
+        self, *, budget: int, first_term: bool, keep_ended_s: float, all_clocks: clocks.Clocks
+    ) -> None:
+        """Creates accounts without jobs.
+
+        Args:
+            budget: Memory for accepted jobs, bytes.
+            first_term: Whether no owner was there before.
+            keep_ended_s: Time for which the records of ended jobs are kept, seconds.
+            all_clocks: Clocks of the process.
+        """
+        self._clocks = all_clocks
+        self._max_runs = ledger.max_runs(budget)
+        self._ledger = ledger.Ledger(budget=budget, first_term=first_term, now=all_clocks.now)
+        self._retention = retention.Retention(keep_s=keep_ended_s)
+        self._record_bytes: dict[str, int] = {}
+        self._with_runs: dict[str, rows.JobRow] = {}
+
+    @property
+    def ledger(self) -> ledger.Ledger:
+        """Memory that the jobs take, and that is promised to new ones."""
+        return self._ledger
+
+    @property
+    def max_runs(self) -> int:
+        """Number of tasks that may be in progress."""
+        return self._max_runs
+
+    @property
+    def ended_count(self) -> int:
+        """Number of ended jobs whose records are kept."""
+        return self._retention.count
+
+    def gauges(self) -> dict[str, float]:
+        """Returns the current state for metrics."""
+        return {"jobs_ended": self._retention.count, "jobs_bytes": self._ledger.used_bytes}
+
+    def add(self, row: rows.JobRow, *, record_bytes: int) -> None:
+        """Adds a job that was read; `record_bytes` is the size of its stored submission."""
+        job_id = row.job.job_id
+        self._record_bytes[job_id] = record_bytes
+        self._ledger.record(job_id, price.price(row.job, record_bytes=record_bytes))
+        if row.visible_state in rows.ENDED_STATES:
+            since_end_s = self._clocks.wall() - row.ended_at if row.ended_at else 0.0
+            self.end(row, since_end_s=max(0.0, since_end_s))
+
+    def end(self, row: rows.JobRow, *, since_end_s: float = 0.0) -> None:
+        """Keeps only the records of a job whose end callers have seen for so many seconds."""
+        self._retention.add(row.job.job_id, now=self._clocks.now() - since_end_s)
+        self._with_runs[row.job.job_id] = row
+        self.drop_steps()
+
+    def remove(self, job_ids: list[str]) -> None:
+        """Removes jobs whose records were removed."""
+        for job_id in job_ids:
+            self._record_bytes.pop(job_id, None)
+            self._with_runs.pop(job_id, None)
+            self._ledger.remove(job_id)
+
+    def is_due(self) -> bool:
+        """Returns whether the records of an ended job are to be removed."""
+        return self._retention.is_due(now=self._clocks.now())
+
+    def pop_due(self) -> list[str]:
+        """Returns the ids of ended jobs whose records are to be removed in one write."""
+        return self._retention.pop_due(now=self._clocks.now())
+
+    def drop_steps(self) -> None:
+        """Drops the steps of ended jobs of which nothing runs any more.
+
+        Until then they are needed to tell which of the runs on a target belong to a known job.
+        """
+        for job_id, row in list(self._with_runs.items()):
+            if _has_runs(row):
+                continue
+            del self._with_runs[job_id]
+            row.drop_steps()
+            ended_price = price.price_of_ended(record_bytes=self._record_bytes.get(job_id, 0))
+            self._ledger.record(job_id, ended_price)
+
+
+def _has_runs(row: rows.JobRow) -> bool:
+    return any(
+        task.runs
+        for steps in row.occurrences.values()
+        for step in steps
+        for task in step.tasks.known
+    )
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -26,6 +26,7 @@
 )
 from ebonyhatch.fleet import network as network_module
 from ebonyhatch.fleet import owner as owner_module
+from ebonyhatch.fleet.budget import gate, ledger, price
 from ebonyhatch.node import coroutines, peers
 from returns import result
 from twisted.internet import defer
@@ -104,6 +105,7 @@
         local_owner: Callable[[], owner_module.Owner | None],
         neighbours: Callable[[], tuple[str, ...]],
         load: admission.QueueLoad,
+        job_budget_bytes: int,
         seed: int,
     ) -> None:
         self._name = name
@@ -116,6 +118,17 @@
         self._load = load
         self._random = random.Random(seed)
         self._group = coroutines.CoroutineGroup(clock=all_clocks.loop)
+        self._gate = gate.Gate(
+            budget=job_budget_bytes,
+            ask_owner=lambda call: self._ask_owner(call, OWNER_CALL_TIMEOUT_S),
+            entry_count=lambda: len(members.entries),
+            now=all_clocks.now,
+        )
+
+    @property
+    def gate(self) -> gate.Gate:
+        """Admission of new jobs within the memory of the instances."""
+        return self._gate
 
     def start(self) -> None:
         """Registers the handlers of calls from peers."""
@@ -123,6 +136,7 @@
         self._network.handle(messages.PendingCall, self._on_pending)
         self._network.handle(messages.CancelCall, self._on_cancel)
         self._network.handle(messages.SubmitCall, self._on_submit)
+        self._network.handle(messages.ReserveCall, self._on_reserve)
 
     def close(self) -> None:
         """Cancels all calls in progress."""
@@ -152,7 +166,15 @@
                 verdict=Verdict.OVERLOADED, retry_after_s=retry_after_s, reason=refusal.reason
             )
         record = progress.encode_accepted(job=job, queue=queue, version=version)
+        price_bytes = price.price(job, record_bytes=len(record))
+        decision = await self._gate.decide(job.job_id, price_bytes)
+        if not decision.granted:
+            answer = await self._answer_refused(job.job_id, decision)
+            self._log_submit(job, answer.verdict, answer.reason, started_at=started_at)
+            return answer
         verdict, reason = await self._make_durable(job, record, until=until)
+        if verdict == Verdict.UNKNOWN:
+            self._group.spawn(self._gate.note_sent(job.job_id, price_bytes))
         self._log_submit(job, verdict, reason, started_at=started_at)
         return Answer(verdict=verdict, retry_after_s=self.outage_retry_after_s(), reason=reason)
 
@@ -195,11 +217,37 @@
         The owner may have read less than the store holds, and without its answer nothing is known.
         """
         reply = await self._ask_owner(messages.ShowCall(job_id=job_id), OWNER_CALL_TIMEOUT_S)
-        if not isinstance(reply, messages.ShowAnswer) or not reply.acting or reply.state:
+        if not isinstance(reply, messages.ShowAnswer) or not reply.acting:
+            return False
+        if reply.state or reply.expected:
             return False
         stored = await self._store.get(key=keys.job(job_id))
         return isinstance(stored, result.Success) and stored.unwrap() is None
 
+    async def _answer_refused(self, job_id: str, decision: ledger.Decision) -> Answer:
+        """Returns the answer to a job for which there is no memory; it may be an accepted one."""
+        stored = await self._store.get(key=keys.job(job_id))
+        if isinstance(stored, result.Failure):
+            reason = f"{decision.reason}; the store can't be asked whether it was accepted before"
+            return Answer(
+                verdict=Verdict.UNKNOWN, retry_after_s=self.outage_retry_after_s(), reason=reason
+            )
+        if stored.unwrap() is not None:
+            return Answer(verdict=Verdict.DONE, reason="record existed")
+        if decision.uncertain:
+            return Answer(
+                verdict=Verdict.UNKNOWN,
+                retry_after_s=self._with_jitter(decision.retry_after_s),
+                reason=decision.reason,
+            )
+        if decision.permanent:
+            return Answer(verdict=Verdict.TOO_LARGE, reason=decision.reason)
+        return Answer(
+            verdict=Verdict.OVERLOADED,
+            retry_after_s=self._with_jitter(decision.retry_after_s),
+            reason=decision.reason,
+        )
+
     async def _make_durable(
         self, job: jobs.Job, record: bytes, *, until: float
     ) -> tuple[Verdict, str]:
@@ -314,6 +362,8 @@
             # An unresponsive store may delay the owner for a long time.
             until = self._clocks.now() + RELAY_CALL_TIMEOUT_S
             return await self._with_timeout(self._cancel_locally(message.job_id), until=until)
+        if isinstance(message, messages.ReserveCall):
+            return self._on_reserve(self._name, message)
         return None
 
     async def _stored_state(self, job_id: str) -> Answer:
@@ -360,7 +410,10 @@
         if local_owner is None or not local_owner.recovered:
             return messages.ShowAnswer(acting=False)
         row = local_owner.job(call.job_id)
-        return messages.ShowAnswer(acting=True, state="" if row is None else row.visible_state)
+        if row is None:
+            expected = local_owner.accounts.ledger.is_promised(call.job_id)
+            return messages.ShowAnswer(acting=True, expected=expected)
+        return messages.ShowAnswer(acting=True, state=row.visible_state)
 
     def _on_pending(self, sender: str, call: messages.PendingCall) -> messages.PendingAnswer:
         local_owner = self._local_owner()
@@ -368,6 +421,26 @@
             return messages.PendingAnswer(acting=False)
         return messages.PendingAnswer(acting=True, count=local_owner.pending(call.queue))
 
+    def _on_reserve(self, sender: str, call: messages.ReserveCall) -> messages.ReserveAnswer:
+        local_owner = self._local_owner()
+        if local_owner is None or not local_owner.recovered:
+            return messages.ReserveAnswer(acting=False)
+        memory = local_owner.accounts.ledger
+        if call.sent:
+            memory.note_sent(call.job_id, call.price_bytes)
+        decision = memory.promise(call.job_id, call.price_bytes)
+        decision_log.write(
+            "job.memory",
+            job_id=call.job_id,
+            sender=sender,
+            price_bytes=call.price_bytes,
+            granted=decision.granted,
+            reason=decision.reason,
+            sent=call.sent,
+            used_bytes=memory.used_bytes,
+        )
+        return messages.ReserveAnswer(acting=True, decision=decision)
+
     def _on_cancel(
         self, sender: str, call: messages.CancelCall
     ) -> defer.Deferred[messages.CancelAnswer]:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/jobs.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/jobs.py
@@ -16,6 +16,15 @@
 TASKS_LIMIT = 20_000
 """Largest number of tasks of one job; keeps the job's record within one value of the store."""
 
+LIGHT_CPU_MILLIS = 50
+LIGHT_MEMORY_MB = 32
+"""Amounts below which a task is so light that the capacity of the targets doesn't bound how many of them
+are in progress."""
+
+LIGHT_LONG_RUNNING_LIMIT = 1_000
+"""Largest number of light long-running tasks of one job: all of them have to be started within a few
+seconds."""
+
 OCCURRENCES_LIMIT = 10_000_000
 """Largest number of occurrences of one job."""
 
@@ -80,6 +89,15 @@
     filler: bool = False
     disruption_budget: int = 0
 
+    @property
+    def light(self) -> bool:
+        """Whether many of its tasks fit on any target; fillers reserve no processor time."""
+        return (
+            (self.filler or self.cpu_millis < LIGHT_CPU_MILLIS)
+            and self.memory_mb < LIGHT_MEMORY_MB
+            and not self.accelerators
+        )
+
 
 class Job(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """An accepted job.
@@ -139,6 +157,12 @@
         _check_step(index, step)
     if sum(step.count for step in job.steps) > TASKS_LIMIT:
         raise InvalidJobError(problem=f"the job has over {TASKS_LIMIT} tasks")
+    light = sum(step.count for step in job.steps if step.long_running and step.light)
+    if light > LIGHT_LONG_RUNNING_LIMIT:
+        raise InvalidJobError(
+            problem=f"the job has over {LIGHT_LONG_RUNNING_LIMIT} long-running tasks that ask for less"
+            f" than {LIGHT_CPU_MILLIS} thousandths of a core and {LIGHT_MEMORY_MB} MB"
+        )
 
 
 def _check_step(index: int, step: Step) -> None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/messages.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ebonyhatch.fleet.budget import ledger
 from ebonyhatch.node import messages
 
 
@@ -17,10 +18,12 @@
     Attributes:
         acting: Whether the sender is the owner and has read all jobs.
         state: State of the job; empty for a job that is unknown to the owner.
+        expected: Whether a write that creates the unknown job may be on its way.
     """
 
     acting: bool
     state: str = ""
+    expected: bool = False
 
 
 class PendingCall(messages.Message, frozen=True, kw_only=True):
@@ -77,6 +80,32 @@
     verdict: str
 
 
+class ReserveCall(messages.Message, frozen=True, kw_only=True):
+    """Asks the owner to keep memory for a job that is about to be made durable.
+
+    Attributes:
+        job_id: Id of the job.
+        price_bytes: Memory that it may take, bytes.
+        sent: Whether a write that creates it may be on its way, so that it can't be refused.
+    """
+
+    job_id: str
+    price_bytes: int
+    sent: bool = False
+
+
+class ReserveAnswer(messages.Message, frozen=True, kw_only=True):
+    """Whether the memory is kept.
+
+    Attributes:
+        acting: Whether the sender is the owner and has read all jobs.
+        decision: The owner's decision.
+    """
+
+    acting: bool
+    decision: ledger.Decision = ledger.Decision(granted=False)
+
+
 class ConfigurationNotice(messages.Message, frozen=True, kw_only=True):
     """Announces a version of the configuration, or answers a `NewerConfigurationCall`.
 
@@ -99,12 +128,14 @@
 
 
 class LoadNotice(messages.Message, frozen=True, kw_only=True):
-    """The owner's report of the load of each queue.
+    """The owner's report of the load of each queue and of its memory.
 
     Attributes:
         term: Term of the owner.
         waits_s: By queue, time until a job that is submitted now would start, seconds.
+        memory_used: Share of the memory for accepted jobs that is in use.
     """
 
     term: int
     waits_s: dict[str, float]
+    memory_used: float = 0.0
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/node.py
@@ -30,6 +30,7 @@
 )
 from ebonyhatch.fleet import network as network_module
 from ebonyhatch.fleet import owner as owner_module
+from ebonyhatch.fleet.budget import ledger
 from ebonyhatch.fleet.evacuation import requests as evacuation_requests
 from ebonyhatch.fleet.lookahead import policy
 from ebonyhatch.node import coroutines, peers
@@ -83,6 +84,7 @@
         keep_ended_s: Time for which ended jobs are kept, seconds.
         processor_cores: Processor capacity of the instance, cores; 0 where it is unknown.
         link_bytes_per_s: Bandwidth of the instance's link, bytes a second; 0 where it is unknown.
+        memory_bytes: Memory of the instance, bytes; 0 where it is unknown.
         learn_target_speed: Whether the owner learns which targets are slow and gives them less work.
         refuse_late_work: Whether entries refuse jobs that would start too late to be useful.
         placement_policy: Name of the policy by which an owner places tasks; see `lookahead.policy`.
@@ -95,6 +97,7 @@
     keep_ended_s: float = 600.0
     processor_cores: float = 0.0
     link_bytes_per_s: float = 0.0
+    memory_bytes: float = 0.0
     learn_target_speed: bool = False
     refuse_late_work: bool = False
     placement_policy: str = policy.DEFAULT
@@ -109,6 +112,11 @@
             limits.append(self.link_bytes_per_s / LINK_BYTES_PER_CORE)
         return round(min(limits, default=0.0), 3)
 
+    @property
+    def job_budget_bytes(self) -> int:
+        """Memory for accepted jobs, bytes."""
+        return ledger.budget_bytes(self.memory_bytes)
+
     @property
     def link_delay_s(self) -> float:
         """Time for which a call may wait on the link behind others, seconds."""
@@ -206,6 +214,7 @@
             local_owner=lambda: self._owner,
             neighbours=lambda: self._neighbours,
             load=self._load,
+            job_budget_bytes=settings.job_budget_bytes,
             seed=int.from_bytes(os.urandom(8), "big"),
         )
 
@@ -323,6 +332,7 @@
             on_superseded=lambda reason: self._on_superseded(new_owner, reason),
             poll_pause_s=self._poll_pace.pause_s,
             silent=self._members.silent,
+            job_budget_bytes=self._settings.job_budget_bytes,
             term_beginnings=self._members.term_beginnings,
             link_bytes_per_s=self._settings.link_bytes_per_s,
             learn_target_speed=self._settings.learn_target_speed,
@@ -423,6 +433,7 @@
 
     def _on_load_notice(self, sender: str, notice: messages.LoadNotice) -> None:
         self._load.update(term=notice.term, waits_s=notice.waits_s, now=self._clocks.now())
+        self._entry.gate.report_use(notice.memory_used)
 
     async def _report_load(self) -> None:
         """Sends the load while there is any, and once when there is none any more."""
@@ -432,10 +443,15 @@
             local_owner = self._owner
             if local_owner is None or not local_owner.recovered:
                 continue
-            notice = messages.LoadNotice(term=local_owner.term, waits_s=local_owner.waits_s())
-            if not notice.waits_s and not reported:
+            notice = messages.LoadNotice(
+                term=local_owner.term,
+                waits_s=local_owner.waits_s(),
+                memory_used=round(local_owner.accounts.ledger.used_share, 3),
+            )
+            loaded = bool(notice.waits_s) or notice.memory_used >= ledger.REPORTED_SHARE
+            if not loaded and not reported:
                 continue
-            reported = bool(notice.waits_s)
-            self._load.update(term=notice.term, waits_s=notice.waits_s, now=self._clocks.now())
+            reported = loaded
+            self._on_load_notice(self._settings.name, notice)
             for peer in self._network.peers:
                 self._network.send(entry_id=peer.entry_id, message=notice)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/overload/backlog.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/overload/backlog.py
@@ -98,7 +98,7 @@
         for name in waiting:
             pool = self._pools.setdefault(name, _Pool())
             if name in full:
-                cores = self._tables.short_cpu.get(name, 0) / 1000
+                cores = self._tables.totals.short_cpu.get(name, 0) / 1000
                 pool.learn(cores=cores, elapsed_s=elapsed_s)
             pool.started = 0.0
         waits_s = {}
@@ -132,7 +132,7 @@
             for priority, (in_time, late) in waiting[queue.pool].items()
             if priority <= queue.priority
         )
-        cores = self._tables.short_cpu.get(queue.pool, 0) / 1000
+        cores = self._tables.totals.short_cpu.get(queue.pool, 0) / 1000
         if cores <= 0:
             # Long-running work holds the pool. Nothing is known of when short work would start.
             return 0.0
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -15,25 +15,28 @@
     commands,
     crash_blame,
     decision_log,
+    fleet_counts,
     journal,
     keys,
     known_targets,
+    loop_turns,
     model_snapshot,
     progress,
     queues,
     reach,
     recovery,
-    retention,
     rows,
     scheduler,
     silent_targets,
     store,
     supervision,
+    suspension,
     target_list,
     target_session,
     targets,
     task_ends,
 )
+from ebonyhatch.fleet.budget import accounts
 from ebonyhatch.fleet.evacuation import requests as evacuation_requests
 from ebonyhatch.fleet.lookahead import policy
 from ebonyhatch.fleet.orders import sender
@@ -51,16 +54,9 @@
 """Maximum share of the loop's time that decisions take, so that renewals and answers are not held
 up; the orders that follow from them are limited by `sender.MAX_ORDERS_IN_FLIGHT`."""
 
-ITEMS_PER_TURN = 25
-"""Number of listed jobs or held reports that are applied in one turn of the loop, so that renewals
-are not held up."""
-
 MAX_SCANS_IN_FLIGHT = 32
 """Maximum number of polls that ask for an immediate answer, over all targets."""
 
-MIN_SUSPENSION_S = 0.5
-"""Minimum suspension between two ticks after which the lease has to be renewed first, seconds."""
-
 
 class Owner:
     """Owner for one term, from `start` until `close`."""
@@ -84,6 +80,7 @@
         on_superseded: Callable[[str], None],
         poll_pause_s: Callable[[], float],
         silent: silent_targets.Inherited,
+        job_budget_bytes: int,
         term_beginnings: silent_targets.TermBeginnings,
         link_bytes_per_s: float = 0.0,
         learn_target_speed: bool = False,
@@ -118,6 +115,9 @@
             placement_policy=placement_policy,
         )
         self._scheduler.begin_term(term)
+        self._counts = fleet_counts.FleetCounts(
+            all_tables=self._scheduler.tables, all_clocks=all_clocks
+        )
         self._configuration = queues.Configuration(version=0)
         self._sessions: dict[str, target_session.TargetSession] = {}
         self._orders = sender.OrderSender(
@@ -139,7 +139,12 @@
             store_port=store_port, all_clocks=all_clocks, group=self._group
         )
         self._began_at = all_clocks.now()
-        self._retention = retention.Retention(keep_s=keep_ended_s)
+        self._accounts = accounts.JobAccounts(
+            budget=job_budget_bytes,
+            first_term=term == 1,
+            keep_ended_s=keep_ended_s,
+            all_clocks=all_clocks,
+        )
         self._journal = journal.Journal(
             store_port=store_port,
             all_clocks=all_clocks,
@@ -147,7 +152,7 @@
             head_revision=head_revision,
             collect_changed=self._collect_changed_jobs,
             collect_auxiliary_records=self._collect_auxiliary_records,
-            collect_expired=lambda: self._retention.pop_due(now=all_clocks.now()),
+            collect_expired=self._accounts.pop_due,
             on_removed=self._on_removed,
             on_durable=self._on_durable,
             on_auxiliary_durable=self._announce_targets,
@@ -180,7 +185,7 @@
         self._next_tick_at: float | None = None
         self._timer: object = None
         self._ticked_at = all_clocks.now()
-        self._ticked_boottime = all_clocks.boottime()
+        self._suspension = suspension.SuspensionWatch(all_clocks=all_clocks)
         self._lease_renewal_required = False
         self._reach = reach.Reach(
             all_clocks=all_clocks, sessions=self._sessions.values, lease_ttl_s=entry_lease_s
@@ -227,6 +232,11 @@
         """Scheduler of this term."""
         return self._scheduler
 
+    @property
+    def accounts(self) -> accounts.JobAccounts:
+        """Memory that the jobs take, and the ended ones among them."""
+        return self._accounts
+
     @property
     def _min_tick_interval_s(self) -> float:
         """Minimum time from the end of a tick to the next one, seconds."""
@@ -234,18 +244,9 @@
 
     def gauges(self) -> dict[str, float]:
         """Returns the current state for metrics."""
-        all_tables = self._scheduler.tables
-        targets_now = all_tables.targets.values()
         return {
-            "jobs": len(all_tables.jobs),
-            "jobs_ended": self._retention.count,
-            "tasks_waiting": sum(len(step.waiting) for step in all_tables.waiting.values()),
-            "tasks_running": sum(len(row.runs) for row in targets_now),
-            "targets": len(targets_now),
-            "targets_unreachable": sum(not row.reachable for row in targets_now),
-            "targets_barred": sum(
-                row.quarantined_until > self._clocks.now() for row in targets_now
-            ),
+            **self._counts.gauges(),
+            **self._accounts.gauges(),
             "targets_slow": self._scheduler.slow_targets,
             "orders_in_flight": self._orders.in_flight,
             "orders_answered": self._orders.answered,
@@ -305,11 +306,7 @@
 
     def pending(self, queue: str) -> int:
         """Returns the number of jobs of a queue of which no task has started."""
-        return sum(
-            1
-            for row in self._scheduler.tables.jobs.values()
-            if row.job.queue == queue and not row.begun and not row.ended
-        )
+        return self._counts.pending(queue)
 
     def waits_s(self) -> dict[str, float]:
         """Returns, by queue, how long a job that is submitted now would wait, seconds."""
@@ -324,10 +321,9 @@
         row = self.job(job_id)
         if row is None or row.visible_state in rows.ENDED_STATES:
             return defer.succeed(None)
-        self._scheduler.cancel(job_id, now=self._clocks.now())
         waiter: defer.Deferred[None] = defer.Deferred()
         self._cancel_waiters.setdefault(job_id, []).append(waiter)
-        self._journal.request_write(urgent=True)
+        self._apply_cancellation(keys.cancel(job_id))
         self._schedule_tick()
         return waiter
 
@@ -356,7 +352,8 @@
             self._scheduler.restore_model(stored.model)
         await self._add_intake(stored.intake, stored.progress, inherited=True)
         # A job that was cancelled meanwhile must not be started.
-        self._apply_intake_changes(stored.changes.take_held())
+        while held := stored.changes.take_held():
+            await self._apply_intake_changes(held)
         self._recovered = True
         decision_log.write(
             "recovery.done",
@@ -365,10 +362,10 @@
             progress=len(stored.progress),
             took_s=round(self._clocks.now() - self._began_at, 3),
         )
-        for number, session in enumerate(list(self._sessions.values()), start=1):
+        turns = loop_turns.Turns(group=self._group)
+        for session in list(self._sessions.values()):
             session.apply_held_report()
-            if number % ITEMS_PER_TURN == 0:
-                await self._group.sleep(0.0)
+            await turns.note()
         # Unchanged records of targets count from a round after the recovery on.
         self._journal.request_write()
         self._schedule_tick()
@@ -377,11 +374,11 @@
     async def _add_intake(
         self, items: tuple[store.Item, ...], stored_progress: dict[str, bytes], *, inherited: bool
     ) -> None:
-        for number, item in enumerate(items, start=1):
+        turns = loop_turns.Turns(group=self._group)
+        for item in items:
             if item.key.startswith(keys.JOBS):
                 self._add_job(item, stored_progress, inherited=inherited)
-            if number % ITEMS_PER_TURN == 0:
-                await self._group.sleep(0.0)
+            await turns.note(size_bytes=len(item.value))
         for item in items:
             if item.key.startswith(keys.CANCELS):
                 self._apply_cancellation(item.key)
@@ -389,10 +386,11 @@
     async def _apply_changes(self, feed: change_feed.ChangeFeed) -> None:
         """Applies changes of the intake until the history is compacted."""
         while changes := await feed.take():
-            self._apply_intake_changes(changes)
+            await self._apply_intake_changes(changes)
             self._schedule_tick()
 
-    def _apply_intake_changes(self, changes: tuple[store.Change, ...]) -> None:
+    async def _apply_intake_changes(self, changes: tuple[store.Change, ...]) -> None:
+        turns = loop_turns.Turns(group=self._group)
         for change in changes:
             if change.item is None:
                 continue
@@ -400,6 +398,7 @@
                 self._add_job(change.item, {}, inherited=False)
             else:
                 self._apply_cancellation(change.key)
+            await turns.note(size_bytes=len(change.item.value))
 
     def _add_job(
         self, item: store.Item, stored_progress: dict[str, bytes], *, inherited: bool
@@ -431,9 +430,7 @@
             tasks=sum(step.count for step in row.job.steps),
         )
         self._scheduler.add_job(row, now=self._clocks.now(), wall=self._clocks.wall())
-        if row.visible_state in rows.ENDED_STATES:
-            since_end_s = self._clocks.wall() - row.ended_at if row.ended_at else 0.0
-            self._retention.add(job_id, now=self._clocks.now() - max(0.0, since_end_s))
+        self._accounts.add(row, record_bytes=len(item.value))
 
     def _collect_changed_jobs(self) -> list[rows.JobRow]:
         """Returns the jobs whose progress is to be written; those that ended get their time."""
@@ -633,7 +630,7 @@
                 continue
             row.visible_state = state
             row.ended_at = row.ended_at or self._clocks.wall()
-            self._retention.add(row.job.job_id, now=self._clocks.now())
+            self._accounts.end(row)
             decision_log.write(
                 "job.shown",
                 job_id=row.job.job_id,
@@ -654,9 +651,10 @@
         if self._removed_while_listing is not None:
             # The listing may hold records that were read before.
             self._removed_while_listing.update(dict.fromkeys(job_ids, revision))
+        self._accounts.remove(job_ids)
         for job_id in job_ids:
             self._scheduler.forget(job_id)
-            decision_log.write("job.removed", job_id=job_id, kept=self._retention.count)
+            decision_log.write("job.removed", job_id=job_id, kept=self._accounts.ended_count)
 
     def _schedule_tick(self) -> None:
         """Schedules a tick; events that arrive before it are handled in the same tick."""
@@ -679,20 +677,18 @@
         if self._closed:
             return
         now, wall = self._clocks.now(), self._clocks.wall()
-        boottime = self._clocks.boottime()
-        if (boottime - self._ticked_boottime) - (now - self._ticked_at) > MIN_SUSPENSION_S:
+        self._ticked_at = now
+        if gap_s := self._suspension.suspended_s():
             # Another entry may have taken over while this machine was suspended.
             self._lease_renewal_required = True
-            decision_log.write(
-                "owner.was_suspended", gap_s=round(boottime - self._ticked_boottime, 2)
-            )
-        self._ticked_at, self._ticked_boottime = now, boottime
+            decision_log.write("owner.was_suspended", gap_s=round(gap_s, 2))
         if self._lease_valid():
             self._lease_renewal_required = False
         self._scheduler.may_place = (
             self._recovered and self._evacuations.listed and self._may_order_runs()
         )
-        self._scheduler.order_limit = self._orders.free_slots
+        runs_left = self._accounts.max_runs - self._scheduler.tables.totals.runs
+        self._scheduler.order_limit = min(self._orders.free_slots, runs_left)
         due_commands = self._decide(now=now, wall=wall)
         self._tick_took_s = self._clocks.now() - now
         self._ticks += 1
@@ -706,9 +702,10 @@
         if now - self._targets_compared_at > MAX_TICK_INTERVAL_S:
             self._targets_compared_at = now
             self._close_unlisted_sessions()
+            self._accounts.drop_steps()
             if self._silent.is_due() or (
                 self._targets.loaded
-                and (self._known_records.changed(self._row_of) or self._retention.is_due(now=now))
+                and (self._known_records.changed(self._row_of) or self._accounts.is_due())
             ):
                 self._journal.request_write()
         if self._scheduler.has_changes():
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reserve.py
@@ -53,7 +53,7 @@
 
     def observe(self, *, elapsed_s: float) -> None:
         """Updates the peaks with the present demand."""
-        demand = dict(self._tables.short_cpu)
+        demand = dict(self._tables.totals.short_cpu)
         for pool, cpu_millis in self._tables.waiting.short_cpu().items():
             demand[pool] = demand.get(pool, 0) + cpu_millis
         decay = 0.5 ** (elapsed_s / PEAK_HALF_LIFE_S)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -89,6 +89,20 @@
     explained: bool | None = None
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Totals:
+    """Sums over all targets of a table, which share them.
+
+    Attributes:
+        runs: Number of runs that hold a reservation.
+        short_cpu: Processor time of the short runs by pool of their queue, thousandths of a core;
+            short runs are neither fillers nor long-running.
+    """
+
+    runs: int = 0
+    short_cpu: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class TargetRow:
     """A target and the reservations on it.
@@ -103,9 +117,7 @@
         filler_cpu: Processor time that fillers ask for, thousandths of a core.
         serving_cpu: Processor time that long-running serving tasks reserve, thousandths of a core.
         long_running_cpu: Processor time that long-running tasks reserve, thousandths of a core.
-        short_cpu: Processor time of the short runs by pool of their queue, thousandths of a core,
-            as a sum over all targets of a table, which share it; short runs are neither fillers nor
-            long-running.
+        totals: Sums over the runs on all targets of its table.
         runs: Runs that hold a reservation.
         serving: Those of serving tasks among them.
         fillers: Those of fillers among them.
@@ -143,7 +155,7 @@
     filler_cpu: int = 0
     serving_cpu: int = 0
     long_running_cpu: int = 0
-    short_cpu: dict[str, int] = dataclasses.field(default_factory=dict)
+    totals: Totals = dataclasses.field(default_factory=Totals)
     runs: dict[targets.RunKey, RunRow] = dataclasses.field(default_factory=dict)
     serving: dict[targets.RunKey, RunRow] = dataclasses.field(default_factory=dict)
     fillers: dict[targets.RunKey, RunRow] = dataclasses.field(default_factory=dict)
@@ -392,6 +404,11 @@
         """Whether its state is final, so that no more runs are started for it."""
         return self.state in ENDED_STATES
 
+    def drop_steps(self) -> None:
+        """Drops what only a job in progress needs."""
+        self.job = msgspec.structs.replace(self.job, spec="", steps=())
+        self.occurrences.clear()
+
 
 def task_name(*, job_id: str, occurrence: int, step: int, index: int) -> str:
     """Returns the name of a task as used in orders to targets."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
@@ -11,8 +11,7 @@
     Attributes:
         jobs: All jobs by id.
         targets: Targets by id.
-        short_cpu: Processor time of the short runs on all targets by pool of their queue,
-            thousandths of a core; short runs are neither fillers nor long-running.
+        totals: Sums over the runs on all targets.
         waiting: Steps with waiting tasks.
         retries: Tasks with a delay before their next start, by name; some delays may be over.
     """
@@ -20,7 +19,7 @@
     def __init__(self) -> None:
         self.jobs: dict[str, rows.JobRow] = {}
         self.targets: dict[str, rows.TargetRow] = {}
-        self.short_cpu: dict[str, int] = {}
+        self.totals = rows.Totals()
         self.waiting = waiting_steps.WaitingSteps()
         self.retries: dict[str, rows.TaskRow] = {}
         self._observers: list[dict[int, rows.TargetRow]] = []
@@ -54,7 +53,7 @@
     def recount_short_cpu(self) -> None:
         """Counts all short work anew, after the pools of queues have changed."""
         self.waiting.recount()
-        self.short_cpu.clear()
+        self.totals.short_cpu.clear()
         for row in self.targets.values():
             for run in row.runs.values():
                 if not (run.task.step.step.filler or run.task.step.step.long_running):
@@ -76,7 +75,7 @@
         """Adds a target, or applies its present registration."""
         row = self.targets.get(target.target_id)
         if row is None:
-            row = rows.TargetRow(observers=self._observers, target=target, short_cpu=self.short_cpu)
+            row = rows.TargetRow(observers=self._observers, target=target, totals=self.totals)
             row.free_cpu = target.cpu_millis
             row.free_memory = target.memory_mb
             row.free_accelerators = target.accelerators
@@ -99,6 +98,7 @@
     """Reserves the resources of a run on its target."""
     _update_reservation(run, 1)
     run.target.runs[run.key] = run
+    run.target.totals.runs += 1
     if run.task.step.step.tail_limit_s:
         run.target.serving[run.key] = run
     if run.task.step.step.filler:
@@ -110,6 +110,7 @@
     """Releases the resources of a run."""
     if run.target.runs.pop(run.key, None) is None:
         return
+    run.target.totals.runs -= 1
     crash_blame.note_end(run)
     run.target.serving.pop(run.key, None)
     run.target.fillers.pop(run.key, None)
@@ -118,7 +119,7 @@
 
 
 def _add_short_cpu(run: rows.RunRow, sign: int) -> None:
-    step, short_cpu = run.task.step, run.target.short_cpu
+    step, short_cpu = run.task.step, run.target.totals.short_cpu
     pool = step.job.queue.pool
     short_cpu[pool] = short_cpu.get(pool, 0) + sign * step.step.cpu_millis
 
--- /dev/null
+++ b/packages/ebonyhatch-fleet/tests/test_accounts.py
@@ -0,0 +1,63 @@
+from __future__ import annotations
+
+from ebonyhatch.fleet import clocks, jobs, progress, queues, rows
+from ebonyhatch.fleet.budget import accounts, price
+from twisted.internet import task
+
+QUEUE = queues.Queue(name="q", host="", prefix="", pool="p")
+KEEP_S = 10.0
+RECORD_BYTES = 700
+
+
+class _Accounts:
+    def __init__(self) -> None:
+        self.clock = task.Clock()
+        self.subject = accounts.JobAccounts(
+            budget=10_000_000,
+            first_term=True,
+            keep_ended_s=KEEP_S,
+            all_clocks=clocks.MemoryClocks(clock=self.clock),
+        )
+
+    def add(self, number: int = 1, *, state: rows.JobState = rows.JobState.RUNNING) -> rows.JobRow:
+        steps = tuple(jobs.Step(count=1) for _ in range(100))
+        job = jobs.Job(job_id=f"{number:016x}", queue="q", spec="text", steps=steps)
+        row = rows.JobRow(job=job, queue=QUEUE, state=state, visible_state=state)
+        row.occurrences[0] = progress.new_steps(row, 0)
+        self.subject.add(row, record_bytes=RECORD_BYTES)
+        return row
+
+
+def test_ended_job_takes_little_until_its_records_are_removed():
+    world = _Accounts()
+    row = world.add()
+    before = world.subject.ledger.used_bytes
+    row.state = row.visible_state = rows.JobState.COMPLETED
+    world.subject.end(row)
+    assert world.subject.ledger.used_bytes == price.price_of_ended(record_bytes=RECORD_BYTES)
+    assert before > 10 * world.subject.ledger.used_bytes
+    assert not row.occurrences and not row.job.steps and not row.job.spec
+    world.clock.advance(KEEP_S)
+    assert world.subject.is_due() and world.subject.pop_due() == [row.job.job_id]
+    world.subject.remove([row.job.job_id])
+    assert world.subject.ledger.used_bytes == 0
+
+
+def test_steps_of_an_ended_job_stay_while_one_of_its_runs_may_be_listed():
+    """Guards against runs of an ended job that are taken for those of an unknown one."""
+    world = _Accounts()
+    row = world.add()
+    task_row = row.occurrences[0][0].tasks[0]
+    task_row.runs[1] = object()
+    row.state = row.visible_state = rows.JobState.CANCELLED
+    world.subject.end(row)
+    assert row.occurrences and row.job.steps
+    task_row.runs.clear()
+    world.subject.drop_steps()
+    assert not row.occurrences
+
+
+def test_ended_job_of_an_earlier_owner_takes_little_at_once():
+    world = _Accounts()
+    row = world.add(state=rows.JobState.FAILED)
+    assert not row.job.steps and world.subject.gauges()["jobs_ended"] == 1
--- /dev/null
+++ b/packages/ebonyhatch-fleet/tests/test_jobs.py
@@ -0,0 +1,22 @@
+from __future__ import annotations
+
+import pytest
+from ebonyhatch.fleet import jobs
+
+
+def _job(*steps: jobs.Step) -> jobs.Job:
+    return jobs.Job(job_id="0" * 16, queue="q", spec="", steps=steps)
+
+
+def test_light_long_running_tasks_that_can_not_all_be_started_in_time_are_refused():
+    """Guards against accepted tasks that stay down although there is room for them."""
+    light = jobs.Step(count=500, long_running=True)
+    with pytest.raises(jobs.InvalidJobError, match="over 1000 long-running tasks"):
+        jobs.check(_job(light, light, jobs.Step(count=1, long_running=True)))
+    jobs.check(_job(light, light, jobs.Step(count=5_000, cpu_millis=2_000, long_running=True)))
+
+
+def test_job_with_the_largest_number_of_tasks_is_valid_and_one_more_is_not():
+    jobs.check(_job(jobs.Step(count=jobs.TASKS_LIMIT - 1), jobs.Step(count=1)))
+    with pytest.raises(jobs.InvalidJobError, match="over 20000 tasks"):
+        jobs.check(_job(jobs.Step(count=jobs.TASKS_LIMIT), jobs.Step(count=1)))
--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -114,7 +114,9 @@
         large: bool = False,
         placement_policy: str = "greedy",
         lease_s: float = LEASE_S,
+        memory_bytes: float = 0.0,
     ) -> None:
+        self.memory_bytes = memory_bytes
         self.placement_policy = placement_policy
         self.lease_s = lease_s
         self.clock = event_clock.EventClock() if large else task.Clock()
@@ -239,6 +241,7 @@
                 lease_s=self.lease_s,
                 keep_ended_s=self.keep_ended_s,
                 placement_policy=self.placement_policy,
+                memory_bytes=self.memory_bytes,
                 **optional,
             ),
             store_port=connection,
