Fleet: the cost of a job grows with its steps, not with their square

Cause: the key of each waiting step walked the rest of its job, in each pass. On the same way, the end of each step looked at all steps of the job. Ruled out: restoring the job (0.1 s).

The remaining chains of an occurrence are determined together, once. A step counts the unfinished steps that it depends on; the end of one makes its successors ready.

test_graph.py::test_cost_of_a_pass_over_a_job_grows_with_its_steps_and_not_with_their_square and test_cost_of_a_job_grows_... failed before, for a wide layer, a chain and joined layers; they count executed lines.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/graph.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/graph.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from ebonyhatch.fleet import jobs, progress, rows
+import array
+
+from ebonyhatch.fleet import dependencies, jobs, progress, rows
 
 MAX_OPEN_OCCURRENCES = 16
 """Largest number of occurrences of one job in progress; later ones are released as these finish."""
@@ -32,12 +34,10 @@
     if row.ended:
         return []
     _release_occurrences(row, wall)
-    released = []
-    for steps in row.occurrences.values():
-        for step in steps:
-            if not step.released and _is_ready(step, steps):
-                _release_step(step, now)
-                released.append(step)
+    released, row.ready = row.ready, []
+    for step in released:
+        step.released = True
+        step.waiting.release(now=now)
     return released
 
 
@@ -51,10 +51,10 @@
 
 def finish_occurrence(row: rows.JobRow, occurrence: int) -> bool:
     """Moves an occurrence to the finished ones if it is done; returns whether the whole job is."""
-    steps = row.occurrences[occurrence]
-    if any(step.remaining_count for step in steps):
+    if row.unfinished.get(occurrence, 1):
         return False
-    del row.occurrences[occurrence]
+    del row.occurrences[occurrence], row.unfinished[occurrence]
+    row.chains_s.pop(occurrence, None)
     return not row.occurrences and row.next_occurrence == max(1, row.job.occurrences)
 
 
@@ -70,36 +70,38 @@
 def remaining_chain_s(step: rows.StepRow, steps: list[rows.StepRow]) -> float:
     """Returns the expected run time of the longest chain that begins with a step, seconds.
 
+    The chains of all steps of an occurrence are determined together, when the first is asked for.
+    No step of a chain can be done before its first one.
+    """
+    chains_s = step.job.chains_s.get(step.occurrence)
+    if chains_s is None:
+        chains_s = step.job.chains_s[step.occurrence] = _chains_s(steps)
+    return chains_s[step.index]
+
+
+def _chains_s(steps: list[rows.StepRow]) -> array.array[float]:
+    """Returns the run times of the chains that begin with each step.
+
     Steps depend on earlier ones only, so one pass from the last to the first is enough.
     """
-    if step.index + 1 == len(steps):
-        return step.expected_s
-    following = [0.0] * len(steps)
-    for later in reversed(steps[step.index + 1 :]):
-        rest = later.expected_s + following[later.index]
-        for predecessor in later.step.after:
-            following[predecessor] = max(following[predecessor], rest)
-    return step.expected_s + following[step.index]
+    chains_s = array.array("d", bytes(8 * len(steps)))
+    for step in reversed(steps):
+        chains_s[step.index] += step.expected_s
+        for predecessor in step.step.after:
+            chains_s[predecessor] = max(chains_s[predecessor], chains_s[step.index])
+    return chains_s
 
 
 def _release_occurrences(row: rows.JobRow, wall: float) -> None:
     if not row.job.timed:
         if row.next_occurrence == 0:
             row.next_occurrence = 1
-            row.occurrences[0] = progress.new_steps(row, 0)
+            dependencies.open_occurrence(row, 0, progress.new_steps(row, 0))
         return
     due_at = next_due_at(row)
     limit = open_limit(row.job)
     while due_at is not None and due_at <= wall and len(row.occurrences) < limit:
-        row.occurrences[row.next_occurrence] = progress.new_steps(row, row.next_occurrence)
+        steps = progress.new_steps(row, row.next_occurrence)
+        dependencies.open_occurrence(row, row.next_occurrence, steps)
         row.next_occurrence += 1
         due_at = next_due_at(row)
-
-
-def _is_ready(step: rows.StepRow, steps: list[rows.StepRow]) -> bool:
-    return all(steps[index].remaining_count == 0 for index in step.step.after)
-
-
-def _release_step(step: rows.StepRow, now: float) -> None:
-    step.released = True
-    step.waiting.release(now=now)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/progress.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import msgspec
-from ebonyhatch.fleet import decoding, jobs, queues, rows
+from ebonyhatch.fleet import decoding, dependencies, jobs, queues, rows
 
 
 class StepProgress(msgspec.Struct, kw_only=True, omit_defaults=True):
@@ -111,9 +111,10 @@
     row.next_occurrence = progress.next_occurrence
     if not row.ended:
         for number, steps in progress.occurrences.items():
-            row.occurrences[number] = new_steps(row, number)
-            for step, step_progress in zip(row.occurrences[number], steps, strict=False):
+            restored = new_steps(row, number)
+            for step, step_progress in zip(restored, steps, strict=False):
                 _restore_step(step, step_progress)
+            dependencies.open_occurrence(row, number, restored)
     return row
 
 
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import array
 import dataclasses
 import enum
 
@@ -320,6 +321,7 @@
         index: Its number within the job.
         step: Submitted specification.
         tasks: Its tasks.
+        blockers: Number of the steps that it depends on and that are not done.
         released: Whether every step that it depends on is done.
         remaining_count: Number of tasks that are not done yet.
         waiting: Tasks that wait for a target.
@@ -336,6 +338,7 @@
     index: int
     step: jobs.Step
     tasks: step_tasks.Tasks = dataclasses.field(init=False, repr=False)
+    blockers: int = 0
     released: bool = False
     remaining_count: int = 0
     waiting: step_tasks.Waiting = dataclasses.field(init=False, repr=False)
@@ -379,6 +382,11 @@
         visible_state: State that callers see.
         begun: Whether one of its tasks has started; named as the durable field is.
         occurrences: Steps of each occurrence in progress, by number.
+        unfinished: Number of steps of each of them that are not done.
+        ready: Steps that depend on no unfinished step and are not released yet.
+        successors: Indexes of the steps that depend directly on each step; see `dependencies`.
+        chains_s: Run time of the longest chain that begins with each step of an occurrence, by its
+            number, seconds; see `graph.remaining_chain_s`.
         next_occurrence: Number of the occurrence to release next; all before it that aren't in
             progress are done.
         ended_at: Time of day of its end, seconds since 1970.
@@ -394,6 +402,10 @@
     visible_state: JobState = JobState.QUEUED
     begun: bool = False
     occurrences: dict[int, list[StepRow]] = dataclasses.field(default_factory=dict)
+    unfinished: dict[int, int] = dataclasses.field(default_factory=dict)
+    ready: list[StepRow] = dataclasses.field(default_factory=list)
+    successors: tuple[tuple[int, ...], ...] = ()
+    chains_s: dict[int, array.array[float]] = dataclasses.field(default_factory=dict)
     next_occurrence: int = 0
     ended_at: float = 0.0
     inherited: bool = False
@@ -408,6 +420,10 @@
         """Drops what only a job in progress needs."""
         self.job = msgspec.structs.replace(self.job, spec="", steps=())
         self.occurrences.clear()
+        self.unfinished.clear()
+        self.chains_s.clear()
+        self.ready.clear()
+        self.successors = ()
 
 
 def task_name(*, job_id: str, occurrence: int, step: int, index: int) -> str:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -367,9 +367,7 @@
         """Sets expectations for restored steps and finishes the occurrences that were complete."""
         for steps in row.occurrences.values():
             self._set_expectations(row, steps)
-        for number in [
-            n for n, steps in row.occurrences.items() if not any(s.remaining_count for s in steps)
-        ]:
+        for number in [number for number, steps in row.unfinished.items() if not steps]:
             graph.finish_occurrence(row, number)
 
     def _release_steps(self, row: rows.JobRow) -> None:
@@ -388,6 +386,7 @@
                 queue=job.queue, image=step.step.image, estimate_s=step.step.estimate_s
             )
         number = steps[0].occurrence
+        row.chains_s.pop(number, None)
         objective_from = job.first_at + number * job.interval_s if job.timed else job.accepted_at
         due_at = objective_from + ordering.objective_s(row, steps)
         for step in steps:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -7,6 +7,7 @@
 from ebonyhatch.fleet import (
     commands,
     crash_blame,
+    dependencies,
     graph,
     rows,
     run_times,
@@ -289,6 +290,8 @@
         task.state = rows.TaskState.DONE
         task.step.tasks.mark_done(task.index)
         task.step.remaining_count -= 1
+        if not task.step.remaining_count:
+            dependencies.finish_step(task.step)
         for run in list(task.runs.values()):
             self.stop(run, reason="done-elsewhere", now=now)
 
--- a/packages/ebonyhatch-fleet/tests/test_accounts.py
+++ b/packages/ebonyhatch-fleet/tests/test_accounts.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from ebonyhatch.fleet import clocks, jobs, progress, queues, rows
+from ebonyhatch.fleet import clocks, dependencies, jobs, progress, queues, rows
 from ebonyhatch.fleet.budget import accounts, price
 from twisted.internet import task
 
@@ -23,7 +23,7 @@
         steps = tuple(jobs.Step(count=1) for _ in range(100))
         job = jobs.Job(job_id=f"{number:016x}", queue="q", spec="text", steps=steps)
         row = rows.JobRow(job=job, queue=QUEUE, state=state, visible_state=state)
-        row.occurrences[0] = progress.new_steps(row, 0)
+        dependencies.open_occurrence(row, 0, progress.new_steps(row, 0))
         self.subject.add(row, record_bytes=RECORD_BYTES)
         return row
 
--- a/packages/ebonyhatch-fleet/tests/test_graph.py
+++ b/packages/ebonyhatch-fleet/tests/test_graph.py
@@ -2,8 +2,19 @@
 
 from __future__ import annotations
 
+import cost
 import pytest
-from ebonyhatch.fleet import graph, jobs, progress, queues, rows
+from ebonyhatch.fleet import (
+    dependencies,
+    graph,
+    jobs,
+    ordering,
+    progress,
+    queues,
+    rows,
+    scheduler,
+    targets,
+)
 
 
 def _steps(*after: tuple[int, ...], seconds: float = 1.0) -> list[rows.StepRow]:
@@ -29,6 +40,68 @@
 QUEUE = queues.Queue(name="q", host="", prefix="", pool="p", slack_s=1e6)
 
 
+def _shape(name: str, size: int) -> tuple[jobs.Step, ...]:
+    """Returns about `size` steps of one task: a chain, a wide layer, or joined layers."""
+    if name == "wide":
+        after: list[tuple[int, ...]] = [()] * size
+    elif name == "chain":
+        after = [(index - 1,) if index else () for index in range(size)]
+    else:
+        after = [
+            tuple(range(index - index % 10 - 10, index - index % 10)) if index >= 10 else ()
+            for index in range(size)
+        ]
+    return tuple(jobs.Step(count=1, cpu_millis=100, estimate_s=1.0, after=one) for one in after)
+
+
+def _worked_off(name: str, size: int) -> int:
+    """Returns the cost of a job from its arrival until all its tasks are done."""
+    subject = scheduler.Scheduler(decide=lambda *args, **fields: None)
+    subject.reconciled = subject.may_place = True
+    target = targets.Target(
+        target_id="t", address="t:1", pool="p", failure_domain="a", born=1, cpu_millis=6_400
+    )
+    row = subject.set_target(target, now=1.0)
+    row.confirmed = row.announced = True
+    job = jobs.Job(job_id="0" * 16, queue="q", spec="", steps=_shape(name, size), accepted_at=1.0)
+    job_row = rows.JobRow(job=job, queue=QUEUE)
+
+    def work_off() -> None:
+        subject.add_job(job_row, now=1.0, wall=1.0)
+        now, number = 1.0, 0
+        while not job_row.ended:
+            now += 1.0
+            subject.tick(now=now, wall=now)
+            ended = []
+            for key in row.runs:
+                number += 1
+                ended.append(targets.Ended(number=number, key=key, kind=targets.EndKind.DONE))
+            report = targets.StatusReport(clock_s=now, born=1, ended=tuple(ended), running=())
+            subject.apply_report(row, report, now=now)
+
+    return cost.lines(work_off)
+
+
+@pytest.mark.parametrize("name", ["chain", "joined"])
+def test_cost_of_a_job_grows_with_its_steps_and_not_with_their_square(name):
+    """Guards against owners that lose their lease over one job with many dependent steps."""
+    assert _worked_off(name, 600) < 6 * _worked_off(name, 150)
+
+
+@pytest.mark.parametrize("name", ["wide", "chain", "joined"])
+def test_cost_of_a_pass_over_a_job_grows_with_its_steps_and_not_with_their_square(name):
+    """Guards against owners that lose their lease in each pass over one job with many steps."""
+
+    def pass_cost(size: int) -> int:
+        job = jobs.Job(job_id="0" * 16, queue="q", spec="", steps=_shape(name, size))
+        row = rows.JobRow(job=job, queue=QUEUE)
+        steps = progress.new_steps(row, 0)
+        row.occurrences[0] = steps
+        return cost.lines(lambda: list(ordering.in_order(steps, wall=1.0)))
+
+    assert pass_cost(800) < 6 * pass_cost(200)
+
+
 def _timed(*, count: int = 1, occurrences: int = 1_000) -> rows.JobRow:
     job = jobs.Job(
         job_id="0" * 16,
@@ -45,6 +118,7 @@
 def _finish(row: rows.JobRow, number: int) -> bool:
     (step,) = row.occurrences[number]
     step.remaining_count = 0
+    dependencies.finish_step(step)
     return graph.finish_occurrence(row, number)
 
 
@@ -79,3 +153,16 @@
     row = progress.restore(job=job, queue=QUEUE, progress=durable)
     (step,) = graph.release(row, now=100.0, wall=100.0)
     assert step.occurrence == 2 and _finish(row, 2)
+
+
+def test_step_runs_once_all_that_it_depends_on_is_done_also_if_it_names_a_step_twice():
+    steps = _steps((), (), (0, 1, 0))
+    row = steps[0].job
+    dependencies.open_occurrence(row, 0, steps)
+    row.next_occurrence = 1
+    assert graph.release(row, now=1.0, wall=1.0) == steps[:2]
+    for step in steps[:2]:
+        assert graph.release(row, now=1.0, wall=1.0) == []
+        step.remaining_count = 0
+        dependencies.finish_step(step)
+    assert graph.release(row, now=1.0, wall=1.0) == steps[2:]
