Fleet: a pass is bounded by the targets that it examines

A pass stops after 25,000 examined targets. The next one goes on with the steps that it didn't reach; new ones are tried in their order. At most 32 rejected amounts of a kind are remembered.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/candidates.py
@@ -15,6 +15,11 @@
 _Amounts = tuple[int, int, int]
 
 _Kind = tuple[str, str, bool, str, tuple[str, ...]]
+
+MAX_REJECTED_AMOUNTS = 32
+"""Number of rejected amounts that are remembered for each kind of step; each step of the kind is compared
+with them."""
+
 HELD_TARGET_SCORE = 5.0
 """Score of a target that is reserved for the step: above the scores of free capacity, so that the
 reservation is used first."""
@@ -49,6 +54,12 @@
         self._beside: list[rows.StepRow] = []
         self._set_aside: dict[target_index.RankingKey, list[rows.TargetRow]] = {}
         self._rejected: dict[_Kind, list[_Amounts]] = {}
+        self._examined = 0
+
+    @property
+    def examined(self) -> int:
+        """Number of targets that were examined for single steps so far."""
+        return self._examined
 
     def targets(self, pool: str) -> list[rows.TargetRow]:
         """Returns the usable targets of a pool."""
@@ -64,6 +75,7 @@
         with_processor_time = self._index.targets_with(
             step.job.queue.pool, cpu_millis=step.step.cpu_millis, filler=step.step.filler
         )
+        self._examined += len(with_processor_time)
         scores = {
             row.target_id: selection.score(step, row, context)
             for row in with_processor_time
@@ -79,6 +91,14 @@
                     scores[row.target_id] += HELD_TARGET_SCORE
         return scores
 
+    def targets_for_gang(self, step: rows.StepRow) -> list[rows.TargetRow]:
+        """Returns the usable targets among which those of a gang's members are chosen."""
+        pool_targets = self.targets(step.job.queue.pool)
+        self._examined += len(pool_targets)
+        if self._policy.restricts:
+            return [row for row in pool_targets if self._policy.may_use(step, row)]
+        return pool_targets
+
     def may_fit(self, step: rows.StepRow) -> bool:
         """Returns False if no target had enough free processor time when last looked at."""
         spec = step.step
@@ -161,8 +181,11 @@
 
     def reject(self, step: rows.StepRow) -> None:
         """Records that no target allows a step for a reason that holds for the whole pass."""
-        if not step.step.max_per_target:
-            self._rejected.setdefault(_kind(step), []).append(_amounts(step.step))
+        if step.step.max_per_target:
+            return
+        rejected = self._rejected.setdefault(_kind(step), [])
+        if len(rejected) < MAX_REJECTED_AMOUNTS:
+            rejected.append(_amounts(step.step))
 
     def rejected(self, step: rows.StepRow) -> bool:
         """Returns whether a step asks for at least as much as one that no target allows.
@@ -217,6 +240,7 @@
                 heapq.heappop(ranking)
             else:
                 too_small.append(heapq.heappop(ranking))
+        self._examined += 1 + len(too_small)
         for entry in too_small:
             heapq.heappush(ranking, entry)
         if best is None and restricted is not None:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -30,6 +30,10 @@
 """Number of orders after which a pass places no further step. Polls and renewals of leases wait
 while a pass runs."""
 
+MAX_EXAMINED_PER_PASS = 25_000
+"""Number of targets that a pass examines for single steps before it stops. The next pass goes on with the
+steps that it didn't reach."""
+
 LOOK_AGAIN_STEPS = 32
 """Number of remaining steps above which the free capacity is looked at again after an order."""
 
@@ -64,11 +68,12 @@
         self.run_number_base = 0
         self._blocked_tasks: frozenset[str] = frozenset()
         self._orders_left = MAX_ORDERS_PER_PASS
+        self._tried: dict[int, rows.StepRow] = {}
 
     @property
     def cut_short(self) -> bool:
-        """Whether the last pass stopped at its limit of orders, so that the next one is due."""
-        return self._orders_left <= 0
+        """Whether the last pass stopped at one of its limits, so that the next one is due."""
+        return self._orders_left <= 0 or bool(self._tried)
 
     def place(
         self,
@@ -96,6 +101,7 @@
         if self._tables.waiting and self._orders_left > 0:
             self._place_steps(self.context(now), wall, reconciled)
         elif not self._tables.waiting:
+            self._tried.clear()
             self._policy.clear()
 
     def context(self, now: float) -> registry.Context:
@@ -150,15 +156,23 @@
             policy_module.Pass(index=self._index, context=context, wall=wall, reconciled=reconciled)
         )
         fitting = usable.fitting(waiting, reconciled=reconciled)
+        if self._tried:
+            fitting = [step for step in fitting if id(step) not in self._tried]
         orders_seen = self._orders_left
+        tried = []
         for number, step in enumerate(ordering.in_order(fitting, wall=wall)):
             self._place_step(step, context, usable)
             if self._orders_left <= 0:
                 return
+            tried.append(step)
+            if usable.examined >= MAX_EXAMINED_PER_PASS:
+                self._tried.update((id(step), step) for step in tried)
+                return
             if self._orders_left < orders_seen and len(fitting) - number > LOOK_AGAIN_STEPS:
                 orders_seen = self._orders_left
                 if usable.exhausted():
                     break
+        self._tried.clear()
         if self._policy.restricts:
             self._place_beside(usable, context, wall)
 
@@ -271,9 +285,7 @@
         ]
         if len(waiting) < len(members):
             return
-        pool_targets = usable.targets(step.job.queue.pool)
-        if self._policy.restricts:
-            pool_targets = [row for row in pool_targets if self._policy.may_use(step, row)]
+        pool_targets = usable.targets_for_gang(step)
         chosen = _choose_gang_targets(step, pool_targets, len(members), context)
         if not chosen:
             return
