Fleet: gangs that can't be started together are refused

Members wait a few seconds for each other, so that such a gang can't be kept either. Over 1,000 members are refused with 400.

test_jobs.py::test_gang_that_can_not_be_started_together_is_refused_before_it_is_accepted failed before.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/jobs.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/jobs.py
@@ -16,6 +16,10 @@
 TASKS_LIMIT = 20_000
 """Largest number of tasks of one job; keeps the job's record within one value of the store."""
 
+GANG_LIMIT = 1_000
+"""Largest number of members of a gang: all of them are started in one pass, and each waits only a few
+seconds for the others."""
+
 LIGHT_CPU_MILLIS = 50
 LIGHT_MEMORY_MB = 32
 """Amounts below which a task is so light that the capacity of the targets doesn't bound how many of them
@@ -186,5 +190,7 @@
             raise InvalidJobError(
                 problem=f"step {index} can't depend on step {earlier}, which is not before it"
             )
+    if step.gang and step.count > GANG_LIMIT:
+        raise InvalidJobError(problem=f"step {index} is a gang of over {GANG_LIMIT} members")
     if step.gang and step.speculative:
         raise InvalidJobError(problem=f"step {index} can't be a gang with speculative copies")
--- a/packages/ebonyhatch-fleet/tests/test_jobs.py
+++ b/packages/ebonyhatch-fleet/tests/test_jobs.py
@@ -8,6 +8,13 @@
     return jobs.Job(job_id="0" * 16, queue="q", spec="", steps=steps)
 
 
+def test_gang_that_can_not_be_started_together_is_refused_before_it_is_accepted():
+    """Guards against an accepted gang whose members wait for each other in vain."""
+    with pytest.raises(jobs.InvalidJobError, match="gang of over 1000 members"):
+        jobs.check(_job(jobs.Step(count=1_001, gang=True)))
+    jobs.check(_job(jobs.Step(count=1_000, gang=True), jobs.Step(count=1_000, gang=True)))
+
+
 def test_light_long_running_tasks_that_can_not_all_be_started_in_time_are_refused():
     """Guards against accepted tasks that stay down although there is room for them."""
     light = jobs.Step(count=500, long_running=True)
--- a/packages/ebonyhatch-fleet/tests/test_placement.py
+++ b/packages/ebonyhatch-fleet/tests/test_placement.py
@@ -81,6 +81,13 @@
     assert len(subject.tick(now=2.1, wall=2.1)) == 1
 
 
+def test_gang_that_waits_for_a_target_gives_no_member_a_row_beyond_its_own_count():
+    subject = _scheduler()
+    row = _add(subject, 1, jobs.Step(count=jobs.GANG_LIMIT, memory_mb=1, gang=True))
+    assert len(subject.tick(now=2.0, wall=2.0)) == jobs.GANG_LIMIT
+    assert len(row.occurrences[0][0].tasks.known) == jobs.GANG_LIMIT
+
+
 def test_new_tasks_that_no_target_may_take_get_no_rows(monkeypatch):
     """Guards against memory that grows with each pass over a step that can't be placed."""
     subject = _scheduler()
