Fleet: a job that was cancelled is never created by a late write

Cause: the entry found no record and answered 410 without leaving anything behind; an owner also forgot a cancellation that it read before its job. Both are a write on its way that is taken for absent.

DELETE stores the cancellation first, also of an unknown job, and a job is created on condition that there is none. An owner remembers cancellations without a job, for writes of former versions. They are removed after the retention, counted from their own time. POST of a cancelled id gets 410.

test_node.py::test_job_whose_cancellation_was_answered_does_not_run_when_it_is_created_late (with and without a takeover) and test_job_that_was_created_late_after_its_cancellation_by_an_earlier_version_does_not_run failed before.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/budget/accounts.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/budget/accounts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhatch.fleet import clocks, retention, rows
+from ebonyhatch.fleet import clocks, decision_log, retention, rows
 from ebonyhatch.fleet.budget import ledger, price
 
 
@@ -26,6 +26,7 @@
         self._retention = retention.Retention(keep_s=keep_ended_s)
         self._record_bytes: dict[str, int] = {}
         self._with_runs: dict[str, rows.JobRow] = {}
+        self._cancelled: set[str] = set()
 
     @property
     def ledger(self) -> ledger.Ledger:
@@ -46,14 +47,20 @@
         """Returns the current state for metrics."""
         return {"jobs_ended": self._retention.count, "jobs_bytes": self._ledger.used_bytes}
 
-    def add(self, row: rows.JobRow, *, record_bytes: int) -> None:
-        """Adds a job that was read; `record_bytes` is the size of its stored submission."""
+    def add(self, row: rows.JobRow, *, record_bytes: int) -> bool:
+        """Adds a job that was read; returns whether its cancellation was read before it.
+
+        Args:
+            row: The job.
+            record_bytes: Size of its stored submission, bytes.
+        """
         job_id = row.job.job_id
         self._record_bytes[job_id] = record_bytes
         self._ledger.record(job_id, price.price(row.job, record_bytes=record_bytes))
         if row.visible_state in rows.ENDED_STATES:
             since_end_s = self._clocks.wall() - row.ended_at if row.ended_at else 0.0
             self.end(row, since_end_s=max(0.0, since_end_s))
+        return job_id in self._cancelled
 
     def end(self, row: rows.JobRow, *, since_end_s: float = 0.0) -> None:
         """Keeps only the records of a job whose end callers have seen for so many seconds."""
@@ -61,11 +68,27 @@
         self._with_runs[row.job.job_id] = row
         self.drop_steps()
 
+    def note_cancellation(self, job_id: str, *, at: float) -> None:
+        """Keeps a cancellation for which there is no job: its job may still be created.
+
+        Args:
+            job_id: Id of the job.
+            at: Time of day at which it was stored, seconds since 1970; 0 where it is unknown.
+        """
+        if job_id in self._cancelled:
+            return
+        self._cancelled.add(job_id)
+        decision_log.write("cancel.unknown_job", job_id=job_id)
+        self._ledger.record(job_id, price.CANCELLATION_BYTES)
+        age_s = max(0.0, self._clocks.wall() - at) if at else 0.0
+        self._retention.add(job_id, now=self._clocks.now() - age_s)
+
     def remove(self, job_ids: list[str]) -> None:
         """Removes jobs whose records were removed."""
         for job_id in job_ids:
             self._record_bytes.pop(job_id, None)
             self._with_runs.pop(job_id, None)
+            self._cancelled.discard(job_id)
             self._ledger.remove(job_id)
 
     def is_due(self) -> bool:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/budget/price.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/budget/price.py
@@ -28,6 +28,9 @@
 """Number of copies of its record that a job takes: a new owner holds the record beside the decoded
 job."""
 
+CANCELLATION_BYTES = 500
+"""Memory of a cancellation without a job, bytes."""
+
 
 def price(job: jobs.Job, *, record_bytes: int) -> int:
     """Returns the memory that a job may take until it ends, bytes."""
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/entry.py
@@ -13,6 +13,7 @@
 import msgspec
 from ebonyhatch.fleet import (
     admission,
+    cancellations,
     clocks,
     decision_log,
     jobs,
@@ -257,22 +258,28 @@
         if verdict != Verdict.NOT_DONE:
             return verdict, reason
         relayed = await self._relay(job.job_id, record)
-        if relayed in (Verdict.DONE, Verdict.UNKNOWN):
+        if relayed != Verdict.NOT_DONE:
             return relayed, "sent through a peer"
         if await self._owner_state(job.job_id):
             return Verdict.DONE, "known to the owner"
         return verdict, reason
 
     async def _create(self, job_id: str, record: bytes, *, until: float) -> tuple[Verdict, str]:
-        """Creates the job's record; an existing one stays unchanged."""
-        key = keys.job(job_id)
-        condition = store.Condition(key=key, revision=store.ABSENT)
+        """Creates the job's record unless the job was cancelled; an existing one stays unchanged.
+
+        A write without an answer may take effect seconds later, after the caller has cancelled the
+        job at another entry. Its condition doesn't hold then.
+        """
+        key, cancel_key = keys.job(job_id), keys.cancel(job_id)
+        conditions = tuple(
+            store.Condition(key=one, revision=store.ABSENT) for one in (key, cancel_key)
+        )
         put = store.Put(key=key, value=record)
         uncertain = ""
         while True:
             try:
                 outcome = await self._with_timeout(
-                    self._store.commit(conditions=(condition,), puts=(put,)), until=until
+                    self._store.commit(conditions=conditions, puts=(put,)), until=until
                 )
             except defer.TimeoutError:
                 return Verdict.UNKNOWN, "the store did not answer in time"
@@ -280,7 +287,11 @@
                 return Verdict.DONE, "created"
             error = outcome.failure()
             if isinstance(error, store.ConflictError):
-                return Verdict.DONE, "record existed"
+                existing = {item.key for item in error.items if item.revision != store.ABSENT}
+                if key in existing:
+                    return Verdict.DONE, "record existed"
+                if cancel_key in existing:
+                    return Verdict.NO_SUCH_JOB, "cancelled before it was accepted"
             if isinstance(error, store.RejectedError) and not uncertain:
                 return Verdict.TOO_LARGE, str(error)
             if not isinstance(error, store.UnknownOutcomeError) and not uncertain:
@@ -327,7 +338,7 @@
                 return Verdict.UNKNOWN
             reply = outcome.unwrap()
             verdict = Verdict(reply.verdict) if isinstance(reply, messages.SubmitAnswer) else None
-            if verdict in (Verdict.DONE, Verdict.UNKNOWN):
+            if verdict in (Verdict.DONE, Verdict.UNKNOWN, Verdict.NO_SUCH_JOB):
                 return verdict
         return Verdict.NOT_DONE
 
@@ -384,26 +395,25 @@
         return Answer(verdict=Verdict.DONE, state=progress.decode(item.value).state)
 
     async def _cancel_in_store(self, job_id: str) -> Answer:
-        job_read = await self._store.get(key=keys.job(job_id))
-        if isinstance(job_read, result.Failure):
+        """Stores a cancellation, also of an unknown job.
+
+        A write that creates the job may still be on its way. Once the cancellation is stored, it never
+        takes effect; if it did before, the owner reads both.
+        """
+        value = cancellations.encode(at=self._clocks.wall())
+        put = store.Put(key=keys.cancel(job_id), value=value)
+        written = await self._store.commit(puts=(put,))
+        if isinstance(written, result.Failure):
+            unknown = isinstance(written.failure(), store.UnknownOutcomeError)
             return Answer(
-                verdict=Verdict.NOT_DONE,
+                verdict=Verdict.UNKNOWN if unknown else Verdict.NOT_DONE,
                 retry_after_s=self.outage_retry_after_s(),
-                reason=str(job_read.failure()),
+                reason=str(written.failure()),
             )
-        if job_read.unwrap() is None:
-            return Answer(verdict=Verdict.NO_SUCH_JOB)
-        put = store.Put(key=keys.cancel(job_id), value=b"{}")
-        written = await self._store.commit(puts=(put,))
-        if isinstance(written, result.Success):
-            decision_log.write("cancel.stored", job_id=job_id)
-            return Answer(verdict=Verdict.DONE)
-        unknown = isinstance(written.failure(), store.UnknownOutcomeError)
-        return Answer(
-            verdict=Verdict.UNKNOWN if unknown else Verdict.NOT_DONE,
-            retry_after_s=self.outage_retry_after_s(),
-            reason=str(written.failure()),
-        )
+        job_read = await self._store.get(key=keys.job(job_id))
+        exists = isinstance(job_read, result.Failure) or job_read.unwrap() is not None
+        decision_log.write("cancel.stored", job_id=job_id, job_exists=exists)
+        return Answer(verdict=Verdict.DONE if exists else Verdict.NO_SUCH_JOB)
 
     def _on_show(self, sender: str, call: messages.ShowCall) -> messages.ShowAnswer:
         local_owner = self._local_owner()
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from ebonyhatch.fleet import (
+    cancellations,
     change_feed,
     clocks,
     commands,
@@ -196,7 +197,7 @@
         self._unannounced: set[str] = set()
         self._former_targets_stored = False
         self._targets_compared_at = 0.0
-        self._cancel_waiters: dict[str, list[defer.Deferred[None]]] = {}
+        self._cancel_waiters = cancellations.Waiters()
 
     @property
     def term(self) -> int:
@@ -274,10 +275,7 @@
         self._journal.close()
         for session in self._sessions.values():
             session.close()
-        for waiters in self._cancel_waiters.values():
-            for waiter in waiters:
-                if not waiter.called:
-                    waiter.cancel()
+        self._cancel_waiters.close()
 
     async def flush(self, *, limit_s: float) -> None:
         """Waits until the journal has nothing to write, or for `limit_s` seconds."""
@@ -321,9 +319,8 @@
         row = self.job(job_id)
         if row is None or row.visible_state in rows.ENDED_STATES:
             return defer.succeed(None)
-        waiter: defer.Deferred[None] = defer.Deferred()
-        self._cancel_waiters.setdefault(job_id, []).append(waiter)
-        self._apply_cancellation(keys.cancel(job_id))
+        waiter = self._cancel_waiters.add(job_id)
+        self._cancel(job_id)
         self._schedule_tick()
         return waiter
 
@@ -381,7 +378,7 @@
             await turns.note(size_bytes=len(item.value))
         for item in items:
             if item.key.startswith(keys.CANCELS):
-                self._apply_cancellation(item.key)
+                self._apply_cancellation(item)
 
     async def _apply_changes(self, feed: change_feed.ChangeFeed) -> None:
         """Applies changes of the intake until the history is compacted."""
@@ -397,7 +394,7 @@
             if change.key.startswith(keys.JOBS):
                 self._add_job(change.item, {}, inherited=False)
             else:
-                self._apply_cancellation(change.key)
+                self._apply_cancellation(change.item)
             await turns.note(size_bytes=len(change.item.value))
 
     def _add_job(
@@ -430,7 +427,8 @@
             tasks=sum(step.count for step in row.job.steps),
         )
         self._scheduler.add_job(row, now=self._clocks.now(), wall=self._clocks.wall())
-        self._accounts.add(row, record_bytes=len(item.value))
+        if self._accounts.add(row, record_bytes=len(item.value)):
+            self._cancel(job_id)
 
     def _collect_changed_jobs(self) -> list[rows.JobRow]:
         """Returns the jobs whose progress is to be written; those that ended get their time."""
@@ -490,8 +488,14 @@
         for name in self._silent.confirm() & self._sessions.keys():
             self._sessions[name].apply_held_report()
 
-    def _apply_cancellation(self, key: str) -> None:
-        self._scheduler.cancel(key.removeprefix(keys.CANCELS), now=self._clocks.now())
+    def _apply_cancellation(self, item: store.Item) -> None:
+        job_id = item.key.removeprefix(keys.CANCELS)
+        if self.job(job_id) is None:
+            self._accounts.note_cancellation(job_id, at=cancellations.time_of(item.value))
+        self._cancel(job_id)
+
+    def _cancel(self, job_id: str) -> None:
+        self._scheduler.cancel(job_id, now=self._clocks.now())
         self._journal.request_write(urgent=True)
 
     async def _stabilize(self) -> None:
@@ -638,8 +642,7 @@
                 state=state,
                 took_s=round(row.ended_at - row.job.accepted_at, 3),
             )
-            for waiter in self._cancel_waiters.pop(row.job.job_id, []):
-                waiter.callback(None)
+            self._cancel_waiters.fire(row.job.job_id)
 
     def _on_progress_rejected(self, row: rows.JobRow) -> None:
         """Fails a job whose progress can't become durable, as no end of its tasks would count."""
--- a/packages/ebonyhatch-fleet/tests/test_accounts.py
+++ b/packages/ebonyhatch-fleet/tests/test_accounts.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import pytest
 from ebonyhatch.fleet import clocks, dependencies, jobs, progress, queues, rows
 from ebonyhatch.fleet.budget import accounts, price
 from twisted.internet import task
@@ -61,3 +62,24 @@
     world = _Accounts()
     row = world.add(state=rows.JobState.FAILED)
     assert not row.job.steps and world.subject.gauges()["jobs_ended"] == 1
+
+
+@pytest.mark.parametrize(("at_s", "kept_s"), [(0.0, KEEP_S), (-4.0, KEEP_S - 4.0)])
+def test_cancellation_without_a_job_is_kept_for_a_while_from_its_time_on(at_s, kept_s):
+    world = _Accounts()
+    stored_at = clocks.WALL_START_S + at_s if at_s else 0.0
+    world.subject.note_cancellation("a" * 16, at=stored_at)
+    world.subject.note_cancellation("a" * 16, at=stored_at)
+    world.clock.advance(kept_s - 0.1)
+    assert not world.subject.is_due()
+    world.clock.advance(0.2)
+    assert world.subject.pop_due() == ["a" * 16]
+
+
+def test_job_whose_cancellation_was_read_before_is_told_apart():
+    world = _Accounts()
+    world.subject.note_cancellation(f"{1:016x}", at=0.0)
+    job = jobs.Job(job_id=f"{1:016x}", queue="q", spec="", steps=(jobs.Step(count=1),))
+    assert world.subject.add(rows.JobRow(job=job, queue=QUEUE), record_bytes=10)
+    other = jobs.Job(job_id=f"{2:016x}", queue="q", spec="", steps=(jobs.Step(count=1),))
+    assert not world.subject.add(rows.JobRow(job=other, queue=QUEUE), record_bytes=10)
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -781,3 +781,71 @@
     world.run_until(reserved)
     world.run_until(lambda: world.state(wide.job_id) == "completed")
     world_module.check_all(world)
+
+
+def _submitted_late(world: world_module.World, name: str, *, delay_s: float) -> jobs.Job:
+    """Submits a job whose record is written late; its outcome is unknown to the caller."""
+    job = world.job(*TWO_STEPS)
+    faults = world.members[name].store.faults
+    faults.lose_answers, faults.delay_s = True, delay_s
+    assert world.submit(job, at=name).verdict == entry.Verdict.UNKNOWN
+    faults.lose_answers, faults.delay_s = False, 0.0
+    return job
+
+
+@pytest.mark.parametrize("takeover", [False, True])
+def test_job_whose_cancellation_was_answered_does_not_run_when_it_is_created_late(takeover):
+    """Guards against jobs that run although their callers were told that there is no such job."""
+    world = _ready()
+    world.run(1.0)
+    name = next(one for one in world.members if one != world.owner.name)
+    other = next(one for one in world.members if one not in (name, world.owner.name))
+    job = _submitted_late(world, name, delay_s=5.0)
+    assert world.cancel(job.job_id, at=other).verdict == entry.Verdict.NO_SUCH_JOB
+    if takeover:
+        world.kill(world.owner.name)
+    world.run(10.0)
+    assert not world.starts(job.job_id)
+    assert world.show(job.job_id, at=name).verdict == entry.Verdict.NO_SUCH_JOB
+
+
+def test_job_that_was_created_late_after_its_cancellation_by_an_earlier_version_does_not_run():
+    """Guards against writes that don't depend on the cancellation, from entries of earlier versions."""
+    world = _ready()
+    job = world.job(*TWO_STEPS)
+    assert world.cancel(job.job_id).verdict == entry.Verdict.NO_SUCH_JOB
+    world.run(1.0)
+    world.store_jobs(job)
+    world.run(5.0)
+    assert not world.starts(job.job_id)
+    assert world.show(job.job_id).state == "cancelled"
+
+
+def test_cancelled_job_that_is_submitted_later_is_answered_that_it_is_cancelled():
+    world = _ready()
+    job = world.job(*TWO_STEPS)
+    world.cancel(job.job_id)
+    answer = world.submit(job)
+    assert answer.verdict == entry.Verdict.NO_SUCH_JOB and "cancelled" in answer.reason
+    world.run(3.0)
+    assert not world.starts(job.job_id)
+
+
+def test_accepted_job_that_is_cancelled_and_submitted_again_stays_one_job():
+    world = _ready()
+    job = world.job(*TWO_STEPS)
+    world.submit(job)
+    assert world.cancel(job.job_id).verdict == entry.Verdict.DONE
+    assert world.submit(job).verdict == entry.Verdict.DONE
+    world.run(2.0)
+    assert world.show(job.job_id).state == "cancelled"
+
+
+@pytest.mark.parametrize("fault", ["refuse", "silent", "lose_answers"])
+def test_cancellation_that_is_not_known_to_be_stored_is_not_acknowledged(fault):
+    world = _ready()
+    job = world.job(*TWO_STEPS)
+    for member in world.members.values():
+        setattr(member.store.faults, fault, True)
+    verdict = world.cancel(job.job_id).verdict
+    assert verdict in (entry.Verdict.NOT_DONE, entry.Verdict.UNKNOWN)
--- a/packages/ebonyhatch-fleet/tests/test_retention.py
+++ b/packages/ebonyhatch-fleet/tests/test_retention.py
@@ -75,3 +75,19 @@
         world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
     world.run(1.0)
     assert _keys(world, job.job_id) == []
+
+
+def test_cancellation_without_a_job_is_removed_although_owners_follow_each_other():
+    """Guards against records that stay for good, one for each cancellation of an unknown job."""
+    world = world_module.World(keep_ended_s=KEEP_S)
+    world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    job = world.job(*SHORT)
+    assert world.cancel(job.job_id).verdict == entry.Verdict.NO_SUCH_JOB
+    assert _keys(world, job.job_id)
+    for number in range(3):
+        world.run(KEEP_S / 2)
+        world.kill(world.owner.name)
+        world.start(f"n{number}")
+        world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
+    world.run(1.0)
+    assert _keys(world, job.job_id) == []
