Fleet: steps that a bounded pass has tried are tried again once others were placed

Found by reading the change: while each pass stops at its limit of orders, the steps that an earlier pass had tried stayed out, so that capacity that became free went to less urgent ones. test_steps_that_were_tried_are_tried_again_once_others_were_placed failed before.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -163,6 +163,8 @@
         for number, step in enumerate(ordering.in_order(fitting, wall=wall)):
             self._place_step(step, context, usable)
             if self._orders_left <= 0:
+                # Capacity may have become free for steps that were tried before.
+                self._tried.clear()
                 return
             tried.append(step)
             if usable.examined >= MAX_EXAMINED_PER_PASS:
--- a/packages/ebonyhatch-fleet/tests/test_placement.py
+++ b/packages/ebonyhatch-fleet/tests/test_placement.py
@@ -81,6 +81,30 @@
     assert len(subject.tick(now=2.1, wall=2.1)) == 1
 
 
+def test_steps_that_were_tried_are_tried_again_once_others_were_placed(monkeypatch):
+    """Guards against steps that get no free capacity while there are orders for less urgent ones."""
+    monkeypatch.setattr(placement, "MAX_EXAMINED_PER_PASS", 200)
+    subject = _scheduler()
+    gangs = _add(subject, 1, *(UNFIT["gangs"](number) for number in range(100)))
+    _add(subject, 2, jobs.Step(count=1_000, cpu_millis=1))
+    now = 2.0
+    while not subject.tick(now=now, wall=now):
+        now += 0.05
+    large = targets.Target(
+        target_id="large",
+        address="large:1",
+        pool="p",
+        failure_domain="a",
+        born=1,
+        cpu_millis=8_000,
+        memory_mb=200_000,
+    )
+    row = subject.set_target(large, now=now)
+    row.confirmed = row.announced = True
+    started = subject.tick(now=now + 0.05, wall=now + 0.05)
+    assert [command.run.task.step.job for command in started[:10]] == [gangs] * 10
+
+
 def test_gang_that_waits_for_a_target_gives_no_member_a_row_beyond_its_own_count():
     subject = _scheduler()
     row = _add(subject, 1, jobs.Step(count=jobs.GANG_LIMIT, memory_mb=1, gang=True))
