Fleet: names of images, labels and racks have a limit

Names of over 200 bytes are refused with 400.

test_jobs.py::test_step_with_a_name_that_is_too_long_is_refused failed before in its three forms.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/jobs.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/jobs.py
@@ -13,6 +13,9 @@
 SPEC_LIMIT_BYTES = 4_000
 """Largest specification of a job, bytes; the limit that is documented for callers."""
 
+NAME_LIMIT_BYTES = 200
+"""Largest name of an image, label or rack, bytes: owners keep what they learn by images after the jobs."""
+
 TASKS_LIMIT = 20_000
 """Largest number of tasks of one job; keeps the job's record within one value of the store."""
 
@@ -185,6 +188,12 @@
         raise InvalidJobError(problem=f"step {index} has a negative amount")
     if max(amounts) > AMOUNT_LIMIT:
         raise InvalidJobError(problem=f"step {index} has an amount out of range")
+    if any(
+        len(name.encode()) > NAME_LIMIT_BYTES for name in (step.image, step.label, step.data_rack)
+    ):
+        raise InvalidJobError(
+            problem=f"step {index} names an image, label or rack of over {NAME_LIMIT_BYTES} bytes"
+        )
     for earlier in step.after:
         if not 0 <= earlier < index:
             raise InvalidJobError(
--- a/packages/ebonyhatch-fleet/tests/test_jobs.py
+++ b/packages/ebonyhatch-fleet/tests/test_jobs.py
@@ -27,3 +27,11 @@
     jobs.check(_job(jobs.Step(count=jobs.TASKS_LIMIT - 1), jobs.Step(count=1)))
     with pytest.raises(jobs.InvalidJobError, match="over 20000 tasks"):
         jobs.check(_job(jobs.Step(count=jobs.TASKS_LIMIT), jobs.Step(count=1)))
+
+
+@pytest.mark.parametrize("field", ["image", "label", "data_rack"])
+def test_step_with_a_name_that_is_too_long_is_refused(field):
+    """Guards against names that fill the memory with what is learned of them, long after their jobs."""
+    with pytest.raises(jobs.InvalidJobError, match="over 200 bytes"):
+        jobs.check(_job(jobs.Step(count=1, **{field: "é" * 101})))
+    jobs.check(_job(jobs.Step(count=1, **{field: "é" * 100})))
