Fleet: cancellations without a job are kept for a minute

A write without an answer, for which it is there, takes effect within seconds. test_cancellation_without_a_job_is_kept_no_longer_than_a_write_may_be_late failed before.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/budget/accounts.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/budget/accounts.py
@@ -5,6 +5,10 @@
 from ebonyhatch.fleet import clocks, decision_log, retention, rows
 from ebonyhatch.fleet.budget import ledger, price
 
+CANCELLATION_KEEP_S = 60.0
+"""Longest time for which a cancellation without a job is kept, seconds: writes without an answer and
+repeated submissions arrive some seconds later."""
+
 
 class JobAccounts:
     """Prices of all jobs of an owner, and the ended ones whose records are to be removed."""
@@ -23,6 +27,7 @@
         self._clocks = all_clocks
         self._max_runs = ledger.max_runs(budget)
         self._ledger = ledger.Ledger(budget=budget, first_term=first_term, now=all_clocks.now)
+        self._keep_ended_s = keep_ended_s
         self._retention = retention.Retention(keep_s=keep_ended_s)
         self._record_bytes: dict[str, int] = {}
         self._with_runs: dict[str, rows.JobRow] = {}
@@ -82,7 +87,8 @@
         decision_log.write("cancel.unknown_job", job_id=job_id)
         self._ledger.record(job_id, price.CANCELLATION_BYTES)
         age_s = max(0.0, self._clocks.wall() - at) if at else 0.0
-        self._retention.add(job_id, now=self._clocks.now() - age_s)
+        earlier_s = max(0.0, self._keep_ended_s - CANCELLATION_KEEP_S)
+        self._retention.add(job_id, now=self._clocks.now() - age_s - earlier_s)
 
     def remove(self, job_ids: list[str]) -> None:
         """Removes jobs whose records were removed."""
--- a/packages/ebonyhatch-fleet/tests/test_accounts.py
+++ b/packages/ebonyhatch-fleet/tests/test_accounts.py
@@ -11,12 +11,12 @@
 
 
 class _Accounts:
-    def __init__(self) -> None:
+    def __init__(self, *, keep_s: float = KEEP_S) -> None:
         self.clock = task.Clock()
         self.subject = accounts.JobAccounts(
             budget=10_000_000,
             first_term=True,
-            keep_ended_s=KEEP_S,
+            keep_ended_s=keep_s,
             all_clocks=clocks.MemoryClocks(clock=self.clock),
         )
 
@@ -76,6 +76,16 @@
     assert world.subject.pop_due() == ["a" * 16]
 
 
+def test_cancellation_without_a_job_is_kept_no_longer_than_a_write_may_be_late():
+    """Guards against memory and listings that fill with cancellations of unknown jobs."""
+    world = _Accounts(keep_s=600.0)
+    world.subject.note_cancellation("a" * 16, at=0.0)
+    world.clock.advance(accounts.CANCELLATION_KEEP_S - 0.1)
+    assert not world.subject.is_due()
+    world.clock.advance(0.2)
+    assert world.subject.pop_due() == ["a" * 16]
+
+
 def test_records_of_a_job_that_was_cancelled_before_are_removed_once():
     """Guards against a write that names a key twice, which a store may reject."""
     world = _Accounts()
