--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/budget/accounts.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/budget/accounts.py
@@ -72,7 +72,7 @@
         if row.job.job_id not in self._cancelled:
             self._retention.add(row.job.job_id, now=self._clocks.now() - since_end_s)
         self._with_runs[row.job.job_id] = row
-        self.drop_steps()
+        self._drop_steps_unless_running(row)
 
     def note_cancellation(self, job_id: str, *, at: float) -> None:
         """Keeps a cancellation for which there is no job: its job may still be created.
@@ -111,13 +111,17 @@
 
         Until then they are needed to tell which of the runs on a target belong to a known job.
         """
-        for job_id, row in list(self._with_runs.items()):
-            if _has_runs(row):
-                continue
-            del self._with_runs[job_id]
-            row.drop_steps()
-            ended_price = price.price_of_ended(record_bytes=self._record_bytes.get(job_id, 0))
-            self._ledger.record(job_id, ended_price)
+        for row in list(self._with_runs.values()):
+            self._drop_steps_unless_running(row)
+
+    def _drop_steps_unless_running(self, row: rows.JobRow) -> None:
+        if _has_runs(row):
+            return
+        job_id = row.job.job_id
+        del self._with_runs[job_id]
+        row.drop_steps()
+        ended_price = price.price_of_ended(record_bytes=self._record_bytes.get(job_id, 0))
+        self._ledger.record(job_id, ended_price)
 
 
 def _has_runs(row: rows.JobRow) -> bool:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/owner.py
@@ -379,6 +379,7 @@
         for item in items:
             if item.key.startswith(keys.CANCELS):
                 self._apply_cancellation(item)
+                await turns.note()
 
     async def _apply_changes(self, feed: change_feed.ChangeFeed) -> None:
         """Applies changes of the intake until the history is compacted."""
@@ -452,8 +453,7 @@
         for known in changed.values():
             for name in known:
                 # No run may be ordered on a target that its record declares to take none.
-                row = self._row_of(name)
-                if row is None:
+                if (row := self._row_of(name)) is None:
                     continue
                 row.announced = row.announced and known[name].takes_runs
                 if not row.announced:
@@ -479,8 +479,7 @@
         """Lets runs be ordered on the targets whose durable record says that they may take some."""
         recorded = self._known_records.targets
         for name in list(self._unannounced):
-            row = self._row_of(name)
-            if row is None:
+            if (row := self._row_of(name)) is None:
                 self._unannounced.discard(name)
             elif name in recorded and recorded[name].takes_runs:
                 row.announced = True
@@ -492,6 +491,7 @@
         job_id = item.key.removeprefix(keys.CANCELS)
         if self.job(job_id) is None:
             self._accounts.note_cancellation(job_id, at=cancellations.time_of(item.value))
+            return
         self._cancel(job_id)
 
     def _cancel(self, job_id: str) -> None:
--- a/packages/ebonyhatch-fleet/tests/test_accounts.py
+++ b/packages/ebonyhatch-fleet/tests/test_accounts.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import cost
 import pytest
 from ebonyhatch.fleet import clocks, dependencies, jobs, progress, queues, rows
 from ebonyhatch.fleet.budget import accounts, price
@@ -102,3 +103,17 @@
     assert world.subject.add(rows.JobRow(job=job, queue=QUEUE), record_bytes=10)
     other = jobs.Job(job_id=f"{2:016x}", queue="q", spec="", steps=(jobs.Step(count=1),))
     assert not world.subject.add(rows.JobRow(job=other, queue=QUEUE), record_bytes=10)
+
+
+def test_end_of_a_job_does_not_look_at_other_ended_jobs_that_still_run():
+    """Guards against ends whose cost grows with the number of jobs that were cancelled together."""
+    world = _Accounts()
+    for number in range(2, 202):
+        running = world.add(number)
+        running.occurrences[0][0].tasks[0].runs[1] = object()
+        running.state = running.visible_state = rows.JobState.CANCELLED
+        world.subject.end(running)
+    row = world.add()
+    row.state = row.visible_state = rows.JobState.COMPLETED
+    assert cost.lines(lambda: world.subject.end(row)) < 1_000
+    assert not row.occurrences
--- a/packages/ebonyhatch-fleet/tests/test_node.py
+++ b/packages/ebonyhatch-fleet/tests/test_node.py
@@ -849,3 +849,17 @@
         setattr(member.store.faults, fault, True)
     verdict = world.cancel(job.job_id).verdict
     assert verdict in (entry.Verdict.NOT_DONE, entry.Verdict.UNKNOWN)
+
+
+def test_cancellations_of_unknown_jobs_cause_no_round_of_the_journal(monkeypatch):
+    """Guards against callers by whom the owner does nothing else than write."""
+    world = _ready()
+    world.run(2.0)
+    requests = []
+    monkeypatch.setattr(
+        world.owner.node.owner._journal, "request_write", lambda **urgent: requests.append(urgent)
+    )
+    for _ in range(5):
+        world.cancel(world.job().job_id)
+    world.run(0.2)
+    assert {"urgent": True} not in requests
