Fleet: the runs of one job can be stopped in time

Short tasks of a job are started while it has under 1,000 runs. A target gets 16 stops at a time, and none twice meanwhile.

test_owner.py::test_stops_in_flight_are_limited_for_each_target_and_not_repeated_meanwhile failed before (100 at once); test_placement.py::test_job_has_a_limited_number_of_short_tasks_in_progress uses a new count.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/orders/sender.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/orders/sender.py
@@ -65,6 +65,7 @@
         self._in_flight = 0
         self._answered = 0
         self._seconds = 0.0
+        self._stopping: set[tuple[str, targets.RunKey]] = set()
 
     @property
     def in_flight(self) -> int:
@@ -143,10 +144,15 @@
 
     async def _stop_run(self, command: commands.StopRun) -> None:
         session = self._sessions.get(command.target.target_id)
-        if session is None:
+        order = (command.target.target_id, command.key)
+        if session is None or order in self._stopping:
             return
         incarnations = session.incarnations
-        outcome = await session.stop_run(command.key)
+        self._stopping.add(order)
+        try:
+            outcome = await session.stop_run(command.key)
+        finally:
+            self._stopping.discard(order)
         run = command.target.runs.get(command.key)
         if isinstance(outcome, result.Success):
             if run is not None and run.deadline_void and session.incarnations == incarnations:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/placement.py
@@ -30,6 +30,10 @@
 """Number of orders after which a pass places no further step. Polls and renewals of leases wait
 while a pass runs."""
 
+MAX_RUNS_PER_JOB = 1_000
+"""Largest number of runs of a job with which a short task is started: when it is cancelled, all of them
+have to be stopped within seconds."""
+
 MAX_EXAMINED_PER_PASS = 25_000
 """Number of targets that a pass examines for single steps before it stops. The next pass goes on with the
 steps that it didn't reach."""
@@ -220,7 +224,7 @@
     ) -> None:
         """Places tasks of a short step, whose targets are ranked once in a pass."""
         deferred = []
-        while step.waiting and self._orders_left > 0:
+        while step.waiting and self._orders_left > 0 and _may_start(step):
             # The target comes before the task, so that a task which doesn't fit gets no row.
             row = usable.best(step, selection)
             if row is None:
@@ -250,7 +254,7 @@
             usable.reject(step)
         deferred = []
         new_tasks_rejected = False
-        while step.waiting and scores and self._orders_left > 0:
+        while step.waiting and scores and self._orders_left > 0 and _may_start(step):
             if new_tasks_rejected and not step.waiting.known:
                 break
             task = step.waiting.popleft()
@@ -277,7 +281,7 @@
         now = context.now
         if not usable.may_fit(step):
             return
-        if len(step.waiting) < step.remaining_count:
+        if len(step.waiting) < step.remaining_count or not _may_start(step):
             return
         members = [task for task in step.tasks if task.state != rows.TaskState.DONE]
         waiting = [
@@ -297,6 +301,14 @@
             self.order_run(task, row, run=run, now=now)
 
 
+def _may_start(step: rows.StepRow) -> bool:
+    """Returns whether the number of runs of its job allows another one of a step.
+
+    A gang counts as one: its members are started together.
+    """
+    return step.step.long_running or step.job.run_count < MAX_RUNS_PER_JOB
+
+
 def _best_target(
     scores: dict[str, float],
     task: rows.TaskRow,
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -387,6 +387,7 @@
         successors: Indexes of the steps that depend directly on each step; see `dependencies`.
         chains_s: Run time of the longest chain that begins with each step of an occurrence, by its
             number, seconds; see `graph.remaining_chain_s`.
+        run_count: Number of its runs that hold a reservation.
         next_occurrence: Number of the occurrence to release next; all before it that aren't in
             progress are done.
         ended_at: Time of day of its end, seconds since 1970.
@@ -406,6 +407,7 @@
     ready: list[StepRow] = dataclasses.field(default_factory=list)
     successors: tuple[tuple[int, ...], ...] = ()
     chains_s: dict[int, array.array[float]] = dataclasses.field(default_factory=dict)
+    run_count: int = 0
     next_occurrence: int = 0
     ended_at: float = 0.0
     inherited: bool = False
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
@@ -99,6 +99,7 @@
     _update_reservation(run, 1)
     run.target.runs[run.key] = run
     run.target.totals.runs += 1
+    run.task.step.job.run_count += 1
     if run.task.step.step.tail_limit_s:
         run.target.serving[run.key] = run
     if run.task.step.step.filler:
@@ -111,6 +112,7 @@
     if run.target.runs.pop(run.key, None) is None:
         return
     run.target.totals.runs -= 1
+    run.task.step.job.run_count -= 1
     crash_blame.note_end(run)
     run.target.serving.pop(run.key, None)
     run.target.fillers.pop(run.key, None)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/target_session.py
@@ -60,6 +60,10 @@
     return lease_s * MAX_CLOCK_SLOWNESS + EXPIRY_MARGIN_S
 
 
+MAX_STOPS_IN_FLIGHT = 16
+"""Maximum number of stop orders to one target without an answer."""
+
+
 class _Slot:
     """A claimed slot of a semaphore, which is released once."""
 
@@ -151,6 +155,7 @@
         self._failures = 0
         self._extra_polls = 0
         self._incarnations = 0
+        self._stop_slots = defer.DeferredSemaphore(MAX_STOPS_IN_FLIGHT)
 
     @property
     def row(self) -> rows.TargetRow:
@@ -293,8 +298,12 @@
         return outcome
 
     async def stop_run(self, key: targets.RunKey) -> result.Result[float, targets.TargetError]:
-        """Sends a stop order."""
-        outcome = await self._port.stop_run(target=self._row.target, fence=self._fence, key=key)
+        """Sends a stop order, after those that were sent before it."""
+        await self._stop_slots.acquire()
+        try:
+            outcome = await self._port.stop_run(target=self._row.target, fence=self._fence, key=key)
+        finally:
+            self._stop_slots.release()
         self._check_fence(outcome)
         return outcome
 
--- a/packages/ebonyhatch-fleet/tests/test_owner.py
+++ b/packages/ebonyhatch-fleet/tests/test_owner.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import collections
+
 import msgspec
 import pytest
 import scripted
@@ -13,6 +15,7 @@
     progress,
     rows,
     store,
+    target_session,
 )
 from ebonyhatch.fleet.orders import sender
 from ebonyhatch.node import coroutines
@@ -60,6 +63,44 @@
         port.start_run = start
 
 
+class StopOrders:
+    """Records the most stop orders of a member to one target that had no answer."""
+
+    def __init__(self, world: world_module.World) -> None:
+        self.sent = 0
+        self.most_in_flight = 0
+        self._in_flight: collections.Counter[str] = collections.Counter()
+        port = world.owner.targets
+        stop_run = port.stop_run
+
+        async def stop(**arguments):
+            name = arguments["target"].target_id
+            self.sent += 1
+            self._in_flight[name] += 1
+            self.most_in_flight = max(self.most_in_flight, self._in_flight[name])
+            try:
+                return await stop_run(**arguments)
+            finally:
+                self._in_flight[name] -= 1
+
+        port.stop_run = stop
+
+
+def test_stops_in_flight_are_limited_for_each_target_and_not_repeated_meanwhile(monkeypatch):
+    """Guards against one cancellation that opens thousands of connections at once."""
+    world = _ready(target_count=2)
+    job = world.job(jobs.Step(count=200, cpu_millis=10), work_s=600.0)
+    world.store_jobs(job)
+    world.run_until(lambda: len(world.starts(job.job_id)) == 200)
+    world.run(1.0)
+    orders = StopOrders(world)
+    monkeypatch.setattr(memory_targets, "CALL_LATENCY_S", 3 * ANSWER_S)
+    world.cancel(job.job_id)
+    world.run_until(lambda: not any(engine.runs for engine in world.engines.values()))
+    assert orders.most_in_flight <= target_session.MAX_STOPS_IN_FLIGHT
+    assert orders.sent == 200
+
+
 def test_orders_in_flight_are_limited_and_the_rest_is_placed_in_order(monkeypatch):
     world = _ready(target_count=60)
     monkeypatch.setattr(memory_targets, "CALL_LATENCY_S", ANSWER_S)
--- a/packages/ebonyhatch-fleet/tests/test_placement.py
+++ b/packages/ebonyhatch-fleet/tests/test_placement.py
@@ -120,3 +120,32 @@
     for number in range(20):
         assert subject.tick(now=2.0 + number, wall=2.0 + number) == []
     assert len(row.occurrences[0][0].tasks.known) <= 1
+
+
+def test_job_has_a_limited_number_of_short_tasks_in_progress():
+    """Guards against jobs of light tasks that can't be stopped in time when they are cancelled."""
+    subject = _scheduler()
+    large = _add(subject, 1, jobs.Step(count=5_000), jobs.Step(count=800, gang=True))
+    other = _add(subject, 2, jobs.Step(count=10))
+    now = 2.0
+    for _ in range(100):
+        now += 0.05
+        subject.tick(now=now, wall=now)
+    assert large.run_count == placement.MAX_RUNS_PER_JOB and other.run_count == 10
+    first, *_ = [row for row in subject.tables.targets.values() if row.runs]
+    key = next(iter(first.runs))
+    ended = targets.Ended(number=1, key=key, kind=targets.EndKind.DONE)
+    running = tuple(targets.Running(key=one) for one in first.runs if one != key)
+    report = targets.StatusReport(clock_s=now, born=1, ended=(ended,), running=running)
+    subject.apply_report(first, report, now=now)
+    assert len(subject.tick(now=now + 0.05, wall=now + 0.05)) == 1
+
+
+def test_long_running_tasks_of_a_job_all_run():
+    subject = _scheduler(target_count=200)
+    row = _add(subject, 1, jobs.Step(count=1_500, cpu_millis=1_000, long_running=True))
+    now = 2.0
+    for _ in range(50):
+        now += 0.05
+        subject.tick(now=now, wall=now)
+    assert row.run_count > placement.MAX_RUNS_PER_JOB
