Review case 12: a job fails whose task was at work in one crash only

Cause: an order that is lost on a silent worker counts as a run that was there when the worker crashed, and its task is blamed for the crash.

--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -265,6 +265,7 @@
         self.cpu, self.mem_mb, self.work_s, self.labels, self.stop_s = cpu, mem_mb, work_s, labels, stop_s
         self.lives = 0
         self.up = False
+        self.dark = False
         self.on_start = None
         self.on_end = None
 
@@ -299,6 +300,23 @@
         self.record.write("worker down", worker=self.name, id=self.id)
         asyncio.ensure_future(self._expire_entry(self.id))
 
+    async def go_dark(self, for_s: float) -> None:
+        """Crashes without a sign: connections stay open and nothing is answered until it is back.
+
+        It starts again under its id and holds nothing of before.
+        """
+        self.up, self.dark = False, True
+        for loop in self._loops:
+            loop.cancel()
+        for run in self.running.values():
+            self.record.write("run lost", worker=self.name, task=run.task, run=run.run)
+        self.running = {}
+        self.record.write("worker dark", worker=self.name, id=self.id)
+        await asyncio.sleep(for_s)
+        await self.shut()
+        self.dark = False
+        await self.begin(same_id=True)
+
     async def _expire_entry(self, worker_id: str) -> None:
         await asyncio.sleep(3 * HEARTBEAT_S)
         if not (self.up and self.id == worker_id):
@@ -349,6 +367,14 @@
         self.changed = asyncio.Event()
 
     async def serve(self, method, path, headers, body):
+        life = self.lives
+        if self.dark:
+            self.record.write("call lost", worker=self.name, path=path,
+                              task=json.loads(body or b"{}").get("task", ""))
+        answer = None if self.dark else await self._serve(method, path, headers, body)
+        return None if self.dark or self.lives != life else answer
+
+    async def _serve(self, method, path, headers, body):
         if path == "/health":
             return 200, {}
         if headers.get("expect-instance", self.id) != self.id:
