--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import collections
 import json
 import os
 import pathlib
@@ -30,6 +31,7 @@
     "harm_ms": 4000,
 }
 HEARTBEAT_S = 1.5
+RETENTION_S = 20.0
 
 
 class Record:
@@ -131,7 +133,8 @@
         self.record = record
         self.revision = 100
         self.items: dict[str, dict] = {}
-        self.history: list[dict] = []
+        self.history: collections.deque[tuple[float, dict]] = collections.deque()
+        self.forgotten = 0
         self.leases: dict[int, list] = {}
         self._next_lease = 1000
         self._changed = asyncio.Event()
@@ -153,10 +156,11 @@
                 "created": old["created"] if old else self.revision, "lease": lease,
             }
             self.items[key] = item
-            self.history.append(item)
+            self.history.append((time.monotonic(), item))
         for key in removes:
             if self.items.pop(key, None) is not None:
-                self.history.append({"key": key, "revision": self.revision, "deleted": True})
+                deleted = {"key": key, "revision": self.revision, "deleted": True}
+                self.history.append((time.monotonic(), deleted))
         self._changed.set()
         self._changed = asyncio.Event()
         return self.revision
@@ -187,7 +191,12 @@
                 for key in self.items
                 if key.startswith(query["prefix"]) and key > query.get("after", "")
             )
-            page = keys[:500]
+            page, size = [], 0
+            for key in keys[:500]:
+                page.append(key)
+                size += len(self.items[key]["value"])
+                if size > 1_000_000:
+                    break
             return 200, {
                 "items": [self.items[key] for key in page],
                 "has_more": len(keys) > len(page), "as_of": self.revision,
@@ -216,9 +225,13 @@
         until = time.monotonic() + int(query["wait_ms"]) / 1000
         after = int(query["after"])
         while True:
+            while self.history and self.history[0][0] < time.monotonic() - RETENTION_S:
+                self.forgotten = self.history.popleft()[1]["revision"]
+            if after < self.forgotten:
+                return 410, {}
             events = [
                 event
-                for event in self.history
+                for _, event in self.history
                 if event["revision"] > after and event["key"].startswith(query["prefix"])
             ]
             left = until - time.monotonic()
