--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -50,26 +51,30 @@
         self._file.flush()
 
 
+_next_port = random.SystemRandom().randrange(11_000, 27_000)
+
+
 def free_ports(count: int) -> list[int]:
-    """Returns free ports; those of one call follow each other where `count` is above 1."""
+    """Returns free ports that follow each other; none is returned twice.
+
+    They are below the ports that systems choose for outgoing connections.
+    """
+    global _next_port
     while True:
-        with socket.socket() as first:
-            first.bind((HOST, 0))
-            base = first.getsockname()[1]
-        if base + count > 65_000:
-            continue
+        ports = list(range(_next_port, _next_port + count))
+        _next_port = ports[-1] + 1 if ports[-1] < 31_000 else 11_000
+        held = []
         try:
-            held = []
-            for port in range(base, base + count):
+            for port in ports:
                 one = socket.socket()
-                one.bind((HOST, port))
                 held.append(one)
+                one.bind((HOST, port))
         except OSError:
             continue
         finally:
             for one in held:
                 one.close()
-        return list(range(base, base + count))
+        return ports
 
 
 class Http:
