Fleet: reports about tasks that nobody knows leave a line in the log

Change: `fleet.takeover.reported_tasks` looks up the tasks of reported runs and logs `run.unknown` with the reason. The numbers in a task's name are decoded in one place; signs, spaces and other digits name no task, nor do numbers of thousands of digits.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/reconciliation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ebonyhatch.fleet import commands, rows, tables, target_health, targets, task_ends
+from ebonyhatch.fleet.takeover import reported_tasks
 
 STOP_RETRY_S = 1.0
 """Time after which a stop order without effect is sent again, seconds."""
@@ -26,11 +27,13 @@
         self,
         *,
         all_tables: tables.Tables,
+        reported: reported_tasks.ReportedTasks,
         ends: task_ends.TaskEnds,
         emit: commands.Emit,
         decide: commands.Decide,
     ) -> None:
         self._tables = all_tables
+        self._reported = reported
         self._ends = ends
         self._emit = emit
         self._decide = decide
@@ -131,7 +134,7 @@
 
         Returns the run, which holds its capacity in both cases; None if its job is unknown.
         """
-        task = self._tables.task(running.key.task)
+        task = self._reported.find(row, running.key)
         job = None if task is None else task.step.job
         is_needed = (
             task is not None
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/rows.py
@@ -16,6 +16,9 @@
 TASK_NAME_PARTS = 4
 """Number of parts of a task's name: job id, occurrence, step and index."""
 
+MAX_NUMBER_DIGITS = 9
+"""Largest number of digits of a number in a task's name; all three have limits far below."""
+
 
 class JobState(enum.StrEnum):
     """State of a job in the form that callers see."""
@@ -431,3 +434,18 @@
 def task_name(*, job_id: str, occurrence: int, step: int, index: int) -> str:
     """Returns the name of a task as used in orders to targets."""
     return f"{job_id}.{occurrence}.{step}.{index}"
+
+
+def parse_task_name(name: str) -> tuple[str, int, int, int] | None:
+    """Returns the job id, occurrence, step and index in a task's name; None if it is malformed."""
+    job_id, *numbers = name.split(".")
+    if len(numbers) != TASK_NAME_PARTS - 1:
+        return None
+    if not all(map(_is_number, numbers)):
+        return None
+    occurrence, step, index = map(int, numbers)
+    return job_id, occurrence, step, index
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= MAX_NUMBER_DIGITS
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -31,6 +31,7 @@
 from ebonyhatch.fleet.overload import backlog
 from ebonyhatch.fleet.relocation import fillers
 from ebonyhatch.fleet.speed import target_speeds
+from ebonyhatch.fleet.takeover import reported_tasks
 
 RUN_NUMBERS_PER_TERM = 1_000
 """Run numbers that each term of an owner may use for a task in addition to those already used."""
@@ -81,15 +82,21 @@
         self._timed = timed_jobs.TimedJobs()
         self._backlog = backlog.Backlog(all_tables=self._tables) if refuse_late_work else None
         self._times = run_times.RunTimes()
+        reported = reported_tasks.ReportedTasks(all_tables=self._tables, decide=decide)
         self._ends = task_ends.TaskEnds(
             all_tables=self._tables,
+            reported=reported,
             times=self._times,
             emit=self._commands.append,
             decide=decide,
             release_steps=self._release_steps,
         )
         self._reconciler = reconciliation.Reconciler(
-            all_tables=self._tables, ends=self._ends, emit=self._commands.append, decide=decide
+            all_tables=self._tables,
+            reported=reported,
+            ends=self._ends,
+            emit=self._commands.append,
+            decide=decide,
         )
         model = self._model = interference.InterferenceModel()
         self._reserve = reserve.Reserve(all_tables=self._tables)
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/tables.py
@@ -61,14 +61,16 @@
 
     def task(self, name: str) -> rows.TaskRow | None:
         """Returns a task by its name at targets; None if no job in progress has it."""
-        parts = name.split(".")
-        row = self.jobs.get(parts[0])
-        if row is None or len(parts) != rows.TASK_NAME_PARTS:
+        parsed = rows.parse_task_name(name)
+        if parsed is None:
+            return None
+        job_id, occurrence, step, index = parsed
+        row = self.jobs.get(job_id)
+        if row is None:
             return None
         try:
-            occurrence, step, index = (int(part) for part in parts[1:])
             return row.occurrences[occurrence][step].tasks[index]
-        except (KeyError, IndexError, ValueError):
+        except (KeyError, IndexError):
             return None
 
     def set_target(self, target: targets.Target) -> rows.TargetRow:
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/task_ends.py
@@ -15,6 +15,7 @@
     target_health,
     targets,
 )
+from ebonyhatch.fleet.takeover import reported_tasks
 
 FIRST_RETRY_DELAY_S = 0.0
 """Delay before the second run of a task that failed once, seconds; it avoids the first target."""
@@ -45,12 +46,14 @@
         self,
         *,
         all_tables: tables.Tables,
+        reported: reported_tasks.ReportedTasks,
         times: run_times.RunTimes,
         emit: commands.Emit,
         decide: commands.Decide,
         release_steps: Callable[[rows.JobRow], None],
     ) -> None:
         self._tables = all_tables
+        self._reported = reported
         self._times = times
         self._emit = emit
         self._decide = decide
@@ -62,9 +65,11 @@
     def apply_end(self, row: rows.TargetRow, ended: targets.Ended, *, now: float) -> None:
         """Applies an end; one that was applied before has no effect."""
         run = row.runs.get(ended.key)
-        task = run.task if run is not None else self._tables.task(ended.key.task)
         if run is not None:
+            task: rows.TaskRow | None = run.task
             tables.release(run)
+        else:
+            task = self._reported.find(row, ended.key, number=ended.number, how=ended.kind)
         if task is None:
             return
         job = task.step.job
