Fleet: a reported run opens the occurrence that it belongs to

Cause: an owner opens an occurrence in memory, when it is due by its clock and when the end of an earlier one makes room, and starts its tasks before either is durable. A next owner that hasn't read that end yet, or whose clock is behind, didn't know the task: it dropped and acknowledged its end, or stopped its run, and started it again once the occurrence was open.

Change: a run in a report is itself evidence that a former owner had opened its occurrence, and before it all earlier ones. They are opened, and the end or run is applied as any other. Nothing is written or waited for.

--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/graph.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/graph.py
@@ -49,6 +49,12 @@
     return job.first_at + row.next_occurrence * job.interval_s
 
 
+def open_through(row: rows.JobRow, occurrence: int) -> None:
+    """Opens all occurrences up to one, also those that are not due or exceed `open_limit`."""
+    while row.next_occurrence <= occurrence:
+        _open_next(row)
+
+
 def finish_occurrence(row: rows.JobRow, occurrence: int) -> bool:
     """Moves an occurrence to the finished ones if it is done; returns whether the whole job is."""
     if row.unfinished.get(occurrence, 1):
@@ -95,13 +101,16 @@
 def _release_occurrences(row: rows.JobRow, wall: float) -> None:
     if not row.job.timed:
         if row.next_occurrence == 0:
-            row.next_occurrence = 1
-            dependencies.open_occurrence(row, 0, progress.new_steps(row, 0))
+            _open_next(row)
         return
     due_at = next_due_at(row)
     limit = open_limit(row.job)
     while due_at is not None and due_at <= wall and len(row.occurrences) < limit:
-        steps = progress.new_steps(row, row.next_occurrence)
-        dependencies.open_occurrence(row, row.next_occurrence, steps)
-        row.next_occurrence += 1
+        _open_next(row)
         due_at = next_due_at(row)
+
+
+def _open_next(row: rows.JobRow) -> None:
+    steps = progress.new_steps(row, row.next_occurrence)
+    dependencies.open_occurrence(row, row.next_occurrence, steps)
+    row.next_occurrence += 1
--- a/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
+++ b/packages/ebonyhatch-fleet/src/ebonyhatch/fleet/scheduler.py
@@ -82,7 +82,9 @@
         self._timed = timed_jobs.TimedJobs()
         self._backlog = backlog.Backlog(all_tables=self._tables) if refuse_late_work else None
         self._times = run_times.RunTimes()
-        reported = reported_tasks.ReportedTasks(all_tables=self._tables, decide=decide)
+        reported = reported_tasks.ReportedTasks(
+            all_tables=self._tables, release_steps=self._release_steps, decide=decide
+        )
         self._ends = task_ends.TaskEnds(
             all_tables=self._tables,
             reported=reported,
