--- a/packages/ebonyhatch-fleet/tests/test_evacuation_histories.py
+++ b/packages/ebonyhatch-fleet/tests/test_evacuation_histories.py
@@ -112,6 +112,6 @@
     )
     for job_id in world.accepted:
         if job_id not in history.cancelled and world.state(job_id) == "failed":
-            assert test_histories._most_crashes_under_a_task(world, job_id) >= 2
+            assert test_histories.most_crashes_under_a_task(world, job_id) >= 2
     world.run(2.0)
     world_module.check_all(world)
--- a/packages/ebonyhatch-fleet/tests/test_histories.py
+++ b/packages/ebonyhatch-fleet/tests/test_histories.py
@@ -402,7 +402,7 @@
             self.world.register(engine.target)
 
 
-def _most_crashes_under_a_task(world: world_module.World, job_id: str) -> int:
+def most_crashes_under_a_task(world: world_module.World, job_id: str) -> int:
     counts: dict[str, int] = {}
     for _, _, tasks in world.crashes:
         for task in tasks:
@@ -479,7 +479,7 @@
         if job_id in history.deadly:
             assert world.state(job_id) == "failed"
         elif world.state(job_id) == "failed":
-            assert _most_crashes_under_a_task(world, job_id) >= 2
+            assert most_crashes_under_a_task(world, job_id) >= 2
         else:
             assert world.state(job_id) == "completed"
     for task in history.deadly.values():
--- a/packages/ebonyhatch-fleet/tests/test_timed_histories.py
+++ b/packages/ebonyhatch-fleet/tests/test_timed_histories.py
@@ -73,15 +73,9 @@
         if member is None:
             return
         kind = event.which % len(STEPS)
-        plain = self.world.job(*STEPS[kind], work_s=WORK_S[kind])
-        job = jobs.Job(
-            job_id=plain.job_id,
-            queue=plain.queue,
-            spec=plain.spec,
-            steps=plain.steps,
-            accepted_at=plain.accepted_at,
+        job = self.world.timed(
+            self.world.job(*STEPS[kind], work_s=WORK_S[kind]),
             occurrences=OCCURRENCES[event.which % len(OCCURRENCES)],
-            first_at=clocks.WALL_START_S + self.world.clock.seconds() + 0.3,
             interval_s=INTERVALS_S[event.which % len(INTERVALS_S)],
         )
         self.world.submit(job, at=member.name)
@@ -138,7 +132,7 @@
     world.run_until(all_ended, limit_s=COMPLETION_S)
     for job_id in world.accepted:
         if world.state(job_id) == "failed":
-            assert histories._most_crashes_under_a_task(world, job_id) >= 2
+            assert histories.most_crashes_under_a_task(world, job_id) >= 2
     world.run(2.0)
     _check(world)
 
--- a/packages/ebonyhatch-fleet/tests/test_unrecorded_starts.py
+++ b/packages/ebonyhatch-fleet/tests/test_unrecorded_starts.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 import world as world_module
-from ebonyhatch.fleet import clocks, graph, jobs, memory_targets
+from ebonyhatch.fleet import graph, jobs, memory_targets
 
 LAG_S = 5.0
 """Time by which the clock of the next owner is behind, seconds."""
@@ -25,22 +25,6 @@
 }
 
 
-def _timed(
-    world: world_module.World, *steps: jobs.Step, occurrences: int, work_s: float
-) -> jobs.Job:
-    job = world.job(*steps, work_s=work_s)
-    return jobs.Job(
-        job_id=job.job_id,
-        queue=job.queue,
-        spec=job.spec,
-        steps=steps,
-        accepted_at=job.accepted_at,
-        occurrences=occurrences,
-        first_at=clocks.WALL_START_S + world.clock.seconds() + 0.3,
-        interval_s=INTERVAL_S,
-    )
-
-
 def _ready(*, target_count: int = 4) -> world_module.World:
     world = world_module.World(entries=3, target_count=target_count)
     world.run_until(lambda: world.owner is not None and world.owner.node.owner.recovered)
@@ -91,7 +75,7 @@
     world = _ready(target_count=graph.MAX_OPEN_OCCURRENCES + 4)
     last = graph.MAX_OPEN_OCCURRENCES
     step = jobs.Step(count=1, cpu_millis=3000, estimate_s=LONG_S)
-    job = _timed(world, step, occurrences=last + 4, work_s=LONG_S)
+    job = world.timed(world.job(step), occurrences=last + 4, interval_s=INTERVAL_S)
     lengths = {_task(job, 0): 3.0, **{_task(job, last + number): SHORT_S for number in range(4)}}
     for engine in world.engines.values():
         engine.work_s = lambda name: lengths.get(name, LONG_S)
@@ -114,7 +98,8 @@
     """Guards against a second run of a task that the former owner's clock showed to be due."""
     world = _ready()
     _set_clocks_of_others_back(world)
-    job = _timed(world, KINDS[kind], occurrences=3, work_s=work_s)
+    plain = world.job(KINDS[kind], work_s=work_s)
+    job = world.timed(plain, occurrences=3, interval_s=INTERVAL_S)
     world.submit(job)
     _kill_owner_at_start(world, lambda name: name.startswith(f"{job.job_id}.0."))
     _complete(world, job)
@@ -127,7 +112,8 @@
     world = _ready()
     _set_clocks_of_others_back(world)
     step = jobs.Step(count=2, cpu_millis=1000, long_running=True)
-    job = _timed(world, step, occurrences=1, work_s=-1.0)
+    plain = world.job(step, work_s=-1.0)
+    job = world.timed(plain, occurrences=1, interval_s=INTERVAL_S)
     world.submit(job)
     _kill_owner_at_start(world, lambda name: name.startswith(job.job_id))
     world.run_until(lambda: world.owner is not None)
--- a/packages/ebonyhatch-fleet/tests/world.py
+++ b/packages/ebonyhatch-fleet/tests/world.py
@@ -310,6 +310,17 @@
             accepted_at=clocks.WALL_START_S + self.clock.seconds(),
         )
 
+    def timed(
+        self, job: jobs.Job, *, occurrences: int, interval_s: float, delay_s: float = 0.3
+    ) -> jobs.Job:
+        """Returns a job with timed occurrences, the first of them after a delay from now."""
+        return msgspec.structs.replace(
+            job,
+            occurrences=occurrences,
+            first_at=clocks.WALL_START_S + self.clock.seconds() + delay_s,
+            interval_s=interval_s,
+        )
+
     def submit(
         self, job: jobs.Job, *, at: str = "", queue: queues.Queue = QUEUE, version: int = 1
     ) -> entry.Answer:
